feat: workspace, wire types, ports and interfaces

Cause: a first version needs fixed interfaces before its parts can be built side by side. Ruled out: one placer per data centre, shared state in the store and no ownership at all; reasons in docs/design.md section 10. Conclusion: the interfaces hold together; every part behind them is still to be written.

--- /dev/null
+++ b/crates/hs-core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Placement core: a synchronous state machine without I/O.
+//!
+//! One [`Placer`] decides for all workers that its process owns. Time is passed in with every call,
+//! so that runs can be repeated exactly. Capacity is accounted from reservations only: a task holds
+//! its room from the decision until [`Placer::finish`], whatever its worker reports.
+
+pub mod decision;
+pub mod placer;
+pub mod policy;
+pub mod request;
+pub mod worker;
+
+pub use decision::{CancelState, Decision, TaskEnd};
+pub use placer::Placer;
+pub use policy::{CustomerPolicy, PlacerPolicy, PolicyMode};
+pub use request::{CustomerKey, WorkBand, WorkKey, WorkRequest};
+pub use worker::{FreeSummary, WorkerKey, WorkerSpec, WorkerState};
--- /dev/null
+++ b/crates/hs-event/src/code.rs
@@ -0,0 +1,92 @@
+//! The closed set of events.
+
+use std::fmt;
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// One kind of log line.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum EventCode { $($(#[$doc])* $name,)* }
+
+        impl EventCode {
+            /// Every event, in the order of the numbers.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the number.
+            pub fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// Returns the log level at which the event is written.
+            pub fn level(self) -> log::Level {
+                match self { $(Self::$name => log::Level::$level,)* }
+            }
+
+            /// Returns what the event means, as it stands in the catalogue.
+            pub fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process serves.
+    ProcessStarted = 1001, Info, "entry process started";
+    /// The process ends.
+    ProcessStopping = 1002, Info, "entry process shutting down";
+    /// Work was started on a worker of this process.
+    WorkPlaced = 2001, Info, "work placed on a worker";
+    /// Work waits in a queue.
+    WorkQueued = 2002, Info, "work queued";
+    /// Work was sent to a peer.
+    WorkForwarded = 2003, Info, "work forwarded to a peer";
+    /// Work was refused and did not run.
+    WorkRefused = 2004, Info, "work refused, not run";
+    /// Work ended.
+    WorkEnded = 2005, Info, "work ended";
+    /// An answer came after its caller had gone.
+    AnswerDropped = 2006, Info, "answer dropped, caller gone";
+    /// A worker refused a start.
+    StartRefused = 2007, Info, "worker refused a start";
+    /// A start had no answer.
+    StartUnknown = 2008, Warn, "start with unknown outcome";
+    /// Work was cancelled.
+    WorkCancelled = 2009, Info, "work cancelled";
+    /// A worker's lease was taken.
+    LeaseTaken = 3001, Info, "worker lease taken";
+    /// A worker's lease was lost.
+    LeaseLost = 3002, Warn, "worker lease lost";
+    /// A worker stopped taking new work.
+    WorkerDraining = 3003, Info, "worker draining";
+    /// A worker was ejected.
+    WorkerEjected = 3004, Warn, "worker ejected after failures";
+    /// A worker was readmitted.
+    WorkerReadmitted = 3005, Info, "worker readmitted after a probe";
+    /// A peer became live.
+    PeerJoined = 4001, Info, "peer live";
+    /// A peer stopped sending heartbeats.
+    PeerLost = 4002, Warn, "peer dead";
+    /// A manifest came into force.
+    ManifestApplied = 5001, Info, "manifest in force";
+    /// A manifest was not applied.
+    ManifestRejected = 5002, Warn, "manifest not applied";
+    /// A ledger partition was taken over.
+    PartitionTaken = 6001, Info, "ledger partition taken over";
+    /// A ledger partition was lost to another owner.
+    PartitionLost = 6002, Warn, "ledger partition lost to another owner";
+    /// The store does not answer.
+    StoreDown = 6003, Warn, "store unavailable";
+    /// The store answers again.
+    StoreUp = 6004, Info, "store available";
+    /// A store write had no reply and was read back.
+    WriteReadBack = 6005, Warn, "store write without reply, read back";
+}
+
+impl EventCode {
+    /// Writes one line: the number, the text and the fields as `name=value`.
+    pub fn log(self, fields: fmt::Arguments<'_>) {
+        let level = self.level();
+        log::log!(target: "hornbeamshunt", level, "E{} {} {fields}", self.number(), self.text());
+    }
+}
--- /dev/null
+++ b/crates/hs-event/src/lib.rs
@@ -0,0 +1,8 @@
+//! Numbered log events.
+//!
+//! Every routing or placement decision writes one line that starts with the event number, so that
+//! operators can search by number; `docs/events.md` lists them all. Payloads are never logged.
+
+mod code;
+
+pub use code::EventCode;
--- /dev/null
+++ b/crates/hs-ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable partition records: a synchronous state machine without I/O.
--- /dev/null
+++ b/crates/hs-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load tool: open-loop arrivals against running entry processes.
--- /dev/null
+++ b/crates/hs-node/src/port/http.rs
@@ -0,0 +1,45 @@
+//! The HTTP adapters of one process.
+
+use std::net::SocketAddr;
+
+use hs_http::HttpClient;
+
+use super::{HttpStore, HttpVms, HttpWorkers, Platform};
+
+/// Store, VM list and workers over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    store: HttpStore,
+    vms: HttpVms,
+    workers: HttpWorkers,
+}
+
+impl HttpPlatform {
+    /// Builds the adapters. No connection is opened before the first call.
+    pub fn new(store: SocketAddr, vm_list: SocketAddr) -> Self {
+        let client = HttpClient::default();
+        Self {
+            store: HttpStore::new(client.clone(), store),
+            vms: HttpVms::new(client.clone(), vm_list),
+            workers: HttpWorkers::new(client),
+        }
+    }
+}
+
+impl Platform for HttpPlatform {
+    type Store = HttpStore;
+    type Vms = HttpVms;
+    type Workers = HttpWorkers;
+
+    fn store(&self) -> &HttpStore {
+        &self.store
+    }
+
+    fn vms(&self) -> &HttpVms {
+        &self.vms
+    }
+
+    fn workers(&self) -> &HttpWorkers {
+        &self.workers
+    }
+}
--- /dev/null
+++ b/crates/hs-node/src/port/worker.rs
@@ -0,0 +1,103 @@
+//! HTTP adapter to workers.
+
+use std::time::Duration;
+
+use hs_http::{CallReply, HttpClient};
+use hs_wire::{LeaseGrant, LeaseRequest, StartReply, StartRequest, StopRequest, TaskView, WorkId};
+use serde::de::DeserializeOwned;
+
+use super::{PortError, WorkerPort};
+
+/// Workers over HTTP, with one pool of connections for all of them.
+#[derive(Clone, Debug)]
+pub struct HttpWorkers {
+    client: HttpClient,
+}
+
+impl HttpWorkers {
+    /// Builds the adapter.
+    pub fn new(client: HttpClient) -> Self {
+        Self { client }
+    }
+}
+
+fn parse<T: DeserializeOwned>(
+    step: &'static str,
+    address: &str,
+    reply: &CallReply,
+) -> Result<T, PortError> {
+    match reply.status {
+        200 => reply
+            .json()
+            .map_err(|error| PortError::unreadable(step, address, error)),
+        _ => Err(PortError::from_reply(step, address, reply)),
+    }
+}
+
+impl WorkerPort for HttpWorkers {
+    async fn lease(
+        &self,
+        address: &str,
+        request: &LeaseRequest,
+        limit: Duration,
+    ) -> Result<LeaseGrant, PortError> {
+        let step = "worker lease";
+        let reply = self
+            .client
+            .post_json(step, address, "/lease", request, limit)
+            .await?;
+        parse(step, address, &reply)
+    }
+
+    async fn start(
+        &self,
+        address: &str,
+        request: &StartRequest,
+        limit: Duration,
+    ) -> Result<TaskView, PortError> {
+        let step = "task start";
+        let reply = self
+            .client
+            .post_json(step, address, "/start", request, limit)
+            .await?;
+        let task = parse::<StartReply>(step, address, &reply)?.task;
+        if task.id != request.id {
+            let cause = format!("asked for task {}, got task {}", request.id, task.id);
+            return Err(PortError::unreadable(step, address, cause));
+        }
+        Ok(task)
+    }
+
+    async fn task(
+        &self,
+        address: &str,
+        id: &WorkId,
+        wait: Duration,
+        limit: Duration,
+    ) -> Result<Option<TaskView>, PortError> {
+        let step = "task query";
+        let path = format!("/tasks/{id}?wait_ms={}", wait.as_millis());
+        let reply = self.client.get(step, address, &path, limit).await?;
+        match reply.status {
+            404 => Ok(None),
+            _ => parse::<StartReply>(step, address, &reply).map(|reply| Some(reply.task)),
+        }
+    }
+
+    async fn stop(
+        &self,
+        address: &str,
+        request: &StopRequest,
+        limit: Duration,
+    ) -> Result<(), PortError> {
+        let step = "task stop";
+        let reply = self
+            .client
+            .post_json(step, address, "/stop", request, limit)
+            .await?;
+        match reply.status {
+            200 => Ok(()),
+            _ => Err(PortError::from_reply(step, address, &reply)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hs-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for store, VM list and worker, with fault switches.
--- /dev/null
+++ b/crates/hs-wire/src/lib.rs
@@ -0,0 +1,21 @@
+//! Types on the wire between callers, entry processes, workers, the store and the VM list.
+//!
+//! Every type here is a plain JSON body. The crate does no I/O, so that another adapter for a
+//! worker, a store or a VM list needs only these types and one of the traits in `hs-node`.
+
+pub mod outcome;
+pub mod resources;
+pub mod submission;
+pub mod vms;
+pub mod work;
+pub mod worker;
+
+pub use outcome::{NotRunReason, Outcome, WorkReply};
+pub use resources::Resources;
+pub use submission::Submission;
+pub use vms::{VmEntry, VmList, VmRole, VmState};
+pub use work::{WorkClass, WorkId};
+pub use worker::{
+    ErrorBody, LeaseGrant, LeaseRequest, StartReply, StartRequest, StopMode, StopRequest,
+    TaskPhase, TaskView, WorkerUsage,
+};
