--- /dev/null
+++ b/crates/hs-standin/src/front.rs
@@ -0,0 +1,106 @@
+//! A listener whose handler may withhold the reply, which `hs_http::serve` does not offer.
+
+use std::future::Future;
+
+use bytes::Bytes;
+use hs_http::{HttpReply, HttpRequest};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Makes `hyper` close the connection without a reply.
+#[derive(Debug, Error)]
+#[error("the reply is withheld")]
+struct WithheldReply;
+
+/// Serves requests until `stop` becomes true, then drops all connections.
+///
+/// A handler runs to its end even if the caller has gone, so that a call whose caller timed out
+/// still takes effect. A handler that returns `None` closes the connection without a reply.
+pub(crate) async fn serve_front<Handler, Reply>(
+    listener: TcpListener,
+    body_bytes: usize,
+    mut stop: watch::Receiver<bool>,
+    handler: Handler,
+) where
+    Handler: Fn(HttpRequest) -> Reply + Clone + Send + Sync + 'static,
+    Reply: Future<Output = Option<HttpReply>> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(connect(stream, body_bytes, handler.clone()));
+                }
+                Err(error) => log::debug!("accept failed: {error}"),
+            },
+            Some(_) = connections.join_next() => {}
+            _ = stop.wait_for(|stopped| *stopped) => break,
+        }
+    }
+}
+
+async fn connect<Handler, Reply>(stream: TcpStream, body_bytes: usize, handler: Handler)
+where
+    Handler: Fn(HttpRequest) -> Reply + Clone + Send + Sync + 'static,
+    Reply: Future<Output = Option<HttpReply>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| answer(request, body_bytes, handler.clone()));
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        log::debug!("connection ended: {error}");
+    }
+}
+
+async fn answer<Handler, Reply>(
+    request: Request<Incoming>,
+    body_bytes: usize,
+    handler: Handler,
+) -> Result<Response<Full<Bytes>>, WithheldReply>
+where
+    Handler: Fn(HttpRequest) -> Reply,
+    Reply: Future<Output = Option<HttpReply>> + Send + 'static,
+{
+    let (parts, body) = request.into_parts();
+    let body = match Limited::new(body, body_bytes).collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let message = format!("the body exceeds {body_bytes} bytes");
+            return convert(HttpReply::error(413, "body_too_large", message));
+        }
+        Err(_) => return Err(WithheldReply),
+    };
+    let request = HttpRequest {
+        method: parts.method,
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
+        headers: parts.headers,
+        body,
+    };
+    match tokio::spawn(handler(request)).await {
+        Ok(Some(reply)) => convert(reply),
+        Ok(None) | Err(_) => Err(WithheldReply),
+    }
+}
+
+fn convert(reply: HttpReply) -> Result<Response<Full<Bytes>>, WithheldReply> {
+    let mut response = Response::builder()
+        .status(reply.status)
+        .header(CONTENT_TYPE, reply.content_type);
+    for (name, value) in reply.headers {
+        response = response.header(name, value);
+    }
+    response
+        .body(Full::new(reply.body))
+        .map_err(|_| WithheldReply)
+}
