feat: membership state machine of the entry processes

Cause: ownership of workers, candidates for ledger partitions and the choice of peers need one live set per process. Ruled out: `std::hash`, which is not fixed across releases; bounded-load hashing, since the owner of a worker would depend on all other workers and a removal would move workers of other members; a timeout of 1.2 s between data centres, where heartbeats come every 2 s. Change: `Membership` with its options, events and views.

--- a/crates/hs-peer/src/lib.rs
+++ b/crates/hs-peer/src/lib.rs
@@ -9,3 +9,17 @@
 pub mod message;
 
 pub mod convert;
+pub mod rendezvous;
+
+mod loss_reason;
+mod member;
+mod member_event;
+mod member_options;
+mod member_view;
+mod membership;
+
+pub use loss_reason::LossReason;
+pub use member_event::MemberEvent;
+pub use member_options::MemberOptions;
+pub use member_view::MemberView;
+pub use membership::{MemberKey, Membership};
--- /dev/null
+++ b/crates/hs-peer/src/member_event.rs
@@ -0,0 +1,32 @@
+//! Changes of the live set.
+
+use std::time::Duration;
+
+use crate::{LossReason, MemberKey};
+
+/// A change that the process has to act on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MemberEvent {
+    /// A peer is live.
+    Joined {
+        /// Key of the peer.
+        key: MemberKey,
+        /// Name of the peer.
+        id: String,
+    },
+    /// A peer is no longer live.
+    Lost {
+        /// Key of the peer. It no longer resolves if the peer left the VM list.
+        key: MemberKey,
+        /// Name of the peer.
+        id: String,
+        /// Why the peer is no longer live.
+        reason: LossReason,
+    },
+    /// The own process was paused for longer than the timeout. Peers may have taken over its
+    /// workers and partitions, so it must drop what it presumed to own.
+    Woke {
+        /// Time between the last two ticks.
+        pause: Duration,
+    },
+}
