feat: manifest state, retry budget and circuit breaker

Cause: a manifest must never revert, retries must not multiply an overload, and a failed store or peer must not be called at full rate. Ruled out: a queue of exact times for the retry budget, whose cost grows with the rate; results of calls that the breaker admitted in an earlier state, since a burst of late failures would prolong the back-off. Change: `ManifestState` applies higher revisions only and reports another text of the same revision as a conflict. `RetryBudget` counts in 100 ms buckets and rounds against retries at the edge of the window. `CircuitBreaker` opens after 3 consecutive failures and admits one probe after 100 ms, doubling to 2 s; a probe without a result is replaced after 2 s. Conclusion: the three are ready for the glue in the entry process.

--- a/crates/hs-peer/src/lib.rs
+++ b/crates/hs-peer/src/lib.rs
@@ -1,4 +1,5 @@
-//! Messages between entry processes and the membership state machine.
+//! Messages between entry processes, the membership state machine, and the state machines that
+//! guard the manifest and the links to store and peers.
 //!
 //! The message code under `generated` comes from `proto/peer.proto` by `cargo run -p hs-gen`, and is
 //! committed so that the build needs no generator.
@@ -11,15 +12,21 @@
 pub mod convert;
 pub mod rendezvous;
 
+mod circuit_breaker;
 mod loss_reason;
+mod manifest_state;
 mod member;
 mod member_event;
 mod member_options;
 mod member_view;
 mod membership;
+mod retry_budget;
 
+pub use circuit_breaker::{BreakerOptions, BreakerPass, BreakerState, CircuitBreaker};
 pub use loss_reason::LossReason;
+pub use manifest_state::{ManifestOffer, ManifestState};
 pub use member_event::MemberEvent;
 pub use member_options::MemberOptions;
 pub use member_view::MemberView;
 pub use membership::{MemberKey, Membership};
+pub use retry_budget::{REQUESTS_PER_RETRY, RETRY_FLOOR, RETRY_WINDOW, RetryBudget};
