feat: public types and signatures of hs-ledger

Cause: the entry process is written against the ledger's interface. Ruled out: mark_* without Result. A late report about an earlier attempt must be refused, so changes name the attempt (TaskKey) and can fail. Change: all public types; method bodies follow. Conclusion: compiles; callers can build against it.

--- a/crates/hs-ledger/src/lib.rs
+++ b/crates/hs-ledger/src/lib.rs
@@ -1,1 +1,33 @@
 //! Durable partition records: a synchronous state machine without I/O.
+//!
+//! A [`LedgerPartition`] is the owner's view of one store value. Changes get a [`Stamp`]; a change is
+//! durable once its stamp is at most [`LedgerPartition::committed`]. The caller writes the value that
+//! [`LedgerPartition::begin_flush`] returns and reports what became of the write.
+
+mod admit;
+mod error;
+mod flush;
+mod hash;
+mod image;
+mod mark;
+mod options;
+mod owner;
+mod partition;
+mod record;
+mod size;
+mod stamp;
+mod task;
+mod view;
+
+pub use admit::{Admission, AdmitSpec};
+pub use error::{ImageError, MarkError};
+pub use flush::{FlushEnd, LedgerFlush, ReadBack};
+pub use hash::partition_of;
+pub use image::PartitionImage;
+pub use options::LedgerOptions;
+pub use owner::{LedgerOwner, OwnerAddress};
+pub use partition::{LedgerPartition, RecordKey};
+pub use record::{LedgerRecord, OpenPart};
+pub use stamp::Stamp;
+pub use task::{LedgerTask, RetryCause, TaskKey, TaskState};
+pub use view::OpenTask;
--- /dev/null
+++ b/crates/hs-ledger/src/size.rs
@@ -0,0 +1,1 @@
+//! Sizes in the store value.
