feat: ledger partition state machine

Cause: durable work needs one record per key that survives its owner. Ruled out: a key index with owned strings (doubles the memory; the index holds hashes and compares in the arena); task ids from the key alone (a key that is used again after its retention would repeat ids, so the time of admission is part of the id); a limit on the encoded size alone (open tasks still grow, so the size that counts reserves what they may add).

--- a/crates/hs-ledger/src/admit.rs
+++ b/crates/hs-ledger/src/admit.rs
@@ -2,7 +2,9 @@
 
 use hs_wire::{NotRunReason, Submission, WorkClass};
 
-use crate::{LedgerPartition, RecordKey, Stamp};
+use crate::hash::{body_hash, name_hash};
+use crate::size::{ADMIT_BYTES, REFUSAL_BYTES, record_bytes};
+use crate::{LedgerPartition, LedgerRecord, LedgerTask, OpenPart, RecordKey, Stamp, TaskState};
 
 /// What the manifest and the forwarding process say about a submission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -45,12 +47,96 @@
 
 impl LedgerPartition {
     /// Records a submission, unless its key has a record already.
-    pub fn admit(
+    pub fn admit(&mut self, submission: &Submission, spec: &AdmitSpec, now_ms: u64) -> Admission {
+        if self.lost {
+            return Admission::Refused(NotRunReason::OwnerUnreachable);
+        }
+        let hash = body_hash(submission);
+        if let Some(record) = self.find(&submission.customer, &submission.key) {
+            return match self.records[record].record.body_hash == hash {
+                true => Admission::Existing { record },
+                false => Admission::Refused(NotRunReason::KeyReused),
+            };
+        }
+        if self.releasing {
+            return Admission::Refused(NotRunReason::ShuttingDown);
+        }
+        let too_old = submission
+            .issued_at_ms
+            .is_some_and(|issued| now_ms.saturating_sub(issued) > self.options.key_retention_ms());
+        if too_old || now_ms > spec.expires_at_ms {
+            return self.tombstone(submission, spec, NotRunReason::KeyExpired, now_ms);
+        }
+        let record = self.new_record(submission, spec, now_ms);
+        if self.bytes + record_bytes(&record) > ADMIT_BYTES {
+            return self.tombstone(submission, spec, NotRunReason::LedgerFull, now_ms);
+        }
+        self.last = self.last.next();
+        let record = self.insert(record);
+        Admission::New {
+            record,
+            stamp: self.last,
+        }
+    }
+
+    /// Records that a submission was refused.
+    ///
+    /// Without the record, a duplicate that arrives later could still run although the caller was
+    /// told that the work did not.
+    fn tombstone(
         &mut self,
-        _submission: &Submission,
-        _spec: &AdmitSpec,
-        _now_ms: u64,
+        submission: &Submission,
+        spec: &AdmitSpec,
+        reason: NotRunReason,
+        now_ms: u64,
     ) -> Admission {
-        todo!()
+        let mut record = self.new_record(submission, spec, now_ms);
+        record.open = None;
+        record.ended_ms = now_ms.max(1);
+        record.reason = Some(reason);
+        record.tasks.truncate(1);
+        for task in &mut record.tasks {
+            task.state = TaskState::NotRun;
+        }
+        if self.bytes + record_bytes(&record) > REFUSAL_BYTES {
+            return Admission::Refused(reason);
+        }
+        self.last = self.last.next();
+        let record = self.insert(record);
+        Admission::Existing { record }
+    }
+
+    fn new_record(&self, submission: &Submission, spec: &AdmitSpec, now_ms: u64) -> LedgerRecord {
+        LedgerRecord {
+            customer: submission.customer.clone(),
+            key: submission.key.clone(),
+            workload: submission.workload.clone(),
+            body_hash: body_hash(submission),
+            salt: self.free_salt(&submission.customer, &submission.key),
+            class: spec.class,
+            repeatable: spec.repeatable,
+            revision: spec.revision,
+            expires_at_ms: spec.expires_at_ms,
+            admitted_ms: now_ms,
+            ended_ms: 0,
+            open: Some(OpenPart {
+                deadline_ms: submission.deadline_ms,
+                wait_ms: submission.wait_ms,
+                issued_at_ms: submission.issued_at_ms,
+                payload: submission.payload.clone(),
+            }),
+            cancel: false,
+            reason: None,
+            detail: String::new(),
+            tasks: vec![LedgerTask::default(); spec.tasks.max(1) as usize],
+        }
+    }
+
+    /// Returns a salt that no record with the same hash has.
+    fn free_salt(&self, customer: &str, key: &str) -> u32 {
+        let bucket = self.index.get(&name_hash(customer, key));
+        let salts = bucket.into_iter().flatten();
+        let salts = salts.map(|other| self.records[*other].record.salt + 1);
+        salts.max().unwrap_or(0)
     }
 }
--- a/crates/hs-ledger/src/error.rs
+++ b/crates/hs-ledger/src/error.rs
@@ -43,6 +43,9 @@
         /// Requested state.
         to: TaskState,
     },
+    /// The worker's name takes more room than the store value reserves for it.
+    #[error("the worker's name is longer than {limit} bytes in JSON", limit = crate::size::WORKER_BYTES)]
+    WorkerName,
     /// The record has its final outcome.
     #[error("the record has its final outcome")]
     Closed,
--- a/crates/hs-ledger/src/hash.rs
+++ b/crates/hs-ledger/src/hash.rs
@@ -34,9 +34,10 @@
 
 /// Returns the record's part of its task ids.
 ///
-/// Records with equal hashes are in one partition, which gives them different salts. The shown part
-/// of the key is for people and may be equal for different keys.
-pub(crate) fn record_id(customer: &str, key: &str, salt: u32) -> String {
+/// Records with equal hashes are in one partition, which gives them different salts. The time of
+/// admission tells a record from an expired one of the same key. The shown part of the key is for
+/// people and may be equal for different keys.
+pub(crate) fn record_id(customer: &str, key: &str, salt: u32, admitted_ms: u64) -> String {
     let hash = name_hash(customer, key);
     let shown = key
         .chars()
@@ -46,10 +47,7 @@
             _ => '_',
         });
     let shown: String = shown.collect();
-    match salt {
-        0 => format!("{hash:016x}:{shown}"),
-        _ => format!("{hash:016x}-{salt}:{shown}"),
-    }
+    format!("{hash:016x}-{admitted_ms:x}-{salt}:{shown}")
 }
 
 /// Hashes strings with their lengths, so that moving a character from one to the next changes it.
--- a/crates/hs-ledger/src/record.rs
+++ b/crates/hs-ledger/src/record.rs
@@ -107,7 +107,7 @@
     /// Returns the id of an attempt, or `None` if the record has no such task.
     pub fn task_id(&self, task: TaskKey) -> Option<WorkId> {
         self.tasks.get(task.task as usize)?;
-        let record = record_id(&self.customer, &self.key, self.salt);
+        let record = record_id(&self.customer, &self.key, self.salt, self.admitted_ms);
         Some(WorkId(format!("{record}.{}.{}", task.task, task.attempt)))
     }
 
--- a/crates/hs-ledger/src/task.rs
+++ b/crates/hs-ledger/src/task.rs
@@ -88,6 +88,17 @@
     pub has_run: bool,
 }
 
+impl LedgerTask {
+    /// Ends the task without a run of the current attempt. If an earlier attempt has run, the task
+    /// has failed.
+    pub(crate) fn close_not_run(&mut self) {
+        self.state = match self.has_run {
+            true => TaskState::Failed,
+            false => TaskState::NotRun,
+        };
+    }
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "serde passes the field by reference"
--- a/crates/hs-ledger/src/view.rs
+++ b/crates/hs-ledger/src/view.rs
@@ -2,8 +2,9 @@
 
 use std::time::Instant;
 
-use hs_wire::{WorkId, WorkReply};
+use hs_wire::{NotRunReason, Outcome, WorkId, WorkReply};
 
+use crate::hash::name_hash;
 use crate::{LedgerPartition, LedgerRecord, RecordKey, Stamp, TaskKey, TaskState};
 
 /// A task that has not ended.
@@ -23,43 +24,101 @@
 
 impl LedgerPartition {
     /// Finds the record of a key.
-    pub fn find(&self, _customer: &str, _key: &str) -> Option<RecordKey> {
-        todo!()
+    pub fn find(&self, customer: &str, key: &str) -> Option<RecordKey> {
+        let bucket = self.index.get(&name_hash(customer, key))?;
+        let found = bucket.iter().find(|other| {
+            let record = &self.records[**other].record;
+            record.customer == customer && record.key == key
+        });
+        found.copied()
     }
 
     /// Returns a record, or `None` if it has expired.
-    pub fn record(&self, _record: RecordKey) -> Option<&LedgerRecord> {
-        todo!()
+    pub fn record(&self, record: RecordKey) -> Option<&LedgerRecord> {
+        self.records.get(record).map(|entry| &entry.record)
     }
 
     /// Returns the stamp of a record's last change. Its reply may be sent once this is committed.
-    pub fn stamp(&self, _record: RecordKey) -> Option<Stamp> {
-        todo!()
+    pub fn stamp(&self, record: RecordKey) -> Option<Stamp> {
+        self.records.get(record).map(|entry| entry.last)
     }
 
     /// Returns the id under which an attempt is started.
-    pub fn task_id(&self, _record: RecordKey, _task: TaskKey) -> Option<WorkId> {
-        todo!()
+    pub fn task_id(&self, record: RecordKey, task: TaskKey) -> Option<WorkId> {
+        self.record(record)?.task_id(task)
     }
 
     /// Returns the reply to the caller of a record. It may be sent once [`Self::stamp`] is committed.
-    pub fn reply(&self, _record: RecordKey) -> WorkReply {
-        todo!()
+    ///
+    /// The reply about a record that has expired is `unknown` and names no key.
+    pub fn reply(&self, record: RecordKey) -> WorkReply {
+        let Some(entry) = self.record(record) else {
+            return WorkReply::unknown("", "the record has expired");
+        };
+        let outcome = entry.outcome();
+        let mut reply = match outcome {
+            Outcome::NotRun => {
+                let reason = entry.reason.unwrap_or(NotRunReason::WorkerRefused);
+                WorkReply::not_run(&entry.key, reason, "")
+            }
+            _ => WorkReply::new(&entry.key, outcome),
+        };
+        reply.detail.clone_from(&entry.detail);
+        reply.revision = entry.revision;
+        let tasks = entry.tasks.iter();
+        if tasks.clone().any(|task| !task.result.is_empty()) {
+            let results = tasks.clone().enumerate();
+            let results = results.map(|(index, task)| match task.truncated {
+                true => self.long_results.get(record, index).unwrap_or(&task.result),
+                false => &task.result,
+            });
+            reply.results = results.map(str::to_owned).collect();
+        }
+        if tasks.clone().any(|task| !task.worker.is_empty()) {
+            reply.workers = tasks.clone().map(|task| task.worker.clone()).collect();
+        }
+        let placed = tasks
+            .map(|task| task.placed_ms)
+            .filter(|placed| *placed > 0);
+        reply.waited_ms = placed
+            .min()
+            .map_or(0, |placed| placed.saturating_sub(entry.admitted_ms));
+        reply
     }
 
     /// Returns whether a reply of not run may be sent although it is not committed: the ownership is
     /// fresh, and no write that carried the record was sent.
-    pub fn may_answer_not_run(&self, _record: RecordKey, _now: Instant) -> bool {
-        todo!()
+    pub fn may_answer_not_run(&self, record: RecordKey, now: Instant) -> bool {
+        self.records.get(record).is_some_and(|entry| {
+            entry.record.outcome() == Outcome::NotRun
+                && entry.first > self.sent
+                && self.is_fresh(now)
+        })
     }
 
     /// Forgets results over 4 KB that were kept for the first delivery.
-    pub fn release_results(&mut self, _record: RecordKey) {
-        todo!()
+    pub fn release_results(&mut self, record: RecordKey) {
+        self.long_results.release(record);
     }
 
-    /// Returns all tasks that are waiting or placed.
+    /// Returns all tasks that are waiting or placed. After a takeover, these are the tasks to place
+    /// and to resolve.
     pub fn open_tasks(&self) -> impl Iterator<Item = OpenTask<'_>> {
-        std::iter::empty()
+        let records = self.records.iter();
+        let open = records.filter(|(_, entry)| entry.record.ended_ms == 0);
+        open.flat_map(|(record, entry)| {
+            let tasks = (0..).zip(&entry.record.tasks);
+            let open = tasks.filter(|(_, task)| task.state.is_open());
+            open.map(move |(index, task)| OpenTask {
+                record,
+                task: TaskKey {
+                    task: index,
+                    attempt: task.attempt,
+                },
+                state: task.state,
+                worker: &task.worker,
+                placed_ms: task.placed_ms,
+            })
+        })
     }
 }
