feat: fair queues, quotas and indexed best fit in the placement core

Cause: the placer scanned all workers for each decision, served one queue in order of arrival and knew no quota, headroom or queue bound. Ruled out: one ordered set of workers by a single score, since a search for five dimensions then visits many workers that do not fit; one queue per customer with a retry of every head, since each decision then costs as many searches as there are customers. Change: workers are indexed per band by the free share of their scarcest dimension, with a maximum tree per group. Work is queued per band, shape and customer with start-time fair queuing over customers; a shape that fits nowhere is skipped until a worker gets room for it, so that it holds up no other work. Quotas, queue limits, short_reserve, long_ceiling, rack preference of gangs, deadline shedding and never_fits follow the policy. The baseline keeps one queue with first fit. Conclusion: usable behind the unchanged interface.

--- /dev/null
+++ b/crates/hs-core/src/band_queue.rs
@@ -0,0 +1,291 @@
+//! Queue of one band.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::time::Duration;
+
+use hs_wire::Resources;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::customer_account::CustomerAccount;
+use crate::work_record::WorkRecord;
+use crate::{CustomerKey, WorkBand, WorkKey, WorkRequest};
+
+new_key_type! {
+    /// Key of the waiting work of one customer and one shape.
+    pub(crate) struct LaneKey;
+
+    /// Key of a shape with waiting work.
+    pub(crate) struct ShapeKey;
+}
+
+/// What decides whether a piece of work fits. Work of one shape fits or does not fit as a whole.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct WorkShape {
+    /// What each task takes.
+    pub(crate) need: Resources,
+    /// Number of tasks.
+    pub(crate) tasks: u16,
+    /// Declared run time, which decides about backfill.
+    pub(crate) estimate: Option<Duration>,
+}
+
+impl WorkShape {
+    /// Returns the shape of a request.
+    pub(crate) fn of(request: &WorkRequest) -> Self {
+        Self {
+            need: request.resources,
+            tasks: request.tasks.max(1),
+            estimate: request.estimate,
+        }
+    }
+
+    /// Returns what all tasks take together.
+    pub(crate) fn total(self) -> Resources {
+        self.need.saturating_mul(u32::from(self.tasks))
+    }
+}
+
+#[derive(Debug)]
+struct ShapeQueue {
+    shape: WorkShape,
+    /// No worker had room; set back when a worker gets room that may do.
+    blocked: bool,
+    /// Number of lanes.
+    lanes: usize,
+    /// Lanes by virtual start time and age of their first work. Both only grow, so that an entry
+    /// that is behind is corrected when it surfaces.
+    heap: BinaryHeap<Reverse<(u64, u64, LaneKey)>>,
+}
+
+#[derive(Debug)]
+struct CustomerLane {
+    customer: CustomerKey,
+    shape: ShapeKey,
+    items: VecDeque<(u64, WorkKey)>,
+    stale: usize,
+    parked: bool,
+}
+
+/// The first piece of work in line.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct QueueHead {
+    /// Its lane.
+    pub(crate) lane: LaneKey,
+    /// The shape's key.
+    pub(crate) shape_key: ShapeKey,
+    /// The shape.
+    pub(crate) shape: WorkShape,
+    /// The work.
+    pub(crate) work: WorkKey,
+    /// The customer.
+    pub(crate) customer: CustomerKey,
+}
+
+/// Start-time fair queue over the customers of one band.
+///
+/// Work is kept by shape, so that work that does not fit holds up only work of its own shape.
+#[derive(Debug)]
+pub(crate) struct BandQueue {
+    band: WorkBand,
+    virtual_time: u64,
+    shapes: SlotMap<ShapeKey, ShapeQueue>,
+    by_shape: HashMap<WorkShape, ShapeKey>,
+    lanes: SlotMap<LaneKey, CustomerLane>,
+    by_customer: HashMap<(CustomerKey, ShapeKey), LaneKey>,
+}
+
+impl BandQueue {
+    /// Builds an empty queue.
+    pub(crate) fn new(band: WorkBand) -> Self {
+        Self {
+            band,
+            virtual_time: 0,
+            shapes: SlotMap::with_key(),
+            by_shape: HashMap::new(),
+            lanes: SlotMap::with_key(),
+            by_customer: HashMap::new(),
+        }
+    }
+
+    /// Adds a piece of work and returns its lane.
+    pub(crate) fn push(
+        &mut self,
+        work: WorkKey,
+        sequence: u64,
+        request: &WorkRequest,
+        account: &mut CustomerAccount,
+    ) -> LaneKey {
+        let band = self.band as usize;
+        if account.queued[band] == 0 {
+            account.tags[band] = account.tags[band].max(self.virtual_time);
+        }
+        account.queued[band] += 1;
+        let shape = WorkShape::of(request);
+        let shape_key = *self.by_shape.entry(shape).or_insert_with(|| {
+            self.shapes.insert(ShapeQueue {
+                shape,
+                blocked: false,
+                lanes: 0,
+                heap: BinaryHeap::new(),
+            })
+        });
+        let customer = request.customer;
+        let lane_key = *self
+            .by_customer
+            .entry((customer, shape_key))
+            .or_insert_with(|| {
+                let lane = self.lanes.insert(CustomerLane {
+                    customer,
+                    shape: shape_key,
+                    items: VecDeque::new(),
+                    stale: 0,
+                    parked: false,
+                });
+                let queue = &mut self.shapes[shape_key];
+                queue.lanes += 1;
+                queue
+                    .heap
+                    .push(Reverse((account.tags[band], sequence, lane)));
+                lane
+            });
+        self.lanes[lane_key].items.push_back((sequence, work));
+        lane_key
+    }
+
+    /// Returns whether a shape is known not to fit anywhere.
+    pub(crate) fn is_blocked(&self, shape: WorkShape) -> bool {
+        let queue = self.by_shape.get(&shape).map(|key| &self.shapes[*key]);
+        queue.is_some_and(|queue| queue.blocked)
+    }
+
+    /// Returns the first piece of work among the shapes that may fit.
+    pub(crate) fn head(
+        &mut self,
+        accounts: &SlotMap<CustomerKey, CustomerAccount>,
+        works: &SlotMap<WorkKey, WorkRecord>,
+    ) -> Option<QueueHead> {
+        let mut best: Option<((u64, u64), ShapeKey, LaneKey)> = None;
+        let mut empty = None;
+        for (shape_key, queue) in &mut self.shapes {
+            if queue.blocked {
+                continue;
+            }
+            while let Some(mut top) = queue.heap.peek_mut() {
+                let Reverse((tag, sequence, lane_key)) = *top;
+                let lane = &mut self.lanes[lane_key];
+                while let Some((_, work)) = lane.items.front()
+                    && !works.contains_key(*work)
+                {
+                    lane.items.pop_front();
+                    lane.stale = lane.stale.saturating_sub(1);
+                }
+                let Some((first, _)) = lane.items.front() else {
+                    std::collections::binary_heap::PeekMut::pop(top);
+                    self.by_customer.remove(&(lane.customer, shape_key));
+                    self.lanes.remove(lane_key);
+                    queue.lanes -= 1;
+                    continue;
+                };
+                let present = (accounts[lane.customer].tags[self.band as usize], *first);
+                if present != (tag, sequence) {
+                    *top = Reverse((present.0, present.1, lane_key));
+                    continue;
+                }
+                if best.is_none_or(|(key, ..)| present < key) {
+                    best = Some((present, shape_key, lane_key));
+                }
+                break;
+            }
+            if queue.lanes == 0 {
+                empty = Some(shape_key);
+            }
+        }
+        // One empty shape for each call is enough, since a call adds at most one.
+        if let Some(queue) = empty.and_then(|key| self.shapes.remove(key)) {
+            self.by_shape.remove(&queue.shape);
+        }
+        let (_, shape_key, lane) = best?;
+        let (_, work) = *self.lanes[lane].items.front()?;
+        Some(QueueHead {
+            lane,
+            shape_key,
+            shape: self.shapes[shape_key].shape,
+            work,
+            customer: self.lanes[lane].customer,
+        })
+    }
+
+    /// Removes the first piece of work of a lane, which was placed, and charges the customer.
+    pub(crate) fn take(&mut self, lane: LaneKey, cost: u64, account: &mut CustomerAccount) {
+        self.lanes[lane].items.pop_front();
+        account.queued[self.band as usize] -= 1;
+        self.charge(cost, account);
+    }
+
+    /// Advances the virtual time of a customer that was served.
+    pub(crate) fn charge(&mut self, cost: u64, account: &mut CustomerAccount) {
+        let tag = &mut account.tags[self.band as usize];
+        // A customer whose work did not fit for a while gets no credit for that time, since it
+        // would keep all others waiting until the credit is used up.
+        self.virtual_time = self.virtual_time.max(*tag);
+        *tag = self.virtual_time + (cost / u64::from(account.policy.weight.max(1))).max(1);
+    }
+
+    /// Notes that a piece of work left its lane without being placed.
+    pub(crate) fn forget(
+        &mut self,
+        lane: LaneKey,
+        account: &mut CustomerAccount,
+        works: &SlotMap<WorkKey, WorkRecord>,
+    ) {
+        account.queued[self.band as usize] -= 1;
+        let lane = &mut self.lanes[lane];
+        lane.stale += 1;
+        // Keeps a lane that does not move from growing when its work is cancelled.
+        if lane.stale > 32 + lane.items.len() / 2 {
+            lane.items.retain(|(_, work)| works.contains_key(*work));
+            lane.stale = 0;
+        }
+    }
+
+    /// Skips a shape until a worker gets room for it.
+    pub(crate) fn block(&mut self, shape: ShapeKey) {
+        self.shapes[shape].blocked = true;
+    }
+
+    /// Tries shapes again, of which one task fits into `room`.
+    pub(crate) fn unblock(&mut self, room: Resources) {
+        for queue in self.shapes.values_mut().filter(|queue| queue.blocked) {
+            queue.blocked = !queue.shape.need.fits(room);
+        }
+    }
+
+    /// Tries every shape again.
+    pub(crate) fn unblock_all(&mut self) {
+        for queue in self.shapes.values_mut() {
+            queue.blocked = false;
+        }
+    }
+
+    /// Takes the lane at the head of a shape out of line until its customer uses less.
+    pub(crate) fn park(&mut self, head: QueueHead) {
+        self.shapes[head.shape_key].heap.pop();
+        self.lanes[head.lane].parked = true;
+    }
+
+    /// Puts a lane back in line.
+    pub(crate) fn unpark(&mut self, lane_key: LaneKey, tag: u64) {
+        let lane = &mut self.lanes[lane_key];
+        if std::mem::take(&mut lane.parked) {
+            let sequence = lane.items.front().map_or(0, |(sequence, _)| *sequence);
+            let heap = &mut self.shapes[lane.shape].heap;
+            heap.push(Reverse((tag, sequence, lane_key)));
+        }
+    }
+
+    /// Returns whether a lane waits for its customer's quota.
+    pub(crate) fn is_parked(&self, lane: LaneKey) -> bool {
+        self.lanes[lane].parked
+    }
+}
--- a/crates/hs-core/src/lib.rs
+++ b/crates/hs-core/src/lib.rs
@@ -10,6 +10,17 @@
 pub mod request;
 pub mod worker;
 
+mod band_queue;
+mod customer_account;
+mod deadline_heap;
+mod decide;
+mod free_tree;
+mod room_index;
+mod submit;
+mod work_record;
+mod worker_pool;
+mod worker_record;
+
 pub use decision::{CancelState, Decision, TaskEnd};
 pub use placer::Placer;
 pub use policy::{CustomerPolicy, PlacerPolicy, PolicyMode};
--- a/crates/hs-core/src/placer.rs
+++ b/crates/hs-core/src/placer.rs
@@ -3,38 +3,53 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Instant;
 
-use hs_wire::{NotRunReason, Resources};
+use hs_wire::Resources;
 use slotmap::SlotMap;
-use smallvec::SmallVec;
 
+use crate::band_queue::BandQueue;
+use crate::customer_account::CustomerAccount;
+use crate::deadline_heap::DeadlineHeap;
+use crate::work_record::{WorkRecord, WorkStage};
+use crate::worker_pool::WorkerPool;
 use crate::{
-    CancelState, CustomerKey, Decision, FreeSummary, PlacerPolicy, TaskEnd, WorkKey, WorkRequest,
-    WorkerKey, WorkerSpec, WorkerState,
+    CustomerKey, Decision, FreeSummary, PlacerPolicy, PolicyMode, WorkBand, WorkKey, WorkerKey,
+    WorkerSpec, WorkerState,
 };
 
-#[derive(Debug)]
-struct WorkerRecord {
-    spec: WorkerSpec,
-    state: WorkerState,
-    used: Resources,
-}
-
-#[derive(Debug)]
-struct WorkRecord {
-    request: WorkRequest,
-    submitted: Instant,
-    workers: SmallVec<[Option<WorkerKey>; 2]>,
-}
-
 /// Decides which work starts on which worker.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Placer {
-    policy: PlacerPolicy,
-    customers: SlotMap<CustomerKey, String>,
+    pub(crate) policy: PlacerPolicy,
+    pub(crate) accounts: SlotMap<CustomerKey, CustomerAccount>,
     names: HashMap<String, CustomerKey>,
-    workers: SlotMap<WorkerKey, WorkerRecord>,
-    works: SlotMap<WorkKey, WorkRecord>,
-    queue: VecDeque<WorkKey>,
+    pub(crate) pool: WorkerPool,
+    pub(crate) works: SlotMap<WorkKey, WorkRecord>,
+    pub(crate) queues: [BandQueue; 4],
+    /// The single queue of the baseline.
+    pub(crate) arrivals: VecDeque<WorkKey>,
+    pub(crate) deadlines: DeadlineHeap,
+    pub(crate) queued: usize,
+    pub(crate) sequence: u64,
+    /// Decisions about workers that wait for [`Placer::poll`].
+    pub(crate) events: VecDeque<Decision>,
+}
+
+impl Default for Placer {
+    fn default() -> Self {
+        Self {
+            policy: PlacerPolicy::default(),
+            accounts: SlotMap::with_key(),
+            names: HashMap::new(),
+            pool: WorkerPool::default(),
+            works: SlotMap::with_key(),
+            queues: WorkBand::ALL.map(BandQueue::new),
+            arrivals: VecDeque::new(),
+            deadlines: DeadlineHeap::default(),
+            queued: 0,
+            sequence: 0,
+            events: VecDeque::new(),
+        }
+    }
 }
 
 impl Placer {
@@ -45,224 +60,160 @@
         placer
     }
 
-    /// Puts a policy in force. Work of a customer that is gone keeps its place.
+    /// Puts a policy in force. Work of a customer that is gone keeps its place and the customer's
+    /// last limits.
     pub fn apply_policy(&mut self, policy: PlacerPolicy, _now: Instant) {
+        for account in self.accounts.values_mut() {
+            account.listed = false;
+        }
         for customer in &policy.customers {
-            if !self.names.contains_key(&customer.name) {
-                let key = self.customers.insert(customer.name.clone());
-                self.names.insert(customer.name.clone(), key);
+            let known = self.names.get(&customer.name);
+            match known.and_then(|key| self.accounts.get_mut(*key)) {
+                Some(account) => {
+                    account.policy = customer.clone();
+                    account.listed = true;
+                }
+                None => {
+                    let account = CustomerAccount::new(customer.clone());
+                    let key = self.accounts.insert(account);
+                    self.names.insert(customer.name.clone(), key);
+                }
             }
         }
-        self.policy = policy;
+        let before = std::mem::replace(&mut self.policy, policy);
+        let limits = (self.policy.short_reserve, self.policy.long_ceiling);
+        if limits != (before.short_reserve, before.long_ceiling) {
+            self.pool.set_limits(limits.0, limits.1);
+        }
+        if self.policy.mode != before.mode {
+            self.requeue();
+        }
+        let customers: Vec<_> = self.accounts.keys().collect();
+        for customer in customers {
+            self.unpark(customer);
+        }
+        self.unblock_all();
     }
 
     /// Returns the key of a customer of the policy.
     pub fn customer(&self, name: &str) -> Option<CustomerKey> {
-        self.names.get(name).copied()
+        let key = self.names.get(name).copied()?;
+        self.accounts.get(key)?.listed.then_some(key)
     }
 
     /// Adds a worker.
     pub fn add_worker(&mut self, spec: WorkerSpec, _now: Instant) -> WorkerKey {
-        self.workers.insert(WorkerRecord {
-            spec,
-            state: WorkerState::Active,
-            used: Resources::ZERO,
-        })
+        let worker = self.pool.add(spec);
+        self.room_returned(worker);
+        worker
     }
 
     /// Sets whether a worker takes new work.
     pub fn set_worker_state(&mut self, worker: WorkerKey, state: WorkerState, _now: Instant) {
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.state = state;
-        }
+        self.pool.update(worker, |record| record.state = state);
+        self.room_returned(worker);
     }
 
     /// Removes a worker and returns the tasks that it ran, as work and task index. Their work stays
     /// valid until [`Placer::finish`] is called for each of them.
     pub fn remove_worker(&mut self, worker: WorkerKey, _now: Instant) -> Vec<(WorkKey, u16)> {
-        self.workers.remove(worker);
-        let mut lost = Vec::new();
-        for (key, record) in &self.works {
-            for (index, placed) in record.workers.iter().enumerate() {
-                if *placed == Some(worker) {
-                    lost.push((key, index as u16));
-                }
-            }
-        }
-        lost
-    }
-
-    /// Accounts a task that already runs, found on a takeover.
-    pub fn adopt(&mut self, worker: WorkerKey, request: WorkRequest, now: Instant) -> WorkKey {
-        self.reserve(worker, request.resources);
-        self.works.insert(WorkRecord {
-            request,
-            submitted: now,
-            workers: SmallVec::from_iter([Some(worker)]),
-        })
-    }
-
-    /// Queues work. A decision about it follows from [`Placer::poll`].
-    ///
-    /// # Errors
-    ///
-    /// Returns why the work can never run, or why it may not wait.
-    pub fn submit(&mut self, request: WorkRequest, now: Instant) -> Result<WorkKey, NotRunReason> {
-        let fits = |record: &WorkerRecord| request.resources.fits(record.spec.capacity);
-        if !self.workers.is_empty() && !self.workers.values().any(fits) {
-            return Err(NotRunReason::NeverFits);
-        }
-        let work = self.works.insert(WorkRecord {
-            request,
-            submitted: now,
-            workers: SmallVec::new(),
-        });
-        self.queue.push_back(work);
-        Ok(work)
-    }
-
-    /// Places work at once, ahead of the queue only if nothing of its band or a higher one waits.
-    /// Returns `None` if it would have to wait; nothing is kept then.
-    pub fn place_now(&mut self, request: WorkRequest, now: Instant) -> Option<Decision> {
-        if !self.queue.is_empty() {
-            return None;
-        }
-        let work = self.submit(request, now).ok()?;
-        let decision = self.poll(now);
-        if decision.is_none() {
-            self.cancel(work, now);
-        }
-        decision
-    }
-
-    /// Returns the next decision, or `None` if nothing changes without another input.
-    pub fn poll(&mut self, now: Instant) -> Option<Decision> {
-        loop {
-            let work = *self.queue.front()?;
-            let Some(record) = self.works.get(work) else {
-                self.queue.pop_front();
-                continue;
-            };
-            let waited = now.saturating_duration_since(record.submitted);
-            let tag = record.request.tag;
-            if record
-                .request
-                .deadline
-                .is_some_and(|deadline| deadline <= now)
-            {
-                self.queue.pop_front();
-                self.works.remove(work);
-                let reason = NotRunReason::DeadlinePassed;
-                return Some(Decision::Refuse {
-                    work,
-                    tag,
-                    reason,
-                    waited,
-                });
-            }
-            let (resources, tasks) = (record.request.resources, record.request.tasks);
-            let workers = self.first_fit(resources, tasks)?;
-            self.queue.pop_front();
-            if let Some(record) = self.works.get_mut(work) {
-                record.workers = workers.iter().copied().map(Some).collect();
-            }
-            return Some(Decision::Place {
-                work,
-                tag,
-                workers,
-                waited,
-            });
-        }
-    }
-
-    /// Frees the room of one task that has ended, or whose start was refused.
-    pub fn finish(&mut self, work: WorkKey, task: u16, _end: TaskEnd, _now: Instant) {
-        let Some(record) = self.works.get_mut(work) else {
-            return;
-        };
-        let resources = record.request.resources;
-        let placed = record
-            .workers
-            .get_mut(usize::from(task))
-            .and_then(Option::take);
-        if record.workers.iter().all(Option::is_none) {
-            self.works.remove(work);
-        }
-        if let Some(worker) = placed.and_then(|worker| self.workers.get_mut(worker)) {
-            worker.used = worker.used.saturating_sub(resources);
-        }
-    }
-
-    /// Cancels work in constant time.
-    pub fn cancel(&mut self, work: WorkKey, _now: Instant) -> CancelState {
-        match self.works.get(work) {
-            None => CancelState::Gone,
-            Some(record) if record.workers.is_empty() => {
-                self.works.remove(work);
-                CancelState::Dequeued
-            }
-            Some(record) => {
-                CancelState::Running(record.workers.iter().flatten().copied().collect())
-            }
-        }
+        let record = self.pool.remove(worker);
+        record.map(|record| record.tasks).unwrap_or_default()
     }
 
     /// Returns when [`Placer::poll`] has to be called even without an input.
     pub fn next_wake(&self) -> Option<Instant> {
-        let records = self.queue.iter().filter_map(|work| self.works.get(*work));
-        records.filter_map(|record| record.request.deadline).min()
+        self.deadlines.first()
     }
 
     /// Returns the free room, as heartbeats carry it.
     pub fn free_summary(&self) -> FreeSummary {
         let mut summary = FreeSummary::default();
-        for record in self
-            .workers
-            .values()
-            .filter(|record| record.state == WorkerState::Active)
-        {
-            let free = record.spec.capacity.saturating_sub(record.used);
+        for (_, record) in self.pool.iter().filter(|(_, record)| record.takes_work()) {
+            let free = record.spec.capacity.saturating_sub(record.used());
             summary.free = summary.free.saturating_add(free);
             summary.total = summary.total.saturating_add(record.spec.capacity);
         }
-        summary.queued = self.queue.len() as u32;
+        summary.queued = u32::try_from(self.queued).unwrap_or(u32::MAX);
         summary
     }
 
     /// Returns the capacity and the reserved part of a worker.
     pub fn worker_load(&self, worker: WorkerKey) -> Option<(Resources, Resources)> {
-        let record = self.workers.get(worker)?;
-        Some((record.spec.capacity, record.used))
+        let record = self.pool.get(worker)?;
+        Some((record.spec.capacity, record.used()))
     }
 
-    fn first_fit(&mut self, need: Resources, tasks: u16) -> Option<SmallVec<[WorkerKey; 2]>> {
-        let mut chosen = SmallVec::new();
-        for _ in 0..tasks.max(1) {
-            let free = self.workers.iter().find(|(_, record)| {
-                record.state == WorkerState::Active
-                    && need.fits(record.spec.capacity.saturating_sub(record.used))
-            });
-            let Some((worker, _)) = free else {
-                for worker in chosen {
-                    self.unreserve(worker, need);
-                }
-                return None;
-            };
-            self.reserve(worker, need);
-            chosen.push(worker);
+    /// Tries the waiting work again that may fit on a worker whose room has grown.
+    pub(crate) fn room_returned(&mut self, worker: WorkerKey) {
+        for band in WorkBand::ALL {
+            if let Some(room) = self.pool.room(worker, band) {
+                self.queues[band as usize].unblock(room);
+            }
+        }
+    }
+
+    /// Tries all waiting work again.
+    pub(crate) fn unblock_all(&mut self) {
+        for queue in &mut self.queues {
+            queue.unblock_all();
+        }
+    }
+
+    /// Tries the waiting work of a customer again that exceeded its quota.
+    pub(crate) fn unpark(&mut self, customer: CustomerKey) {
+        let account = &mut self.accounts[customer];
+        for (band, lane) in std::mem::take(&mut account.parked) {
+            let tag = account.tags[band as usize];
+            self.queues[band as usize].unpark(lane, tag);
         }
-        Some(chosen)
     }
 
-    fn reserve(&mut self, worker: WorkerKey, need: Resources) {
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.used = record.used.saturating_add(need);
+    /// Moves all waiting work into the queues of the mode in force, in order of submission.
+    fn requeue(&mut self) {
+        let works = self.works.iter().filter(|(_, record)| record.is_queued());
+        let mut waiting: Vec<_> = works
+            .map(|(work, record)| (record.sequence, work))
+            .collect();
+        waiting.sort_unstable();
+        self.arrivals.clear();
+        self.queues = WorkBand::ALL.map(BandQueue::new);
+        for account in self.accounts.values_mut() {
+            account.queued = [0; 4];
+            account.tags = [0; 4];
+            account.parked.clear();
+        }
+        for (_, work) in waiting {
+            self.enqueue(work);
         }
     }
 
-    fn unreserve(&mut self, worker: WorkerKey, need: Resources) {
-        if let Some(record) = self.workers.get_mut(worker) {
-            record.used = record.used.saturating_sub(need);
+    /// Puts work at the end of its queue.
+    pub(crate) fn enqueue(&mut self, work: WorkKey) {
+        let record = &mut self.works[work];
+        let lane = match self.policy.mode {
+            PolicyMode::Baseline => {
+                self.arrivals.push_back(work);
+                None
+            }
+            PolicyMode::Fair => {
+                let queue = &mut self.queues[record.request.band as usize];
+                let account = &mut self.accounts[record.request.customer];
+                Some(queue.push(work, record.sequence, &record.request, account))
+            }
+        };
+        record.stage = WorkStage::Queued(lane);
+    }
+
+    /// Removes waiting work that was not placed and returns its record.
+    pub(crate) fn dequeue(&mut self, work: WorkKey) -> Option<WorkRecord> {
+        let record = self.works.remove(work)?;
+        self.queued -= 1;
+        if let WorkStage::Queued(Some(lane)) = record.stage {
+            let account = &mut self.accounts[record.request.customer];
+            let queue = &mut self.queues[record.request.band as usize];
+            queue.forget(lane, account, &self.works);
         }
+        Some(record)
     }
 }
