feat: settings and manifest report every finding with field and line

Cause: parsing stopped at the first fault, without a field, and checked no ranges, so an operator needed one run per mistake and a process could start with a value out of range. Ruled out: a parser of our own; searching the text for field names, which finds the wrong line when a name occurs twice; deserialising into the types only, since serde stops at the first fault. Settings no longer show the token in debug output. `Manifest::to_json` gives the text to publish. `service` workloads pass, since they are refused at submission.

--- /dev/null
+++ b/crates/hs-config/src/check_manifest.rs
@@ -0,0 +1,73 @@
+//! Checks of a manifest that concern several fields.
+
+use crate::check::TreeCheck;
+use crate::path::FieldPath;
+use crate::tree::ConfigTree;
+
+/// Adds the findings that concern several fields of a manifest.
+pub(crate) fn check_manifest(check: &mut TreeCheck, tree: &ConfigTree) {
+    let root = FieldPath::default();
+    for list in ["customers", "workloads"] {
+        let items = tree.items(list).iter().enumerate();
+        check.unique(items.map(|(index, item)| {
+            let path = root.field(list).item(index).field("name");
+            (path, item.text("name"))
+        }));
+    }
+    let draining = root.field("draining");
+    let workers = tree.items("draining").iter().enumerate();
+    check.unique(workers.map(|(index, worker)| match worker {
+        ConfigTree::Text(name) => (draining.item(index), Some(name.as_str())),
+        _ => (draining.item(index), None),
+    }));
+    for (index, customer) in tree.items("customers").iter().enumerate() {
+        if customer.get("quota").is_some_and(is_zero) {
+            let path = root.field("customers").item(index).field("quota");
+            check.report(
+                &path,
+                "a quota of zero admits nothing; omit it for no limit",
+            );
+        }
+    }
+    for (index, workload) in tree.items("workloads").iter().enumerate() {
+        check_workload(check, &root.field("workloads").item(index), workload);
+    }
+    let Some(reserve) = tree.get("short_reserve") else {
+        return;
+    };
+    for (index, window) in reserve.items("opening_hours").iter().enumerate() {
+        let from = window.whole("from_minute");
+        if from.is_some() && from == window.whole("to_minute") {
+            let hours = root.field("short_reserve").field("opening_hours");
+            let message = "the window is empty; use 0 to 1440 for the whole day";
+            check.report(&hours.item(index), message);
+        }
+    }
+}
+
+fn check_workload(check: &mut TreeCheck, path: &FieldPath, workload: &ConfigTree) {
+    if workload.get("resources").is_some_and(is_zero) {
+        let message = "a task must take at least one resource, or any number would fit";
+        check.report(&path.field("resources"), message);
+    }
+    let tasks = match workload.get("tasks") {
+        None => Some(1),
+        Some(_) => workload.whole("tasks"),
+    };
+    let message = match (workload.text("class"), tasks) {
+        (Some("check" | "order"), Some(2..)) => "checks and orders have exactly one task",
+        (Some("gang"), Some(1)) => "a gang has at least two tasks; use batch for one",
+        _ => return,
+    };
+    check.report(&path.field("tasks"), message);
+}
+
+/// Returns whether amounts are all absent or zero. Malformed ones are reported elsewhere.
+fn is_zero(amounts: &ConfigTree) -> bool {
+    match amounts {
+        ConfigTree::Object(fields) => fields
+            .iter()
+            .all(|(_, amount)| matches!(amount, ConfigTree::Whole(0))),
+        _ => false,
+    }
+}
--- a/crates/hs-config/src/manifest.rs
+++ b/crates/hs-config/src/manifest.rs
@@ -31,6 +31,17 @@
     pub policy: PolicyName,
 }
 
+impl Manifest {
+    /// Returns the text under which a manifest is published, the same for the same manifest.
+    ///
+    /// # Errors
+    ///
+    /// Returns the serialiser's message.
+    pub fn to_json(&self) -> Result<String, serde_json::Error> {
+        serde_json::to_string(self)
+    }
+}
+
 /// Name of a placement policy.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -75,7 +86,7 @@
     /// Number of tasks of one submission, 1 to 1000. One for checks and orders.
     #[serde(default = "default_tasks")]
     pub tasks: u16,
-    /// Declared run time of one task in milliseconds. Absent: not known.
+    /// Declared run time of one task in milliseconds, 1 to 31536000000 (one year). Absent: not known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub estimate_ms: Option<u64>,
     /// Whether a task whose first start is certainly over may be started again. Absent: true for
--- a/crates/hs-config/src/settings.rs
+++ b/crates/hs-config/src/settings.rs
@@ -1,11 +1,12 @@
 //! Settings of one entry process.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
 
 /// Where a process runs and what it talks to.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the entry VM, as the VM list has it.
@@ -33,6 +34,26 @@
     pub limits: LimitSettings,
 }
 
+impl fmt::Debug for Settings {
+    /// Shows whether there is a token, never the token itself.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let token = self.control_token.as_ref().map(|_| "hidden");
+        formatter
+            .debug_struct("Settings")
+            .field("id", &self.id)
+            .field("data_centre", &self.data_centre)
+            .field("caller_listen", &self.caller_listen)
+            .field("control_listen", &self.control_listen)
+            .field("peer_listen", &self.peer_listen)
+            .field("control_token", &token)
+            .field("store", &self.store)
+            .field("vm_list", &self.vm_list)
+            .field("seeds", &self.seeds)
+            .field("limits", &self.limits)
+            .finish()
+    }
+}
+
 /// Limits of the caller and operator listeners.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(default, deny_unknown_fields)]
