feat: command line for checking, publishing, draining and the caller API

Cause: the binary was empty; operators had no way to check a file or to publish a manifest. Ruled out: writing the manifest again after a lost reply, which could undo a manifest published in between; treating an unchanged value after a lost reply as "not written", since the write may still be on its way; the token as an argument, which the process list would show. Change: `check`, `publish`, `drain`, `undrain`, `submit`, `result`, `cancel` and `status`, one file each. `publish` writes the next manifest revision by compare-and-swap, reads back after a lost reply and compares the text. `--if-revision` refuses to replace a manifest that the operator has not seen, which the compare-and-swap of one run cannot notice. Exit codes: 0 success, 1 refused or failed, 2 usage, 3 conflict, 4 unknown, 5 behind. `--wait` reads the field `manifest_revision` of `GET /v1/status`.

--- a/crates/hornbeamshunt/src/main.rs
+++ b/crates/hornbeamshunt/src/main.rs
@@ -1,3 +1,98 @@
 //! Cluster scheduler for services, batch work and gangs on one shared cluster.
 
-fn main() {}
+mod cancel;
+mod check;
+mod control;
+mod drain;
+mod draining;
+mod exit;
+mod file;
+mod publish;
+mod publisher;
+mod result;
+mod rollout;
+mod status;
+mod submit;
+mod token;
+mod undrain;
+mod work_call;
+
+use std::env;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::exit::{CommandError, CommandExit};
+
+/// Cluster scheduler for services, batch work and gangs on one shared cluster.
+///
+/// Exit codes: 0 success; 1 refused or failed without effect, or work that did not succeed; 2 wrong
+/// usage; 3 another manifest was published first; 4 the outcome is unknown; 5 not in effect
+/// everywhere in time.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(check::CheckCommand),
+    Publish(publish::PublishCommand),
+    Drain(drain::DrainCommand),
+    Undrain(undrain::UndrainCommand),
+    Submit(submit::SubmitCommand),
+    Result(result::ResultCommand),
+    Cancel(cancel::CancelCommand),
+    Status(status::StatusCommand),
+}
+
+impl Command {
+    fn run(self) -> Result<CommandExit, CommandError> {
+        match self {
+            Self::Check(command) => command.run(),
+            Self::Publish(command) => block_on(command.run()),
+            Self::Drain(command) => block_on(command.run()),
+            Self::Undrain(command) => block_on(command.run()),
+            Self::Submit(command) => block_on(command.run()),
+            Self::Result(command) => block_on(command.run()),
+            Self::Cancel(command) => block_on(command.run()),
+            Self::Status(command) => block_on(command.run()),
+        }
+    }
+}
+
+fn block_on(
+    run: impl Future<Output = Result<CommandExit, CommandError>>,
+) -> Result<CommandExit, CommandError> {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().build();
+    let runtime = runtime.map_err(|error| CommandError::failed(format!("runtime: {error}")))?;
+    runtime.block_on(run)
+}
+
+fn main() -> ExitCode {
+    let words: Vec<String> = env::args_os()
+        .map(|word| word.to_string_lossy().into_owned())
+        .collect();
+    let words: Vec<&str> = words.iter().skip(1).map(String::as_str).collect();
+    let arguments = match Arguments::from_args(&["hornbeamshunt"], &words) {
+        Ok(arguments) => arguments,
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            return CommandExit::Success.into();
+        }
+        Err(early) => {
+            eprintln!("{}", early.output);
+            return CommandExit::Usage.into();
+        }
+    };
+    match arguments.command.run() {
+        Ok(exit) => exit.into(),
+        Err(error) => {
+            eprintln!("hornbeamshunt: {error}");
+            error.exit.into()
+        }
+    }
+}
