feat: entry process end to end with separate processes

Cause: the parts had interfaces but nothing served a request. Ruled out: forwarding the start itself to the worker's owner; a grant with the fence lets the process that has the caller start the task, which saves a hop and keeps one place that knows the answer. A lease reply that lists everything that ended in the last ten minutes: it would grow with the task rate, so that the reply now lists running tasks and answers named questions only. Change: hs-node with its tasks (placer, worker links, members, sync, ledger partitions, runners, APIs), serve and standin commands, worker incarnation in the lease reply. The stand-in test of the task lease asks for its tasks by id, since ended tasks are no longer listed; it checks the same phases. Conclusion: checks, orders, batch work and gangs are served through any entry process; nothing of it is proved under failure yet.

--- a/crates/hornbeamshunt/src/main.rs
+++ b/crates/hornbeamshunt/src/main.rs
@@ -11,6 +11,8 @@
 mod publisher;
 mod result;
 mod rollout;
+mod serve;
+mod standin;
 mod status;
 mod submit;
 mod token;
@@ -46,6 +48,8 @@
     Result(result::ResultCommand),
     Cancel(cancel::CancelCommand),
     Status(status::StatusCommand),
+    Serve(serve::ServeCommand),
+    Standin(standin::StandinCommand),
 }
 
 impl Command {
@@ -59,6 +63,8 @@
             Self::Result(command) => block_on(command.run()),
             Self::Cancel(command) => block_on(command.run()),
             Self::Status(command) => block_on(command.run()),
+            Self::Serve(command) => serve::block_on(command.run()),
+            Self::Standin(command) => serve::block_on(command.run()),
         }
     }
 }
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -35,6 +35,8 @@
     ProcessStarted = 1001, Info, "entry process started";
     /// The process ends.
     ProcessStopping = 1002, Info, "entry process shutting down";
+    /// The process was paused.
+    ProcessWoke = 1003, Warn, "process resumed after a pause";
     /// Work was started on a worker of this process.
     WorkPlaced = 2001, Info, "work placed on a worker";
     /// Work waits in a queue.
--- a/crates/hs-http/src/serve.rs
+++ b/crates/hs-http/src/serve.rs
@@ -76,7 +76,7 @@
                     continue;
                 }
             },
-            _ = stop.wait_for(|stopped| *stopped) => break,
+            () = wait_stopped(&mut stop) => break,
         };
         let connection = graceful.watch(connect(stream, limits, handler.clone()));
         tokio::spawn(async move {
@@ -90,6 +90,10 @@
     let _ = timeout(limits.drain_timeout, graceful.shutdown()).await;
 }
 
+async fn wait_stopped(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stopped| *stopped).await;
+}
+
 /// Pause after a failed accept, which is most often a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
--- /dev/null
+++ b/crates/hs-node/src/api/mod.rs
@@ -0,0 +1,9 @@
+//! Callers' and operators' HTTP interfaces.
+
+mod caller;
+mod control;
+mod status;
+
+pub use caller::CallerApi;
+pub use control::ControlApi;
+pub use status::NodeStatus;
--- /dev/null
+++ b/crates/hs-node/src/manifest/view.rs
@@ -0,0 +1,91 @@
+//! A manifest with what the process derives from it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use hs_config::{Manifest, PolicyName, WorkloadEntry};
+use hs_core::{CustomerPolicy, PlacerPolicy, PolicyMode};
+use hs_wire::Resources;
+
+/// A manifest that came into force, indexed by name.
+#[derive(Clone, Debug)]
+pub struct ManifestView {
+    /// The manifest.
+    pub manifest: Manifest,
+    /// The manifest as published.
+    pub text: String,
+    workloads: HashMap<String, u32>,
+}
+
+impl ManifestView {
+    /// Indexes a manifest.
+    pub fn new(manifest: Manifest, text: String) -> Self {
+        let names = manifest.workloads.iter().enumerate();
+        let workloads = names
+            .map(|(index, entry)| (entry.name.clone(), index as u32))
+            .collect();
+        Self {
+            manifest,
+            text,
+            workloads,
+        }
+    }
+
+    /// Returns the revision.
+    pub fn revision(&self) -> u64 {
+        self.manifest.revision
+    }
+
+    /// Returns a workload and its number in this manifest.
+    pub fn workload(&self, name: &str) -> Option<(u32, &WorkloadEntry)> {
+        let number = *self.workloads.get(name)?;
+        Some((number, &self.manifest.workloads[number as usize]))
+    }
+
+    /// Returns whether the customer may submit.
+    pub fn has_customer(&self, name: &str) -> bool {
+        self.manifest
+            .customers
+            .iter()
+            .any(|entry| entry.name == name)
+    }
+
+    /// Returns the time that records of ended work are kept.
+    pub fn retention(&self) -> Duration {
+        Duration::from_secs(self.manifest.retention_s)
+    }
+
+    /// Returns the part that decides placement.
+    ///
+    /// Quotas hold for a data centre. Each of its `members` entry processes enforces an equal part,
+    /// rounded up, since a common count would need a message for each start.
+    pub fn policy(&self, members: u32, minute_of_day: u16) -> PlacerPolicy {
+        let manifest = &self.manifest;
+        let part = |quota: Resources| {
+            Resources::from_dimensions(
+                quota
+                    .dimensions()
+                    .map(|amount| amount.div_ceil(members.max(1))),
+            )
+        };
+        let customers = manifest.customers.iter().map(|entry| CustomerPolicy {
+            name: entry.name.clone(),
+            weight: entry.weight,
+            quota: entry.quota.map(part),
+            queue_limit: entry.queue_limit,
+        });
+        let is_open = manifest.short_reserve.is_open(minute_of_day);
+        PlacerPolicy {
+            mode: match manifest.policy {
+                PolicyName::Fair => PolicyMode::Fair,
+                PolicyName::Baseline => PolicyMode::Baseline,
+            },
+            customers: customers.collect(),
+            short_reserve: match is_open {
+                true => manifest.short_reserve.resources,
+                false => Resources::ZERO,
+            },
+            long_ceiling: manifest.long_ceiling,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hs-node/src/member/mod.rs
@@ -0,0 +1,9 @@
+//! Membership: which entry processes are live.
+
+mod handle;
+mod snapshot;
+mod task;
+
+pub use handle::{MemberHandle, MemberMessage};
+pub use snapshot::MemberSnapshot;
+pub use task::MemberTask;
--- /dev/null
+++ b/crates/hs-node/src/member/task.rs
@@ -0,0 +1,161 @@
+//! The member task.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hs_event::EventCode;
+use hs_peer::message::HeartbeatRequest;
+use hs_peer::{MemberEvent, MemberOptions, Membership};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::{MemberMessage, MemberSnapshot};
+use crate::port::{ClockPort, Platform};
+use crate::shared::NodeShared;
+use crate::sync::SyncHandle;
+
+/// Time between two ticks of the state machine, a third of the heartbeat interval.
+const TICK_EVERY: Duration = Duration::from_millis(100);
+
+/// Longest time for one heartbeat call.
+const BEAT_LIMIT: Duration = Duration::from_millis(300);
+
+/// Owns the membership state machine.
+pub struct MemberTask<P: Platform> {
+    shared: Arc<NodeShared<P>>,
+    receiver: mpsc::Receiver<MemberMessage>,
+    snapshots: watch::Sender<Arc<MemberSnapshot>>,
+    sync: SyncHandle,
+    membership: Membership,
+    leaving: bool,
+}
+
+impl<P: Platform> MemberTask<P> {
+    /// Builds the task.
+    pub fn new(
+        shared: Arc<NodeShared<P>>,
+        receiver: mpsc::Receiver<MemberMessage>,
+        snapshots: watch::Sender<Arc<MemberSnapshot>>,
+        sync: SyncHandle,
+        options: MemberOptions,
+    ) -> Self {
+        let membership = Membership::new(options, shared.platform.clock().now());
+        Self {
+            shared,
+            receiver,
+            snapshots,
+            sync,
+            membership,
+            leaving: false,
+        }
+    }
+
+    /// Runs until every handle is gone.
+    pub async fn run(mut self) {
+        let mut vms = self.shared.vms.clone();
+        let mut ticks = interval(TICK_EVERY);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = self.receiver.recv() => match message {
+                    Some(MemberMessage::Heard(beat)) => self.heard(&beat),
+                    Some(MemberMessage::Leave { done }) => self.leave(done).await,
+                    None => return,
+                },
+                Ok(()) = vms.changed() => {
+                    let list = vms.borrow_and_update().clone();
+                    let now = self.shared.platform.clock().now();
+                    let events = self.membership.set_vm_list(&list, now);
+                    self.publish(events);
+                }
+                _ = ticks.tick() => self.tick().await,
+            }
+        }
+    }
+
+    fn heard(&mut self, beat: &HeartbeatRequest) {
+        let now = self.shared.platform.clock().now();
+        let events = self.membership.heard(beat, now);
+        let revision = self.shared.view().map_or(0, |view| view.revision());
+        let version = self.shared.vms.borrow().version;
+        if beat.manifest_revision > revision || beat.vm_list_version > version {
+            self.sync.behind(&beat.address);
+        }
+        if !events.is_empty() {
+            self.publish(events);
+        }
+    }
+
+    async fn tick(&mut self) {
+        let now = self.shared.platform.clock().now();
+        let events = self.membership.tick(now);
+        let targets = self.membership.beat_targets(now);
+        if targets.is_empty() && events.is_empty() {
+            return;
+        }
+        self.publish(events);
+        let beat = self.beat().await;
+        for peer in targets {
+            let shared = self.shared.clone();
+            let beat = beat.clone();
+            tokio::spawn(async move {
+                let _ = shared.peers.heartbeat(&peer, beat, BEAT_LIMIT).await;
+            });
+        }
+    }
+
+    async fn beat(&self) -> HeartbeatRequest {
+        let summary = self.shared.placer.status().await.summary;
+        let settings = &self.shared.settings;
+        HeartbeatRequest {
+            id: settings.id.clone(),
+            data_centre: settings.data_centre.clone(),
+            address: settings.peer_listen.to_string(),
+            incarnation: self.shared.incarnation,
+            free: Some(summary.free.into()),
+            queued: summary.queued,
+            manifest_revision: self.shared.view().map_or(0, |view| view.revision()),
+            vm_list_version: self.shared.vms.borrow().version,
+            leaving: self.leaving,
+        }
+    }
+
+    async fn leave(&mut self, done: oneshot::Sender<()>) {
+        self.leaving = true;
+        self.membership.leave();
+        self.publish(Vec::new());
+        let beat = self.beat().await;
+        let mut sends = JoinSet::new();
+        for view in self.membership.live() {
+            let shared = self.shared.clone();
+            let beat = beat.clone();
+            let peer = view.address.to_owned();
+            sends.spawn(async move {
+                let _ = shared.peers.heartbeat(&peer, beat, BEAT_LIMIT).await;
+            });
+        }
+        while sends.join_next().await.is_some() {}
+        let _ = done.send(());
+    }
+
+    fn publish(&self, events: Vec<MemberEvent>) {
+        for event in events {
+            match event {
+                MemberEvent::Joined { id, .. } => {
+                    EventCode::PeerJoined.log(format_args!("peer={id}"));
+                }
+                MemberEvent::Lost { id, reason, .. } => {
+                    EventCode::PeerLost.log(format_args!("peer={id} reason={reason:?}"));
+                }
+                MemberEvent::Woke { pause } => {
+                    EventCode::ProcessWoke.log(format_args!("pause_ms={}", pause.as_millis()));
+                }
+            }
+        }
+        let settings = &self.shared.settings;
+        let snapshot =
+            MemberSnapshot::new(self.membership.clone(), &settings.id, &settings.data_centre);
+        let _ = self.snapshots.send(Arc::new(snapshot));
+    }
+}
--- /dev/null
+++ b/crates/hs-node/src/metrics.rs
@@ -0,0 +1,109 @@
+//! Metrics of one process.
+
+use std::time::Duration;
+
+use hs_wire::{Outcome, WorkClass};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the wait histogram in seconds: dense around the 1.2 s that urgent work may wait.
+const WAIT_BOUNDS: [f64; 14] = [
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.2, 5.0, 30.0, 300.0,
+];
+
+/// Instruments of one process. Labels are closed sets; there is none for customers or tasks.
+#[derive(Clone, Debug)]
+pub struct NodeMetrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    replies: Counter<u64>,
+    waits: Histogram<f64>,
+    forwards: Counter<u64>,
+    retries: Counter<u64>,
+    store_writes: Counter<u64>,
+}
+
+impl NodeMetrics {
+    /// Builds the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error if the exporter can't be registered.
+    pub fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| {
+                opentelemetry_sdk::error::OTelSdkError::InternalFailure(error.to_string())
+            })?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("hornbeamshunt");
+        Ok(Self {
+            replies: meter
+                .u64_counter("hornbeamshunt_replies")
+                .with_description("Replies to callers by class and outcome")
+                .build(),
+            waits: meter
+                .f64_histogram("hornbeamshunt_wait_seconds")
+                .with_description("Time from arrival to start by class")
+                .with_boundaries(WAIT_BOUNDS.to_vec())
+                .build(),
+            forwards: meter
+                .u64_counter("hornbeamshunt_forwards")
+                .with_description("Reservations asked of peers by result")
+                .build(),
+            retries: meter
+                .u64_counter("hornbeamshunt_retries")
+                .with_description("Starts that were repeated on another worker")
+                .build(),
+            store_writes: meter
+                .u64_counter("hornbeamshunt_store_writes")
+                .with_description("Ledger writes to the store by result")
+                .build(),
+            registry,
+            provider,
+        })
+    }
+
+    /// Counts a reply.
+    pub fn replied(&self, class: WorkClass, outcome: Outcome) {
+        let labels = [
+            KeyValue::new("class", class.name()),
+            KeyValue::new("outcome", outcome.name()),
+        ];
+        self.replies.add(1, &labels);
+    }
+
+    /// Records the time from arrival to start.
+    pub fn waited(&self, class: WorkClass, wait: Duration) {
+        self.waits
+            .record(wait.as_secs_f64(), &[KeyValue::new("class", class.name())]);
+    }
+
+    /// Counts a reservation that was asked of a peer.
+    pub fn forwarded(&self, is_granted: bool) {
+        let result = if is_granted { "granted" } else { "refused" };
+        self.forwards.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts a repeated start.
+    pub fn retried(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    /// Counts a ledger write.
+    pub fn stored(&self, result: &'static str) {
+        self.store_writes.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Returns all metrics in the text format of the pull endpoint.
+    pub fn render(&self) -> Vec<u8> {
+        let _ = self.provider.force_flush();
+        let mut text = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- a/crates/hs-node/src/port/http.rs
+++ b/crates/hs-node/src/port/http.rs
@@ -4,7 +4,7 @@
 
 use hs_http::HttpClient;
 
-use super::{HttpStore, HttpVms, HttpWorkers, Platform};
+use super::{HttpStore, HttpVms, HttpWorkers, Platform, SystemClock};
 
 /// Store, VM list and workers over HTTP.
 #[derive(Clone, Debug)]
@@ -12,6 +12,7 @@
     store: HttpStore,
     vms: HttpVms,
     workers: HttpWorkers,
+    clock: SystemClock,
 }
 
 impl HttpPlatform {
@@ -22,6 +23,7 @@
             store: HttpStore::new(client.clone(), store),
             vms: HttpVms::new(client.clone(), vm_list),
             workers: HttpWorkers::new(client),
+            clock: SystemClock,
         }
     }
 }
@@ -30,6 +32,7 @@
     type Store = HttpStore;
     type Vms = HttpVms;
     type Workers = HttpWorkers;
+    type Clock = SystemClock;
 
     fn store(&self) -> &HttpStore {
         &self.store
@@ -42,4 +45,8 @@
     fn workers(&self) -> &HttpWorkers {
         &self.workers
     }
+
+    fn clock(&self) -> &SystemClock {
+        &self.clock
+    }
 }
--- a/crates/hs-node/src/port/mod.rs
+++ b/crates/hs-node/src/port/mod.rs
@@ -1,5 +1,6 @@
 //! The edges to the platform: store, VM list and workers, one trait and one adapter each.
 
+mod clock;
 mod error;
 mod http;
 mod store;
@@ -10,6 +11,7 @@
 use std::future::Future;
 use std::time::Duration;
 
+pub use clock::{ClockPort, SystemClock};
 pub use error::PortError;
 pub use http::HttpPlatform;
 pub use store::HttpStore;
@@ -24,6 +26,8 @@
     type Vms: VmPort;
     /// Adapter to workers.
     type Workers: WorkerPort;
+    /// Clock.
+    type Clock: ClockPort;
 
     /// Returns the store.
     fn store(&self) -> &Self::Store;
@@ -31,6 +35,8 @@
     fn vms(&self) -> &Self::Vms;
     /// Returns the workers.
     fn workers(&self) -> &Self::Workers;
+    /// Returns the clock.
+    fn clock(&self) -> &Self::Clock;
 }
 
 /// A value of the store and its revision.
--- /dev/null
+++ b/crates/hs-node/src/run.rs
@@ -0,0 +1,216 @@
+//! Start and shutdown of an entry process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use hs_config::{LimitSettings, Settings};
+use hs_event::EventCode;
+use hs_http::{ServeLimits, serve};
+use hs_peer::MemberOptions;
+use hs_wire::VmList;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::api::{CallerApi, ControlApi};
+use crate::ledger::{LedgerHandle, PartitionTask};
+use crate::link::{LinkHandle, LinkManager};
+use crate::member::{MemberHandle, MemberSnapshot, MemberTask};
+use crate::metrics::NodeMetrics;
+use crate::peer::{PeerPool, PeerServerTask};
+use crate::placer::{PlacerHandle, PlacerTask};
+use crate::port::{ClockPort, HttpPlatform, Platform};
+use crate::shared::NodeShared;
+use crate::sync::{SyncHandle, SyncTask};
+
+/// Longest time for giving up leases, and for giving up partitions, at a shutdown. A store that is
+/// down shall not hold it up; the next owner waits for the timeouts then.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why an entry process could not start.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// A listener could not be opened.
+    #[error("listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The metrics could not be set up.
+    #[error("set up metrics: {0}")]
+    Metrics(String),
+}
+
+/// The listeners of one process, opened before it starts.
+pub struct NodeListeners {
+    /// For callers.
+    pub caller: TcpListener,
+    /// For operators.
+    pub control: TcpListener,
+    /// For peers.
+    pub peer: TcpListener,
+}
+
+impl NodeListeners {
+    /// Opens the listeners that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Returns the address that can't be opened.
+    pub async fn bind(settings: &Settings) -> Result<Self, RunError> {
+        Ok(Self {
+            caller: bind(settings.caller_listen).await?,
+            control: bind(settings.control_listen).await?,
+            peer: bind(settings.peer_listen).await?,
+        })
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| RunError::Listen { address, source })
+}
+
+/// Runs an entry process over HTTP adapters until `stop` becomes true, then shuts it down.
+///
+/// # Errors
+///
+/// Returns an error if the process can't start.
+pub async fn run(settings: Settings, stop: watch::Receiver<bool>) -> Result<(), RunError> {
+    let listeners = NodeListeners::bind(&settings).await?;
+    let platform = HttpPlatform::new(settings.store, settings.vm_list);
+    run_with(settings, platform, listeners, stop).await
+}
+
+/// Runs an entry process with the given adapters and listeners.
+///
+/// # Errors
+///
+/// As [`run`].
+pub async fn run_with<P: Platform>(
+    settings: Settings,
+    platform: P,
+    listeners: NodeListeners,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), RunError> {
+    let (placer, placer_messages) = PlacerHandle::channel();
+    let (links, link_messages) = LinkHandle::channel();
+    let (ledger, partition_messages) = LedgerHandle::channels();
+    let (member, member_messages) = MemberHandle::channel();
+    let (sync, sync_messages) = SyncHandle::channel();
+    let (manifests, manifest) = watch::channel(None);
+    let (lists, vms) = watch::channel(Arc::new(VmList::default()));
+    let options = member_options(&settings);
+    let (snapshots, members) = watch::channel(Arc::new(MemberSnapshot::alone(
+        &options,
+        platform.clock().now(),
+    )));
+    let metrics = NodeMetrics::new().map_err(|error| RunError::Metrics(error.to_string()))?;
+    let (leaving, is_leaving) = watch::channel(false);
+    let shared = Arc::new(NodeShared {
+        incarnation: platform.clock().wall_ms(),
+        settings,
+        platform,
+        placer,
+        links,
+        ledger,
+        peers: PeerPool::default(),
+        member,
+        members,
+        manifest,
+        vms,
+        metrics,
+        is_leaving: is_leaving.clone(),
+        next_check: AtomicU64::new(0),
+        next_seed: AtomicU64::new(0),
+    });
+    EventCode::ProcessStarted.log(format_args!(
+        "id={} data_centre={} version={} callers={}",
+        shared.settings.id,
+        shared.settings.data_centre,
+        env!("CARGO_PKG_VERSION"),
+        shared.settings.caller_listen,
+    ));
+    tokio::spawn(PlacerTask::new(shared.platform.clock().clone(), placer_messages).run());
+    tokio::spawn(LinkManager::new(shared.clone(), link_messages).run());
+    tokio::spawn(
+        MemberTask::new(
+            shared.clone(),
+            member_messages,
+            snapshots,
+            sync.clone(),
+            options,
+        )
+        .run(),
+    );
+    tokio::spawn(SyncTask::new(shared.clone(), sync, sync_messages, manifests, lists).run());
+    for (number, messages) in (0..).zip(partition_messages) {
+        tokio::spawn(PartitionTask::new(shared.clone(), number, messages).run());
+    }
+    let (ended, peer_stop) = watch::channel(false);
+    let peer_server =
+        tokio::spawn(PeerServerTask::new(shared.clone()).run(listeners.peer, peer_stop.clone()));
+    let limits = serve_limits(shared.settings.limits);
+    let caller = Arc::new(CallerApi::new(shared.clone()));
+    let callers = tokio::spawn(serve(
+        listeners.caller,
+        limits,
+        is_leaving,
+        move |request| {
+            let caller = caller.clone();
+            async move { caller.answer(request).await }
+        },
+    ));
+    let control = Arc::new(ControlApi::new(shared.clone()));
+    tokio::spawn(serve(
+        listeners.control,
+        limits,
+        peer_stop,
+        move |request| {
+            let control = control.clone();
+            async move { control.answer(request).await }
+        },
+    ));
+    let _ = stop.wait_for(|stopped| *stopped).await;
+    EventCode::ProcessStopping.log(format_args!("id={}", shared.settings.id));
+    let _ = leaving.send(true);
+    shut_down(&shared, callers).await;
+    let _ = ended.send(true);
+    peer_server.abort();
+    Ok(())
+}
+
+/// Ends the process without losing work: calls in flight end first, on the leases and partitions that
+/// the process still holds; then these go to the peers.
+async fn shut_down<P: Platform>(shared: &Arc<NodeShared<P>>, callers: tokio::task::JoinHandle<()>) {
+    let _ = callers.await;
+    let _ = timeout(HAND_OVER_LIMIT, shared.ledger.hand_over_all()).await;
+    let _ = timeout(HAND_OVER_LIMIT, shared.member.leave()).await;
+    let _ = timeout(HAND_OVER_LIMIT, shared.links.hand_over_all()).await;
+}
+
+fn member_options(settings: &Settings) -> MemberOptions {
+    MemberOptions {
+        id: settings.id.clone(),
+        data_centre: settings.data_centre.clone(),
+        address: settings.peer_listen.to_string(),
+        seeds: settings.seeds.iter().map(ToString::to_string).collect(),
+        ..MemberOptions::default()
+    }
+}
+
+fn serve_limits(limits: LimitSettings) -> ServeLimits {
+    ServeLimits {
+        body_bytes: limits.body_bytes,
+        head_bytes: limits.head_bytes,
+        connections: limits.connections,
+        head_timeout: Duration::from_millis(limits.head_timeout_ms),
+        body_timeout: Duration::from_millis(limits.body_timeout_ms),
+        drain_timeout: Duration::from_millis(limits.drain_timeout_ms),
+    }
+}
--- /dev/null
+++ b/crates/hs-node/src/work/check.rs
@@ -0,0 +1,156 @@
+//! Checks: short requests without a durable record.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hs_config::WorkloadEntry;
+use hs_core::TaskEnd;
+use hs_event::EventCode;
+use hs_wire::{
+    NotRunReason, Outcome, StartRequest, Submission, TaskPhase, TaskView, WorkClass, WorkReply,
+};
+
+use super::reserve::deadline_of;
+use super::{ReserveSpec, reserve};
+use crate::placer::TaskGrant;
+use crate::port::{ClockPort, Platform, PortError, WorkerPort};
+use crate::shared::NodeShared;
+
+/// Time beyond the deadline that a worker's reply to a start may take.
+const REPLY_SLACK: Duration = Duration::from_millis(50);
+
+/// One check on its way.
+pub(super) struct CheckRun<P: Platform> {
+    pub(super) shared: Arc<NodeShared<P>>,
+    pub(super) submission: Submission,
+    pub(super) entry: WorkloadEntry,
+    pub(super) revision: u64,
+    pub(super) arrived: Instant,
+}
+
+impl<P: Platform> CheckRun<P> {
+    /// Places the check, starts it and returns its own answer.
+    ///
+    /// It is started again only if the earlier start certainly did not run, or if it is repeatable,
+    /// and only within the retry budget. Once a start may have run, the answer is never "not run".
+    pub(super) async fn run(self) -> WorkReply {
+        let clock = self.shared.platform.clock();
+        let answer_by = deadline_of(clock, self.arrived, self.submission.wait_limit_ms());
+        let start_by = deadline_of(clock, self.arrived, self.submission.deadline_ms).min(answer_by);
+        let mut may_have_run = false;
+        loop {
+            let spec = ReserveSpec {
+                customer: self.submission.customer.clone(),
+                workload: self.submission.workload.clone(),
+                tasks: vec![self.shared.next_check_id()],
+                resources: self.entry.resources,
+                deadline: Some(start_by),
+            };
+            let held = match reserve(&self.shared, &spec).await {
+                Ok(held) => held,
+                Err(reason) => return self.refused(reason, may_have_run),
+            };
+            let Some(grant) = held.grants.first() else {
+                return self.refused(NotRunReason::WorkerRefused, may_have_run);
+            };
+            let started = self.shared.platform.clock().now();
+            let waited = started.saturating_duration_since(self.arrived);
+            let (is_ended, error) = match self.start(&spec, grant, answer_by).await {
+                Ok(task) => match task.phase {
+                    TaskPhase::Done | TaskPhase::Failed | TaskPhase::Stopped => {
+                        held.release(0, task_end(task.phase));
+                        return self.ended(&task, grant, waited);
+                    }
+                    // The worker's owner finds out when the task ends and frees its room.
+                    TaskPhase::Running => return self.unknown("the wait ended while it ran"),
+                },
+                Err(error) => (error.is_certain(), error),
+            };
+            if is_ended {
+                held.release(0, TaskEnd::Refused);
+                EventCode::StartRefused.log(format_args!(
+                    "task={} worker={} cause={error}",
+                    spec.tasks[0], grant.worker
+                ));
+            } else {
+                may_have_run = true;
+                EventCode::StartUnknown.log(format_args!(
+                    "task={} worker={} cause={error}",
+                    spec.tasks[0], grant.worker
+                ));
+                if !self.entry.is_repeatable() {
+                    return self.unknown("the worker did not answer");
+                }
+            }
+            if self.shared.platform.clock().now() >= start_by {
+                return self.refused(NotRunReason::DeadlinePassed, may_have_run);
+            }
+            if !self.shared.placer.may_retry().await {
+                return self.refused(NotRunReason::WorkerRefused, may_have_run);
+            }
+            self.shared.metrics.retried();
+        }
+    }
+
+    async fn start(
+        &self,
+        spec: &ReserveSpec,
+        grant: &TaskGrant,
+        answer_by: Instant,
+    ) -> Result<TaskView, PortError> {
+        let now = self.shared.platform.clock().now();
+        let left = answer_by.saturating_duration_since(now);
+        let request = StartRequest {
+            id: spec.tasks[0].clone(),
+            fence: grant.fence,
+            resources: self.entry.resources,
+            leased: false,
+            wait_ms: left.as_millis() as u64,
+            revision: self.revision,
+            customer: self.submission.customer.clone(),
+            workload: self.submission.workload.clone(),
+            payload: self.submission.payload.clone(),
+        };
+        let workers = self.shared.platform.workers();
+        workers
+            .start(&grant.address, &request, left + REPLY_SLACK)
+            .await
+    }
+
+    fn ended(&self, task: &TaskView, grant: &TaskGrant, waited: Duration) -> WorkReply {
+        let outcome = match task.phase {
+            TaskPhase::Done => Outcome::Done,
+            _ => Outcome::Failed,
+        };
+        let mut reply = WorkReply::new(&self.submission.key, outcome);
+        reply.results = vec![task.result.clone()];
+        reply.workers = vec![grant.worker.clone()];
+        reply.waited_ms = waited.as_millis() as u64;
+        reply.revision = self.revision;
+        self.shared.metrics.waited(WorkClass::Check, waited);
+        reply
+    }
+
+    fn refused(&self, reason: NotRunReason, may_have_run: bool) -> WorkReply {
+        if may_have_run {
+            return self.unknown("an earlier start may have run");
+        }
+        let mut reply = WorkReply::not_run(&self.submission.key, reason, "");
+        reply.revision = self.revision;
+        reply
+    }
+
+    fn unknown(&self, detail: &str) -> WorkReply {
+        let mut reply = WorkReply::unknown(&self.submission.key, detail);
+        reply.revision = self.revision;
+        reply
+    }
+}
+
+fn task_end(phase: TaskPhase) -> TaskEnd {
+    match phase {
+        TaskPhase::Done => TaskEnd::Done,
+        TaskPhase::Failed => TaskEnd::Failed,
+        TaskPhase::Stopped | TaskPhase::Running => TaskEnd::Stopped,
+    }
+}
--- a/crates/hs-peer/src/membership.rs
+++ b/crates/hs-peer/src/membership.rs
@@ -22,7 +22,7 @@
 ///
 /// It does no I/O. The process passes in the time, VM lists and heartbeats, and calls
 /// [`Membership::tick`] more often than once per [`MemberOptions::dead_after`].
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Membership {
     options: MemberOptions,
     members: SlotMap<MemberKey, Member>,
--- a/crates/hs-standin/src/worker/task.rs
+++ b/crates/hs-standin/src/worker/task.rs
@@ -12,6 +12,8 @@
     pub(super) id: WorkId,
     pub(super) phase: TaskPhase,
     pub(super) resources: Resources,
+    pub(super) customer: String,
+    pub(super) workload: String,
     pub(super) leased: bool,
     pub(super) started: Instant,
     /// Time of the end, once it has come.
@@ -34,6 +36,8 @@
             id: self.id.clone(),
             phase: self.phase,
             resources: self.resources,
+            customer: self.customer.clone(),
+            workload: self.workload.clone(),
             result,
             ran_ms: u64::try_from(ran.as_millis()).unwrap_or(u64::MAX),
         }
--- a/crates/hs-wire/src/worker.rs
+++ b/crates/hs-wire/src/worker.rs
@@ -15,9 +15,14 @@
     /// refused and the task list of the reply is complete.
     #[serde(default)]
     pub bump: bool,
-    /// Asks for the task lists. Set on a takeover and with `bump`.
+    /// Asks for every running task. Set on a takeover.
     #[serde(default)]
     pub list: bool,
+    /// Asks for these tasks, running or ended in the last ten minutes. With `bump`, a task that the
+    /// reply lacks has not run in the worker's present incarnation and can no longer start under an
+    /// older fence.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub query: Vec<WorkId>,
 }
 
 /// Reply to a lease request that was granted (200). Another owner's live lease gives 409.
@@ -25,6 +30,9 @@
 pub struct LeaseGrant {
     /// The fencing token that starts have to carry.
     pub fence: u64,
+    /// Changes when the worker restarts and forgets its tasks.
+    #[serde(default)]
+    pub incarnation: u64,
     /// Granted length in milliseconds, counted from the moment of the grant.
     pub ttl_ms: u64,
     /// Total capacity of the worker.
@@ -32,7 +40,7 @@
     /// Whether the worker refuses new starts.
     #[serde(default)]
     pub draining: bool,
-    /// Running tasks and tasks that finished in the last ten minutes, when asked for.
+    /// The tasks that the request asked for, as far as the worker knows them.
     #[serde(default)]
     pub tasks: Vec<TaskView>,
     /// Usage, some seconds old.
@@ -58,6 +66,9 @@
     /// Manifest revision under which the task was placed.
     #[serde(default)]
     pub revision: u64,
+    /// The customer that the task is accounted to.
+    #[serde(default)]
+    pub customer: String,
     /// Name of the workload.
     pub workload: String,
     /// Opaque input.
@@ -96,6 +107,12 @@
     pub phase: TaskPhase,
     /// What it takes while it runs.
     pub resources: Resources,
+    /// The customer that it is accounted to, as its start said.
+    #[serde(default)]
+    pub customer: String,
+    /// Name of the workload, as its start said.
+    #[serde(default)]
+    pub workload: String,
     /// Its result, once it has ended.
     #[serde(default)]
     pub result: String,
