test: mixed work under kill, pause, store outage and lost replies

Cause: nothing showed what the entry processes keep when parts fail. Ruled out: the worker's own refusal as a safety net; the stand-ins accept starts over capacity here and record them, so that a wrong reservation shows. Change: a small harness of real serve processes with the platform's stand-ins beside them, callers that retry under the same key, and an audit that compares every reply with the workers' logs; six fault cases; optional setting peer_advertise, so that a link between processes can run through a proxy.

--- /dev/null
+++ b/crates/hornbeamshunt/tests/promises/cluster/audit.rs
@@ -0,0 +1,129 @@
+//! Callers that retry, and the comparison of what they were told with what ran.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hs_standin::{WorkerLog, WorkerStart};
+use hs_wire::{Outcome, Submission, TaskPhase, WorkReply};
+
+use super::{Caller, TestPlatform};
+
+/// Everything that a caller was told about one key.
+#[derive(Debug)]
+pub struct KeyAudit {
+    pub work: Submission,
+    /// Whether the workload is not repeatable.
+    pub once: bool,
+    /// Number of tasks of the workload.
+    pub tasks: usize,
+    pub replies: Vec<WorkReply>,
+}
+
+impl KeyAudit {
+    /// Returns the final outcome that the caller was told, if there was one.
+    pub fn outcome(&self) -> Option<Outcome> {
+        let known =
+            |reply: &&WorkReply| !matches!(reply.outcome, Outcome::Accepted | Outcome::Unknown);
+        self.replies.iter().find(known).map(|reply| reply.outcome)
+    }
+
+    /// Checks the replies against the workers' logs.
+    ///
+    /// # Panics
+    ///
+    /// Panics if work ran that was said not to run, ran twice, ran on two workers at the same time,
+    /// or if its caller got another's answer or no final one.
+    pub fn assert_kept(&self, logs: &[WorkerLog]) {
+        let key = &self.work.key;
+        let starts: Vec<&WorkerStart> = logs
+            .iter()
+            .flat_map(|log| &log.0)
+            .filter(|start| start.payload == self.work.payload)
+            .collect();
+        let outcome = self.outcome();
+        match outcome {
+            Some(Outcome::NotRun) => {
+                assert!(
+                    starts.is_empty(),
+                    "{key} ran though told not run: {starts:?} {self:?}"
+                );
+            }
+            Some(Outcome::Done) => {
+                let done = starts
+                    .iter()
+                    .filter(|start| start.phase == TaskPhase::Done)
+                    .count();
+                assert_eq!(done, self.tasks, "{key} is done: {starts:?} {self:?}");
+            }
+            _ => {}
+        }
+        for reply in &self.replies {
+            if reply.outcome == Outcome::Done {
+                assert_eq!(
+                    reply.results,
+                    vec![key.clone(); self.tasks],
+                    "own answer of {key}"
+                );
+            }
+            let is_final = !matches!(reply.outcome, Outcome::Accepted | Outcome::Unknown);
+            assert!(
+                !is_final || Some(reply.outcome) == outcome,
+                "{key} changed: {self:?}"
+            );
+        }
+        if self.once {
+            assert!(
+                starts.len() <= self.tasks,
+                "{key} started twice: {starts:?} {self:?}"
+            );
+        }
+        let same_task =
+            |start: &WorkerStart| start.id.0.rsplit_once('.').map(|(task, _)| task.to_owned());
+        for (index, first) in starts.iter().enumerate() {
+            for second in starts.iter().skip(index + 1) {
+                let overlap = first.started_ms < second.ended_ms.unwrap_or(u64::MAX)
+                    && second.started_ms < first.ended_ms.unwrap_or(u64::MAX);
+                assert!(
+                    same_task(first) != same_task(second) || !overlap,
+                    "a task of {key} ran twice at the same time: {first:?} {second:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Submits work again under the same key, at one entry process after the other, until its outcome is
+/// final or `limit` has passed.
+pub async fn submit_until_final(
+    caller: Caller,
+    entries: Vec<SocketAddr>,
+    first: usize,
+    mut audit: KeyAudit,
+    limit: Duration,
+) -> KeyAudit {
+    let begin = Instant::now();
+    let mut turn = first;
+    while audit.outcome().is_none() && begin.elapsed() < limit {
+        let entry = entries[turn % entries.len()];
+        turn += 1;
+        match caller.submit(entry, &audit.work).await {
+            Some(reply) => audit.replies.push(reply),
+            None => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+        if audit.outcome().is_none() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    audit
+}
+
+impl TestPlatform {
+    /// Checks what every caller was told against what ran, and the workers' peaks.
+    pub async fn assert_kept(&self, audits: &[KeyAudit]) {
+        let logs = self.logs().await;
+        for audit in audits {
+            audit.assert_kept(&logs);
+        }
+        self.assert_within_capacity().await;
+    }
+}
--- /dev/null
+++ b/crates/hornbeamshunt/tests/promises/cluster/platform.rs
@@ -0,0 +1,149 @@
+//! Store, VM list and workers in the test's own process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hs_http::{CallReply, HttpClient};
+use hs_standin::{
+    StoreOptions, VmsOptions, VmsUpdate, WorkerLog, WorkerOptions, WorkerPeak, run_store, run_vms,
+    run_worker,
+};
+use hs_wire::{VmEntry, VmRole, VmState};
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// One stand-in.
+#[derive(Clone, Debug)]
+pub struct StandIn {
+    pub address: SocketAddr,
+    client: HttpClient,
+}
+
+impl StandIn {
+    pub async fn get(&self, path: &str) -> CallReply {
+        self.client
+            .get("test", &self.address.to_string(), path, LIMIT)
+            .await
+            .expect("stand-in")
+    }
+
+    pub async fn post(&self, path: &str, body: &impl Serialize) -> CallReply {
+        let peer = self.address.to_string();
+        self.client
+            .post_json("test", &peer, path, body, LIMIT)
+            .await
+            .expect("stand-in")
+    }
+
+    /// Replaces the fault switches; `{}` heals.
+    pub async fn fault(&self, body: serde_json::Value) {
+        assert_eq!(self.post("/fault", &body).await.status, 200, "fault switch");
+    }
+}
+
+/// The platform of one test. Dropping it stops the stand-ins.
+pub struct TestPlatform {
+    pub store: StandIn,
+    pub vms: StandIn,
+    pub workers: Vec<StandIn>,
+    pub entries: Vec<VmEntry>,
+    stop: watch::Sender<bool>,
+}
+
+impl TestPlatform {
+    /// Starts the stand-ins with `workers` workers, all in the data centre `dc1`.
+    pub async fn start(workers: usize, options: WorkerOptions) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let client = HttpClient::default();
+        let (listener, address) = listen().await;
+        tokio::spawn(run_store(
+            listener,
+            StoreOptions::default(),
+            stopped.clone(),
+        ));
+        let store = stand_in(address, &client);
+        let (listener, address) = listen().await;
+        tokio::spawn(run_vms(listener, VmsOptions::default(), stopped.clone()));
+        let vms = stand_in(address, &client);
+        let mut platform = Self {
+            store,
+            vms,
+            workers: Vec::new(),
+            entries: Vec::new(),
+            stop,
+        };
+        for number in 0..workers {
+            let (listener, address) = listen().await;
+            tokio::spawn(run_worker(listener, options, stopped.clone()));
+            platform.workers.push(stand_in(address, &client));
+            platform.entries.push(VmEntry {
+                id: format!("w{number}"),
+                addr: address.to_string(),
+                data_centre: "dc1".to_owned(),
+                rack: format!("r{}", number / 6),
+                role: VmRole::Worker,
+                state: VmState::Live,
+                capacity: options.capacity,
+            });
+        }
+        platform
+    }
+
+    /// Publishes the present entries as VM list.
+    pub async fn publish_vms(&self) {
+        let vms = self.entries.clone();
+        assert_eq!(
+            self.vms.post("/vms", &VmsUpdate { vms }).await.status,
+            200,
+            "VM list"
+        );
+    }
+
+    /// Returns every start that ran on any worker, as worker and log.
+    pub async fn logs(&self) -> Vec<WorkerLog> {
+        let mut logs = Vec::with_capacity(self.workers.len());
+        for worker in &self.workers {
+            logs.push(worker.get("/log").await.json().expect("log"));
+        }
+        logs
+    }
+
+    /// Returns how often a start with this payload ran on any worker.
+    pub async fn runs_of(&self, payload: &str) -> usize {
+        let logs = self.logs().await;
+        let starts = logs.iter().flat_map(|log| &log.0);
+        starts.filter(|start| start.payload == payload).count()
+    }
+
+    /// Checks that no worker ever had more than its capacity in use.
+    pub async fn assert_within_capacity(&self) {
+        for worker in &self.workers {
+            let peak: WorkerPeak = worker.get("/peak").await.json().expect("peak");
+            assert!(
+                !peak.exceeded,
+                "worker {} over capacity: {peak:?}",
+                worker.address
+            );
+        }
+    }
+}
+
+impl Drop for TestPlatform {
+    fn drop(&mut self) {
+        let _ = self.stop.send(true);
+    }
+}
+
+fn stand_in(address: SocketAddr, client: &HttpClient) -> StandIn {
+    let client = client.clone();
+    StandIn { address, client }
+}
+
+pub(super) async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let address = listener.local_addr().expect("address");
+    (listener, address)
+}
--- /dev/null
+++ b/crates/hornbeamshunt/tests/promises/faults.rs
@@ -0,0 +1,178 @@
+//! Every promise at once, with mixed work under each failure, together and twice.
+
+use std::time::Duration;
+
+use hs_standin::WorkerOptions;
+use hs_wire::{Outcome, Resources};
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::cluster::{
+    Caller, EntryNode, KeyAudit, TestPlatform, run_test, submission, submit_until_final,
+};
+
+const MANIFEST: &str = r#"{
+    customers: [{ name: "acme" }],
+    workloads: [
+        { name: "check", class: "check", resources: { cpu_milli: 100, connections: 1 } },
+        { name: "order", class: "order", resources: { cpu_milli: 1000, slots: 1 } },
+        { name: "batch", class: "batch", tasks: 2, resources: { cpu_milli: 1000, slots: 1 } },
+    ],
+}"#;
+
+/// Time in which every caller has to have a final outcome, far above takeover (3.5 s) and deadline.
+const FINAL_LIMIT: Duration = Duration::from_secs(40);
+
+enum FaultStep {
+    Wait(u64),
+    Kill(usize),
+    Restart(usize),
+    Stop(usize),
+    Continue(usize),
+    Store(serde_json::Value),
+    Worker(usize, serde_json::Value),
+}
+
+struct FaultCase {
+    name: &'static str,
+    /// How many of the 90 pieces of durable work have to be done rather than refused.
+    least_done: usize,
+    steps: Vec<FaultStep>,
+}
+
+fn workers() -> WorkerOptions {
+    WorkerOptions {
+        capacity: Resources {
+            cpu_milli: 16_000,
+            memory_mib: 65_536,
+            accelerators: 0,
+            slots: 4,
+            connections: 16,
+        },
+        // A start over capacity is taken and recorded, so that the worker's own refusal does not hide
+        // a wrong reservation.
+        unchecked: true,
+        ..WorkerOptions::default()
+    }
+}
+
+async fn run_case(case: FaultCase) {
+    let mut platform = TestPlatform::start(6, workers()).await;
+    let mut nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
+    let entries: Vec<_> = nodes.iter().map(|node| node.caller).collect();
+    let mut calls = JoinSet::new();
+    let mut checks = JoinSet::new();
+    let caller = Caller::default();
+    for number in 0..90 {
+        let (workload, tasks) = if number % 6 == 0 {
+            ("batch", 2)
+        } else {
+            ("order", 1)
+        };
+        let audit = KeyAudit {
+            work: submission(&format!("k{number}"), workload, 30_000, "sleep=150"),
+            once: workload == "order",
+            tasks,
+            replies: Vec::new(),
+        };
+        let call = submit_until_final(caller.clone(), entries.clone(), number, audit, FINAL_LIMIT);
+        calls.spawn(async move {
+            sleep(Duration::from_millis(number as u64 * 50)).await;
+            call.await
+        });
+        for turn in 0..3 {
+            let work = submission(&format!("c{number}-{turn}"), "check", 3000, "sleep=5");
+            let (caller, entry) = (caller.clone(), entries[(number + turn) % entries.len()]);
+            checks.spawn(async move {
+                sleep(Duration::from_millis(number as u64 * 50)).await;
+                let reply = caller.submit(entry, &work).await;
+                let replies = reply.into_iter().collect();
+                KeyAudit {
+                    work,
+                    once: false,
+                    tasks: 1,
+                    replies,
+                }
+            });
+        }
+    }
+    for step in case.steps {
+        match step {
+            FaultStep::Wait(millis) => sleep(Duration::from_millis(millis)).await,
+            FaultStep::Kill(node) => nodes[node].kill(),
+            FaultStep::Restart(node) => nodes[node].spawn(),
+            FaultStep::Stop(node) => nodes[node].signal("STOP"),
+            FaultStep::Continue(node) => nodes[node].signal("CONT"),
+            FaultStep::Store(fault) => platform.store.fault(fault).await,
+            FaultStep::Worker(worker, fault) => platform.workers[worker].fault(fault).await,
+        }
+    }
+    let audits = calls.join_all().await;
+    let mut checks = checks.join_all().await;
+    platform.assert_kept(&audits).await;
+    for audit in &audits {
+        let outcome = audit.outcome();
+        assert!(
+            outcome.is_some(),
+            "{}: {} has no final outcome: {audit:?}",
+            case.name,
+            audit.work.key
+        );
+    }
+    let done = audits
+        .iter()
+        .filter(|audit| audit.outcome() == Some(Outcome::Done))
+        .count();
+    assert!(
+        done >= case.least_done,
+        "{}: only {done} of 90 pieces of durable work are done",
+        case.name
+    );
+    // A check that is not idempotent by key may run again after a lost answer; only its answer counts.
+    checks.retain(|audit| audit.outcome() != Some(Outcome::Done));
+    platform.assert_kept(&checks).await;
+}
+
+macro_rules! fault_tests {
+    ($($(#[$doc:meta])* $name:ident, $least_done:literal: $steps:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            run_test(run_case(FaultCase {
+                name: stringify!($name),
+                least_done: $least_done,
+                steps: $steps,
+            }));
+        })*
+    };
+}
+
+use FaultStep::{Continue, Kill, Restart, Stop, Store, Wait, Worker};
+
+fault_tests! {
+    /// Guards against work lost or repeated when an entry process dies.
+    killed_process, 60: vec![Wait(1500), Kill(0), Wait(5000), Restart(0)];
+    /// Guards against a paused owner that goes on with workers and partitions taken over since.
+    paused_owner, 60: vec![Wait(1500), Stop(0), Wait(6000), Continue(0), Wait(500), Stop(1), Wait(5000), Continue(1)];
+    /// Guards against starts without a durable record, and false "not run", while the store is down.
+    /// What arrives during the outage may be refused; what arrived in the 1.5 s before is done.
+    store_outage, 25: vec![Wait(1500), Store(json!({ "down": "refuse" })), Wait(4000), Store(json!({}))];
+    /// Guards against a write that is taken for failed because its reply was lost.
+    lost_store_replies, 60: vec![
+        Wait(1000), Store(json!({ "lose_replies": { "next": 3 } })),
+        Wait(2500), Store(json!({ "lose_replies": { "next": 2 } })),
+    ];
+    /// Guards against a start that is repeated because its reply was lost.
+    lost_worker_replies, 60: vec![
+        Wait(500),
+        Worker(0, json!({ "lose_replies": { "probability": 0.3 } })),
+        Worker(1, json!({ "lose_replies": { "probability": 0.3 } })),
+        Wait(3000), Worker(0, json!({})), Worker(1, json!({})),
+    ];
+    /// Guards against faults that only show when several things fail together, and twice.
+    together_and_twice, 60: vec![
+        Wait(1000), Kill(2), Store(json!({ "delay_ms": 200, "lose_replies": { "next": 2 } })),
+        Wait(1500), Stop(1), Wait(4500), Continue(1), Restart(2),
+        Wait(1500), Store(json!({ "down": "drop" })), Wait(1500), Store(json!({})),
+        Stop(0), Wait(4500), Continue(0),
+    ];
+}
--- /dev/null
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -0,0 +1,5 @@
+//! What must always hold, with real entry processes under failure. One file for each promise.
+
+mod cluster;
+mod faults;
+mod whole_path;
--- a/crates/hs-config/src/rules.rs
+++ b/crates/hs-config/src/rules.rs
@@ -34,6 +34,7 @@
         field("caller_listen", Address, Required, ""),
         field("control_listen", Address, Required, ""),
         field("peer_listen", Address, Required, ""),
+        field("peer_advertise", Address, Absent, ""),
         field("control_token", Token, Absent, ""),
         field("store", Address, Required, ""),
         field("vm_list", Address, Required, ""),
--- a/crates/hs-config/src/settings.rs
+++ b/crates/hs-config/src/settings.rs
@@ -17,8 +17,11 @@
     pub caller_listen: SocketAddr,
     /// Address for operators. Without a token it has to be on loopback.
     pub control_listen: SocketAddr,
-    /// Address for other entry processes, as the VM list has it.
+    /// Address on which other entry processes are served.
     pub peer_listen: SocketAddr,
+    /// Address under which they reach this process, as the VM list has it. Absent: `peer_listen`.
+    #[serde(default)]
+    pub peer_advertise: Option<SocketAddr>,
     /// Token of operators. Never logged.
     #[serde(default)]
     pub control_token: Option<String>,
@@ -34,6 +37,13 @@
     pub limits: LimitSettings,
 }
 
+impl Settings {
+    /// Returns the address under which other entry processes reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_advertise.unwrap_or(self.peer_listen)
+    }
+}
+
 impl fmt::Debug for Settings {
     /// Shows whether there is a token, never the token itself.
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -45,6 +55,7 @@
             .field("caller_listen", &self.caller_listen)
             .field("control_listen", &self.control_listen)
             .field("peer_listen", &self.peer_listen)
+            .field("peer_advertise", &self.peer_advertise)
             .field("control_token", &token)
             .field("store", &self.store)
             .field("vm_list", &self.vm_list)
--- a/crates/hs-node/src/ledger/fate.rs
+++ b/crates/hs-node/src/ledger/fate.rs
@@ -160,7 +160,7 @@
         .map(|(peer, _)| peer)
         .into_iter()
         .collect();
-    let own = shared.settings.peer_listen.to_string();
+    let own = shared.settings.peer_address().to_string();
     let entries = list.vms.iter().filter(|vm| {
         vm.role == VmRole::Entry && Some(&vm.data_centre) == data_centre && vm.addr != own
     });
--- a/crates/hs-node/src/ledger/partition_task.rs
+++ b/crates/hs-node/src/ledger/partition_task.rs
@@ -216,7 +216,7 @@
             owned.partition.epoch(),
             owned.partition.len(),
         ));
-        self.owner = Some(self.shared.settings.peer_listen.to_string());
+        self.owner = Some(self.shared.settings.peer_address().to_string());
         self.shared.ledger.set_owned(self.number, true);
         self.resume();
     }
@@ -667,7 +667,7 @@
         let settings = &self.shared.settings;
         let owner = LedgerOwner {
             id: settings.id.clone(),
-            addr: settings.peer_listen.to_string(),
+            addr: settings.peer_address().to_string(),
             writer: format!("{}.{}", self.shared.owner(), self.takeovers),
         };
         let partition = LedgerPartition::take_over(image, revision, owner, self.now());
--- a/crates/hs-node/src/member/task.rs
+++ b/crates/hs-node/src/member/task.rs
@@ -111,7 +111,7 @@
         HeartbeatRequest {
             id: settings.id.clone(),
             data_centre: settings.data_centre.clone(),
-            address: settings.peer_listen.to_string(),
+            address: settings.peer_address().to_string(),
             incarnation: self.shared.incarnation,
             free: Some(summary.free.into()),
             queued: summary.queued,
--- a/crates/hs-node/src/run.rs
+++ b/crates/hs-node/src/run.rs
@@ -198,7 +198,7 @@
     MemberOptions {
         id: settings.id.clone(),
         data_centre: settings.data_centre.clone(),
-        address: settings.peer_listen.to_string(),
+        address: settings.peer_address().to_string(),
         seeds: settings.seeds.iter().map(ToString::to_string).collect(),
         ..MemberOptions::default()
     }
--- a/crates/hs-node/src/work/durable.rs
+++ b/crates/hs-node/src/work/durable.rs
@@ -109,7 +109,7 @@
                 OwnerAnswer::Reply(reply) => return Some(reply),
                 OwnerAnswer::NoRecord => return None,
                 OwnerAnswer::Elsewhere(owner) => {
-                    let own = shared.settings.peer_listen.to_string();
+                    let own = shared.settings.peer_address().to_string();
                     hint = owner
                         .filter(|owner| *owner != own && *owner != peer)
                         .or(hint);
