feat: open-loop load tool

Cause: waiting times, lost and swapped answers have to be measured from the callers' side, and a closed loop hides the time in which a slow process keeps the next call from being sent.

Ruled out: pacing on the runtime's timer, whose resolution of a millisecond is as long as the added time that is to be measured; dropping arrivals above the bound on calls in flight, which would thin out the slowest samples.

Change: run_load sends a seeded Poisson schedule at its intended times, checks key and results of each answer, follows durable work to its outcome, and returns counts and histograms by class, customer and phase.

--- /dev/null
+++ b/crates/hs-load/src/options.rs
@@ -0,0 +1,83 @@
+//! Options of a run.
+
+use std::net::SocketAddr;
+
+use crate::{LoadError, Scenario};
+
+/// Options of a run.
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// Caller addresses of the entry processes, used in turn.
+    pub targets: Vec<SocketAddr>,
+    /// What is sent.
+    pub scenario: Scenario,
+    /// Seed of arrival times and run times. The same seed gives the same schedule.
+    pub seed: u64,
+    /// Factor on the length of the scenario and on the run times of batch work and gangs.
+    pub scale: f64,
+    /// Submissions per second, all customers together, without a burst and without `long_rate`.
+    pub rate: f64,
+    /// Batch tasks per second in the scenario `long`.
+    pub long_rate: f64,
+    /// Run time of a check in milliseconds.
+    pub check_run_ms: u64,
+    /// Deadline of checks and orders in milliseconds.
+    pub short_deadline_ms: u64,
+    /// Deadline of batch work and gangs in milliseconds.
+    pub long_deadline_ms: u64,
+    /// Time after the last arrival for which unfinished durable work is followed, in milliseconds.
+    pub settle_ms: u64,
+    /// Most calls in flight, each of which takes a connection. Further ones wait; the wait counts
+    /// in the measured times.
+    pub max_in_flight: usize,
+}
+
+/// Most arrivals of one run. The schedule is held in memory at some 40 bytes each.
+const MAX_ARRIVALS: f64 = 5e6;
+
+impl Default for LoadOptions {
+    fn default() -> Self {
+        Self {
+            targets: Vec::new(),
+            scenario: Scenario::Smoke,
+            seed: 1,
+            scale: 1.0,
+            rate: 200.0,
+            long_rate: 20.0,
+            check_run_ms: 5,
+            short_deadline_ms: 10_000,
+            long_deadline_ms: 120_000,
+            settle_ms: 30_000,
+            max_in_flight: 4_000,
+        }
+    }
+}
+
+impl LoadOptions {
+    pub(crate) fn check(&self) -> Result<(), LoadError> {
+        if self.targets.is_empty() {
+            return Err(LoadError::NoTargets);
+        }
+        for (name, value) in [
+            ("scale", self.scale),
+            ("rate", self.rate),
+            ("long_rate", self.long_rate),
+        ] {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(LoadError::OutOfRange { name, value });
+            }
+        }
+        if self.max_in_flight == 0 {
+            let name = "max_in_flight";
+            return Err(LoadError::OutOfRange { name, value: 0.0 });
+        }
+        let expected = self.scenario.expected_arrivals(self);
+        if expected > MAX_ARRIVALS {
+            return Err(LoadError::TooManyArrivals {
+                expected,
+                limit: MAX_ARRIVALS,
+            });
+        }
+        Ok(())
+    }
+}
