fix: run tasks of zero length without the timer

Cause: a sleep of zero waits for the next tick of the runtime's timer, up to a millisecond, so that the added time of a check could not be measured below that.

Ruled out: measuring against the run time that the worker reports, since the caller's reply does not carry it.

Change: the worker ends a task of run time zero at once; the fake entry process of the load tool's tests does the same.

--- a/crates/hs-load/tests/load/support.rs
+++ b/crates/hs-load/tests/load/support.rs
@@ -177,5 +177,8 @@
 async fn sleep_as_told(payload: &str) {
     let mut words = payload.split(' ');
     let run_ms = words.find_map(|word| word.strip_prefix("sleep=")?.parse().ok());
-    tokio::time::sleep(Duration::from_millis(run_ms.expect("a run time"))).await;
+    let run_ms = run_ms.expect("a run time");
+    if run_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(run_ms)).await;
+    }
 }
--- a/crates/hs-standin/src/worker/mod.rs
+++ b/crates/hs-standin/src/worker/mod.rs
@@ -151,7 +151,7 @@
         let reply = match begun {
             Ok(run_time) => {
                 if let Some(run_time) = run_time {
-                    self.spawn_run(start.id.clone(), run_time);
+                    self.run(start.id.clone(), run_time);
                 }
                 self.view(&start.id, start.wait_ms).await
             }
@@ -163,7 +163,12 @@
         (!lost).then_some(reply)
     }
 
-    fn spawn_run(&self, id: WorkId, run_time: Duration) {
+    /// Ends a task after its run time. A run time of zero does without the timer, which would add
+    /// up to a millisecond.
+    fn run(&self, id: WorkId, run_time: Duration) {
+        if run_time.is_zero() {
+            return self.state().finish(&id, Instant::now());
+        }
         let worker = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(run_time).await;
--- a/crates/hs-standin/tests/worker_start.rs
+++ b/crates/hs-standin/tests/worker_start.rs
@@ -52,6 +52,7 @@
         case("sleep=60 echo=a=b", 2000, TaskPhase::Done, "a=b", 60),
         case("fail echo=x", 2000, TaskPhase::Failed, "x", 5),
         case("sleep=soon what ever", 2000, TaskPhase::Done, "t4", 5),
+        case("sleep=0", 2000, TaskPhase::Done, "t5", 0),
         case("sleep=5000", 20, TaskPhase::Running, "", 20),
     ];
     let worker = worker(false).await;
