test: spawn the fake entry process of the load tool's tests

Cause: the future of serve can move between threads now.

Ruled out: keeping the blocking thread, which had no other reason.

Change: the fake entry process is an ordinary task.

Conclusion: no check changed.

--- a/crates/hs-load/tests/load/support.rs
+++ b/crates/hs-load/tests/load/support.rs
@@ -11,7 +11,6 @@
 use hs_wire::{NotRunReason, Outcome, Submission, WorkReply};
 use hyper::Method;
 use tokio::net::TcpListener;
-use tokio::runtime::Handle;
 use tokio::sync::watch;
 
 /// How the process answers.
@@ -63,14 +62,10 @@
         let state = Arc::new(Mutex::new(FakeState::default()));
         let manifest = Arc::new(parse_manifest(SAMPLE_MANIFEST).expect("a valid manifest"));
         let shared = state.clone();
-        let handle = Handle::current();
-        // The future of `serve` cannot move between threads, so that it is built where it runs.
-        tokio::task::spawn_blocking(move || {
-            let service = serve(listener, ServeLimits::default(), stopped, move |request| {
-                answer(manner, manifest.clone(), shared.clone(), request)
-            });
-            handle.block_on(service);
+        let service = serve(listener, ServeLimits::default(), stopped, move |request| {
+            answer(manner, manifest.clone(), shared.clone(), request)
         });
+        tokio::spawn(service);
         Self {
             address,
             state,
