test: orders run at most once under late starts and lost replies

Cause: P5 had only the mixed fault runs, in which a late start or a lost reply happens by chance. Ruled out: delays and sleeps to hit the moment between the commit of `placed` and the start. The store call's own limit of 2 s is over after a takeover, so that a resumed owner mostly reads its write back and sends nothing. The links of the test hold the commit or the start back by its content instead. Change: at_most_once.rs with the same key at three processes at once, lost replies to starts, an owner stopped before its commit and between commit and start, on its own worker and on a peer's, and twice in a row.

--- /dev/null
+++ b/crates/hornbeamshunt/tests/promises/at_most_once.rs
@@ -0,0 +1,207 @@
+//! P5: a durable task that is not repeatable runs at most once.
+
+use std::time::Duration;
+
+use hs_standin::WorkerOptions;
+use hs_wire::Outcome;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::cluster::{
+    Caller, CutLink, EntryNode, HoldKind, KeyAudit, NodeSpec, TestPlatform, eventually,
+    key_owned_by, partition_owner, publish, run_test, submission, submit_until_final, wait_owned,
+    worker_owner,
+};
+
+const MANIFEST: &str = r#"{
+    customers: [{ name: "acme" }],
+    workloads: [{ name: "order", class: "order", resources: { cpu_milli: 1000, slots: 1 } }],
+}"#;
+
+/// Time in which every caller has to have a final outcome, far above two takeovers (3.5 s each).
+const FINAL_LIMIT: Duration = Duration::from_secs(25);
+
+fn audit(key: &str, payload: &str) -> KeyAudit {
+    let mut work = submission(key, "order", 25_000, payload);
+    // A call that waits at a stopped process would take up the time of the test.
+    work.wait_ms = Some(2000);
+    KeyAudit {
+        work,
+        once: true,
+        tasks: 1,
+        replies: Vec::new(),
+    }
+}
+
+async fn assert_each_done_once(platform: &TestPlatform, audits: &[KeyAudit]) {
+    platform.assert_kept(audits).await;
+    for audit in audits {
+        let starts = platform.starts_of(&audit.work.key).await;
+        assert_eq!(audit.outcome(), Some(Outcome::Done), "{audit:?}");
+        assert_eq!(starts.len(), 1, "{audit:?} {starts:?}");
+    }
+}
+
+/// Guards against two entry processes that both take the same key as new.
+#[test]
+fn same_key_at_every_process_at_once() {
+    run_test(async {
+        let mut platform = TestPlatform::start(6, WorkerOptions::default()).await;
+        let nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
+        let mut calls = JoinSet::new();
+        for number in 0..30 {
+            for node in &nodes {
+                let audit = audit(&format!("k{number}"), "sleep=20");
+                let call =
+                    submit_until_final(Caller::default(), vec![node.caller], 0, audit, FINAL_LIMIT);
+                calls.spawn(call);
+            }
+        }
+        let audits = calls.join_all().await;
+        assert_each_done_once(&platform, &audits).await;
+    });
+}
+
+/// Guards against a start that is sent again because its reply was lost, on whichever worker.
+#[test]
+fn lost_reply_of_a_start() {
+    run_test(async {
+        let mut platform = TestPlatform::start(3, WorkerOptions::default()).await;
+        let nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
+        let entries: Vec<_> = nodes.iter().map(|node| node.caller).collect();
+        for worker in &platform.workers {
+            let lost =
+                json!({ "lose_replies": { "next": 4 }, "lose_lease_replies": { "next": 1 } });
+            worker.fault(lost).await;
+        }
+        let mut calls = JoinSet::new();
+        for number in 0..24 {
+            let audit = audit(&format!("k{number}"), "sleep=20");
+            let caller = Caller::default();
+            calls.spawn(submit_until_final(
+                caller,
+                entries.clone(),
+                number,
+                audit,
+                FINAL_LIMIT,
+            ));
+        }
+        let audits = calls.join_all().await;
+        assert_each_done_once(&platform, &audits).await;
+    });
+}
+
+/// Where the owner of the partition is when it is stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StopPoint {
+    /// Its commit of `placed` is on the way to the store.
+    BeforeCommit,
+    /// The commit is confirmed and the start is on the way to the worker, so many times in a row.
+    BeforeStart(usize),
+}
+
+struct LateCase {
+    point: StopPoint,
+    /// Whether the process that is stopped owns a worker.
+    owns_worker: bool,
+}
+
+/// Part of a store value with a first attempt that is placed.
+const PLACED: &str = r#""s":"p","w""#;
+
+/// Parts of the starts of a first and a second attempt. A question about a task lacks them.
+const STARTS: [&str; 2] = [r#".0.0","fence""#, r#".0.1","fence""#];
+
+async fn run_late_case(case: LateCase) {
+    let (workers, starts) = match case.point {
+        // With several workers the second process does not choose the worker of the first, which
+        // would know the task by its id.
+        StopPoint::BeforeCommit => (6, 0),
+        StopPoint::BeforeStart(starts) => (1, starts),
+    };
+    let mut platform = TestPlatform::start(workers, WorkerOptions::default()).await;
+    let worker_link = CutLink::open(platform.workers[0].address).await;
+    platform.entries[0].addr = worker_link.address.to_string();
+    let mut nodes = Vec::new();
+    let mut store_links = Vec::new();
+    for number in 0..3 {
+        let link = CutLink::open(platform.store.address).await;
+        let spec = NodeSpec {
+            store: Some(link.address),
+            ..NodeSpec::default()
+        };
+        nodes.push(EntryNode::prepare(&mut platform, number, spec).await);
+        store_links.push(link);
+    }
+    platform.publish_vms().await;
+    publish(&platform, MANIFEST);
+    for node in &mut nodes {
+        node.spawn();
+    }
+    wait_owned(&nodes, workers).await;
+    let mut owners = Vec::new();
+    for worker in 0..workers {
+        owners.push(worker_owner(&nodes, &format!("w{worker}")).await);
+    }
+    let fits = |node| owners.contains(&node) == case.owns_worker;
+    let key = key_owned_by(&nodes, "k", fits).await;
+    let first = partition_owner(&nodes, &key).await;
+    for start in &STARTS[..starts] {
+        worker_link.hold(HoldKind::Request, start);
+    }
+    if case.point == StopPoint::BeforeCommit {
+        store_links[first].hold(HoldKind::Request, PLACED);
+    }
+    let mut audit = audit(&key, "sleep=20");
+    let (work, entry) = (audit.work.clone(), nodes[(first + 1) % 3].caller);
+    let call = tokio::spawn(async move { Caller::default().submit(entry, &work).await });
+    let mut stopped = Vec::new();
+    for stop in 0..starts.max(1) {
+        eventually("a message on its way", FINAL_LIMIT, async || {
+            let held = worker_link.held() + store_links[first].held();
+            (held > stop).then_some(())
+        })
+        .await;
+        let owner = partition_owner(&nodes, &key).await;
+        nodes[owner].signal("STOP");
+        stopped.push(owner);
+    }
+    let running = (0..nodes.len()).find(|node| !stopped.contains(node));
+    let entries = vec![nodes[running.expect("a running process")].caller];
+    audit = submit_until_final(Caller::default(), entries, 0, audit, FINAL_LIMIT).await;
+    let refused = platform.refused_fences().await;
+    worker_link.release();
+    store_links[first].release();
+    eventually(
+        "refusal of late starts",
+        Duration::from_secs(3),
+        async || (platform.refused_fences().await >= refused + starts as u64).then_some(()),
+    )
+    .await;
+    for node in stopped {
+        nodes[node].signal("CONT");
+    }
+    audit.replies.extend(call.await.expect("the first call"));
+    // Time for a resumed process to send what it should not.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_each_done_once(&platform, &[audit]).await;
+}
+
+macro_rules! late_tests {
+    ($($(#[$doc:meta])* $name:ident: $point:expr, $owns_worker:literal;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            run_test(run_late_case(LateCase { point: $point, owns_worker: $owns_worker }));
+        })*
+    };
+}
+
+late_tests! {
+    /// Guards against a start before its record is durable.
+    stopped_before_commit: StopPoint::BeforeCommit, true;
+    /// Guards against a paused owner's late start on a worker that it owned.
+    late_start_on_own_worker: StopPoint::BeforeStart(1), true;
+    /// Guards against a paused owner's late start on a worker whose owner stays the same.
+    late_start_on_peers_worker: StopPoint::BeforeStart(1), false;
+    /// Guards against late starts of two processes, one after the other.
+    late_start_twice: StopPoint::BeforeStart(2), false;
+}
--- a/crates/hornbeamshunt/tests/promises/cluster/node.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/node.rs
@@ -229,7 +229,7 @@
 }
 
 /// Number of ledger partitions of an installation.
-const PARTITIONS: usize = 4;
+pub(super) const PARTITIONS: usize = 4;
 
 /// Publishes a manifest with the command line, and returns its output.
 pub fn publish(platform: &TestPlatform, manifest: &str) -> std::process::Output {
--- a/crates/hornbeamshunt/tests/promises/cluster/platform.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/platform.rs
@@ -1,12 +1,12 @@
 //! Store, VM list and workers in the test's own process.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hs_http::{CallReply, HttpClient};
 use hs_standin::{
-    StoreOptions, VmsOptions, VmsUpdate, WorkerLog, WorkerOptions, WorkerPeak, run_store, run_vms,
-    run_worker,
+    StoreOptions, VmsOptions, VmsUpdate, WorkerLog, WorkerOptions, WorkerPeak, WorkerStart,
+    run_store, run_vms, run_worker,
 };
 use hs_wire::{VmEntry, VmRole, VmState};
 use serde::Serialize;
@@ -111,6 +111,25 @@
         logs
     }
 
+    /// Returns every start whose payload names the key, with the number of its worker.
+    pub async fn starts_of(&self, key: &str) -> Vec<(usize, WorkerStart)> {
+        let word = format!("echo={key}");
+        let is_named = |start: &WorkerStart| start.payload.split(' ').any(|part| part == word);
+        let logs = self.logs().await.into_iter().enumerate();
+        let starts = logs.flat_map(|(worker, log)| log.0.into_iter().map(move |it| (worker, it)));
+        starts.filter(|(_, start)| is_named(start)).collect()
+    }
+
+    /// Returns how often workers have refused a start or stop for its fence.
+    pub async fn refused_fences(&self) -> u64 {
+        let mut refused = 0;
+        for worker in &self.workers {
+            let peak: WorkerPeak = worker.get("/peak").await.json().expect("peak");
+            refused += peak.refused_fence;
+        }
+        refused
+    }
+
     /// Returns how often a start with this payload ran on any worker.
     pub async fn runs_of(&self, payload: &str) -> usize {
         let logs = self.logs().await;
@@ -147,3 +166,14 @@
     let address = listener.local_addr().expect("address");
     (listener, address)
 }
+
+/// Returns an address on which nothing listens.
+pub async fn free_address() -> SocketAddr {
+    listen().await.1
+}
+
+/// Returns the time of the workers' logs, in milliseconds since the Unix epoch.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.expect("a time after 1970").as_millis() as u64
+}
--- /dev/null
+++ b/crates/hornbeamshunt/tests/promises/cluster/roles.rs
@@ -0,0 +1,61 @@
+//! Which entry process owns what.
+
+use std::time::Duration;
+
+use hs_ledger::partition_of;
+use serde_json::Value;
+
+use super::node::PARTITIONS;
+use super::{EntryNode, eventually};
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Returns the position of the process that owns the ledger partition of a key of `acme`.
+pub async fn partition_owner(nodes: &[EntryNode], key: &str) -> usize {
+    let number = partition_of("acme", key, PARTITIONS as u32);
+    let owns = move |status: &Value| status["partitions"][number as usize]["is_owned"] == true;
+    find_owner(nodes, &format!("owner of partition {number}"), owns).await
+}
+
+/// Returns the position of the process that owns a worker.
+pub async fn worker_owner(nodes: &[EntryNode], worker: &str) -> usize {
+    let owns = |status: &Value| owned_workers(status).iter().any(|name| name == worker);
+    find_owner(nodes, &format!("owner of worker {worker}"), owns).await
+}
+
+/// Returns the names of the workers in a status.
+pub fn owned_workers(status: &Value) -> Vec<String> {
+    let workers = status["workers"].as_array().into_iter().flatten();
+    let names = workers.filter_map(|worker| worker["name"].as_str());
+    names.map(str::to_owned).collect()
+}
+
+/// Returns a key with this prefix whose partition belongs to a process for which `fits` holds.
+pub async fn key_owned_by(
+    nodes: &[EntryNode],
+    prefix: &str,
+    fits: impl Fn(usize) -> bool,
+) -> String {
+    for number in 0..32 {
+        let key = format!("{prefix}{number}");
+        if fits(partition_owner(nodes, &key).await) {
+            return key;
+        }
+    }
+    panic!("no key {prefix} has an owner that fits");
+}
+
+async fn find_owner(nodes: &[EntryNode], what: &str, owns: impl Fn(&Value) -> bool) -> usize {
+    eventually(what, LIMIT, async || {
+        for (index, node) in nodes.iter().enumerate() {
+            let Some(status) = node.status().await else {
+                continue;
+            };
+            if owns(&status) {
+                return Some(index);
+            }
+        }
+        None
+    })
+    .await
+}
--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -1,5 +1,6 @@
 //! What must always hold, with real entry processes under failure. One file for each promise.
 
+mod at_most_once;
 mod cluster;
 mod faults;
 mod whole_path;
