test: batch tasks never run on two workers at once

Cause: P2 had no test of its own. Change: single_run.rs with workers that do not answer for 6 s, killed owners of worker and ledger, all three together, and a worker that is gone from the list while its tasks go on. Conclusion: a task is started again only after its first run has been stopped by the task lease.

--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -3,4 +3,5 @@
 mod at_most_once;
 mod cluster;
 mod faults;
+mod single_run;
 mod whole_path;
--- /dev/null
+++ b/crates/hornbeamshunt/tests/promises/single_run.rs
@@ -0,0 +1,157 @@
+//! P2: a batch task never runs on two workers at the same time.
+
+use std::time::Duration;
+
+use hs_standin::WorkerOptions;
+use hs_wire::{Outcome, TaskPhase, VmRole};
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::cluster::{
+    Caller, EntryNode, KeyAudit, TestPlatform, eventually, partition_owner, run_test, submission,
+    submit_until_final, worker_owner,
+};
+
+const MANIFEST: &str = r#"{
+    customers: [{ name: "acme" }],
+    workloads: [
+        { name: "batch", class: "batch", tasks: 3, resources: { cpu_milli: 1000, slots: 1 } },
+    ],
+}"#;
+
+const TASKS: usize = 3;
+
+const FINAL_LIMIT: Duration = Duration::from_secs(30);
+
+struct SingleCase {
+    /// Makes the workers of running tasks unreachable for 6 s, twice the time of a takeover.
+    is_unreachable: bool,
+    kills_worker_owner: bool,
+    kills_ledger_owner: bool,
+}
+
+fn audit(key: &str, payload: &str) -> KeyAudit {
+    let mut work = submission(key, "batch", 60_000, payload);
+    work.wait_ms = Some(1000);
+    KeyAudit {
+        work,
+        once: false,
+        tasks: TASKS,
+        replies: Vec::new(),
+    }
+}
+
+/// Waits until every task of the key runs, and returns the numbers of the workers.
+async fn wait_running(platform: &TestPlatform, key: &str) -> Vec<usize> {
+    eventually("start of every task", Duration::from_secs(5), async || {
+        let starts = platform.starts_of(key).await;
+        let workers = starts.iter().map(|(worker, _)| *worker);
+        (starts.len() == TASKS).then(|| workers.collect())
+    })
+    .await
+}
+
+async fn run_case(case: SingleCase) {
+    let options = WorkerOptions::default();
+    let mut platform = TestPlatform::start(4, options).await;
+    let mut nodes = EntryNode::start_all(&mut platform, 4, MANIFEST).await;
+    let audit = audit("k", "sleep=9000");
+    let caller = Caller::default();
+    let reply = caller.submit(nodes[0].caller, &audit.work).await;
+    assert_eq!(reply.expect("a reply").outcome, Outcome::Accepted);
+    let workers = wait_running(&platform, "k").await;
+    let ledger_owner = partition_owner(&nodes, "k").await;
+    let mut killed = Vec::new();
+    if case.kills_ledger_owner {
+        killed.push(ledger_owner);
+    }
+    if case.kills_worker_owner {
+        killed.push(worker_owner(&nodes, &format!("w{}", workers[0])).await);
+    }
+    if case.is_unreachable {
+        for worker in &workers {
+            platform.workers[*worker]
+                .fault(json!({ "down": "drop" }))
+                .await;
+        }
+    }
+    for node in &killed {
+        nodes[*node].kill();
+    }
+    if case.is_unreachable {
+        sleep(Duration::from_secs(6)).await;
+        for worker in &workers {
+            platform.workers[*worker].fault(json!({})).await;
+        }
+    }
+    let live = nodes
+        .iter()
+        .enumerate()
+        .filter(|(node, _)| !killed.contains(node));
+    let entries = live.map(|(_, node)| node.caller).collect();
+    let audit = submit_until_final(caller, entries, 0, audit, FINAL_LIMIT).await;
+    assert_eq!(audit.outcome(), Some(Outcome::Done), "{audit:?}");
+    platform.assert_kept(std::slice::from_ref(&audit)).await;
+    // No task was lost, so that none may have been started again.
+    let starts = platform.starts_of("k").await;
+    assert_eq!(starts.len(), TASKS, "{starts:?}");
+}
+
+macro_rules! single_tests {
+    ($($(#[$doc:meta])* $name:ident: $unreachable:literal, $worker_owner:literal, $ledger_owner:literal;)*) => {
+        $($(#[$doc])* #[test] fn $name() {
+            run_test(run_case(SingleCase {
+                is_unreachable: $unreachable,
+                kills_worker_owner: $worker_owner,
+                kills_ledger_owner: $ledger_owner,
+            }));
+        })*
+    };
+}
+
+single_tests! {
+    /// Guards against a task that is placed again because its worker does not answer for a while.
+    unreachable_worker: true, false, false;
+    /// Guards against a task that is placed again because its worker changes hands.
+    killed_worker_owner: false, true, false;
+    /// Guards against a new ledger owner that starts what runs already.
+    killed_ledger_owner: false, false, true;
+    /// Guards against a new ledger owner that takes an unreachable worker's task for lost.
+    all_together: true, true, true;
+}
+
+/// Guards against a restart of a task on a worker that is gone from the list, but still runs it.
+///
+/// Such a worker stops its tasks 30 s after the last renewal of its lease; the restart may follow
+/// 5 s later.
+#[test]
+fn worker_gone_from_the_list() {
+    run_test(async {
+        let mut platform = TestPlatform::start(3, WorkerOptions::default()).await;
+        let nodes = EntryNode::start_all(&mut platform, 2, MANIFEST).await;
+        let audit = audit("k", "sleep=60000");
+        let caller = Caller::default();
+        caller.submit(nodes[0].caller, &audit.work).await;
+        let gone = wait_running(&platform, "k").await[0];
+        platform.workers[gone]
+            .fault(json!({ "down": "drop" }))
+            .await;
+        let name = format!("w{gone}");
+        platform
+            .entries
+            .retain(|vm| vm.role == VmRole::Entry || vm.id != name);
+        platform.publish_vms().await;
+        // 35 s, and 10 s for the list, the question about the task and the new placement.
+        let starts = eventually("restart", Duration::from_secs(45), async || {
+            let starts = platform.starts_of("k").await;
+            let lost = starts.iter().filter(|(worker, _)| *worker == gone).count();
+            (starts.len() == TASKS + lost).then_some(starts)
+        })
+        .await;
+        platform.assert_kept(std::slice::from_ref(&audit)).await;
+        let lost = starts.iter().filter(|(worker, _)| *worker == gone);
+        for (_, start) in lost {
+            assert_eq!(start.phase, TaskPhase::Stopped, "{starts:?}");
+        }
+    });
+}
