test: not run is only told of work that never runs

Cause: P4 had only the mixed fault runs. Ruled out: a single write whose reply is lost before the outage. Heartbeats of the four partitions would take it, so that every reply to a write is lost until the outage begins. Change: not_run.rs with a store that refuses, that drops connections, and that loses replies before its owner dies; checks whose replies are lost; full queue and passed deadline; cancellation before the start; a paused process that forwards a duplicate late, twice. Every key is submitted again at the end, and no outcome may change. The order that is stopped before its commit runs longer, so that its record is written as placed even if the start came too early.

--- a/crates/hornbeamshunt/tests/promises/at_most_once.rs
+++ b/crates/hornbeamshunt/tests/promises/at_most_once.rs
@@ -152,7 +152,8 @@
     if case.point == StopPoint::BeforeCommit {
         store_links[first].hold(HoldKind::Request, PLACED);
     }
-    let mut audit = audit(&key, "sleep=20");
+    // Long enough that `placed` is written before the end of a start that came too early.
+    let mut audit = audit(&key, "sleep=500");
     let (work, entry) = (audit.work.clone(), nodes[(first + 1) % 3].caller);
     let call = tokio::spawn(async move { Caller::default().submit(entry, &work).await });
     let mut stopped = Vec::new();
--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -3,5 +3,6 @@
 mod at_most_once;
 mod cluster;
 mod faults;
+mod not_run;
 mod single_run;
 mod whole_path;
--- /dev/null
+++ b/crates/hornbeamshunt/tests/promises/not_run.rs
@@ -0,0 +1,294 @@
+//! P4: "not run" is reported only for work that did not run and cannot run later.
+
+use std::time::Duration;
+
+use hs_standin::WorkerOptions;
+use hs_wire::{NotRunReason, Outcome, Resources, Submission, WorkReply};
+use serde_json::json;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::cluster::{
+    Caller, EntryNode, KeyAudit, TestPlatform, eventually, key_owned_by, partition_owner, run_test,
+    submission, submit_until_final,
+};
+
+const MANIFEST: &str = r#"{
+    customers: [{ name: "acme", queue_limit: 2 }],
+    workloads: [
+        { name: "order", class: "order", resources: { cpu_milli: 1000, slots: 1 } },
+        { name: "check", class: "check", resources: { connections: 1 } },
+        { name: "once", class: "check", repeatable: false, resources: { connections: 1 } },
+    ],
+}"#;
+
+/// Time in which every caller has to have a final outcome, far above a takeover (3.5 s).
+const FINAL_LIMIT: Duration = Duration::from_secs(20);
+
+fn order(key: &str, deadline_ms: u64, payload: &str) -> KeyAudit {
+    let mut work = submission(key, "order", deadline_ms, payload);
+    work.wait_ms = Some(work.deadline_ms.min(2000));
+    KeyAudit {
+        work,
+        once: true,
+        tasks: 1,
+        replies: Vec::new(),
+    }
+}
+
+fn slots(slots: u32) -> WorkerOptions {
+    let capacity = Resources {
+        slots,
+        ..WorkerOptions::default().capacity
+    };
+    WorkerOptions {
+        capacity,
+        ..WorkerOptions::default()
+    }
+}
+
+async fn submit_all(nodes: &[EntryNode], audits: Vec<KeyAudit>) -> Vec<KeyAudit> {
+    let mut calls = JoinSet::new();
+    for (number, mut audit) in audits.into_iter().enumerate() {
+        let entry = nodes[number % nodes.len()].caller;
+        calls.spawn(async move {
+            let reply = Caller::default().submit(entry, &audit.work).await;
+            audit.replies.extend(reply);
+            audit
+        });
+    }
+    calls.join_all().await
+}
+
+/// Submits every key again until its outcome is final, then checks that no outcome has changed.
+async fn assert_final(platform: &TestPlatform, nodes: &[&EntryNode], audits: Vec<KeyAudit>) {
+    let entries: Vec<_> = nodes.iter().map(|node| node.caller).collect();
+    let mut calls = JoinSet::new();
+    for (turn, audit) in audits.into_iter().enumerate() {
+        let caller = Caller::default();
+        let call = submit_until_final(caller, entries.clone(), turn, audit, FINAL_LIMIT);
+        let again = entries[(turn + 1) % entries.len()];
+        calls.spawn(async move {
+            let mut audit = call.await;
+            let reply = Caller::default().submit(again, &audit.work).await;
+            audit.replies.extend(reply);
+            audit
+        });
+    }
+    let audits = calls.join_all().await;
+    for audit in &audits {
+        assert!(audit.outcome().is_some(), "no final outcome: {audit:?}");
+    }
+    platform.assert_kept(&audits).await;
+}
+
+struct StoreCase {
+    before: serde_json::Value,
+    outage: serde_json::Value,
+    /// Whether the owner of the records dies during the outage.
+    kills_owner: bool,
+    /// Fewest orders that are told "not run" during the outage.
+    least_refused: usize,
+}
+
+async fn run_store_case(case: StoreCase) {
+    let mut platform = TestPlatform::start(3, WorkerOptions::default()).await;
+    let mut nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
+    let owner = partition_owner(&nodes, "k0").await;
+    platform.store.fault(case.before).await;
+    let audits: Vec<_> = (0..40)
+        .map(|number| order(&format!("k{number}"), 30_000, "sleep=20"))
+        .collect();
+    let mut audits = audits.into_iter();
+    // Half of them arrive before the outage, and half during it.
+    let early: Vec<_> = audits.by_ref().take(20).collect();
+    let outage = async {
+        sleep(Duration::from_millis(150)).await;
+        platform.store.fault(case.outage).await;
+        sleep(Duration::from_millis(150)).await;
+        submit_all(&nodes, audits.collect()).await
+    };
+    let (mut told, late) = tokio::join!(submit_all(&nodes, early), outage);
+    told.extend(late);
+    let refused = told
+        .iter()
+        .filter(|audit| audit.outcome() == Some(Outcome::NotRun))
+        .count();
+    assert!(refused >= case.least_refused, "{refused} refused: {told:?}");
+    if case.kills_owner {
+        nodes[owner].kill();
+    }
+    platform.store.fault(json!({})).await;
+    let killed = case.kills_owner.then_some(owner);
+    let live: Vec<_> = (0..3)
+        .filter(|node| Some(*node) != killed)
+        .map(|node| &nodes[node])
+        .collect();
+    assert_final(&platform, &live, told).await;
+}
+
+macro_rules! store_tests {
+    ($($(#[$doc:meta])* $name:ident: $case:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { run_test(run_store_case($case)); })*
+    };
+}
+
+store_tests! {
+    /// Guards against work that is refused for want of the store, and runs when it is back.
+    store_refuses: StoreCase {
+        before: json!({}),
+        outage: json!({ "down": "refuse" }),
+        kills_owner: false,
+        least_refused: 1,
+    };
+    /// Guards against a write without reply that is taken for one that had no effect.
+    store_drops_connections: StoreCase {
+        before: json!({}),
+        outage: json!({ "down": "drop" }),
+        kills_owner: false,
+        least_refused: 0,
+    };
+    /// Guards against "not run" for a record whose write took effect without a reply: the next owner
+    /// of the partition finds it and runs it.
+    lost_write_then_next_owner: StoreCase {
+        before: json!({ "lose_replies": { "probability": 1.0 } }),
+        outage: json!({ "down": "refuse" }),
+        kills_owner: true,
+        least_refused: 0,
+    };
+}
+
+/// Guards against "not run" for a check whose start took effect, and whose reply was lost.
+#[test]
+fn lost_replies_to_checks() {
+    run_test(async {
+        let mut platform = TestPlatform::start(2, WorkerOptions::default()).await;
+        let nodes = EntryNode::start_all(&mut platform, 2, MANIFEST).await;
+        for worker in &platform.workers {
+            let lost = json!({ "lose_replies": { "probability": 1.0 } });
+            worker.fault(lost).await;
+        }
+        for workload in ["check", "once"] {
+            let audits = (0..20).map(|number| {
+                let mut audit = order(&format!("{workload}{number}"), 800, "sleep=20");
+                audit.work.workload = workload.to_owned();
+                audit.once = workload == "once";
+                audit
+            });
+            let audits = submit_all(&nodes, audits.collect()).await;
+            platform.assert_kept(&audits).await;
+            let unknown = |audit: &&KeyAudit| audit.replies[0].outcome == Outcome::Unknown;
+            let unknown = audits.iter().filter(unknown).count();
+            assert!(unknown >= audits.len() / 2, "{unknown}: {audits:?}");
+        }
+    });
+}
+
+fn reason(audit: &KeyAudit) -> Option<NotRunReason> {
+    audit.replies.first().and_then(|reply| reply.reason)
+}
+
+/// Guards against shed work that stays in a queue, and against a key that runs after "not run".
+#[test]
+fn full_queue_and_passed_deadline() {
+    run_test(async {
+        let mut platform = TestPlatform::start(1, slots(1)).await;
+        let nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
+        let cases = [
+            (NotRunReason::QueueFull, 10_000, "sleep=300"),
+            (NotRunReason::DeadlinePassed, 400, "sleep=1000"),
+        ];
+        let mut told = Vec::new();
+        for (expected, deadline_ms, payload) in cases {
+            let audits = (0..20)
+                .map(|number| order(&format!("{deadline_ms}-{number}"), deadline_ms, payload));
+            let audits = submit_all(&nodes, audits.collect()).await;
+            assert!(
+                audits.iter().any(|audit| reason(audit) == Some(expected)),
+                "{expected:?}: {audits:?}"
+            );
+            told.extend(audits);
+        }
+        sleep(Duration::from_secs(2)).await;
+        assert_final(&platform, &nodes.iter().collect::<Vec<_>>(), told).await;
+    });
+}
+
+/// Takes the only slot of the platform.
+async fn occupy(platform: &TestPlatform, node: &EntryNode, key: &str, run_ms: u64) {
+    let work = order(key, 30_000, &format!("sleep={run_ms}")).work;
+    let entry = node.caller;
+    tokio::spawn(async move { Caller::default().submit(entry, &work).await });
+    eventually("start of the occupying order", FINAL_LIMIT, async || {
+        (!platform.starts_of(key).await.is_empty()).then_some(())
+    })
+    .await;
+}
+
+/// Guards against cancelled work that starts when its turn comes.
+#[test]
+fn cancelled_before_its_start() {
+    run_test(async {
+        let mut platform = TestPlatform::start(1, slots(1)).await;
+        let nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
+        let caller = Caller::default();
+        occupy(&platform, &nodes[0], "busy", 5000).await;
+        // One for each process, so that no queue is full.
+        let audits = (0..3).map(|number| order(&format!("k{number}"), 30_000, "sleep=20"));
+        let mut told = submit_all(&nodes, audits.collect()).await;
+        for audit in &told {
+            assert_eq!(audit.replies[0].outcome, Outcome::Accepted, "{audit:?}");
+        }
+        for (number, audit) in told.iter_mut().enumerate() {
+            let entry = nodes[(number + 1) % nodes.len()].caller;
+            let reply = caller.cancel(entry, &audit.work).await.expect("a reply");
+            assert_eq!(reply.outcome, Outcome::Cancelled, "{reply:?}");
+            audit.replies.push(reply);
+        }
+        sleep(Duration::from_secs(4)).await;
+        for audit in &told {
+            let starts = platform.starts_of(&audit.work.key).await;
+            assert!(starts.is_empty(), "{audit:?} {starts:?}");
+        }
+        assert_final(&platform, &nodes.iter().collect::<Vec<_>>(), told).await;
+    });
+}
+
+async fn refused_at(entry: &EntryNode, work: &Submission) -> WorkReply {
+    let reply = Caller::default()
+        .submit(entry.caller, work)
+        .await
+        .expect("a reply");
+    assert_eq!(reply.outcome, Outcome::NotRun, "{reply:?}");
+    reply
+}
+
+/// Guards against a duplicate that a paused entry process forwards after the caller was told "not
+/// run" elsewhere.
+#[test]
+fn late_duplicate_of_a_paused_process() {
+    run_test(async {
+        let mut platform = TestPlatform::start(1, slots(1)).await;
+        let nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
+        let paused = 0;
+        let caller = Caller::default();
+        let mut told = Vec::new();
+        for turn in 0..2 {
+            let key = key_owned_by(&nodes, &format!("late{turn}-"), |node| node != paused).await;
+            let mut audit = order(&key, 300, "sleep=20");
+            occupy(&platform, &nodes[1], &format!("busy{turn}"), 1500).await;
+            // The paused process keeps the first submission in its listener.
+            nodes[paused].signal("STOP");
+            let (entry, work) = (nodes[paused].caller, audit.work.clone());
+            let late = tokio::spawn(async move { Caller::default().submit(entry, &work).await });
+            sleep(Duration::from_millis(50)).await;
+            audit.replies.push(refused_at(&nodes[1], &audit.work).await);
+            sleep(Duration::from_millis(1500)).await;
+            nodes[paused].signal("CONT");
+            audit.replies.extend(late.await.expect("the late call"));
+            told.push(audit);
+        }
+        sleep(Duration::from_secs(1)).await;
+        assert_final(&platform, &nodes.iter().collect::<Vec<_>>(), told).await;
+    });
+}
