--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -4,5 +4,6 @@
 mod cluster;
 mod faults;
 mod not_run;
+mod own_answer;
 mod single_run;
 mod whole_path;
