--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -1,6 +1,7 @@
 //! What must always hold, with real entry processes under failure. One file for each promise.
 
 mod at_most_once;
+mod capacity;
 mod cluster;
 mod faults;
 mod not_run;
