test: cut the calls to an unreachable worker

Cause: with `find_fate` answering "absent" whenever no owner answers, unreachable_worker still passed. A worker that is down drops new calls only, so that the ledger owner's pending question about the task was answered at its end. Change: the workers are behind links, and cutting a link breaks pending calls, too.

--- a/crates/hornbeamshunt/tests/promises/single_run.rs
+++ b/crates/hornbeamshunt/tests/promises/single_run.rs
@@ -4,12 +4,11 @@
 
 use hs_standin::WorkerOptions;
 use hs_wire::{Outcome, TaskPhase, VmRole};
-use serde_json::json;
 use tokio::time::sleep;
 
 use crate::cluster::{
-    Caller, EntryNode, KeyAudit, TestPlatform, eventually, partition_owner, run_test, submission,
-    submit_until_final, worker_owner,
+    Caller, CutLink, EntryNode, KeyAudit, TestPlatform, eventually, partition_owner, run_test,
+    submission, submit_until_final, worker_owner,
 };
 
 const MANIFEST: &str = r#"{
@@ -24,7 +23,7 @@
 const FINAL_LIMIT: Duration = Duration::from_secs(30);
 
 struct SingleCase {
-    /// Makes the workers of running tasks unreachable for 6 s, twice the time of a takeover.
+    /// Makes the workers unreachable for 6 s, twice the time of a takeover.
     is_unreachable: bool,
     kills_worker_owner: bool,
     kills_ledger_owner: bool,
@@ -41,6 +40,17 @@
     }
 }
 
+/// Puts a link before each worker. Cutting it breaks calls that wait for the end of a task, too.
+async fn link_workers(platform: &mut TestPlatform) -> Vec<CutLink> {
+    let mut links = Vec::new();
+    for (worker, entry) in platform.workers.iter().zip(&mut platform.entries) {
+        let link = CutLink::open(worker.address).await;
+        entry.addr = link.address.to_string();
+        links.push(link);
+    }
+    links
+}
+
 /// Waits until every task of the key runs, and returns the numbers of the workers.
 async fn wait_running(platform: &TestPlatform, key: &str) -> Vec<usize> {
     eventually("start of every task", Duration::from_secs(5), async || {
@@ -52,8 +62,8 @@
 }
 
 async fn run_case(case: SingleCase) {
-    let options = WorkerOptions::default();
-    let mut platform = TestPlatform::start(4, options).await;
+    let mut platform = TestPlatform::start(4, WorkerOptions::default()).await;
+    let links = link_workers(&mut platform).await;
     let mut nodes = EntryNode::start_all(&mut platform, 4, MANIFEST).await;
     let audit = audit("k", "sleep=9000");
     let caller = Caller::default();
@@ -69,20 +79,14 @@
         killed.push(worker_owner(&nodes, &format!("w{}", workers[0])).await);
     }
     if case.is_unreachable {
-        for worker in &workers {
-            platform.workers[*worker]
-                .fault(json!({ "down": "drop" }))
-                .await;
-        }
+        links.iter().for_each(|link| link.set_cut(true));
     }
     for node in &killed {
         nodes[*node].kill();
     }
     if case.is_unreachable {
         sleep(Duration::from_secs(6)).await;
-        for worker in &workers {
-            platform.workers[*worker].fault(json!({})).await;
-        }
+        links.iter().for_each(|link| link.set_cut(false));
     }
     let live = nodes
         .iter()
@@ -128,14 +132,13 @@
 fn worker_gone_from_the_list() {
     run_test(async {
         let mut platform = TestPlatform::start(3, WorkerOptions::default()).await;
+        let links = link_workers(&mut platform).await;
         let nodes = EntryNode::start_all(&mut platform, 2, MANIFEST).await;
         let audit = audit("k", "sleep=60000");
         let caller = Caller::default();
         caller.submit(nodes[0].caller, &audit.work).await;
         let gone = wait_running(&platform, "k").await[0];
-        platform.workers[gone]
-            .fault(json!({ "down": "drop" }))
-            .await;
+        links[gone].set_cut(true);
         let name = format!("w{gone}");
         platform
             .entries
