--- a/crates/hornbeamshunt/tests/promises/cluster/node.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/node.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hs_http::HttpClient;
@@ -231,13 +232,13 @@
 /// Number of ledger partitions of an installation.
 pub(super) const PARTITIONS: usize = 4;
 
+/// Tells apart the files of publications that race.
+static NEXT_FILE: AtomicUsize = AtomicUsize::new(0);
+
 /// Publishes a manifest with the command line, and returns its output.
 pub fn publish(platform: &TestPlatform, manifest: &str) -> std::process::Output {
-    let name = format!(
-        "hornbeamshunt-{}-{}.manifest",
-        std::process::id(),
-        platform.store.address.port()
-    );
+    let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+    let name = format!("hornbeamshunt-{}-{number}.manifest", std::process::id());
     let path = std::env::temp_dir().join(name);
     fs::write(&path, manifest).expect("manifest");
     let output = Command::new(BINARY)
--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -3,8 +3,10 @@
 mod at_most_once;
 mod capacity;
 mod cluster;
+mod drain;
 mod faults;
 mod leaving;
+mod manifest;
 mod not_run;
 mod own_answer;
 mod single_run;
