fix: answer unknown while a refusal is not in the store

Cause: with the store down, a fresh owner answered "not run" for a refusal that only its memory held. If that owner died, the next one did not know the key and ran it: told not_run (queue_full), then submitted again after the outage, done. Freshness does not help, since it only shows that no other owner has acted yet. Ruled out: the takeover, which read all that the store had; the queue, since the same holds for store_unavailable. Change: a refusal is answered as not_run only once it is committed, and as unknown with a retry hint before. The owner still writes it when the store is back.

--- a/crates/hs-node/src/ledger/partition_task.rs
+++ b/crates/hs-node/src/ledger/partition_task.rs
@@ -298,7 +298,7 @@
         expires_at_ms: u64,
         reply: oneshot::Sender<LedgerAnswer>,
     ) {
-        let (now, now_ms) = (self.now(), self.wall_ms());
+        let now_ms = self.wall_ms();
         let checked = self.check(submission);
         let Some(owned) = &mut self.owned else {
             return;
@@ -320,11 +320,11 @@
                     }
                     None => self.start_new(record),
                 }
-                self.answer_unstored(record, now);
+                self.answer_unstored(record);
             }
             Admission::Existing { record } => {
                 owned.answers.entry(record).or_default().push(reply);
-                self.answer_unstored(record, now);
+                self.answer_unstored(record);
             }
             Admission::Refused(NotRunReason::KeyReused) => {
                 let waiter = CommitWaiter::Reused {
@@ -376,21 +376,21 @@
     }
 
     /// Answers callers at once where no commit can be waited for, because the store takes no writes.
-    fn answer_unstored(&mut self, record: RecordKey, now: Instant) {
+    fn answer_unstored(&mut self, record: RecordKey) {
         let Some(owned) = &mut self.owned else {
             return;
         };
         if !owned.is_store_down || owned.is_committed(record) {
             return;
         }
-        let reply = owned.reply_unstored(record, now);
+        let reply = owned.reply_unstored(record);
         for waiter in owned.answers.remove(&record).unwrap_or_default() {
             let _ = waiter.send(LedgerAnswer::Reply(reply.clone()));
         }
     }
 
     fn wait_over(&mut self, customer: &str, key: &str, reply: oneshot::Sender<LedgerAnswer>) {
-        let (now, now_ms) = (self.now(), self.wall_ms());
+        let now_ms = self.wall_ms();
         let Some(owned) = &mut self.owned else {
             return;
         };
@@ -404,7 +404,7 @@
                 let reason = NotRunReason::StoreUnavailable;
                 let _ = owned.partition.refuse(record, reason, "", now_ms);
             }
-            owned.reply_unstored(record, now)
+            owned.reply_unstored(record)
         };
         let _ = reply.send(LedgerAnswer::Reply(answer));
     }
@@ -741,13 +741,12 @@
     }
 
     /// Returns the reply about a record that is not in the store.
-    fn reply_unstored(&self, record: RecordKey, now: Instant) -> WorkReply {
-        let mut reply = self.reply(record);
-        let is_certain = reply.outcome == hs_wire::Outcome::NotRun
-            && self.partition.may_answer_not_run(record, now);
-        if !is_certain {
-            reply = WorkReply::unknown(&reply.key, "the store does not take the record");
-        }
+    ///
+    /// It is never "not run", since a refusal in memory dies with this process, and the next owner of
+    /// the partition would run a duplicate.
+    fn reply_unstored(&self, record: RecordKey) -> WorkReply {
+        let key = self.reply(record).key;
+        let mut reply = WorkReply::unknown(&key, "the store does not take the record");
         reply.retry_after_ms = Some(STORE_RETRY_MS);
         reply
     }
