test: show a late store reply that reverts the manifest

Cause: with a manifest state that accepts lower revisions, late_reply_of_the_store still passed. The next watch brought the newer manifest within a millisecond, between two looks at the revision. Change: the link passes on what it holds and keeps holding what follows, so that a lower revision would stay in force. Unused parts of the harness are gone. After: the test passes.

--- a/crates/hornbeamshunt/tests/promises/cluster/link.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/link.rs
@@ -26,6 +26,8 @@
     holds: Vec<(HoldKind, String)>,
     /// Number of requests since the start that were held back, or whose reply was.
     held: usize,
+    /// Rises when what is held back passes.
+    passes: usize,
 }
 
 /// Forwards TCP connections to one address.
@@ -59,9 +61,15 @@
         self.state.borrow().held
     }
 
+    /// Passes on what is held back. Later requests are still held.
+    pub fn pass_held(&self) {
+        self.state.send_modify(|state| state.passes += 1);
+    }
+
     /// Passes on what is held back, and holds nothing any more.
     pub fn release(&self) {
         self.state.send_modify(|state| state.holds.clear());
+        self.pass_held();
     }
 }
 
@@ -81,36 +89,40 @@
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_in, near_out) = near.into_split();
     let (far_in, far_out) = far.into_split();
-    let holds_replies = watch::Sender::new(false);
+    let held_reply = watch::Sender::new(None);
     let mut cut = state.subscribe();
     tokio::select! {
-        () = pass_requests(near_in, far_out, &state, &holds_replies) => {}
-        () = pass_replies(far_in, near_out, &state, &holds_replies) => {}
+        () = pass_requests(near_in, far_out, &state, &held_reply) => {}
+        () = pass_replies(far_in, near_out, &state, &held_reply) => {}
         _ = cut.wait_for(|state| state.is_cut) => {}
     }
 }
 
-async fn released(state: &watch::Sender<LinkState>) {
+async fn wait_pass(state: &watch::Sender<LinkState>, after: usize) {
     let mut state = state.subscribe();
-    let _ = state.wait_for(|state| state.holds.is_empty()).await;
+    let _ = state.wait_for(|state| state.passes > after).await;
 }
 
 async fn pass_requests(
     mut near: impl AsyncRead + Unpin,
     mut far: impl AsyncWrite + Unpin,
     state: &watch::Sender<LinkState>,
-    holds_replies: &watch::Sender<bool>,
+    held_reply: &watch::Sender<Option<usize>>,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
     while let Ok(count @ 1..) = near.read(&mut chunk).await {
         let text = String::from_utf8_lossy(&chunk[..count]);
-        let holds = state.borrow().holds.clone();
+        let (holds, passes) = {
+            let state = state.borrow();
+            (state.holds.clone(), state.passes)
+        };
         let hold = holds.iter().find(|(_, part)| text.contains(part));
         if let Some((kind, _)) = hold {
-            holds_replies.send_replace(*kind == HoldKind::Reply);
+            // The reply must not overtake the note that it is held.
+            held_reply.send_replace((*kind == HoldKind::Reply).then_some(passes));
             state.send_modify(|state| state.held += 1);
             if *kind == HoldKind::Request {
-                released(state).await;
+                wait_pass(state, passes).await;
             }
         }
         if far.write_all(&chunk[..count]).await.is_err() {
@@ -123,12 +135,12 @@
     mut far: impl AsyncRead + Unpin,
     mut near: impl AsyncWrite + Unpin,
     state: &watch::Sender<LinkState>,
-    holds_replies: &watch::Sender<bool>,
+    held_reply: &watch::Sender<Option<usize>>,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
     while let Ok(count @ 1..) = far.read(&mut chunk).await {
-        if holds_replies.send_replace(false) {
-            released(state).await;
+        if let Some(passes) = held_reply.send_replace(None) {
+            wait_pass(state, passes).await;
         }
         if near.write_all(&chunk[..count]).await.is_err() {
             return;
--- a/crates/hornbeamshunt/tests/promises/cluster/mod.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/mod.rs
@@ -13,7 +13,7 @@
 pub use client::{Caller, submission};
 pub use link::{CutLink, HoldKind};
 pub use node::{EntryNode, NodeSpec, publish, wait_owned};
-pub use platform::{StandIn, TestPlatform, free_address, wall_ms};
+pub use platform::{TestPlatform, free_address, wall_ms};
 pub use roles::{key_owned_by, owned_workers, partition_owner, worker_owner};
 
 use std::future::Future;
--- a/crates/hornbeamshunt/tests/promises/cluster/node.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/node.rs
@@ -33,10 +33,8 @@
 
 /// One entry process. Dropping it kills the process.
 pub struct EntryNode {
-    pub id: String,
     pub caller: SocketAddr,
     pub control: SocketAddr,
-    pub peer: SocketAddr,
     config: PathBuf,
     child: Option<Child>,
     client: HttpClient,
@@ -92,7 +90,7 @@
         let config = std::env::temp_dir().join(name);
         fs::write(&config, settings.to_string()).expect("settings");
         platform.entries.push(VmEntry {
-            id: id.clone(),
+            id,
             addr: advertise.to_string(),
             data_centre,
             rack: String::new(),
@@ -101,10 +99,8 @@
             capacity: Resources::ZERO,
         });
         Self {
-            id,
             caller,
             control,
-            peer,
             config,
             child: None,
             client: HttpClient::default(),
--- a/crates/hornbeamshunt/tests/promises/cluster/platform.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/platform.rs
@@ -130,13 +130,6 @@
         refused
     }
 
-    /// Returns how often a start with this payload ran on any worker.
-    pub async fn runs_of(&self, payload: &str) -> usize {
-        let logs = self.logs().await;
-        let starts = logs.iter().flat_map(|log| &log.0);
-        starts.filter(|start| start.payload == payload).count()
-    }
-
     /// Checks that no worker ever had more than its capacity in use.
     pub async fn assert_within_capacity(&self) {
         for worker in &self.workers {
--- a/crates/hornbeamshunt/tests/promises/manifest.rs
+++ b/crates/hornbeamshunt/tests/promises/manifest.rs
@@ -288,7 +288,8 @@
         sites.publish("three");
         let expected = stored(&sites.platform).await;
         wait_in_force(&sites.nodes, &expected, Instant::now(), HEAL_LIMIT).await;
-        sites.stores[0].release();
+        // The watch that follows would hide the lower revision, so that its reply is still held.
+        sites.stores[0].pass_held();
         sleep(Duration::from_secs(1)).await;
         let found = text_of(sites.nodes[0].control).await.expect("manifest");
         assert_eq!(found, expected, "reverted to {older}?");
