test: histories of one key through several processes are linearizable

Cause: the other files check the end of each key, not what its callers were told on the way. Change: history.rs records submissions, queries and cancellations of 8 keys by 3 callers each, around an owner that is paused past its takeover and one that is killed while store replies are lost, and checks them with the WGL checker of todc-utils. A test shows that the checker rejects four wrong histories. Conclusion: every history is explained by one record that goes from open to one final outcome.

--- /dev/null
+++ b/crates/hornbeamshunt/tests/promises/history.rs
@@ -0,0 +1,254 @@
+//! P4 and P5 as histories: what concurrent callers are told of one key, through several processes and
+//! under faults, has to be explained by one record that changes only from open to one final outcome.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hs_standin::WorkerOptions;
+use hs_wire::{Outcome, Submission, WorkReply};
+use serde_json::json;
+use todc_utils::Action::{self, Call, Response};
+use todc_utils::{History, Specification, WGLChecker};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::cluster::{
+    Caller, EntryNode, TestPlatform, key_owned_by, partition_owner, run_test, submission,
+};
+
+const MANIFEST: &str = r#"{
+    customers: [{ name: "acme" }],
+    workloads: [{ name: "order", class: "order", resources: { cpu_milli: 1000, slots: 1 } }],
+}"#;
+
+/// Callers of one key. Histories are short, since the check takes exponential time.
+const CALLERS: usize = 3;
+
+const CALLS: usize = 5;
+
+const KEYS: usize = 8;
+
+/// What a caller was told of a key.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum KeyAnswer {
+    /// Nothing, or that it is not known.
+    Unclear,
+    NoRecord,
+    Open,
+    Final(Outcome),
+}
+
+use KeyAnswer::{Final, NoRecord, Open, Unclear};
+
+/// A call about one key, with its answer once there is one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum KeyCall {
+    Submit(Option<KeyAnswer>),
+    Query(Option<KeyAnswer>),
+    Cancel(Option<KeyAnswer>),
+}
+
+struct KeySpec;
+
+impl Specification for KeySpec {
+    /// What a query would be answered.
+    type State = KeyAnswer;
+    type Operation = KeyCall;
+
+    fn init() -> KeyAnswer {
+        NoRecord
+    }
+
+    fn apply(call: &KeyCall, state: &KeyAnswer) -> (bool, KeyAnswer) {
+        let (KeyCall::Submit(answer) | KeyCall::Query(answer) | KeyCall::Cancel(answer)) = call;
+        match (answer, state) {
+            (None, _) => (false, *state),
+            // A submission without an answer may have made the record that a later call finds.
+            (Some(Unclear), _) => (true, *state),
+            (Some(NoRecord), _) => {
+                let is_submit = matches!(call, KeyCall::Submit(_));
+                (!is_submit && *state == NoRecord, *state)
+            }
+            (Some(told), Final(_)) => (told == state, *state),
+            (Some(told), _) => (true, *told),
+        }
+    }
+}
+
+type Actions = Vec<(usize, Action<KeyCall>)>;
+
+fn is_linearizable(actions: Actions) -> bool {
+    WGLChecker::<KeySpec>::is_linearizable(History::from_actions(actions))
+}
+
+fn answer_of(status: u16, reply: Option<&WorkReply>) -> KeyAnswer {
+    match reply.map(|reply| reply.outcome) {
+        None if status == 404 => NoRecord,
+        None | Some(Outcome::Unknown) => Unclear,
+        Some(Outcome::Accepted) => Open,
+        Some(outcome) => Final(outcome),
+    }
+}
+
+fn told(reply: Option<WorkReply>) -> KeyAnswer {
+    answer_of(0, reply.as_ref())
+}
+
+async fn call_key(entry: SocketAddr, work: &Submission, call: KeyCall) -> KeyCall {
+    let caller = Caller::default();
+    match call {
+        KeyCall::Submit(_) => KeyCall::Submit(Some(told(caller.submit(entry, work).await))),
+        KeyCall::Query(_) => {
+            let found = caller.query(entry, work).await;
+            let answer = found.map_or(Unclear, |(status, reply)| answer_of(status, reply.as_ref()));
+            KeyCall::Query(Some(answer))
+        }
+        KeyCall::Cancel(_) => KeyCall::Cancel(Some(told(caller.cancel(entry, work).await))),
+    }
+}
+
+/// Calls about one key, one after the other, at one entry process after the other.
+async fn run_caller(
+    number: usize,
+    entries: Vec<SocketAddr>,
+    work: Submission,
+    history: Arc<Mutex<Actions>>,
+    mut healed: watch::Receiver<bool>,
+) {
+    let note = |action| history.lock().expect("history").push((number, action));
+    for turn in 0..CALLS {
+        let call = match (number, turn) {
+            (0, 0) | (_, 2) => KeyCall::Submit(None),
+            (2, 3) if work.key.ends_with('c') => KeyCall::Cancel(None),
+            _ => KeyCall::Query(None),
+        };
+        if turn + 1 == CALLS {
+            let _ = healed.wait_for(|healed| *healed).await;
+        }
+        let entry = entries[(number + turn) % entries.len()];
+        note(Call(call));
+        let answered = call_key(entry, &work, call).await;
+        note(Response(answered));
+        sleep(Duration::from_millis(300 + 130 * number as u64)).await;
+    }
+}
+
+#[derive(Clone, Copy)]
+enum HistoryFault {
+    /// The owner of the records is paused past its takeover, and goes on.
+    Paused,
+    /// The owner of the records is killed while replies of the store are lost.
+    Killed,
+}
+
+async fn run_case(fault: HistoryFault) {
+    let mut platform = TestPlatform::start(4, WorkerOptions::default()).await;
+    let mut nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
+    let owner = partition_owner(&nodes, "k").await;
+    let entries: Vec<_> = nodes.iter().map(|node| node.caller).collect();
+    let mut calls = JoinSet::new();
+    let mut histories = Vec::new();
+    let (over, healed) = watch::channel(false);
+    for number in 0..KEYS {
+        let mark = if number % 4 == 0 { "c" } else { "" };
+        let prefix = format!("k{number}-");
+        let key = key_owned_by(&nodes, &prefix, |node| node == owner).await;
+        let mut work = submission(&format!("{key}{mark}"), "order", 30_000, "sleep=2500");
+        work.wait_ms = Some(700);
+        let history = Arc::new(Mutex::new(Vec::new()));
+        for caller in 0..CALLERS {
+            let (entries, work, history) = (entries.clone(), work.clone(), history.clone());
+            let healed = healed.clone();
+            calls.spawn(async move {
+                // Spread over the time of the fault.
+                sleep(Duration::from_millis(number as u64 * 500)).await;
+                run_caller(caller, entries, work, history, healed).await;
+            });
+        }
+        histories.push((work, history));
+    }
+    sleep(Duration::from_millis(1500)).await;
+    match fault {
+        HistoryFault::Paused => {
+            nodes[owner].signal("STOP");
+            sleep(Duration::from_secs(5)).await;
+            nodes[owner].signal("CONT");
+        }
+        HistoryFault::Killed => {
+            let lost = json!({ "lose_replies": { "probability": 0.3 } });
+            platform.store.fault(lost).await;
+            nodes[owner].kill();
+            sleep(Duration::from_secs(5)).await;
+            platform.store.fault(json!({})).await;
+        }
+    }
+    // Longer than a takeover and the run of a task that it starts.
+    sleep(Duration::from_secs(4)).await;
+    over.send_replace(true);
+    calls.join_all().await;
+    let mut finals = 0;
+    for (work, history) in histories {
+        let actions = history.lock().expect("history").clone();
+        assert!(
+            is_linearizable(actions.clone()),
+            "{}: {actions:?}",
+            work.key
+        );
+        let is_final = |(_, action): &(usize, Action<KeyCall>)| {
+            matches!(
+                action,
+                Response(KeyCall::Submit(Some(Final(_))) | KeyCall::Query(Some(Final(_))))
+            )
+        };
+        finals += usize::from(actions.iter().any(is_final));
+        let starts = platform.starts_of(&work.key).await;
+        assert!(starts.len() <= 1, "{starts:?} {actions:?}");
+    }
+    assert!(
+        finals * 4 >= KEYS * 3,
+        "only {finals} keys have a final answer"
+    );
+}
+
+/// Guards against a paused owner that tells what it last knew, after others were told more.
+#[test]
+fn calls_around_a_paused_owner() {
+    run_test(run_case(HistoryFault::Paused));
+}
+
+/// Guards against a new owner that knows less than what was told before it took over.
+#[test]
+fn calls_around_a_killed_owner() {
+    run_test(run_case(HistoryFault::Killed));
+}
+
+/// Guards against a check that accepts everything.
+#[test]
+fn checker_rejects_what_may_not_be_told() {
+    let cases = [
+        ("open after done", Final(Outcome::Done), Open),
+        ("no record after open", Open, NoRecord),
+        (
+            "not run after done",
+            Final(Outcome::Done),
+            Final(Outcome::NotRun),
+        ),
+        (
+            "done after not run",
+            Final(Outcome::NotRun),
+            Final(Outcome::Done),
+        ),
+    ];
+    for (name, first, second) in cases {
+        let history = |process| {
+            let submit = (0, Call(KeyCall::Submit(None)));
+            let submitted = (0, Response(KeyCall::Submit(Some(first))));
+            let query = (process, Call(KeyCall::Query(None)));
+            let found = (process, Response(KeyCall::Query(Some(second))));
+            vec![submit, submitted, query, found]
+        };
+        assert!(!is_linearizable(history(1)), "{name}");
+    }
+}
--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod drain;
 mod faults;
+mod history;
 mod leaving;
 mod manifest;
 mod not_run;
