fix: do not wait at a paused process for a taken-over partition

Cause: a call asks the candidates of a partition in order. A paused process still takes connections, so that a call that began there was held up to the end of its wait, although another process had owned the partition for a while. Through a process that is neither, no call about the partition was answered as long as the pause lasted. Ruled out: the takeover itself; the new owner answered at once when it was asked. Change: candidates of the own data centre that count as dead come last and are asked for 200 ms, since they may be live after all. A hint that names one is not followed. A paused candidate of another data centre still holds a call, as its death is not known for certain from here.

--- a/crates/hs-node/src/work/durable.rs
+++ b/crates/hs-node/src/work/durable.rs
@@ -6,7 +6,7 @@
 use hs_ledger::partition_of;
 use hs_peer::message::forward_request::Call;
 use hs_peer::message::{ForwardRequest, WorkName};
-use hs_wire::{Submission, WorkReply};
+use hs_wire::{Submission, VmRole, WorkReply};
 use tokio::time::{sleep, sleep_until};
 
 use super::reserve::deadline_of;
@@ -24,6 +24,10 @@
 /// Time beyond the caller's wait that a peer's reply may take.
 const REPLY_SLACK: Duration = Duration::from_millis(300);
 
+/// Longest time for a call to a process of the own data centre that counts as dead. A paused process
+/// still takes connections, and would hold the call up to the end of its wait.
+const SUSPECT_LIMIT: Duration = Duration::from_millis(200);
+
 /// Longest time after its arrival at which a submission may still be admitted.
 const LONGEST_EXPIRY: Duration = Duration::from_secs(600);
 
@@ -99,8 +103,13 @@
             targets.insert(0, (String::new(), true));
         }
         targets.extend(shared.members.borrow().candidates(partition));
+        let suspects = suspects(shared);
+        targets.sort_by_key(|(peer, _)| suspects.contains(peer));
         for (peer, is_self) in targets {
-            let left = until.saturating_duration_since(clock.now());
+            let mut left = until.saturating_duration_since(clock.now());
+            if suspects.contains(&peer) {
+                left = left.min(SUSPECT_LIMIT);
+            }
             let answer = match is_self {
                 true => ask_self(shared, partition, &call, expires_at_ms, left).await,
                 false => ask_peer(shared, partition, &call, expires_at_ms, left, &peer).await,
@@ -112,6 +121,7 @@
                     let own = shared.settings.peer_address().to_string();
                     hint = owner
                         .filter(|owner| *owner != own && *owner != peer)
+                        .filter(|owner| !suspects.contains(owner))
                         .or(hint);
                 }
             }
@@ -129,6 +139,20 @@
     Some(reply)
 }
 
+/// Returns the addresses of the listed entry processes of the own data centre that count as dead.
+fn suspects<P: Platform>(shared: &NodeShared<P>) -> Vec<String> {
+    let own = shared.settings.peer_address().to_string();
+    let live = shared.members.borrow().local_peers();
+    let list = shared.vms.borrow().clone();
+    let entries = list.vms.iter().filter(|vm| {
+        vm.role == VmRole::Entry
+            && vm.data_centre == shared.settings.data_centre
+            && vm.addr != own
+            && !live.contains(&vm.addr)
+    });
+    entries.map(|vm| vm.addr.clone()).collect()
+}
+
 fn expiry(call: &DurableCall) -> Duration {
     match call {
         DurableCall::Submit(submission) => {
