fix: answer for open work only while the ownership is fresh

Cause: an owner that resumed after its takeover answered a query of an open record from its memory (accepted), after others had been told that the order was done. Only "no record" required freshness. Ruled out: submissions and cancellations. They wait for a commit, which fails. Change: a query, and a cancellation that changes nothing, of open work are answered only while the ownership is fresh, and passed to the next owner otherwise. Final outcomes are answered in any case, since they cannot change. Conclusion: what callers are told of one key no longer goes back.

--- a/crates/hornbeamshunt/tests/promises/history.rs
+++ b/crates/hornbeamshunt/tests/promises/history.rs
@@ -15,7 +15,8 @@
 use tokio::time::sleep;
 
 use crate::cluster::{
-    Caller, EntryNode, TestPlatform, key_owned_by, partition_owner, run_test, submission,
+    Caller, EntryNode, TestPlatform, eventually, key_owned_by, partition_owner, run_test,
+    submission,
 };
 
 const MANIFEST: &str = r#"{
@@ -96,16 +97,16 @@
     answer_of(0, reply.as_ref())
 }
 
-async fn call_key(entry: SocketAddr, work: &Submission, call: KeyCall) -> KeyCall {
+async fn call_key(entry: SocketAddr, work: Submission, call: KeyCall) -> KeyCall {
     let caller = Caller::default();
     match call {
-        KeyCall::Submit(_) => KeyCall::Submit(Some(told(caller.submit(entry, work).await))),
+        KeyCall::Submit(_) => KeyCall::Submit(Some(told(caller.submit(entry, &work).await))),
         KeyCall::Query(_) => {
-            let found = caller.query(entry, work).await;
+            let found = caller.query(entry, &work).await;
             let answer = found.map_or(Unclear, |(status, reply)| answer_of(status, reply.as_ref()));
             KeyCall::Query(Some(answer))
         }
-        KeyCall::Cancel(_) => KeyCall::Cancel(Some(told(caller.cancel(entry, work).await))),
+        KeyCall::Cancel(_) => KeyCall::Cancel(Some(told(caller.cancel(entry, &work).await))),
     }
 }
 
@@ -129,7 +130,7 @@
         }
         let entry = entries[(number + turn) % entries.len()];
         note(Call(call));
-        let answered = call_key(entry, &work, call).await;
+        let answered = call_key(entry, work.clone(), call).await;
         note(Response(answered));
         sleep(Duration::from_millis(300 + 130 * number as u64)).await;
     }
@@ -224,6 +225,48 @@
     run_test(run_case(HistoryFault::Killed));
 }
 
+/// Guards against a paused owner that answers a query from its memory when it goes on.
+#[test]
+fn query_at_a_resumed_owner() {
+    run_test(async {
+        let mut platform = TestPlatform::start(2, WorkerOptions::default()).await;
+        let nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
+        let owner = partition_owner(&nodes, "k").await;
+        let other = nodes[(owner + 1) % 3].caller;
+        let mut work = submission("k", "order", 30_000, "sleep=2500");
+        work.wait_ms = Some(0);
+        let caller = Caller::default();
+        assert_eq!(told(caller.submit(other, &work).await), Open);
+        nodes[owner].signal("STOP");
+        let find = async |entry| {
+            let found = caller.query(entry, &work).await;
+            found.map(|(status, reply)| answer_of(status, reply.as_ref()))
+        };
+        let limit = Duration::from_secs(15);
+        eventually("the end of the order", limit, async || {
+            (find(other).await == Some(Final(Outcome::Done))).then_some(())
+        })
+        .await;
+        // The paused process keeps the queries in its listener.
+        let mut queries = JoinSet::new();
+        for _ in 0..4 {
+            let (entry, work) = (nodes[owner].caller, work.clone());
+            queries.spawn(call_key(entry, work, KeyCall::Query(None)));
+        }
+        sleep(Duration::from_millis(200)).await;
+        nodes[owner].signal("CONT");
+        for answer in queries.join_all().await {
+            let (KeyCall::Submit(answer) | KeyCall::Query(answer) | KeyCall::Cancel(answer)) =
+                answer;
+            let answer = answer.expect("an answer");
+            assert!(
+                [Final(Outcome::Done), Unclear].contains(&answer),
+                "{answer:?}"
+            );
+        }
+    });
+}
+
 /// Guards against a check that accepts everything.
 #[test]
 fn checker_rejects_what_may_not_be_told() {
--- a/crates/hs-node/src/ledger/partition_task.rs
+++ b/crates/hs-node/src/ledger/partition_task.rs
@@ -414,13 +414,16 @@
         let Some(owned) = &mut self.owned else {
             return;
         };
+        let is_fresh = owned.partition.is_fresh(now);
         match owned.partition.find(customer, key) {
-            Some(record) => owned.answer_at_commit(record, reply),
-            None if owned.partition.is_fresh(now) => {
+            Some(record) if is_fresh || !partition_is_open(&owned.partition, record) => {
+                owned.answer_at_commit(record, reply);
+            }
+            None if is_fresh => {
                 let _ = reply.send(LedgerAnswer::NoRecord);
             }
-            // A newer owner may have a record that this one does not know.
-            None => {
+            // A newer owner may have a record, or an outcome, that this one does not know.
+            Some(_) | None => {
                 let _ = reply.send(LedgerAnswer::NotOwned { owner: None });
             }
         }
@@ -440,8 +443,10 @@
             if let Some(signal) = owned.signals.get(&record) {
                 let _ = signal.send(true);
             }
+            owned.answer_at_commit(record, reply);
+        } else {
+            self.query(customer, key, reply);
         }
-        owned.answer_at_commit(record, reply);
     }
 
     fn change(
