test: run the guarantees within 120 s

Cause: the whole file set took 142 s with 3 slots. Ruled out: more slots, which would measure the machine. Change: the test of the worker that is gone from the list waits without a slot and starts early (gone_worker.rs). No bound changed.

--- a/crates/hornbeamshunt/tests/promises/cluster/mod.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/mod.rs
@@ -44,6 +44,16 @@
 /// that too many at once would measure the machine.
 static SLOTS: Semaphore = Semaphore::const_new(3);
 
+/// Waits without taking up a slot. For waits of many seconds in which the test's processes are idle.
+pub async fn without_slot<T>(wait: impl Future<Output = T>) -> T {
+    SLOTS.add_permits(1);
+    let value = wait.await;
+    if let Ok(slot) = SLOTS.acquire().await {
+        slot.forget();
+    }
+    value
+}
+
 /// Runs a test on several threads, when there is room for it.
 pub fn run_test(test: impl Future<Output = ()>) {
     let test = async {
--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod drain;
 mod faults;
+mod gone_worker;
 mod history;
 mod leaving;
 mod manifest;
