test: give processes ports below the system's own

Cause: two test binaries at once, 3 tests of 92 failed with "ownership of every worker not within 10s". The log of the process said that its port was in use: the harness took a free port of the system's range and closed it, and another connection got it before the process opened it. Ruled out: load; the other processes of these tests were ready within a second. Change: ports for processes come from a block below that range, which each test binary marks as its own.

--- a/crates/hornbeamshunt/tests/promises/cluster/mod.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/mod.rs
@@ -7,13 +7,15 @@
 mod link;
 mod node;
 mod platform;
+mod ports;
 mod roles;
 
 pub use audit::{KeyAudit, submit_until_final};
 pub use client::{Caller, submission};
 pub use link::{CutLink, HoldKind};
 pub use node::{EntryNode, NodeSpec, publish, wait_owned};
-pub use platform::{TestPlatform, free_address, wall_ms};
+pub use platform::{TestPlatform, wall_ms};
+pub use ports::free_address;
 pub use roles::{key_owned_by, owned_workers, partition_owner, worker_owner};
 
 use std::future::Future;
--- a/crates/hornbeamshunt/tests/promises/cluster/node.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/node.rs
@@ -11,8 +11,7 @@
 use hs_wire::{Resources, VmEntry, VmRole, VmState};
 use serde_json::Value;
 
-use super::platform::listen;
-use super::{TestPlatform, eventually};
+use super::{TestPlatform, eventually, free_address};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_hornbeamshunt");
 
@@ -60,11 +59,8 @@
     /// Chooses addresses, writes the settings and lists the process, without starting it.
     pub async fn prepare(platform: &mut TestPlatform, number: usize, spec: NodeSpec) -> Self {
         let id = format!("e{number}");
-        // The ports are free again when the process opens them.
-        let (_caller, caller) = listen().await;
-        let (_control, control) = listen().await;
-        let (_peer, free) = listen().await;
-        let peer = spec.peer_listen.unwrap_or(free);
+        let (caller, control) = (free_address(), free_address());
+        let peer = spec.peer_listen.unwrap_or_else(free_address);
         let data_centre = match spec.data_centre.as_str() {
             "" => "dc1".to_owned(),
             name => name.to_owned(),
--- a/crates/hornbeamshunt/tests/promises/cluster/platform.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/platform.rs
@@ -160,11 +160,6 @@
     (listener, address)
 }
 
-/// Returns an address on which nothing listens.
-pub async fn free_address() -> SocketAddr {
-    listen().await.1
-}
-
 /// Returns the time of the workers' logs, in milliseconds since the Unix epoch.
 pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/hornbeamshunt/tests/promises/manifest.rs
+++ b/crates/hornbeamshunt/tests/promises/manifest.rs
@@ -203,7 +203,7 @@
         platform.entries[1].data_centre = "dc2".to_owned();
         let (mut nodes, mut stores, mut peers) = (Vec::new(), Vec::new(), Vec::new());
         for number in 0..2 {
-            let peer_listen = free_address().await;
+            let peer_listen = free_address();
             let peer = CutLink::open(peer_listen).await;
             let store = CutLink::open(platform.store.address).await;
             let spec = NodeSpec {
--- a/crates/hornbeamshunt/tests/promises/whole_path.rs
+++ b/crates/hornbeamshunt/tests/promises/whole_path.rs
@@ -8,8 +8,8 @@
 use tokio::task::JoinSet;
 
 use crate::cluster::{
-    Caller, EntryNode, NodeSpec, TestPlatform, eventually, publish, run_test, submission,
-    wait_owned,
+    Caller, EntryNode, NodeSpec, TestPlatform, eventually, free_address, publish, run_test,
+    submission, wait_owned,
 };
 
 const MANIFEST: &str = r#"{
@@ -102,8 +102,7 @@
 fn every_part_as_its_own_process() {
     run_test(async {
         let mut platform = TestPlatform::start(0, WorkerOptions::default()).await;
-        let port = 24_000 + (std::process::id() % 5000) as u16;
-        let worker = format!("127.0.0.1:{port}");
+        let worker = free_address().to_string();
         let start = |words: &[&str]| {
             let mut command = Command::new(env!("CARGO_BIN_EXE_hornbeamshunt"));
             ChildGuard(
@@ -114,7 +113,7 @@
                     .expect("stand-in"),
             )
         };
-        let store = format!("127.0.0.1:{}", port + 1);
+        let store = free_address().to_string();
         let _worker = start(&["worker", "--listen", &worker]);
         let _store = start(&["store", "--listen", &store]);
         platform.entries.push(hs_wire::VmEntry {
