refactor: split the placer and partition tasks by what they do

Ruled out: further tasks with messages between them; the parts share one state and one turn. Change: calls, candidate, owned, runs, placed, starts and follow beside the partition task and its runner; workers and reconcile beside the placer task. No behaviour changes.

--- a/crates/hs-node/src/ledger/mod.rs
+++ b/crates/hs-node/src/ledger/mod.rs
@@ -1,11 +1,18 @@
 //! Durable work: the tasks around the ledger partitions.
 
+mod calls;
+mod candidate;
 mod fate;
+mod follow;
 mod handle;
 mod message;
+mod owned;
 mod partition_task;
+mod placed;
 mod runner;
 mod runner_port;
+mod runs;
+mod starts;
 
 pub use handle::LedgerHandle;
 pub use message::{LedgerAnswer, LedgerCall, PartitionMessage, PartitionStatus};
--- /dev/null
+++ b/crates/hs-node/src/ledger/owned.rs
@@ -0,0 +1,116 @@
+//! A partition while this process owns it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Instant;
+
+use hs_ledger::{LedgerPartition, RecordKey, Stamp, TaskKey, TaskState};
+use hs_wire::{NotRunReason, Outcome, WorkReply};
+use tokio::sync::{oneshot, watch};
+
+use super::LedgerAnswer;
+use super::fate::PlacedWorker;
+use super::message::ChangeDone;
+
+/// Retry hint while the store takes no writes, in milliseconds.
+pub(super) const STORE_RETRY_MS: u64 = 1000;
+
+/// Somebody who waits for a commit.
+pub(super) enum CommitWaiter {
+    Answer {
+        record: RecordKey,
+        reply: oneshot::Sender<LedgerAnswer>,
+    },
+    Reused {
+        key: String,
+        reply: oneshot::Sender<LedgerAnswer>,
+    },
+    Change {
+        done: ChangeDone,
+        reply: oneshot::Sender<ChangeDone>,
+    },
+}
+
+/// The partition, and who waits for what in it.
+pub(super) struct OwnedPartition {
+    pub(super) partition: LedgerPartition,
+    pub(super) is_announced: bool,
+    pub(super) is_store_down: bool,
+    pub(super) commits: BTreeMap<Stamp, Vec<CommitWaiter>>,
+    pub(super) answers: HashMap<RecordKey, Vec<oneshot::Sender<LedgerAnswer>>>,
+    pub(super) signals: HashMap<RecordKey, watch::Sender<bool>>,
+}
+
+impl OwnedPartition {
+    pub(super) fn is_committed(&self, record: RecordKey) -> bool {
+        self.partition
+            .stamp(record)
+            .is_none_or(|stamp| stamp <= self.partition.committed())
+    }
+
+    pub(super) fn answer_at_commit(
+        &mut self,
+        record: RecordKey,
+        reply: oneshot::Sender<LedgerAnswer>,
+    ) {
+        let stamp = self
+            .partition
+            .stamp(record)
+            .unwrap_or_else(|| self.partition.committed());
+        let waiter = CommitWaiter::Answer { record, reply };
+        self.commits.entry(stamp).or_default().push(waiter);
+    }
+
+    /// Returns the reply about a record that is not in the store.
+    pub(super) fn reply_unstored(&self, record: RecordKey, now: Instant) -> WorkReply {
+        let mut reply = self.reply(record);
+        let is_certain =
+            reply.outcome == Outcome::NotRun && self.partition.may_answer_not_run(record, now);
+        if !is_certain {
+            reply = WorkReply::unknown(&reply.key, "the store does not take the record");
+        }
+        reply.retry_after_ms = Some(STORE_RETRY_MS);
+        reply
+    }
+
+    /// Returns the reply for the caller, in which workers have their names only.
+    pub(super) fn reply(&self, record: RecordKey) -> WorkReply {
+        let mut reply = self.partition.reply(record);
+        for worker in &mut reply.workers {
+            *worker = PlacedWorker::parse(worker).name;
+        }
+        reply
+    }
+
+    pub(super) fn next_step(&self, record: RecordKey, task: Option<TaskKey>) -> ChangeDone {
+        let step = || {
+            let task = task?;
+            let kept = self.partition.record(record)?;
+            let current = kept.tasks.get(task.task as usize)?;
+            let next = TaskKey {
+                task: task.task,
+                attempt: current.attempt,
+            };
+            let id = kept.task_id(next)?;
+            (current.state == TaskState::Waiting).then_some(ChangeDone::Waiting { task: next, id })
+        };
+        step().unwrap_or(ChangeDone::Settled)
+    }
+
+    pub(super) fn wake(&self, waiter: CommitWaiter) {
+        match waiter {
+            CommitWaiter::Answer { record, reply } => {
+                let answer = self.reply(record);
+                let _ = reply.send(LedgerAnswer::Reply(answer));
+            }
+            CommitWaiter::Reused { key, reply } => {
+                let reason = NotRunReason::KeyReused;
+                let detail = "the key was used before with another customer, workload or payload";
+                let answer = WorkReply::not_run(&key, reason, detail);
+                let _ = reply.send(LedgerAnswer::Reply(answer));
+            }
+            CommitWaiter::Change { done, reply } => {
+                let _ = reply.send(done);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hs-node/src/ledger/runs.rs
@@ -0,0 +1,121 @@
+//! Runners of an owned partition, and the changes that they make.
+
+use std::collections::BTreeMap;
+
+use hs_ledger::{RecordKey, TaskKey, TaskState};
+use hs_wire::WorkClass;
+use tokio::sync::{oneshot, watch};
+
+use super::PartitionTask;
+use super::message::{ChangeDone, TaskChange};
+use super::owned::CommitWaiter;
+use super::runner::{RunPlan, TaskRunner};
+use super::runner_port::RunnerPort;
+use crate::port::Platform;
+
+impl<P: Platform> PartitionTask<P> {
+    /// Goes on with the open tasks of the previous owner.
+    pub(super) fn resume(&mut self) {
+        let Some(owned) = &self.owned else {
+            return;
+        };
+        let mut open: BTreeMap<RecordKey, Vec<(TaskKey, Option<String>)>> = BTreeMap::new();
+        for task in owned.partition.open_tasks() {
+            let worker = (task.state == TaskState::Placed).then(|| task.worker.to_owned());
+            open.entry(task.record)
+                .or_default()
+                .push((task.task, worker));
+        }
+        for (record, tasks) in open {
+            self.run_tasks(record, tasks);
+        }
+    }
+
+    pub(super) fn run_tasks(&mut self, record: RecordKey, tasks: Vec<(TaskKey, Option<String>)>) {
+        let Some(owned) = &mut self.owned else {
+            return;
+        };
+        let Some(kept) = owned.partition.record(record) else {
+            return;
+        };
+        let Some(submission) = kept.submission() else {
+            return;
+        };
+        let (class, repeatable, admitted_ms) = (kept.class, kept.repeatable, kept.admitted_ms);
+        let (signal, cancelled) = watch::channel(kept.cancel);
+        let named: Vec<_> = tasks
+            .into_iter()
+            .filter_map(|(task, worker)| Some((task, kept.task_id(task)?, worker)))
+            .collect();
+        owned.signals.insert(record, signal);
+        let epoch = owned.partition.epoch();
+        let is_gang =
+            class == WorkClass::Gang && named.iter().all(|(_, _, worker)| worker.is_none());
+        let groups = match is_gang {
+            true => vec![named],
+            false => named.into_iter().map(|task| vec![task]).collect(),
+        };
+        for tasks in groups {
+            let plan = RunPlan {
+                submission: submission.clone(),
+                repeatable,
+                admitted_ms,
+                tasks,
+            };
+            let port = RunnerPort::new(self.shared.ledger.clone(), self.number, epoch, record);
+            let runner = TaskRunner::new(self.shared.clone(), port, plan, cancelled.clone());
+            tokio::spawn(runner.run());
+        }
+    }
+
+    pub(super) fn change(
+        &mut self,
+        epoch: u64,
+        record: RecordKey,
+        change: TaskChange,
+        reply: oneshot::Sender<ChangeDone>,
+    ) {
+        let now_ms = self.wall_ms();
+        let Some(owned) = &mut self.owned else {
+            return;
+        };
+        if owned.partition.epoch() != epoch {
+            return;
+        }
+        let task = change.first_task();
+        let made = match change {
+            TaskChange::Placed(tasks) => {
+                let mut last = Ok(owned.partition.last_stamp());
+                for (task, worker) in &tasks {
+                    last = last.and(owned.partition.mark_placed(record, *task, worker, now_ms));
+                }
+                last
+            }
+            TaskChange::Ended {
+                task,
+                state,
+                result,
+                reason,
+            } => match reason {
+                Some(reason) if state == TaskState::NotRun => {
+                    owned.partition.refuse(record, reason, "", now_ms)
+                }
+                _ => owned
+                    .partition
+                    .mark_task(record, task, state, &result, now_ms),
+            },
+            TaskChange::Retry { task, cause } => {
+                owned.partition.retry_task(record, task, cause, now_ms)
+            }
+            TaskChange::Absent { task } => owned.partition.mark_absent(record, task, now_ms),
+        };
+        let Ok(stamp) = made else {
+            // The change came too late, for instance after a cancellation. The dropped channel tells
+            // the runner to stop.
+            return;
+        };
+        let done = owned.next_step(record, task);
+        let waiter = CommitWaiter::Change { done, reply };
+        owned.commits.entry(stamp).or_default().push(waiter);
+    }
+}
--- a/crates/hs-node/src/placer/mod.rs
+++ b/crates/hs-node/src/placer/mod.rs
@@ -3,9 +3,11 @@
 mod grant;
 mod handle;
 mod message;
+mod reconcile;
 mod reservation;
 mod status;
 mod task;
+mod workers;
 
 pub use grant::{PlaceRefusal, TaskGrant};
 pub use handle::PlacerHandle;
--- /dev/null
+++ b/crates/hs-node/src/placer/reconcile.rs
@@ -0,0 +1,71 @@
+//! Comparison of reservations with what workers know.
+
+use std::time::Duration;
+
+use hs_core::{TaskEnd, WorkerKey};
+use hs_wire::{TaskPhase, TaskView, WorkId};
+
+use super::PlacerTask;
+use super::message::SuspectList;
+use crate::port::ClockPort;
+
+/// Age at which a reservation is asked about, and the time between two questions.
+const SUSPECT_AGE: Duration = Duration::from_secs(5);
+
+/// Age at which a reservation whose task the worker does not know is freed after a raised fence.
+const MISSING_AGE: Duration = Duration::from_secs(10);
+
+/// Most tasks in one question, so that a renewal stays small.
+const SUSPECTS_PER_QUERY: usize = 64;
+
+impl<Clock: ClockPort> PlacerTask<Clock> {
+    pub(super) fn suspects(&mut self, name: &str) -> SuspectList {
+        let now = self.clock.now();
+        let mut list = SuspectList::default();
+        let worker = self.names.get(name);
+        let Some(slot) = worker.and_then(|worker| self.slots.get_mut(worker)) else {
+            return list;
+        };
+        for (task, reservation) in &mut slot.tasks {
+            let age = now.saturating_duration_since(reservation.asked.unwrap_or(reservation.since));
+            if age < SUSPECT_AGE || list.tasks.len() >= SUSPECTS_PER_QUERY {
+                continue;
+            }
+            reservation.asked = Some(now);
+            let held = now.saturating_duration_since(reservation.since);
+            list.bump |= reservation.is_missing && held >= MISSING_AGE;
+            list.tasks.push(task.clone());
+        }
+        list
+    }
+
+    pub(super) fn queried(
+        &mut self,
+        name: &str,
+        asked: &[WorkId],
+        bumped: bool,
+        known: &[TaskView],
+    ) {
+        let Some(worker) = self.names.get(name).copied() else {
+            return;
+        };
+        for task in asked {
+            let view = known.iter().find(|view| view.id == *task);
+            match view.map(|view| view.phase) {
+                Some(TaskPhase::Running) => self.set_missing(worker, task, false),
+                Some(TaskPhase::Done) => self.release(task, TaskEnd::Done),
+                Some(TaskPhase::Failed) => self.release(task, TaskEnd::Failed),
+                Some(TaskPhase::Stopped) => self.release(task, TaskEnd::Stopped),
+                None if bumped => self.release(task, TaskEnd::Refused),
+                None => self.set_missing(worker, task, true),
+            }
+        }
+    }
+
+    pub(super) fn set_missing(&mut self, worker: WorkerKey, task: &WorkId, is_missing: bool) {
+        let slot = self.slots.get_mut(&worker);
+        if let Some(reservation) = slot.and_then(|slot| slot.tasks.get_mut(task)) {
+            reservation.is_missing = is_missing;
+        }
+    }
+}
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -2,67 +2,56 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hs_core::{
     CancelState, CustomerPolicy, Decision, Placer, PlacerPolicy, TaskEnd, WorkBand, WorkKey,
-    WorkRequest, WorkerKey, WorkerSpec, WorkerState,
+    WorkRequest, WorkerKey,
 };
 use hs_event::EventCode;
 use hs_peer::RetryBudget;
-use hs_wire::{NotRunReason, TaskPhase, TaskView, WorkId};
+use hs_wire::{NotRunReason, WorkId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
-use super::message::SuspectList;
 use super::{
-    PlaceMode, PlaceRefusal, PlaceRequest, PlacerMessage, PlacerStatus, TaskGrant, TaskReservation,
-    WorkerReport, WorkerStatus,
+    PlaceMode, PlaceRefusal, PlaceRequest, PlacerMessage, TaskGrant, TaskReservation, WorkerReport,
 };
 use crate::manifest::ManifestView;
 use crate::port::ClockPort;
 
-/// Age at which a reservation is asked about, and the time between two questions.
-const SUSPECT_AGE: Duration = Duration::from_secs(5);
-
-/// Age at which a reservation whose task the worker does not know is freed after a raised fence.
-const MISSING_AGE: Duration = Duration::from_secs(10);
-
-/// Most tasks in one question, so that a renewal stays small.
-const SUSPECTS_PER_QUERY: usize = 64;
-
 /// Most messages that are taken before decisions are made.
 const MESSAGES_PER_TURN: usize = 256;
 
 /// Longest sleep between two looks at deadlines and opening hours.
 const IDLE_WAKE: Duration = Duration::from_secs(1);
 
-/// Name under which tasks are accounted whose customer has left the manifest.
-const FORMER_CUSTOMER: &str = "-";
-
 struct QueuedWork {
     work: WorkKey,
     request: PlaceRequest,
     reply: oneshot::Sender<Result<Vec<TaskGrant>, PlaceRefusal>>,
 }
 
-struct WorkerSlot {
-    report: WorkerReport,
-    is_ejected: bool,
-    tasks: HashMap<WorkId, TaskReservation>,
+pub(super) struct WorkerSlot {
+    pub(super) report: WorkerReport,
+    pub(super) is_ejected: bool,
+    pub(super) tasks: HashMap<WorkId, TaskReservation>,
 }
 
+/// Name under which tasks are accounted whose customer has left the manifest.
+pub(super) const FORMER_CUSTOMER: &str = "-";
+
 /// Owns the placement core and the reservations on the workers of this process.
 pub struct PlacerTask<Clock> {
-    clock: Clock,
+    pub(super) clock: Clock,
     receiver: mpsc::UnboundedReceiver<PlacerMessage>,
-    placer: Placer,
-    view: Option<Arc<ManifestView>>,
+    pub(super) placer: Placer,
+    pub(super) view: Option<Arc<ManifestView>>,
     members: u32,
     minute: u16,
-    slots: HashMap<WorkerKey, WorkerSlot>,
-    names: HashMap<String, WorkerKey>,
-    placed: HashMap<WorkId, WorkerKey>,
+    pub(super) slots: HashMap<WorkerKey, WorkerSlot>,
+    pub(super) names: HashMap<String, WorkerKey>,
+    pub(super) placed: HashMap<WorkId, WorkerKey>,
     queued: HashMap<u64, QueuedWork>,
     queued_tasks: HashMap<WorkId, u64>,
     next_tag: u64,
@@ -277,7 +266,7 @@
         }
     }
 
-    fn release(&mut self, task: &WorkId, end: TaskEnd) {
+    pub(super) fn release(&mut self, task: &WorkId, end: TaskEnd) {
         let Some(worker) = self.placed.remove(task) else {
             return;
         };
@@ -289,146 +278,6 @@
             .finish(reservation.work, reservation.index, end, self.clock.now());
     }
 
-    fn worker_up(&mut self, report: WorkerReport) {
-        self.worker_down(&report.name);
-        let now = self.clock.now();
-        let spec = WorkerSpec {
-            name: report.name.clone(),
-            rack: report.rack.clone(),
-            capacity: report.grant.capacity,
-        };
-        let worker = self.placer.add_worker(spec, now);
-        let tasks = report.grant.tasks.clone();
-        self.names.insert(report.name.clone(), worker);
-        let slot = WorkerSlot {
-            report,
-            is_ejected: false,
-            tasks: HashMap::new(),
-        };
-        self.slots.insert(worker, slot);
-        for task in tasks.iter().filter(|task| task.phase == TaskPhase::Running) {
-            self.adopt(worker, task, now);
-        }
-        self.follow_state(worker);
-    }
-
-    fn adopt(&mut self, worker: WorkerKey, task: &TaskView, now: Instant) {
-        let named = self.placer.customer(&task.customer);
-        let Some(customer) = named.or_else(|| self.placer.customer(FORMER_CUSTOMER)) else {
-            return;
-        };
-        let entry = self
-            .view
-            .as_ref()
-            .and_then(|view| view.workload(&task.workload));
-        let request = WorkRequest {
-            customer,
-            workload: entry.map_or(u32::MAX, |(number, _)| number),
-            band: entry.map_or(WorkBand::Long, |(_, entry)| {
-                WorkBand::of(entry.class, entry.urgent)
-            }),
-            resources: task.resources,
-            tasks: 1,
-            estimate: None,
-            deadline: None,
-            tag: 0,
-        };
-        let work = self.placer.adopt(worker, request, now);
-        let reservation = TaskReservation {
-            work,
-            index: 0,
-            since: now,
-            asked: None,
-            is_missing: false,
-        };
-        self.placed.insert(task.id.clone(), worker);
-        if let Some(slot) = self.slots.get_mut(&worker) {
-            slot.tasks.insert(task.id.clone(), reservation);
-        }
-    }
-
-    fn worker_renewed(&mut self, report: WorkerReport) {
-        let Some(worker) = self.names.get(&report.name).copied() else {
-            return;
-        };
-        if let Some(slot) = self.slots.get_mut(&worker) {
-            slot.report = report;
-        }
-        self.follow_state(worker);
-    }
-
-    fn follow_state(&mut self, worker: WorkerKey) {
-        let Some(slot) = self.slots.get(&worker) else {
-            return;
-        };
-        let state = match slot.report.draining || slot.report.grant.draining {
-            true => WorkerState::Draining,
-            false => WorkerState::Active,
-        };
-        self.placer
-            .set_worker_state(worker, state, self.clock.now());
-    }
-
-    fn worker_down(&mut self, name: &str) {
-        let Some(worker) = self.names.remove(name) else {
-            return;
-        };
-        let now = self.clock.now();
-        self.placer.remove_worker(worker, now);
-        let Some(slot) = self.slots.remove(&worker) else {
-            return;
-        };
-        for (task, reservation) in slot.tasks {
-            self.placed.remove(&task);
-            self.placer
-                .finish(reservation.work, reservation.index, TaskEnd::Stopped, now);
-        }
-    }
-
-    fn suspects(&mut self, name: &str) -> SuspectList {
-        let now = self.clock.now();
-        let mut list = SuspectList::default();
-        let worker = self.names.get(name);
-        let Some(slot) = worker.and_then(|worker| self.slots.get_mut(worker)) else {
-            return list;
-        };
-        for (task, reservation) in &mut slot.tasks {
-            let age = now.saturating_duration_since(reservation.asked.unwrap_or(reservation.since));
-            if age < SUSPECT_AGE || list.tasks.len() >= SUSPECTS_PER_QUERY {
-                continue;
-            }
-            reservation.asked = Some(now);
-            let held = now.saturating_duration_since(reservation.since);
-            list.bump |= reservation.is_missing && held >= MISSING_AGE;
-            list.tasks.push(task.clone());
-        }
-        list
-    }
-
-    fn queried(&mut self, name: &str, asked: &[WorkId], bumped: bool, known: &[TaskView]) {
-        let Some(worker) = self.names.get(name).copied() else {
-            return;
-        };
-        for task in asked {
-            let view = known.iter().find(|view| view.id == *task);
-            match view.map(|view| view.phase) {
-                Some(TaskPhase::Running) => self.set_missing(worker, task, false),
-                Some(TaskPhase::Done) => self.release(task, TaskEnd::Done),
-                Some(TaskPhase::Failed) => self.release(task, TaskEnd::Failed),
-                Some(TaskPhase::Stopped) => self.release(task, TaskEnd::Stopped),
-                None if bumped => self.release(task, TaskEnd::Refused),
-                None => self.set_missing(worker, task, true),
-            }
-        }
-    }
-
-    fn set_missing(&mut self, worker: WorkerKey, task: &WorkId, is_missing: bool) {
-        let slot = self.slots.get_mut(&worker);
-        if let Some(reservation) = slot.and_then(|slot| slot.tasks.get_mut(task)) {
-            reservation.is_missing = is_missing;
-        }
-    }
-
     fn follow_opening_hours(&mut self) {
         let minute = (self.clock.wall_ms() / 60_000 % 1440) as u16;
         if minute != self.minute {
@@ -484,38 +333,4 @@
         }
         Some(queued)
     }
-
-    fn set_ejected(&mut self, worker: WorkerKey, pause: Option<Duration>) {
-        let Some(slot) = self.slots.get_mut(&worker) else {
-            return;
-        };
-        slot.is_ejected = pause.is_some();
-        let name = &slot.report.name;
-        match pause {
-            Some(pause) => EventCode::WorkerEjected
-                .log(format_args!("worker={name} pause_ms={}", pause.as_millis())),
-            None => EventCode::WorkerReadmitted.log(format_args!("worker={name}")),
-        }
-    }
-
-    fn status(&self) -> PlacerStatus {
-        let mut workers: Vec<WorkerStatus> = Vec::with_capacity(self.slots.len());
-        for (worker, slot) in &self.slots {
-            let (capacity, reserved) = self.placer.worker_load(*worker).unwrap_or_default();
-            workers.push(WorkerStatus {
-                name: slot.report.name.clone(),
-                draining: slot.report.draining || slot.report.grant.draining,
-                ejected: slot.is_ejected,
-                fence: slot.report.grant.fence,
-                capacity,
-                reserved,
-                tasks: slot.tasks.len(),
-            });
-        }
-        workers.sort_by(|left, right| left.name.cmp(&right.name));
-        PlacerStatus {
-            summary: self.placer.free_summary(),
-            workers,
-        }
-    }
 }
