feat: gangs across the workers of several owners

Cause: a gang could only start on the workers of one entry process; with 48 workers and 7 processes that is about 56 of 384 slots, and a wider gang was refused as never fitting. Ruled out: holding parts while waiting for the rest, which lets two gangs wait for each other for ever. Change: a gang asks every owner of the data centre in the order of addresses for as many tasks as fit at once and gives everything back if the rest finds no room; never_fits counts how many tasks the workers of the data centre could hold. Conclusion: works without partial starts; the following of a gang's tasks one after the other is slow.

--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -2,4 +2,5 @@
 
 mod cluster;
 mod faults;
+mod gang;
 mod whole_path;
--- a/crates/hs-node/src/peer/server.rs
+++ b/crates/hs-node/src/peer/server.rs
@@ -61,7 +61,10 @@
             workload: request.workload,
             tasks: request.task_ids.into_iter().map(WorkId).collect(),
             deadline: None,
-            mode: PlaceMode::Immediate,
+            mode: match request.partial {
+                true => PlaceMode::Partial,
+                false => PlaceMode::Immediate,
+            },
         };
         let grants = self.shared.placer.place(request).await?;
         let grants = grants.into_iter().map(|grant| Grant {
--- a/crates/hs-node/src/placer/message.rs
+++ b/crates/hs-node/src/placer/message.rs
@@ -15,6 +15,8 @@
 pub enum PlaceMode {
     /// It is placed at once or refused.
     Immediate,
+    /// As many of its first tasks as there is room for are placed at once, each for itself.
+    Partial,
     /// It waits in the queue until its deadline.
     Queued,
 }
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -168,6 +168,7 @@
                     let _ = reply.send(Err(PlaceRefusal::Busy));
                 }
             },
+            PlaceMode::Partial => self.place_partial(work, &request, reply),
             PlaceMode::Queued => match self.placer.submit(work, now) {
                 Ok(work) => {
                     if let Some(first) = request.tasks.first() {
@@ -187,6 +188,35 @@
         }
     }
 
+    /// Places tasks one by one until the first that finds no room.
+    fn place_partial(
+        &mut self,
+        mut work: WorkRequest,
+        request: &PlaceRequest,
+        reply: oneshot::Sender<Result<Vec<TaskGrant>, PlaceRefusal>>,
+    ) {
+        let now = self.clock.now();
+        work.tasks = 1;
+        let mut grants = Vec::new();
+        for task in &request.tasks {
+            let Some(Decision::Place { work, workers, .. }) =
+                self.placer.place_now(work.clone(), now)
+            else {
+                break;
+            };
+            let tasks = std::slice::from_ref(task);
+            grants.extend(self.hold(work, &workers, tasks, request, Duration::ZERO));
+        }
+        let granted = grants.len();
+        let result = match granted {
+            0 => Err(PlaceRefusal::Busy),
+            _ => Ok(grants),
+        };
+        if reply.send(result).is_err() {
+            self.release_unsent(&request.tasks[..granted]);
+        }
+    }
+
     fn work_request(&self, request: &PlaceRequest, tag: u64) -> Result<WorkRequest, NotRunReason> {
         let view = self.view.as_ref().ok_or(NotRunReason::NotReady)?;
         let (number, entry) = view
@@ -213,10 +243,25 @@
         waited: Duration,
         reply: oneshot::Sender<Result<Vec<TaskGrant>, PlaceRefusal>>,
     ) {
+        let grants = self.hold(work, workers, &request.tasks, request, waited);
+        if reply.send(Ok(grants)).is_err() {
+            self.release_unsent(&request.tasks);
+        }
+    }
+
+    /// Notes the reservations of placed tasks and builds their grants.
+    fn hold(
+        &mut self,
+        work: WorkKey,
+        workers: &[WorkerKey],
+        tasks: &[WorkId],
+        request: &PlaceRequest,
+        waited: Duration,
+    ) -> Vec<TaskGrant> {
         let now = self.clock.now();
         let revision = self.view.as_ref().map_or(0, |view| view.revision());
         let mut grants = Vec::with_capacity(workers.len());
-        for (index, (worker, task)) in workers.iter().zip(&request.tasks).enumerate() {
+        for (index, (worker, task)) in workers.iter().zip(tasks).enumerate() {
             let Some(slot) = self.slots.get_mut(worker) else {
                 continue;
             };
@@ -229,26 +274,30 @@
             };
             slot.tasks.insert(task.clone(), reservation);
             self.placed.insert(task.clone(), *worker);
+            let report = &slot.report;
             EventCode::WorkPlaced.log(format_args!(
-                "task={task} customer={} workload={} worker={} fence={} revision={revision} waited_ms={}",
+                "task={task} customer={} workload={} worker={} fence={} revision={revision} \
+                 waited_ms={}",
                 request.customer,
                 request.workload,
-                slot.report.name,
-                slot.report.grant.fence,
+                report.name,
+                report.grant.fence,
                 waited.as_millis(),
             ));
             grants.push(TaskGrant {
-                worker: slot.report.name.clone(),
-                address: slot.report.address.clone(),
-                fence: slot.report.grant.fence,
-                incarnation: slot.report.grant.incarnation,
+                worker: report.name.clone(),
+                address: report.address.clone(),
+                fence: report.grant.fence,
+                incarnation: report.grant.incarnation,
             });
         }
-        if reply.send(Ok(grants)).is_err() {
-            // The caller has gone, so that nothing was sent to the workers.
-            for task in &request.tasks {
-                self.release(task, TaskEnd::Refused);
-            }
+        grants
+    }
+
+    /// Frees tasks whose caller has gone, so that nothing was sent to their workers.
+    fn release_unsent(&mut self, tasks: &[WorkId]) {
+        for task in tasks {
+            self.release(task, TaskEnd::Refused);
         }
     }
 
--- a/crates/hs-node/src/work/reserve.rs
+++ b/crates/hs-node/src/work/reserve.rs
@@ -37,6 +37,8 @@
     pub deadline: Option<Instant>,
 }
 
+/// Who owns the worker of a grant.
+#[derive(Clone)]
 enum GrantHolder {
     Own,
     Peer(String),
@@ -47,17 +49,18 @@
     /// One grant for each task.
     pub grants: Vec<TaskGrant>,
     tasks: Vec<WorkId>,
-    holder: GrantHolder,
+    holders: Vec<GrantHolder>,
     shared: Arc<NodeShared<P>>,
 }
 
 impl<P: Platform> HeldGrants<P> {
     /// Ends the reservation of one task.
     pub fn release(&self, index: usize, end: TaskEnd) {
-        let Some(task) = self.tasks.get(index).cloned() else {
+        let (Some(task), Some(holder)) = (self.tasks.get(index).cloned(), self.holders.get(index))
+        else {
             return;
         };
-        match &self.holder {
+        match holder {
             GrantHolder::Own => self.shared.placer.release(task, end),
             GrantHolder::Peer(peer) => {
                 let shared = self.shared.clone();
@@ -78,7 +81,7 @@
 
     /// Ends the reservation of every task.
     pub fn release_all(&self, end: TaskEnd) {
-        for index in 0..self.tasks.len() {
+        for index in 0..self.holders.len() {
             self.release(index, end);
         }
     }
@@ -126,7 +129,7 @@
         Err(PlaceRefusal::Busy) => {}
         Err(PlaceRefusal::Refused(reason)) => return Err(reason),
     }
-    if let Some(held) = try_peer(shared, spec).await {
+    if let Some(held) = try_elsewhere(shared, spec).await {
         return Ok(held);
     }
     wait(shared, spec).await
@@ -162,7 +165,7 @@
                 };
             }
             _ = tries.tick() => {
-                if let Some(held) = try_peer(shared, spec).await {
+                if let Some(held) = try_elsewhere(shared, spec).await {
                     return Ok(held);
                 }
             }
@@ -175,7 +178,7 @@
     shared: &Arc<NodeShared<P>>,
     spec: &ReserveSpec,
 ) -> Result<HeldGrants<P>, NotRunReason> {
-    if !fits_data_centre(shared, spec.resources) {
+    if !fits_data_centre(shared, spec) {
         return Err(NotRunReason::NeverFits);
     }
     let mut tries = interval(PEER_EVERY);
@@ -191,7 +194,7 @@
         tokio::select! {
             () = &mut passed => return Err(NotRunReason::DeadlinePassed),
             _ = tries.tick() => {
-                if let Some(held) = try_peer(shared, spec).await {
+                if let Some(held) = try_elsewhere(shared, spec).await {
                     return Ok(held);
                 }
             }
@@ -199,14 +202,32 @@
     }
 }
 
-fn fits_data_centre<P: Platform>(shared: &NodeShared<P>, need: Resources) -> bool {
+/// Returns whether the workers of the data centre could hold all tasks if they were idle.
+fn fits_data_centre<P: Platform>(shared: &NodeShared<P>, spec: &ReserveSpec) -> bool {
     let list = shared.vms.borrow().clone();
-    list.vms.iter().any(|vm| {
+    let workers = list.vms.iter().filter(|vm| {
         vm.role == VmRole::Worker
             && vm.state == VmState::Live
             && vm.data_centre == shared.settings.data_centre
-            && need.fits(vm.capacity)
-    })
+    });
+    let room: u64 = workers
+        .map(|vm| u64::from(spec.resources.count_in(vm.capacity)))
+        .sum();
+    room >= spec.tasks.len() as u64
+}
+
+/// Reserves room at one peer, or for a gang at several owners together.
+async fn try_elsewhere<P: Platform>(
+    shared: &Arc<NodeShared<P>>,
+    spec: &ReserveSpec,
+) -> Option<HeldGrants<P>> {
+    if let Some(held) = try_peer(shared, spec).await {
+        return Some(held);
+    }
+    match spec.tasks.len() {
+        0 | 1 => None,
+        _ => spread(shared, spec).await,
+    }
 }
 
 async fn try_peer<P: Platform>(
@@ -216,20 +237,77 @@
     let need = spec.resources.saturating_mul(spec.tasks.len() as u32);
     let seed = shared.next_seed();
     let peer = shared.members.borrow().sample_peer(seed, need)?;
+    let grants = ask_peer(shared, spec, &spec.tasks, &peer, false).await;
+    let is_granted = !grants.is_empty() && grants.len() == spec.tasks.len();
+    shared.metrics.forwarded(is_granted);
+    is_granted.then(|| HeldGrants {
+        holders: vec![GrantHolder::Peer(peer); grants.len()],
+        grants,
+        tasks: spec.tasks.clone(),
+        shared: shared.clone(),
+    })
+}
+
+/// Reserves room for a gang at several owners, all or nothing.
+///
+/// Every process asks the owners in the order of their addresses, so that two gangs meet at the same
+/// owner first; what was granted is given back at once if the rest finds no room, so that nothing is
+/// held while a gang waits.
+async fn spread<P: Platform>(
+    shared: &Arc<NodeShared<P>>,
+    spec: &ReserveSpec,
+) -> Option<HeldGrants<P>> {
+    let own_address = shared.settings.peer_address().to_string();
+    let mut owners = shared.members.borrow().local_peers();
+    owners.push(own_address.clone());
+    owners.sort();
+    let mut held = own(shared, spec, Vec::new());
+    for owner in owners {
+        let rest = &spec.tasks[held.grants.len()..];
+        let (grants, holder) = match owner == own_address {
+            true => (ask_own(shared, spec, rest).await, GrantHolder::Own),
+            false => {
+                let grants = ask_peer(shared, spec, rest, &owner, true).await;
+                (grants, GrantHolder::Peer(owner))
+            }
+        };
+        held.holders.extend(vec![holder; grants.len()]);
+        held.grants.extend(grants);
+        if held.grants.len() == spec.tasks.len() {
+            return Some(held);
+        }
+    }
+    held.release_all(TaskEnd::Refused);
+    None
+}
+
+async fn ask_own<P: Platform>(
+    shared: &NodeShared<P>,
+    spec: &ReserveSpec,
+    tasks: &[WorkId],
+) -> Vec<TaskGrant> {
+    let mut request = request(spec, PlaceMode::Partial);
+    request.tasks = tasks.to_vec();
+    shared.placer.place(request).await.unwrap_or_default()
+}
+
+async fn ask_peer<P: Platform>(
+    shared: &NodeShared<P>,
+    spec: &ReserveSpec,
+    tasks: &[WorkId],
+    peer: &str,
+    partial: bool,
+) -> Vec<TaskGrant> {
     let request = ReserveRequest {
         customer: spec.customer.clone(),
         workload: spec.workload.clone(),
-        task_ids: spec.tasks.iter().map(|task| task.0.clone()).collect(),
+        task_ids: tasks.iter().map(|task| task.0.clone()).collect(),
         revision: shared.view().map_or(0, |view| view.revision()),
+        partial,
     };
-    let reply = shared.peers.reserve(&peer, request, PEER_LIMIT).await.ok();
+    let reply = shared.peers.reserve(peer, request, PEER_LIMIT).await;
     let grants = reply.map(|reply| reply.grants).unwrap_or_default();
-    let is_granted = !grants.is_empty() && grants.len() == spec.tasks.len();
-    shared.metrics.forwarded(is_granted);
-    if !is_granted {
-        return None;
-    }
-    for (task, grant) in spec.tasks.iter().zip(&grants) {
+    for (task, grant) in tasks.iter().zip(&grants) {
         EventCode::WorkForwarded.log(format_args!(
             "task={task} customer={} workload={} peer={peer} worker={}",
             spec.customer, spec.workload, grant.worker,
@@ -241,12 +319,7 @@
         fence: grant.fence,
         incarnation: grant.incarnation,
     });
-    Some(HeldGrants {
-        grants: grants.collect(),
-        tasks: spec.tasks.clone(),
-        holder: GrantHolder::Peer(peer),
-        shared: shared.clone(),
-    })
+    grants.collect()
 }
 
 fn own<P: Platform>(
@@ -255,9 +328,9 @@
     grants: Vec<TaskGrant>,
 ) -> HeldGrants<P> {
     HeldGrants {
+        holders: vec![GrantHolder::Own; grants.len()],
         grants,
         tasks: spec.tasks.clone(),
-        holder: GrantHolder::Own,
         shared: shared.clone(),
     }
 }
--- a/crates/hs-wire/src/resources.rs
+++ b/crates/hs-wire/src/resources.rs
@@ -85,6 +85,13 @@
         Self::from_dimensions(self.dimensions().map(|amount| amount.saturating_mul(count)))
     }
 
+    /// Returns how often `self` fits into `room` together.
+    pub fn count_in(self, room: Self) -> u32 {
+        let pairs = self.dimensions().into_iter().zip(room.dimensions());
+        let counts = pairs.filter_map(|(need, have)| have.checked_div(need));
+        counts.min().unwrap_or(u32::MAX)
+    }
+
     /// Returns the largest share of `total` that `self` takes in any dimension.
     ///
     /// A dimension that `total` lacks counts as a full share when `self` needs it.
