fix: follow the tasks of a gang side by side

Cause: the runner waited for the end and the commit of one task after the other, so that thirty tasks that ended together took thirty flush intervals, and their room was released that late. After a partial start, a gang that is not repeatable went on with the refused tasks alone. Ruled out: a shorter flush interval; the store's write budget sets it. Change: one task of the runtime per followed task; refused tasks of a partly started gang that is not repeatable end as not run.

--- a/crates/hs-node/src/ledger/follow.rs
+++ b/crates/hs-node/src/ledger/follow.rs
@@ -1,10 +1,12 @@
 //! Placed attempts from their start to their end.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hs_core::TaskEnd;
 use hs_ledger::{RetryCause, TaskKey, TaskState};
 use hs_wire::{NotRunReason, StopMode, StopRequest, TaskPhase, TaskView, WorkId};
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use super::fate::{PlacedFate, ask_owner, find_fate};
@@ -22,43 +24,53 @@
 const STOP_TRIES: u32 = 5;
 
 impl<P: Platform> TaskRunner<P> {
-    pub(super) async fn follow_one(
-        &mut self,
-        placed: &[PlacedTask],
+    /// Follows the tasks side by side, and returns those that have to be attempted again.
+    pub(super) async fn follow_all(
+        self: &Arc<Self>,
+        placed: Vec<PlacedTask>,
         starts: Vec<StartState>,
-        held: &HeldGrants<P>,
+        held: HeldGrants<P>,
     ) -> Option<Vec<(TaskKey, WorkId)>> {
+        let held = Arc::new(held);
+        let mut follows = JoinSet::new();
+        for (index, (placed, start)) in placed.into_iter().zip(starts).enumerate() {
+            let (runner, held) = (self.clone(), held.clone());
+            follows.spawn(async move { runner.follow(&placed, start, &held, index).await });
+        }
         let mut again = Vec::new();
-        for (index, (placed, start)) in placed.iter().zip(starts).enumerate() {
-            again.extend(self.follow(placed, start, held, index).await?);
+        while let Some(next) = follows.join_next().await {
+            again.extend(next.ok()??);
         }
+        again.sort_by_key(|(task, _)| *task);
         Some(again)
     }
 
     /// Follows the tasks of a gang. If some were refused, the others are stopped, so that no part of
     /// a gang goes on alone.
     pub(super) async fn follow_gang(
-        &mut self,
-        placed: &[PlacedTask],
-        starts: Vec<StartState>,
-        held: &HeldGrants<P>,
+        self: &Arc<Self>,
+        placed: Vec<PlacedTask>,
+        mut starts: Vec<StartState>,
+        held: HeldGrants<P>,
     ) -> Option<Vec<(TaskKey, WorkId)>> {
-        let is_partial = starts
-            .iter()
-            .any(|start| matches!(start, StartState::Refused));
+        let is_refused = |start: &StartState| matches!(start, StartState::Refused);
+        let is_partial = starts.iter().any(is_refused) && !starts.iter().all(is_refused);
         if is_partial {
-            for (placed, start) in placed.iter().zip(&starts) {
-                if !matches!(start, StartState::Refused) {
-                    self.stop(placed).await;
+            for (placed, start) in placed.iter().zip(&mut starts) {
+                match start {
+                    // Its part that ran cannot be repeated, so that the rest must not run either.
+                    StartState::Refused if !self.plan.repeatable => *start = StartState::GivenUp,
+                    StartState::Refused | StartState::GivenUp => {}
+                    StartState::Known(_) | StartState::Unclear => self.stop(placed).await,
                 }
             }
         }
-        self.follow_one(placed, starts, held).await
+        self.follow_all(placed, starts, held).await
     }
 
     /// Follows one task to its end. Returns the next attempt if there has to be one.
     pub(super) async fn follow(
-        &mut self,
+        &self,
         placed: &PlacedTask,
         start: StartState,
         held: &HeldGrants<P>,
@@ -70,6 +82,12 @@
                 let cause = RetryCause::NotRun;
                 return self.retry(placed.task, cause).await;
             }
+            StartState::GivenUp => {
+                held.release(index, TaskEnd::Refused);
+                self.end(placed.task, TaskState::NotRun, String::new(), None)
+                    .await?;
+                return Some(None);
+            }
             StartState::Known(view) => self.await_end(placed, view).await,
             StartState::Unclear => None,
         };
@@ -87,10 +105,7 @@
     }
 
     /// Finds out for certain what became of a task whose worker gave no clear answer.
-    pub(super) async fn find_out(
-        &mut self,
-        placed: &PlacedTask,
-    ) -> Option<Option<(TaskKey, WorkId)>> {
+    pub(super) async fn find_out(&self, placed: &PlacedTask) -> Option<Option<(TaskKey, WorkId)>> {
         loop {
             match find_fate(&self.shared, &placed.worker, &placed.id).await {
                 PlacedFate::Known {
@@ -126,11 +141,8 @@
     }
 
     /// Waits for the end of a running task. Returns `None` if the worker no longer answers for it.
-    pub(super) async fn await_end(
-        &mut self,
-        placed: &PlacedTask,
-        first: TaskView,
-    ) -> Option<TaskView> {
+    pub(super) async fn await_end(&self, placed: &PlacedTask, first: TaskView) -> Option<TaskView> {
+        let mut cancelled = self.cancelled.clone();
         let mut view = first;
         let mut is_stopping = false;
         while view.phase == TaskPhase::Running {
@@ -147,7 +159,7 @@
                 .task(&address, &placed.id, END_WAIT, limit);
             tokio::select! {
                 answer = question => view = answer.ok().flatten()?,
-                Ok(()) = self.cancelled.changed(), if !is_stopping => {}
+                Ok(()) = cancelled.changed(), if !is_stopping => {}
             }
         }
         Some(view)
@@ -176,7 +188,7 @@
     }
 
     pub(super) async fn ended(
-        &mut self,
+        &self,
         placed: &PlacedTask,
         view: &TaskView,
     ) -> Option<Option<(TaskKey, WorkId)>> {
--- a/crates/hs-node/src/ledger/placed.rs
+++ b/crates/hs-node/src/ledger/placed.rs
@@ -39,6 +39,8 @@
     Known(TaskView),
     /// It certainly did not start.
     Refused,
+    /// It certainly did not start, and shall not be attempted again.
+    GivenUp,
     /// It may have started.
     Unclear,
 }
--- a/crates/hs-node/src/ledger/runner.rs
+++ b/crates/hs-node/src/ledger/runner.rs
@@ -65,15 +65,19 @@
     pub(super) async fn run(mut self) {
         let mut lost = self.cancelled.clone();
         let is_lost = async move { while lost.changed().await.is_ok() {} };
+        let tasks = std::mem::take(&mut self.plan.tasks);
+        let runner = Arc::new(self);
         tokio::select! {
-            _ = self.run_all() => {}
+            _ = runner.run_all(tasks) => {}
             // The record's next owner finds the tasks by their ids.
             () = is_lost => {}
         }
     }
 
-    async fn run_all(&mut self) -> Option<()> {
-        let tasks = std::mem::take(&mut self.plan.tasks);
+    async fn run_all(
+        self: &Arc<Self>,
+        tasks: Vec<(TaskKey, WorkId, Option<String>)>,
+    ) -> Option<()> {
         let mut waiting = Vec::new();
         for (task, id, worker) in tasks {
             match worker {
@@ -103,7 +107,10 @@
 
     /// Makes one attempt at the waiting tasks together, and returns those that have to be attempted
     /// again. `None` means that the runner must stop.
-    async fn attempt(&mut self, waiting: Vec<(TaskKey, WorkId)>) -> Option<Vec<(TaskKey, WorkId)>> {
+    async fn attempt(
+        self: &Arc<Self>,
+        waiting: Vec<(TaskKey, WorkId)>,
+    ) -> Option<Vec<(TaskKey, WorkId)>> {
         let held = match self.reserve(&waiting).await {
             Ok(held) => held,
             Err(reason) => {
@@ -129,8 +136,8 @@
         }
         let starts = self.start_all(&placed).await;
         match placed.len() {
-            1 => self.follow_one(&placed, starts, &held).await,
-            _ => self.follow_gang(&placed, starts, &held).await,
+            1 => self.follow_all(placed, starts, held).await,
+            _ => self.follow_gang(placed, starts, held).await,
         }
     }
 
