feat: drain reservations, ejection and straggler detection

Cause: a gang or a large task waited for ever beside small tasks that took each piece of room as it became free, and workers that fail everything kept getting work. Ruled out: holding the whole band back behind a waiting gang, since it idles the cluster; claims against every band from the start, since checks would then wait for long work to end; ejection of any number of workers, since failures of most of them have a common cause. Change: work that others were placed ahead of gets claims on the workers whose room is expected first. Claims hold off its own band and those below, backfill that ends before the expected time excepted, and the higher bands too once only their work is left on the claimed room. The claim expires and doubles its validity when it is taken again. Workers are ejected at half of at least five failed ends, for 2 s doubling to 60 s, at most 30 percent of them, and come back after one probe. Stragglers are returned once and no longer count as ending soon.

--- a/crates/hs-core/src/band_queue.rs
+++ b/crates/hs-core/src/band_queue.rs
@@ -8,7 +8,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::customer_account::CustomerAccount;
-use crate::work_record::WorkRecord;
+use crate::work_record::{WorkRecord, WorkStage};
 use crate::{CustomerKey, WorkBand, WorkKey, WorkRequest};
 
 new_key_type! {
@@ -51,6 +51,8 @@
     shape: WorkShape,
     /// No worker had room; set back when a worker gets room that may do.
     blocked: bool,
+    /// Number of placements when the shape's first work did not fit.
+    blocked_at: Option<u64>,
     /// Number of lanes.
     lanes: usize,
     /// Lanes by virtual start time and age of their first work. Both only grow, so that an entry
@@ -126,6 +128,7 @@
             self.shapes.insert(ShapeQueue {
                 shape,
                 blocked: false,
+                blocked_at: None,
                 lanes: 0,
                 heap: BinaryHeap::new(),
             })
@@ -217,8 +220,15 @@
     }
 
     /// Removes the first piece of work of a lane, which was placed, and charges the customer.
-    pub(crate) fn take(&mut self, lane: LaneKey, cost: u64, account: &mut CustomerAccount) {
-        self.lanes[lane].items.pop_front();
+    pub(crate) fn take(&mut self, head: QueueHead, cost: u64, account: &mut CustomerAccount) {
+        let lane = &mut self.lanes[head.lane];
+        // Cancelled work may still be ahead of it.
+        while let Some((_, work)) = lane.items.pop_front()
+            && work != head.work
+        {
+            lane.stale = lane.stale.saturating_sub(1);
+        }
+        self.shapes[head.shape_key].blocked_at = None;
         account.queued[self.band as usize] -= 1;
         self.charge(cost, account);
     }
@@ -250,8 +260,51 @@
     }
 
     /// Skips a shape until a worker gets room for it.
-    pub(crate) fn block(&mut self, shape: ShapeKey) {
-        self.shapes[shape].blocked = true;
+    pub(crate) fn block(&mut self, shape: ShapeKey, placements: u64) {
+        let queue = &mut self.shapes[shape];
+        queue.blocked = true;
+        queue.blocked_at.get_or_insert(placements);
+    }
+
+    /// Returns whether a shape is blocked, and the first work of the blocked shapes that others
+    /// were placed ahead of.
+    pub(crate) fn passed_over(
+        &mut self,
+        placements: u64,
+        works: &SlotMap<WorkKey, WorkRecord>,
+    ) -> (bool, Vec<WorkKey>) {
+        let mut passed = Vec::new();
+        let mut blocked = false;
+        for queue in self.shapes.values_mut().filter(|queue| queue.blocked) {
+            let top = queue.heap.peek().map(|Reverse((.., lane))| *lane);
+            let first = top.and_then(|lane| self.lanes[lane].items.front());
+            match first.filter(|(_, work)| works.contains_key(*work)) {
+                Some((_, work)) => {
+                    blocked = true;
+                    if queue.blocked_at.is_some_and(|at| at < placements) {
+                        passed.push(*work);
+                    }
+                }
+                // The work was cancelled or shed: the next search finds the first one anew.
+                None => queue.blocked = false,
+            }
+        }
+        (blocked, passed)
+    }
+
+    /// Returns the place in line of work that waits.
+    pub(crate) fn head_of(&self, work: WorkKey, record: &WorkRecord) -> Option<QueueHead> {
+        let WorkStage::Queued(Some(lane)) = record.stage else {
+            return None;
+        };
+        let shape_key = self.lanes.get(lane)?.shape;
+        Some(QueueHead {
+            lane,
+            shape_key,
+            shape: self.shapes[shape_key].shape,
+            work,
+            customer: record.request.customer,
+        })
     }
 
     /// Tries shapes again, of which one task fits into `room`.
--- a/crates/hs-core/src/decide.rs
+++ b/crates/hs-core/src/decide.rs
@@ -15,6 +15,7 @@
 impl Placer {
     /// Returns the next decision, or `None` if nothing changes without another input.
     pub fn poll(&mut self, now: Instant) -> Option<Decision> {
+        self.tend_workers(now);
         if let Some(event) = self.events.pop_front() {
             return Some(event);
         }
@@ -26,6 +27,9 @@
         if self.policy.mode == PolicyMode::Baseline {
             return self.poll_arrivals(now);
         }
+        if let Some(decision) = self.serve_drain(now) {
+            return Some(decision);
+        }
         let (head, workers) = self.next_fit(WorkBand::Long, now)?;
         Some(self.place_head(head, workers, now))
     }
@@ -48,7 +52,10 @@
                 let request = &self.works[head.work].request;
                 match self.find(request, Some(head.work), now) {
                     Some(workers) => return Some((head, workers)),
-                    None => self.queues[index].block(head.shape_key),
+                    None => {
+                        self.queues[index].block(head.shape_key, self.drain.placements);
+                        self.drain.note_blocked(now);
+                    }
                 }
             }
         }
@@ -59,15 +66,18 @@
     pub(crate) fn find(
         &self,
         request: &WorkRequest,
-        _work: Option<WorkKey>,
-        _now: Instant,
+        work: Option<WorkKey>,
+        now: Instant,
     ) -> Option<TaskWorkers> {
         let (band, need) = (request.band, request.resources);
-        if request.tasks > 1 {
-            return self.pool.fit_gang(band, need, u32::from(request.tasks));
-        }
-        let worker = self.pool.best_fit(band, need)?;
-        Some(SmallVec::from_iter([worker]))
+        let found = match request.tasks {
+            0 | 1 => {
+                let worker = self.pool.best_fit(band, need);
+                worker.map(|worker| SmallVec::from_iter([worker]))
+            }
+            tasks => self.pool.fit_gang(band, need, u32::from(tasks)),
+        };
+        found.or_else(|| self.find_claimed(request, work, now))
     }
 
     /// Starts the work at the head of a lane.
@@ -80,13 +90,14 @@
         let band = self.works[head.work].request.band;
         let cost = self.pool.cost(head.shape.total());
         let account = &mut self.accounts[head.customer];
-        self.queues[band as usize].take(head.lane, cost, account);
+        self.queues[band as usize].take(head, cost, account);
         self.queued -= 1;
         self.start(head.work, workers, now)
     }
 
     /// Reserves room for work that is in no queue any more.
     pub(crate) fn start(&mut self, work: WorkKey, workers: TaskWorkers, now: Instant) -> Decision {
+        self.drain.placements += 1;
         let record = &mut self.works[work];
         record.stage = WorkStage::Running {
             workers: workers.iter().copied().map(Some).collect(),
@@ -101,6 +112,9 @@
             .saturating_add(need.saturating_mul(workers.len() as u32));
         for (task, worker) in workers.iter().enumerate() {
             self.pool.reserve(*worker, band, need, (work, task as u16));
+            if self.health.placed(*worker, work, now) {
+                self.pool.update(*worker, |record| record.withheld = true);
+            }
         }
         Decision::Place {
             work,
--- a/crates/hs-core/src/placer.rs
+++ b/crates/hs-core/src/placer.rs
@@ -9,6 +9,9 @@
 use crate::band_queue::BandQueue;
 use crate::customer_account::CustomerAccount;
 use crate::deadline_heap::DeadlineHeap;
+use crate::drain::DrainState;
+use crate::health_board::HealthBoard;
+use crate::run_times::RunTimes;
 use crate::work_record::{WorkRecord, WorkStage};
 use crate::worker_pool::WorkerPool;
 use crate::{
@@ -32,6 +35,10 @@
     pub(crate) sequence: u64,
     /// Decisions about workers that wait for [`Placer::poll`].
     pub(crate) events: VecDeque<Decision>,
+    pub(crate) health: HealthBoard,
+    pub(crate) drain: DrainState,
+    /// Finished run times by workload.
+    pub(crate) run_times: HashMap<u32, RunTimes>,
 }
 
 impl Default for Placer {
@@ -48,6 +55,9 @@
             queued: 0,
             sequence: 0,
             events: VecDeque::new(),
+            health: HealthBoard::default(),
+            drain: DrainState::default(),
+            run_times: HashMap::new(),
         }
     }
 }
@@ -111,6 +121,11 @@
     /// Sets whether a worker takes new work.
     pub fn set_worker_state(&mut self, worker: WorkerKey, state: WorkerState, _now: Instant) {
         self.pool.update(worker, |record| record.state = state);
+        if state == WorkerState::Draining {
+            self.health.forget(worker);
+            self.pool.update(worker, |record| record.withheld = false);
+            self.readmit_excess();
+        }
         self.room_returned(worker);
     }
 
@@ -118,12 +133,20 @@
     /// valid until [`Placer::finish`] is called for each of them.
     pub fn remove_worker(&mut self, worker: WorkerKey, _now: Instant) -> Vec<(WorkKey, u16)> {
         let record = self.pool.remove(worker);
+        self.health.forget(worker);
+        self.readmit_excess();
+        self.drain.note_room();
         record.map(|record| record.tasks).unwrap_or_default()
     }
 
     /// Returns when [`Placer::poll`] has to be called even without an input.
     pub fn next_wake(&self) -> Option<Instant> {
-        self.deadlines.first()
+        let wakes = [
+            self.deadlines.first(),
+            self.health.first_wake(),
+            self.drain.wake().filter(|_| self.queued > 0),
+        ];
+        wakes.into_iter().flatten().min()
     }
 
     /// Returns the free room, as heartbeats carry it.
@@ -146,6 +169,7 @@
 
     /// Tries the waiting work again that may fit on a worker whose room has grown.
     pub(crate) fn room_returned(&mut self, worker: WorkerKey) {
+        self.drain.note_room();
         for band in WorkBand::ALL {
             if let Some(room) = self.pool.room(worker, band) {
                 self.queues[band as usize].unblock(room);
@@ -171,6 +195,8 @@
 
     /// Moves all waiting work into the queues of the mode in force, in order of submission.
     fn requeue(&mut self) {
+        self.end_drain();
+        self.drain = DrainState::default();
         let works = self.works.iter().filter(|(_, record)| record.is_queued());
         let mut waiting: Vec<_> = works
             .map(|(work, record)| (record.sequence, work))
--- a/crates/hs-core/src/submit.rs
+++ b/crates/hs-core/src/submit.rs
@@ -87,19 +87,23 @@
     }
 
     /// Frees the room of one task that has ended, or whose start was refused.
-    pub fn finish(&mut self, work: WorkKey, task: u16, _end: TaskEnd, _now: Instant) {
+    pub fn finish(&mut self, work: WorkKey, task: u16, end: TaskEnd, now: Instant) {
         let Some(record) = self.works.get_mut(work) else {
             return;
         };
         let (band, need) = (record.request.band, record.request.resources);
-        let customer = record.request.customer;
-        let WorkStage::Running { workers, .. } = &mut record.stage else {
+        let (customer, workload) = (record.request.customer, record.request.workload);
+        let WorkStage::Running { workers, since, .. } = &mut record.stage else {
             return;
         };
         let placed = workers.get_mut(usize::from(task)).and_then(Option::take);
         let Some(worker) = placed else {
             return;
         };
+        if end == TaskEnd::Done {
+            let run = now.saturating_duration_since(*since);
+            self.run_times.entry(workload).or_default().record(run);
+        }
         if workers.iter().all(Option::is_none) {
             self.works.remove(work);
         }
@@ -111,6 +115,7 @@
             record.release(band, need, (work, task));
         });
         self.room_returned(worker);
+        self.note_end(worker, work, end, now);
     }
 
     /// Cancels work in constant time.
@@ -150,6 +155,7 @@
             request,
             submitted: now,
             sequence: self.sequence,
+            drains: 0,
             stage,
         })
     }
--- a/crates/hs-core/src/work_record.rs
+++ b/crates/hs-core/src/work_record.rs
@@ -16,6 +16,8 @@
     pub(crate) submitted: Instant,
     /// Order of submission.
     pub(crate) sequence: u64,
+    /// Number of drain reservations that ended without a start.
+    pub(crate) drains: u8,
     /// Where it stands.
     pub(crate) stage: WorkStage,
 }
@@ -30,10 +32,8 @@
         /// The worker of each task that has not ended.
         workers: SmallVec<[Option<WorkerKey>; 2]>,
         /// Time of the decision.
-        #[expect(dead_code, reason = "read by straggler detection")]
         since: Instant,
         /// Whether it was reported as a straggler.
-        #[expect(dead_code, reason = "read by straggler detection")]
         straggler: bool,
     },
 }
--- a/crates/hs-core/src/worker_pool.rs
+++ b/crates/hs-core/src/worker_pool.rs
@@ -105,19 +105,26 @@
     }
 
     /// Returns the number of workers that are not draining.
-    #[expect(dead_code, reason = "read by ejection and drain reservations")]
     pub(crate) fn active(&self) -> usize {
         self.active
     }
 
     /// Returns the free room of a band on a worker, claims included.
     pub(crate) fn room(&self, worker: WorkerKey, band: WorkBand) -> Option<Resources> {
-        let record = self.records.get(worker)?;
+        self.room_of(self.records.get(worker)?, band)
+    }
+
+    /// Returns the free room of a band on a worker, claims included.
+    pub(crate) fn room_of(&self, record: &WorkerRecord, band: WorkBand) -> Option<Resources> {
         record.free(band, self.short_reserve, self.long_ceiling)
     }
 
+    /// Returns how many more tasks of a band the ceiling for long work admits on a worker.
+    pub(crate) fn tasks_left(&self, record: &WorkerRecord, band: WorkBand) -> u32 {
+        record.tasks_left(band, self.long_ceiling)
+    }
+
     /// Returns the most that work of a band may hold on a worker.
-    #[expect(dead_code, reason = "read by ejection and drain reservations")]
     pub(crate) fn ceiling(&self, record: &WorkerRecord, band: WorkBand) -> Resources {
         record.ceiling(band, self.short_reserve)
     }
