test: placement core against an oracle, and its policies

Cause: the placement core had no tests. Ruled out: unit tests of the index and the queues, since they would fix the structure and not the behaviour.

--- /dev/null
+++ b/crates/hs-core/tests/capacity.rs
@@ -0,0 +1,170 @@
+//! P1: no worker is ever overcommitted, and room is neither lost nor given twice.
+//!
+//! The command sequences are the same in every run. `HS_CORE_CHECK_RUNS` sets their number for a
+//! longer run (default 300), `HS_CORE_CHECK_SEED` the seed.
+
+mod common;
+mod oracle;
+
+use std::time::Instant;
+
+use common::{amount, policy, request, worker};
+use hs_core::{Placer, PolicyMode, TaskEnd, WorkBand};
+use hs_wire::{NotRunReason, Resources};
+use oracle::{Command, Harness};
+use quickcheck::{Gen, QuickCheck, TestResult};
+
+fn run(commands: &[Command], plain: bool, mode: PolicyMode) -> TestResult {
+    let mut harness = Harness::new(plain, mode);
+    for command in commands {
+        harness.apply(command);
+        harness.settle();
+    }
+    // Everything ends: all room returns, and what still waits is cancelled.
+    loop {
+        let Some(task) = harness.running().next() else {
+            break;
+        };
+        harness.finish(task, TaskEnd::Done);
+        harness.settle();
+    }
+    for work in harness.order.clone() {
+        harness.cancel(work);
+    }
+    harness.settle();
+    for (key, capacity, _) in &harness.workers {
+        let load = harness.placer.worker_load(*key);
+        assert_eq!(load, Some((*capacity, Resources::ZERO)), "room was lost");
+    }
+    TestResult::passed()
+}
+
+fn check(property: fn(Vec<Command>) -> TestResult) {
+    let number = |name, default| match std::env::var(name) {
+        Ok(text) => text.parse().expect("a number"),
+        Err(_) => default,
+    };
+    let runs = number("HS_CORE_CHECK_RUNS", 300);
+    let seed = number("HS_CORE_CHECK_SEED", 0x5eed);
+    let mut check = QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, seed))
+        .tests(runs)
+        .min_tests_passed(runs);
+    if let Err(failure) = check.quicktest(property) {
+        panic!("HS_CORE_CHECK_SEED={seed} HS_CORE_CHECK_RUNS={runs}: {failure:?}");
+    }
+}
+
+/// Guards against overcommitment, a task on two workers, lost room, and work that is placed after
+/// its refusal, under any order of inputs.
+#[test]
+fn any_commands_keep_capacity() {
+    check(|commands| run(&commands, false, PolicyMode::Fair));
+}
+
+/// Guards against work that waits although it fits, for instance behind a larger piece.
+#[test]
+fn plain_work_never_waits_beside_room() {
+    check(|commands| run(&commands, true, PolicyMode::Fair));
+}
+
+/// Guards against a baseline that breaks capacity, which would make its figures worthless.
+#[test]
+fn baseline_keeps_capacity() {
+    check(|commands| run(&commands, false, PolicyMode::Baseline));
+}
+
+struct AdmitCase {
+    name: &'static str,
+    workers: usize,
+    band: WorkBand,
+    need: Resources,
+    tasks: u16,
+    expected: Result<(), NotRunReason>,
+}
+
+/// Guards against work that waits for ever because no worker or quota can hold it, and against a
+/// final refusal of work that only waits for workers.
+#[test]
+fn admission() {
+    let never = Err(NotRunReason::NeverFits);
+    let cases = [
+        (
+            "no workers yet",
+            0,
+            WorkBand::Short,
+            amount(64, 1),
+            1,
+            Ok(()),
+        ),
+        ("fits", 2, WorkBand::Short, amount(8, 4), 1, Ok(())),
+        (
+            "too large for a worker",
+            2,
+            WorkBand::Short,
+            amount(9, 1),
+            1,
+            never,
+        ),
+        (
+            "one dimension missing",
+            2,
+            WorkBand::Short,
+            amount(1, 5),
+            1,
+            never,
+        ),
+        (
+            "long work leaves the reserve",
+            2,
+            WorkBand::Long,
+            amount(8, 1),
+            1,
+            never,
+        ),
+        ("gang fits", 2, WorkBand::Long, amount(3, 1), 4, Ok(())),
+        (
+            "gang exceeds the long ceiling",
+            2,
+            WorkBand::Long,
+            amount(1, 0),
+            5,
+            never,
+        ),
+        (
+            "gang exceeds the quota",
+            9,
+            WorkBand::Short,
+            amount(8, 1),
+            5,
+            never,
+        ),
+    ];
+    for (name, workers, band, need, tasks, expected) in cases {
+        let case = AdmitCase {
+            name,
+            workers,
+            band,
+            need,
+            tasks,
+            expected,
+        };
+        let now = Instant::now();
+        let mut policy = policy(1);
+        policy.short_reserve = amount(1, 1);
+        policy.long_ceiling = Some(2);
+        policy.customers[0].quota = Some(amount(32, 100));
+        let mut placer = Placer::new(policy, now);
+        for index in 0..case.workers {
+            placer.add_worker(worker(index, 0, amount(8, 4)), now);
+        }
+        let customer = placer.customer("c0").unwrap();
+        let mut request = request(customer, case.band, case.need);
+        if workers == 0 {
+            request.resources.cpu_milli = 32_000;
+        }
+        request.tasks = case.tasks;
+        let result = placer.submit(request, now).map(drop);
+        assert_eq!(result, case.expected, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/hs-core/tests/outliers.rs
@@ -0,0 +1,196 @@
+//! Ejection of failing workers, and stragglers.
+
+mod common;
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use common::{amount, policy, request, worker};
+use hs_core::{Decision, Placer, TaskEnd, WorkBand, WorkerKey};
+
+struct EjectCase {
+    name: &'static str,
+    workers: usize,
+    /// The first workers fail everything.
+    failing: usize,
+    most_out: usize,
+}
+
+/// Guards against workers that keep getting work which they fail, and against an ejection of so
+/// many that the rest is overloaded.
+#[test]
+fn failing_workers_are_ejected_up_to_the_ceiling() {
+    let case = |name, workers, failing, most_out| EjectCase {
+        name,
+        workers,
+        failing,
+        most_out,
+    };
+    let cases = [
+        case("none fails", 10, 0, 0),
+        case("one fails", 10, 1, 1),
+        case("half fail", 10, 5, 3),
+        case("all fail", 10, 10, 3),
+        case("the only one fails", 1, 1, 1),
+    ];
+    for case in cases {
+        let mut now = Instant::now();
+        let mut placer = Placer::new(policy(1), now);
+        let keys: Vec<_> = (0..case.workers)
+            .map(|index| placer.add_worker(worker(index, 0, amount(1, 1)), now))
+            .collect();
+        let customer = placer.customer("c0").unwrap();
+        let (mut out, mut most, mut failed) = (Vec::new(), 0, 0);
+        for _ in 0..400 {
+            for _ in 0..case.workers {
+                let request = request(customer, WorkBand::Short, amount(1, 1));
+                placer.submit(request, now).unwrap();
+            }
+            let decisions: Vec<_> = std::iter::from_fn(|| placer.poll(now)).collect();
+            for decision in decisions {
+                match decision {
+                    Decision::Place { work, workers, .. } => {
+                        let fails = keys[..case.failing].contains(&workers[0]);
+                        let end = if fails {
+                            TaskEnd::Failed
+                        } else {
+                            TaskEnd::Done
+                        };
+                        failed += usize::from(fails);
+                        placer.finish(work, 0, end, now);
+                    }
+                    Decision::Eject { worker, .. } if !out.contains(&worker) => out.push(worker),
+                    Decision::Readmit { worker } => out.retain(|known| *known != worker),
+                    _ => {}
+                }
+            }
+            most = most.max(out.len());
+            now += Duration::from_millis(10);
+        }
+        assert_eq!(most, case.most_out, "{}", case.name);
+        // Five failures, then one for each probe: within 4 s at 2 s, and at 6 s for the next.
+        let contained = case.failing > case.most_out || failed <= 6 * case.failing;
+        assert!(contained, "{}: {failed} failed", case.name);
+    }
+}
+
+/// Guards against pauses that do not grow, and a worker that never comes back.
+#[test]
+fn pauses_double_and_a_good_probe_readmits() {
+    let mut now = Instant::now();
+    let mut placer = Placer::new(policy(1), now);
+    let key = placer.add_worker(worker(0, 0, amount(4, 4)), now);
+    let customer = placer.customer("c0").unwrap();
+    let mut pauses: Vec<u64> = Vec::new();
+    let mut placements: HashMap<WorkerKey, usize> = HashMap::new();
+    let mut readmitted = false;
+    for step in 0..20_000 {
+        let sound = step > 18_000;
+        if placer.free_summary().queued < 4 {
+            let request = request(customer, WorkBand::Short, amount(1, 1));
+            placer.submit(request, now).unwrap();
+        }
+        while let Some(decision) = placer.poll(now) {
+            match decision {
+                Decision::Place { work, .. } => {
+                    *placements.entry(key).or_default() += 1;
+                    let end = if sound {
+                        TaskEnd::Done
+                    } else {
+                        TaskEnd::Refused
+                    };
+                    placer.finish(work, 0, end, now);
+                }
+                Decision::Eject { pause, .. } => pauses.push(pause.as_secs()),
+                Decision::Readmit { .. } => readmitted = true,
+                Decision::Refuse { .. } => panic!("no deadline is set"),
+            }
+        }
+        if !sound {
+            assert!(
+                placements[&key] <= 4 + pauses.len(),
+                "one probe for each pause"
+            );
+        }
+        now += Duration::from_millis(10);
+    }
+    assert_eq!(pauses, [2, 4, 8, 16, 32, 60, 60]);
+    assert!(readmitted);
+    assert!(placements[&key] > 20, "the worker is in full use again");
+}
+
+/// Guards against a probe that runs for hours and keeps a sound worker out meanwhile.
+#[test]
+fn long_probe_passes() {
+    let mut now = Instant::now();
+    let mut placer = Placer::new(policy(1), now);
+    placer.add_worker(worker(0, 0, amount(4, 4)), now);
+    let customer = placer.customer("c0").unwrap();
+    for _ in 0..5 {
+        let request = request(customer, WorkBand::Long, amount(1, 1));
+        let Some(Decision::Place { work, .. }) = placer.place_now(request, now) else {
+            panic!("there is room");
+        };
+        placer.finish(work, 0, TaskEnd::Failed, now);
+    }
+    assert!(matches!(placer.poll(now), Some(Decision::Eject { .. })));
+    for _ in 0..2 {
+        placer
+            .submit(request(customer, WorkBand::Long, amount(1, 1)), now)
+            .unwrap();
+    }
+    let mut seen = Vec::new();
+    while let Some(wake) = placer.next_wake() {
+        now = now.max(wake);
+        while let Some(decision) = placer.poll(now) {
+            seen.push(decision);
+        }
+        if seen.len() >= 3 {
+            break;
+        }
+    }
+    let kinds = seen.iter().map(|decision| match decision {
+        Decision::Place { .. } => 'p',
+        Decision::Readmit { .. } => 'r',
+        _ => '?',
+    });
+    assert!(kinds.eq(['p', 'r', 'p']), "{seen:?}");
+}
+
+/// Guards against stragglers that go unnoticed, are reported twice, or are seen where run times
+/// only spread.
+#[test]
+fn stragglers_are_reported_once() {
+    let mut now = Instant::now();
+    let mut placer = Placer::new(policy(1), now);
+    placer.add_worker(worker(0, 0, amount(64, 64)), now);
+    let customer = placer.customer("c0").unwrap();
+    let mut place =
+        |now| match placer.place_now(request(customer, WorkBand::Long, amount(1, 1)), now) {
+            Some(Decision::Place { work, .. }) => work,
+            other => panic!("{other:?}"),
+        };
+    let slow = place(now);
+    let works: Vec<_> = (0..20).map(|_| place(now)).collect();
+    for (index, work) in works.into_iter().enumerate() {
+        now += Duration::from_millis(10);
+        assert!(
+            placer.take_stragglers(now).is_empty(),
+            "after {index} samples"
+        );
+        placer.finish(work, 0, TaskEnd::Done, now);
+    }
+    now += Duration::from_millis(350);
+    assert!(
+        placer.take_stragglers(now).is_empty(),
+        "below three times the percentile"
+    );
+    now += Duration::from_millis(50);
+    let found = placer.take_stragglers(now);
+    assert_eq!(found.len(), 1);
+    assert_eq!(
+        (found[0].work, found[0].usual),
+        (slow, Duration::from_millis(190))
+    );
+    assert!(placer.take_stragglers(now).is_empty(), "reported once");
+}
