feat: log stragglers

Cause: the placement core detects tasks that run far longer than their workload, and nobody asked it. Ruled out: stopping them; what a straggler does is not known, and a stop is the operator's decision. Conclusion: stragglers show in the log once each.

--- a/crates/hs-core/src/worker_pool.rs
+++ b/crates/hs-core/src/worker_pool.rs
@@ -134,7 +134,8 @@
         let (Some(record), Some(room)) = (self.records.get(worker), self.room(worker, band)) else {
             return 0;
         };
-        times(need, room).min(record.tasks_left(band, self.long_ceiling))
+        need.count_in(room)
+            .min(record.tasks_left(band, self.long_ceiling))
     }
 
     /// Returns whether tasks fit on the workers when nothing else runs there.
@@ -145,7 +146,7 @@
         };
         let ceiling = self.long_ceiling.filter(|_| band == WorkBand::Long);
         let fits = |(capacity, count): &(Resources, u32)| {
-            let each = times(need, capacity.saturating_sub(reserve));
+            let each = need.count_in(capacity.saturating_sub(reserve));
             u64::from(each.min(ceiling.unwrap_or(u32::MAX))) * u64::from(*count)
         };
         let fits = self.capacities.iter().map(fits);
@@ -190,7 +191,7 @@
         let mut total = 0;
         self.indices[band as usize].visit_fits(need, |worker, free| {
             let left = self.records[worker].tasks_left(band, self.long_ceiling);
-            let count = times(need, free).min(left).min(tasks);
+            let count = need.count_in(free).min(left).min(tasks);
             found.push((worker, count));
             total += count;
             // A few more than needed, so that racks can be compared.
@@ -249,7 +250,8 @@
             return 0;
         };
         let room = room.saturating_sub(record.held_off(band));
-        times(need, room).min(record.tasks_left(band, self.long_ceiling))
+        need.count_in(room)
+            .min(record.tasks_left(band, self.long_ceiling))
     }
 
     fn refresh(&mut self, worker: WorkerKey) {
@@ -267,13 +269,6 @@
     }
 }
 
-/// Returns how many times an amount fits into a room.
-fn times(need: Resources, room: Resources) -> u32 {
-    let pairs = need.dimensions().into_iter().zip(room.dimensions());
-    let counts = pairs.filter_map(|(need, room)| room.checked_div(need));
-    counts.min().unwrap_or(u32::MAX)
-}
-
 /// Returns the sum over all dimensions of the share of a worker that stays free after a start.
 fn leftover(free: Resources, need: Resources, capacity: Resources) -> f64 {
     let left = free.saturating_sub(need).dimensions();
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -55,6 +55,8 @@
     StartUnknown = 2008, Warn, "start with unknown outcome";
     /// Work was cancelled.
     WorkCancelled = 2009, Info, "work cancelled";
+    /// A task runs far longer than its workload usually does.
+    TaskStraggling = 2010, Warn, "task runs far longer than usual";
     /// A worker's lease was taken.
     LeaseTaken = 3001, Info, "worker lease taken";
     /// A worker's lease was lost.
--- a/crates/hs-node/src/placer/reconcile.rs
+++ b/crates/hs-node/src/placer/reconcile.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use hs_core::{TaskEnd, WorkerKey};
+use hs_event::EventCode;
 use hs_wire::{TaskPhase, TaskView, WorkId};
 
-use super::PlacerTask;
 use super::message::SuspectList;
+use super::{PlacerTask, TaskReservation};
 use crate::port::ClockPort;
 
 /// Age at which a reservation is asked about, and the time between two questions.
@@ -15,6 +16,9 @@
 /// Age at which a reservation whose task the worker does not know is freed after a raised fence.
 const MISSING_AGE: Duration = Duration::from_secs(10);
 
+/// Time between two looks for stragglers, whose cost grows with the number of running tasks.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+
 /// Most tasks in one question, so that a renewal stays small.
 const SUSPECTS_PER_QUERY: usize = 64;
 
@@ -68,4 +72,30 @@
             reservation.is_missing = is_missing;
         }
     }
+
+    /// Logs tasks that run far longer than their workload usually does.
+    pub(super) fn report_stragglers(&mut self) {
+        let now = self.clock.now();
+        if now < self.next_report {
+            return;
+        }
+        self.next_report = now + REPORT_EVERY;
+        for straggler in self.placer.take_stragglers(now) {
+            let holds = |reservation: &TaskReservation| reservation.work == straggler.work;
+            for slot in self.slots.values() {
+                for (task, _) in slot
+                    .tasks
+                    .iter()
+                    .filter(|(_, reservation)| holds(reservation))
+                {
+                    EventCode::TaskStraggling.log(format_args!(
+                        "task={task} worker={} elapsed_ms={} usual_ms={}",
+                        slot.report.name,
+                        straggler.elapsed.as_millis(),
+                        straggler.usual.as_millis(),
+                    ));
+                }
+            }
+        }
+    }
 }
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hs_core::{
     CancelState, CustomerPolicy, Decision, Placer, PlacerPolicy, TaskEnd, WorkBand, WorkKey,
@@ -56,6 +56,7 @@
     queued_tasks: HashMap<WorkId, u64>,
     next_tag: u64,
     budget: RetryBudget,
+    pub(super) next_report: Instant,
 }
 
 impl<Clock: ClockPort> PlacerTask<Clock> {
@@ -63,6 +64,7 @@
     pub fn new(clock: Clock, receiver: mpsc::UnboundedReceiver<PlacerMessage>) -> Self {
         let placer = Placer::new(PlacerPolicy::default(), clock.now());
         let budget = RetryBudget::new(clock.now());
+        let next_report = clock.now();
         Self {
             clock,
             receiver,
@@ -77,6 +79,7 @@
             queued_tasks: HashMap::new(),
             next_tag: 0,
             budget,
+            next_report,
         }
     }
 
@@ -94,6 +97,7 @@
                 () = sleep_until(wake.into()) => {}
             }
             self.follow_opening_hours();
+            self.report_stragglers();
             self.decide();
         }
     }
