fix: keep incarnations of members that left the VM list

Cause: a member that left the VM list was removed at once. When a later list contained it again, a delayed heartbeat of an ended incarnation made it live. Ruled out: a second map of ended incarnations, which needs a limit of its own. Change: such members stay in the arena, receive no heartbeats and are no candidates. The one that has been lost for the longest time is forgotten above `max_members`. Conclusion: an ended incarnation stays ignored as long as its member is remembered.

--- a/crates/hs-peer/src/member_event.rs
+++ b/crates/hs-peer/src/member_event.rs
@@ -16,7 +16,7 @@
     },
     /// A peer is no longer live.
     Lost {
-        /// Key of the peer. It no longer resolves if the peer left the VM list.
+        /// Key of the peer.
         key: MemberKey,
         /// Name of the peer.
         id: String,
--- a/crates/hs-peer/src/membership.rs
+++ b/crates/hs-peer/src/membership.rs
@@ -14,7 +14,7 @@
 mod owner;
 
 slotmap::new_key_type! {
-    /// Key of a member, valid until the member leaves the VM list.
+    /// Key of a member, valid until the member has left the VM list and is forgotten.
     pub struct MemberKey;
 }
 
@@ -178,7 +178,7 @@
             .map(|(key, member)| self.view(key, member))
     }
 
-    /// Returns a member, or `None` if it has left the VM list.
+    /// Returns a member, or `None` if it has left the VM list and is forgotten.
     pub fn get(&self, key: MemberKey) -> Option<MemberView<'_>> {
         self.members.get(key).map(|member| self.view(key, member))
     }
@@ -193,55 +193,51 @@
         if heartbeat.id.is_empty() || heartbeat.address.is_empty() {
             return None;
         }
-        if let Some(key) = self.keys.get(&heartbeat.id) {
-            return (*key != self.own).then_some(*key);
+        let known = self.keys.get(&heartbeat.id).copied();
+        if known == Some(self.own) {
+            return None;
         }
+        let is_listed = known.is_some_and(|key| self.members[key].listing.is_some());
         let version = heartbeat.vm_list_version;
-        if self.list_version.is_some_and(|have| version <= have) || !self.make_room() {
+        if !is_listed && self.list_version.is_some_and(|have| version <= have) {
+            return None;
+        }
+        let limit = self.options.max_members;
+        if known.is_none() && self.members.len() >= limit && !self.forget_oldest() {
             return None;
         }
         let centre = &heartbeat.data_centre;
         Some(self.key_or_insert(&heartbeat.id, &heartbeat.address, centre, now))
     }
 
-    /// Makes room for a peer that is not listed. At the limit, the unlisted peer that has been lost
-    /// for the longest time is forgotten. Returns whether there is room.
-    fn make_room(&mut self) -> bool {
-        if self.members.len() < self.options.max_members {
-            return true;
-        }
-        let lost = self
-            .members
-            .iter()
-            .filter(|(_, member)| !member.is_live() && member.listing.is_none());
+    /// Forgets the unlisted peer that has been lost for the longest time; returns whether there is
+    /// one. Peers are remembered until then so that their lower incarnations stay ignored if they
+    /// come back to the VM list.
+    fn forget_oldest(&mut self) -> bool {
+        let lost = self.members.iter().filter(|(key, member)| {
+            *key != self.own && !member.is_live() && member.listing.is_none()
+        });
         let oldest = lost.min_by_key(|(_, member)| member.deadline);
-        match oldest.map(|(key, _)| key).filter(|key| *key != self.own) {
-            Some(key) => {
-                self.remove(key);
-                true
-            }
-            None => false,
+        let Some(key) = oldest.map(|(key, _)| key) else {
+            return false;
+        };
+        if let Some(member) = self.members.remove(key) {
+            self.keys.remove(&member.id);
         }
+        true
     }
 
+    /// Ends the live members that the VM list does not contain, and forgets some of the others if
+    /// there are too many.
     fn drop_unlisted(&mut self, version: u64) -> Vec<MemberEvent> {
-        let own = self.own;
-        let unlisted: Vec<_> = self
-            .members
-            .iter()
-            .filter(|(key, member)| {
-                let has_newer_list = member.is_live() && member.vm_list_version > version;
-                *key != own && member.listing.is_none() && !has_newer_list
-            })
-            .map(|(key, _)| key)
-            .collect();
         let mut events = Vec::new();
-        for key in unlisted {
-            if self.members[key].is_live() {
+        for key in self.live_peers() {
+            let member = &self.members[key];
+            if member.listing.is_none() && member.vm_list_version <= version {
                 events.push(self.lose(key, LossReason::Unlisted));
             }
-            self.remove(key);
         }
+        while self.members.len() > self.options.max_members && self.forget_oldest() {}
         events
     }
 
@@ -256,12 +252,6 @@
         }
     }
 
-    fn remove(&mut self, key: MemberKey) {
-        if let Some(member) = self.members.remove(key) {
-            self.keys.remove(&member.id);
-        }
-    }
-
     fn lose(&mut self, key: MemberKey, reason: LossReason) -> MemberEvent {
         let member = &mut self.members[key];
         member.end(match reason {
@@ -274,6 +264,11 @@
         MemberEvent::Lost { key, id, reason }
     }
 
+    /// Returns whether a member may exist: it is listed or live, or there is no VM list.
+    fn may_exist(&self, member: &Member) -> bool {
+        self.list_version.is_none() || member.listing.is_some() || member.is_live()
+    }
+
     fn timeout_of(&self, key: MemberKey) -> Duration {
         if self.members[key].data_centre == self.options.data_centre {
             self.options.dead_after
--- a/crates/hs-peer/src/membership/beat.rs
+++ b/crates/hs-peer/src/membership/beat.rs
@@ -18,10 +18,9 @@
         let mut targets = Vec::new();
         if is_due(&mut self.next_beat, self.options.heartbeat_interval, now) {
             let own_centre = &self.options.data_centre;
-            let peers = self
-                .members
-                .iter()
-                .filter(|(key, member)| *key != self.own && member.data_centre == *own_centre);
+            let peers = self.members.iter().filter(|(key, member)| {
+                *key != self.own && member.data_centre == *own_centre && self.may_exist(member)
+            });
             targets.extend(peers.map(|(_, member)| member.address.clone()));
             if self.list_version.is_none() {
                 let is_known = |seed: &String| {
@@ -48,7 +47,7 @@
         let mut centres: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
         for member in self.members.values() {
             let is_remote = member.data_centre != self.options.data_centre;
-            if is_remote && member.state != MemberState::Departed {
+            if is_remote && member.state != MemberState::Departed && self.may_exist(member) {
                 let centre = centres.entry(&member.data_centre).or_default();
                 centre.push(member);
             }
