--- a/crates/hs-peer/src/lib.rs
+++ b/crates/hs-peer/src/lib.rs
@@ -1,6 +1,15 @@
 //! Messages between entry processes, the membership state machine, and the state machines that
 //! guard the manifest and the links to store and peers.
 //!
+//! - [`Membership`] tracks which entry processes are live, and names the preferred owner of a worker
+//!   and the candidates for a ledger partition.
+//! - [`ManifestState`] holds the manifest in force, which never reverts.
+//! - [`RetryBudget`] limits the load that retries add to a link.
+//! - [`CircuitBreaker`] stops calls on a link whose other end fails.
+//!
+//! None of them does I/O or reads a clock: the caller passes the time in, so that tests can run
+//! hours of failures within milliseconds.
+//!
 //! The message code under `generated` comes from `proto/peer.proto` by `cargo run -p hs-gen`, and is
 //! committed so that the build needs no generator.
 
--- a/crates/hs-peer/src/loss_reason.rs
+++ b/crates/hs-peer/src/loss_reason.rs
@@ -1,5 +1,7 @@
 //! Reasons for the loss of a member.
 
+use std::fmt;
+
 /// Why a member is no longer live.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum LossReason {
@@ -12,3 +14,14 @@
     /// A newer VM list does not contain the member.
     Unlisted,
 }
+
+impl fmt::Display for LossReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Timeout => "no heartbeat",
+            Self::Leaving => "shutting down",
+            Self::Restarted => "restarted",
+            Self::Unlisted => "not in the VM list",
+        })
+    }
+}
--- a/crates/hs-peer/src/member.rs
+++ b/crates/hs-peer/src/member.rs
@@ -31,11 +31,14 @@
     pub(crate) id: String,
     pub(crate) address: String,
     pub(crate) data_centre: String,
+    /// Hash of the id for rendezvous hashing.
     pub(crate) hash: u64,
+    /// `None` if the VM list does not contain the member.
     pub(crate) listing: Option<MemberListing>,
     pub(crate) state: MemberState,
     /// When a live member counts as lost.
     pub(crate) deadline: Instant,
+    /// Highest incarnation that was heard of; zero before the first heartbeat.
     pub(crate) incarnation: u64,
     pub(crate) free: Resources,
     pub(crate) queued: u32,
--- a/crates/hs-peer/src/member_event.rs
+++ b/crates/hs-peer/src/member_event.rs
@@ -1,5 +1,6 @@
 //! Changes of the live set.
 
+use std::fmt;
 use std::time::Duration;
 
 use crate::{LossReason, MemberKey};
@@ -30,3 +31,14 @@
         pause: Duration,
     },
 }
+
+/// Formats the event for a log line.
+impl fmt::Display for MemberEvent {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Joined { id, .. } => write!(formatter, "member {id} joined"),
+            Self::Lost { id, reason, .. } => write!(formatter, "member {id} lost: {reason}"),
+            Self::Woke { pause } => write!(formatter, "own process paused for {pause:?}"),
+        }
+    }
+}
--- a/crates/hs-peer/src/member_options.rs
+++ b/crates/hs-peer/src/member_options.rs
@@ -13,6 +13,9 @@
     pub data_centre: String,
     /// Address of the own peer listener.
     pub address: String,
+    /// Start time of the own process in milliseconds since the Unix epoch. Peers ignore heartbeats
+    /// of a lower incarnation than one that they have seen.
+    pub incarnation: u64,
     /// Peer addresses that receive heartbeats as long as there is no VM list.
     pub seeds: Vec<String>,
     /// Time between two heartbeats to each peer of the own data centre.
@@ -38,6 +41,7 @@
             id: String::new(),
             data_centre: String::new(),
             address: String::new(),
+            incarnation: 0,
             seeds: Vec::new(),
             heartbeat_interval: Duration::from_millis(300),
             dead_after: Duration::from_millis(1_200),
--- a/crates/hs-peer/src/membership.rs
+++ b/crates/hs-peer/src/membership.rs
@@ -75,6 +75,7 @@
     pub fn new(options: MemberOptions, now: Instant) -> Self {
         let mut member = Member::new(&options.id, &options.address, &options.data_centre, now);
         member.state = MemberState::Live;
+        member.incarnation = options.incarnation;
         let mut members = SlotMap::with_key();
         let own = members.insert(member);
         let mut membership = Self {
@@ -192,7 +193,8 @@
         events
     }
 
-    /// Excludes the own process from ownership, since it is shutting down.
+    /// Excludes the own process from ownership, since it is shutting down. Its heartbeats announce
+    /// this from now on, and it never counts as live again.
     pub fn leave(&mut self) {
         self.members[self.own].state = MemberState::Departed;
         self.rebuild();
--- a/crates/hs-peer/src/membership/beat.rs
+++ b/crates/hs-peer/src/membership/beat.rs
@@ -3,8 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use hs_wire::Resources;
+
 use super::Membership;
 use crate::member::{Member, MemberState};
+use crate::message::HeartbeatRequest;
 use crate::rendezvous;
 
 impl Membership {
@@ -42,6 +45,23 @@
         targets
     }
 
+    /// Builds the heartbeat of the own process, with what it has free and queued and the revision of
+    /// its manifest.
+    pub fn heartbeat(&self, free: Resources, queued: u32, revision: u64) -> HeartbeatRequest {
+        let own = &self.members[self.own];
+        HeartbeatRequest {
+            id: own.id.clone(),
+            data_centre: own.data_centre.clone(),
+            address: own.address.clone(),
+            incarnation: own.incarnation,
+            free: Some(free.into()),
+            queued,
+            manifest_revision: revision,
+            vm_list_version: self.vm_list_version(),
+            leaving: !own.is_live(),
+        }
+    }
+
     fn remote_targets(&self, targets: &mut Vec<String>) {
         let own_hash = self.members[self.own].hash;
         let mut centres: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
