fix: stable encoding and even spread over partitions

Cause: the value written by a flush carried "released":false, which the image leaves out, and the partition was taken from the lowest bits of an FNV hash, which depend on the lowest bits of the input only: keys that end in 0, 4 or 8 shared a partition of four. Ruled out: a second hash library; the finaliser is five lines. Change: both encoders leave the flag out when it is false; partition_of mixes the hash first.

--- a/crates/hs-ledger/src/flush.rs
+++ b/crates/hs-ledger/src/flush.rs
@@ -4,6 +4,7 @@
 
 use serde::{Serialize, Serializer};
 
+use crate::task::is_false;
 use crate::writing::{Flight, Writing};
 use crate::{FlushEnd, LedgerPartition, OwnerAddress, PartitionImage, ReadBack, RecordKey};
 
@@ -193,6 +194,7 @@
     owner: &'a OwnerAddress,
     writer: &'a str,
     seq: u64,
+    #[serde(skip_serializing_if = "is_false")]
     released: bool,
     #[serde(serialize_with = "serialize_records")]
     records: &'a LedgerPartition,
--- a/crates/hs-ledger/src/hash.rs
+++ b/crates/hs-ledger/src/hash.rs
@@ -14,7 +14,14 @@
 ///
 /// Panics if `partitions` is zero.
 pub fn partition_of(customer: &str, key: &str, partitions: u32) -> u32 {
-    let index = name_hash(customer, key) % u64::from(partitions);
+    // The lowest bits of an FNV hash depend on the lowest bits of the input only, so that keys which
+    // end in 0, 4 or 8 would share a partition of four. The finaliser of MurmurHash3 mixes all bits.
+    let mut hash = name_hash(customer, key);
+    for factor in [0xff51_afd7_ed55_8ccd_u64, 0xc4ce_b9fe_1a85_ec53] {
+        hash = (hash ^ (hash >> 33)).wrapping_mul(factor);
+    }
+    hash ^= hash >> 33;
+    let index = hash % u64::from(partitions);
     u32::try_from(index).expect("a remainder of a u32 fits a u32")
 }
 
