feat: circuit breaker for reservations at peers

Cause: a paused peer counts as live for up to 1.2 s, and each reservation at it waited its full 200 ms. A process that had not heard of its peers yet took the leases of all workers and handed most over again. Ruled out: a shorter death timeout, which would turn a long pause of one process into a takeover. Change: a breaker for each peer in front of Reserve, listed in the status; 600 ms (two heartbeats) before the first worker is linked to; the heartbeat comes from the membership state machine.

--- a/crates/hs-node/src/api/status.rs
+++ b/crates/hs-node/src/api/status.rs
@@ -31,6 +31,8 @@
     pub free: Resources,
     /// Number of queued pieces of work.
     pub queued: u32,
+    /// Peers that get no reservations for the moment, since they did not answer.
+    pub open_breakers: Vec<String>,
     /// Ledger partitions.
     pub partitions: Vec<PartitionStatus>,
 }
@@ -51,6 +53,7 @@
             workers: placer.workers,
             free: placer.summary.free,
             queued: placer.summary.queued,
+            open_breakers: shared.peers.open_breakers(),
             partitions,
         }
     }
--- a/crates/hs-node/src/link/manager.rs
+++ b/crates/hs-node/src/link/manager.rs
@@ -2,9 +2,11 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use hs_wire::{VmEntry, VmRole, VmState};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
 
 use super::{LinkMessage, LinkOrder, WorkerLink};
 use crate::port::Platform;
@@ -13,6 +15,10 @@
 /// Orders that may wait for one link.
 const ORDER_LENGTH: usize = 256;
 
+/// Time after the start before workers are linked to. A process that has not heard of its peers yet
+/// would prefer itself for all workers, and hand most of them over again.
+const FIRST_PAUSE: Duration = Duration::from_millis(600);
+
 struct LinkSlot {
     worker: VmEntry,
     draining: bool,
@@ -41,6 +47,7 @@
         let mut members = self.shared.members.clone();
         let mut vms = self.shared.vms.clone();
         let mut manifest = self.shared.manifest.clone();
+        sleep(FIRST_PAUSE).await;
         self.reconcile();
         loop {
             tokio::select! {
--- a/crates/hs-node/src/member/task.rs
+++ b/crates/hs-node/src/member/task.rs
@@ -28,7 +28,6 @@
     snapshots: watch::Sender<Arc<MemberSnapshot>>,
     sync: SyncHandle,
     membership: Membership,
-    leaving: bool,
 }
 
 impl<P: Platform> MemberTask<P> {
@@ -47,7 +46,6 @@
             snapshots,
             sync,
             membership,
-            leaving: false,
         }
     }
 
@@ -107,22 +105,12 @@
 
     async fn beat(&self) -> HeartbeatRequest {
         let summary = self.shared.placer.status().await.summary;
-        let settings = &self.shared.settings;
-        HeartbeatRequest {
-            id: settings.id.clone(),
-            data_centre: settings.data_centre.clone(),
-            address: settings.peer_address().to_string(),
-            incarnation: self.shared.incarnation,
-            free: Some(summary.free.into()),
-            queued: summary.queued,
-            manifest_revision: self.shared.view().map_or(0, |view| view.revision()),
-            vm_list_version: self.shared.vms.borrow().version,
-            leaving: self.leaving,
-        }
+        let revision = self.shared.view().map_or(0, |view| view.revision());
+        self.membership
+            .heartbeat(summary.free, summary.queued, revision)
     }
 
     async fn leave(&mut self, done: oneshot::Sender<()>) {
-        self.leaving = true;
         self.membership.leave();
         self.publish(Vec::new());
         let beat = self.beat().await;
@@ -146,7 +134,7 @@
                     EventCode::PeerJoined.log(format_args!("peer={id}"));
                 }
                 MemberEvent::Lost { id, reason, .. } => {
-                    EventCode::PeerLost.log(format_args!("peer={id} reason={reason:?}"));
+                    EventCode::PeerLost.log(format_args!("peer={id} reason={reason}"));
                 }
                 MemberEvent::Woke { pause } => {
                     EventCode::ProcessWoke.log(format_args!("pause_ms={}", pause.as_millis()));
--- a/crates/hs-node/src/peer/pool.rs
+++ b/crates/hs-node/src/peer/pool.rs
@@ -10,11 +10,14 @@
     ForwardReply, ForwardRequest, HeartbeatReply, HeartbeatRequest, PullReply, PullRequest,
     ReleaseRequest, ReserveReply, ReserveRequest, ResolveReply, ResolveRequest,
 };
+use hs_peer::{BreakerOptions, BreakerState, CircuitBreaker};
 use thiserror::Error;
 use tokio::time::timeout;
 use tonic::transport::{Channel, Endpoint};
 use tonic::{Response, Status};
 
+use crate::port::ClockPort;
+
 /// Time to open a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -30,10 +33,17 @@
     pub cause: String,
 }
 
+/// A connection and the breaker that keeps reservations off a peer that does not answer.
+#[derive(Debug)]
+struct PeerLink {
+    channel: Channel,
+    breaker: CircuitBreaker,
+}
+
 /// One lazily opened connection to each peer. Clones share the connections.
 #[derive(Clone, Debug, Default)]
 pub struct PeerPool {
-    channels: Arc<Mutex<HashMap<String, Channel>>>,
+    links: Arc<Mutex<HashMap<String, PeerLink>>>,
 }
 
 impl PeerPool {
@@ -54,17 +64,55 @@
 
     /// Reserves room on the peer's workers.
     ///
+    /// A paused peer counts as live for up to 1.2 s; the breaker bounds how much work waits for it.
+    ///
     /// # Errors
     ///
-    /// Returns an error if no reply comes. The peer finds the reservation unused and frees it.
+    /// Returns an error if no reply comes, or at once while the breaker is open. A peer that did
+    /// reserve finds the room unused and frees it.
     pub async fn reserve(
         &self,
         peer: &str,
         request: ReserveRequest,
         limit: Duration,
+        clock: &impl ClockPort,
     ) -> Result<ReserveReply, PeerError> {
-        let mut client = self.client("reservation", peer)?;
-        finish("reservation", peer, client.reserve(request), limit).await
+        let step = "reservation";
+        let mut client = self.client(step, peer)?;
+        let pass = self
+            .with_breaker(peer, |breaker| breaker.admit(clock.now()))
+            .flatten();
+        let Some(pass) = pass else {
+            return Err(PeerError {
+                step,
+                peer: peer.to_owned(),
+                cause: "the circuit breaker is open".to_owned(),
+            });
+        };
+        let result = finish(step, peer, client.reserve(request), limit).await;
+        self.with_breaker(peer, |breaker| match result {
+            Ok(_) => breaker.succeeded(pass),
+            Err(_) => breaker.failed(pass, clock.now()),
+        });
+        result
+    }
+
+    /// Returns the addresses of the peers whose breaker is open.
+    pub fn open_breakers(&self) -> Vec<String> {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let open = links
+            .iter()
+            .filter(|(_, link)| link.breaker.state() != BreakerState::Closed);
+        open.map(|(peer, _)| peer.clone()).collect()
+    }
+
+    fn with_breaker<T>(
+        &self,
+        peer: &str,
+        change: impl FnOnce(&mut CircuitBreaker) -> T,
+    ) -> Option<T> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.get_mut(peer).map(|link| change(&mut link.breaker))
     }
 
     /// Ends reservations on the peer's workers.
@@ -130,9 +178,9 @@
     }
 
     fn client(&self, step: &'static str, peer: &str) -> Result<PeerClient<Channel>, PeerError> {
-        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(channel) = channels.get(peer) {
-            return Ok(client(channel.clone()));
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = links.get(peer) {
+            return Ok(client(link.channel.clone()));
         }
         let endpoint =
             Endpoint::from_shared(format!("http://{peer}")).map_err(|error| PeerError {
@@ -144,7 +192,11 @@
             .connect_timeout(CONNECT_TIMEOUT)
             .tcp_nodelay(true)
             .connect_lazy();
-        channels.insert(peer.to_owned(), channel.clone());
+        let link = PeerLink {
+            channel: channel.clone(),
+            breaker: CircuitBreaker::new(BreakerOptions::default()),
+        };
+        links.insert(peer.to_owned(), link);
         Ok(client(channel))
     }
 }
--- a/crates/hs-node/src/run.rs
+++ b/crates/hs-node/src/run.rs
@@ -105,7 +105,8 @@
     let (sync, sync_messages) = SyncHandle::channel();
     let (manifests, manifest) = watch::channel(None);
     let (lists, vms) = watch::channel(Arc::new(VmList::default()));
-    let options = member_options(&settings);
+    let incarnation = platform.clock().wall_ms();
+    let options = member_options(&settings, incarnation);
     let (snapshots, members) = watch::channel(Arc::new(MemberSnapshot::alone(
         &options,
         platform.clock().now(),
@@ -113,7 +114,7 @@
     let metrics = NodeMetrics::new().map_err(|error| RunError::Metrics(error.to_string()))?;
     let (leaving, is_leaving) = watch::channel(false);
     let shared = Arc::new(NodeShared {
-        incarnation: platform.clock().wall_ms(),
+        incarnation,
         settings,
         platform,
         placer,
@@ -194,8 +195,9 @@
     let _ = timeout(HAND_OVER_LIMIT, shared.links.hand_over_all()).await;
 }
 
-fn member_options(settings: &Settings) -> MemberOptions {
+fn member_options(settings: &Settings, incarnation: u64) -> MemberOptions {
     MemberOptions {
+        incarnation,
         id: settings.id.clone(),
         data_centre: settings.data_centre.clone(),
         address: settings.peer_address().to_string(),
--- a/crates/hs-node/src/work/reserve.rs
+++ b/crates/hs-node/src/work/reserve.rs
@@ -305,7 +305,8 @@
         revision: shared.view().map_or(0, |view| view.revision()),
         partial,
     };
-    let reply = shared.peers.reserve(peer, request, PEER_LIMIT).await;
+    let clock = shared.platform.clock();
+    let reply = shared.peers.reserve(peer, request, PEER_LIMIT, clock).await;
     let grants = reply.map(|reply| reply.grants).unwrap_or_default();
     for (task, grant) in tasks.iter().zip(&grants) {
         EventCode::WorkForwarded.log(format_args!(
