feat: benches of decision cost and policy

Cause: no figure showed whether the targets of the placement core are met. Ruled out: wall-clock runs of the policies, since they are neither repeatable nor quick.

--- /dev/null
+++ b/crates/hs-core/benches/bench_load/mod.rs
@@ -0,0 +1,80 @@
+//! Seeded load that the benches share.
+
+use std::time::Duration;
+
+use hs_core::{CustomerKey, CustomerPolicy, PlacerPolicy, PolicyMode, WorkBand, WorkRequest};
+use hs_wire::Resources;
+
+/// Small generator of repeatable numbers (xorshift64*).
+pub struct SeededNumbers(u64);
+
+impl SeededNumbers {
+    /// Starts the sequence of a seed.
+    pub fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
+    }
+
+    /// Returns a number below `limit`.
+    pub fn below(&mut self, limit: u64) -> u64 {
+        self.0 ^= self.0 >> 12;
+        self.0 ^= self.0 << 25;
+        self.0 ^= self.0 >> 27;
+        (self.0.wrapping_mul(0x2545_f491_4f6c_dd1d) >> 32) % limit
+    }
+}
+
+/// Builds an amount.
+pub fn amount(cores: u32, gib: u32, accelerators: u32, slots: u32, connections: u32) -> Resources {
+    Resources {
+        cpu_milli: cores * 1000,
+        memory_mib: gib * 1024,
+        accelerators,
+        slots,
+        connections,
+    }
+}
+
+/// Builds a policy with customers `c0`, `c1`, ... of equal weight.
+pub fn policy(mode: PolicyMode, customers: usize) -> PlacerPolicy {
+    let customer = |index| CustomerPolicy {
+        name: format!("c{index}"),
+        weight: 1,
+        quota: None,
+        queue_limit: 1_000_000,
+    };
+    PlacerPolicy {
+        mode,
+        customers: (0..customers).map(customer).collect(),
+        short_reserve: Resources::ZERO,
+        long_ceiling: None,
+    }
+}
+
+/// Builds a request of one task that declares its run time.
+pub fn request(
+    customer: CustomerKey,
+    band: WorkBand,
+    resources: Resources,
+    run: Duration,
+) -> WorkRequest {
+    WorkRequest {
+        customer,
+        workload: band as u32,
+        band,
+        resources,
+        tasks: 1,
+        estimate: Some(run),
+        deadline: None,
+        tag: 0,
+    }
+}
+
+/// Returns a percentile of times, which it sorts.
+pub fn percentile(times: &mut [Duration], percent: f64) -> Duration {
+    times.sort_unstable();
+    let rank = (times.len() as f64 * percent / 100.0).ceil() as usize;
+    times
+        .get(rank.max(1) - 1)
+        .copied()
+        .unwrap_or(Duration::ZERO)
+}
--- /dev/null
+++ b/crates/hs-core/benches/decide.rs
@@ -0,0 +1,235 @@
+//! Cost of a decision at the sizes of the targets, with its percentiles and the ratio to the
+//! baseline in the same run.
+//!
+//! One cycle ends a running task, submits one piece of work and polls until nothing changes.
+
+mod bench_load;
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use bench_load::{SeededNumbers, amount, percentile, policy, request};
+use criterion::{BenchmarkId, Criterion};
+use hs_core::{
+    CustomerKey, Decision, Placer, PolicyMode, TaskEnd, WorkBand, WorkKey, WorkRequest, WorkerSpec,
+};
+
+/// Size of a scenario.
+#[derive(Clone, Copy)]
+struct Scale {
+    name: &'static str,
+    workers: usize,
+    customers: usize,
+    queued: usize,
+    /// Most tasks that run at once; fewer if no more fit.
+    running: usize,
+    /// Scale of the sizes: the large fleet runs few large tasks, the small one many small ones.
+    cores: u32,
+}
+
+const SMALL: Scale = Scale {
+    name: "48 workers, 10000 queued",
+    workers: 48,
+    customers: 40,
+    queued: 10_000,
+    running: usize::MAX,
+    cores: 1,
+};
+
+const LARGE: Scale = Scale {
+    name: "3300 workers, 12000 running, 800 customers",
+    workers: 3300,
+    customers: 800,
+    queued: 2000,
+    running: 12_000,
+    cores: 8,
+};
+
+/// A placer under steady load.
+struct LoadedPlacer {
+    placer: Placer,
+    scale: Scale,
+    customers: Vec<CustomerKey>,
+    numbers: SeededNumbers,
+    now: Instant,
+    running: Vec<WorkKey>,
+    waiting: usize,
+    /// Duration of each call of `poll`.
+    polls: Vec<Duration>,
+}
+
+impl LoadedPlacer {
+    fn new(scale: Scale, mode: PolicyMode) -> Self {
+        let now = Instant::now();
+        let mut placer = Placer::new(policy(mode, scale.customers), now);
+        for index in 0..scale.workers {
+            // 7,700 accelerators on 3,300 workers: eight on some 29 % of them.
+            let accelerators = if index % 7 < 2 { 8 } else { 0 };
+            let spec = WorkerSpec {
+                name: format!("w{index}"),
+                rack: format!("r{}", index / 8),
+                capacity: amount(64, 256, accelerators, 8, 64),
+            };
+            placer.add_worker(spec, now);
+        }
+        let customers = (0..scale.customers).map(|index| placer.customer(&format!("c{index}")));
+        let mut loaded = Self {
+            customers: customers.flatten().collect(),
+            placer,
+            scale,
+            numbers: SeededNumbers::new(42),
+            now,
+            running: Vec::new(),
+            waiting: 0,
+            polls: Vec::new(),
+        };
+        // Fills the workers and the queue, and lets the sizes that run mix.
+        while loaded.running.len() < loaded.scale.running.min(30 * loaded.scale.workers)
+            && loaded.waiting < loaded.scale.queued
+        {
+            loaded.submit();
+            loaded.poll();
+        }
+        while loaded.waiting < loaded.scale.queued {
+            loaded.submit();
+        }
+        loaded.cycle_until(loaded.scale.queued);
+        loaded.polls.clear();
+        loaded
+    }
+
+    fn request(&mut self) -> WorkRequest {
+        let customer = self.numbers.below(self.customers.len() as u64) as usize;
+        let cores = self.scale.cores;
+        let (band, need, run_ms) = match self.numbers.below(20) {
+            0 => (WorkBand::Urgent, amount(cores, 1, 0, 0, 1), 50),
+            1..=7 => (WorkBand::Short, amount(cores, 1, 0, 0, 1), 50),
+            8..=10 => (WorkBand::Short, amount(2 * cores, 4, 0, 0, 1), 100),
+            11..=13 => (WorkBand::Normal, amount(cores, 4, 0, 1, 1), 200),
+            14..=15 => (WorkBand::Normal, amount(3 * cores, 8, 0, 1, 1), 400),
+            16..=17 => (WorkBand::Long, amount(4 * cores, 16, 0, 1, 0), 2000),
+            18 => (WorkBand::Long, amount(4 * cores, 16, 2, 1, 0), 2000),
+            _ => (WorkBand::Long, amount(7 * cores, 64, 0, 2, 0), 4000),
+        };
+        request(
+            self.customers[customer],
+            band,
+            need,
+            Duration::from_millis(run_ms),
+        )
+    }
+
+    fn submit(&mut self) {
+        let request = self.request();
+        let result = self.placer.submit(black_box(request), self.now);
+        self.waiting += usize::from(result.is_ok());
+    }
+
+    fn poll(&mut self) -> usize {
+        let mut placed = 0;
+        loop {
+            let start = Instant::now();
+            let decision = black_box(self.placer.poll(self.now));
+            self.polls.push(start.elapsed());
+            match decision {
+                Some(Decision::Place { work, .. }) => {
+                    self.running.push(work);
+                    self.waiting -= 1;
+                    placed += 1;
+                }
+                Some(_) => {}
+                None => return placed,
+            }
+        }
+    }
+
+    /// Runs cycles until a number of decisions to place was taken.
+    fn cycle_until(&mut self, decisions: usize) {
+        let mut placed = 0;
+        while placed < decisions {
+            self.now += Duration::from_millis(1);
+            if let Some(last) = self.running.len().checked_sub(1) {
+                let index = self.numbers.below(last as u64 + 1) as usize;
+                let work = self.running.swap_remove(index);
+                self.placer.finish(work, 0, TaskEnd::Done, self.now);
+            }
+            while self.waiting < self.scale.queued {
+                self.submit();
+            }
+            placed += self.poll();
+        }
+    }
+}
+
+/// Prints the percentiles of `poll` and the decisions a second, and returns the mean time of a
+/// decision with everything that belongs to it.
+fn report(scale: Scale, mode: PolicyMode, decisions: usize) -> Duration {
+    let mut loaded = LoadedPlacer::new(scale, mode);
+    let start = Instant::now();
+    loaded.cycle_until(decisions);
+    let each = start.elapsed() / decisions as u32;
+    let mut polls = std::mem::take(&mut loaded.polls);
+    println!(
+        "{:<44} {mode:>8?} {:>8} {:>9.1?} {:>9.1?} {:>9.1?} {:>9.1?} {:>10.0}",
+        scale.name,
+        loaded.running.len(),
+        percentile(&mut polls, 50.0),
+        percentile(&mut polls, 99.0),
+        percentile(&mut polls, 99.9),
+        percentile(&mut polls, 100.0),
+        1.0 / each.as_secs_f64(),
+    );
+    each
+}
+
+fn main() {
+    println!(
+        "{:<44} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9} {:>10}",
+        "poll", "mode", "running", "p50", "p99", "p99.9", "max", "decision/s"
+    );
+    for scale in [SMALL, LARGE] {
+        let fair = report(scale, PolicyMode::Fair, 100_000);
+        let baseline = report(scale, PolicyMode::Baseline, 100_000);
+        let ratio = fair.as_secs_f64() / baseline.as_secs_f64();
+        println!("    cost of a decision, Fair to Baseline: {ratio:.2}");
+    }
+    let sizes = [
+        ("330 workers", 330),
+        ("3300 workers", 3300),
+        ("33000 workers", 33_000),
+    ];
+    let costs = sizes.map(|(name, workers)| {
+        let growth = Scale {
+            name,
+            workers,
+            queued: 2000,
+            running: 12_000 * workers / 3300,
+            ..LARGE
+        };
+        report(growth, PolicyMode::Fair, 20_000)
+    });
+    let growth = costs.map(|cost| cost.as_secs_f64() / costs[0].as_secs_f64());
+    println!("    growth of the cost with ten and a hundred times the workers: {growth:.2?}");
+
+    let mut criterion = Criterion::default()
+        .sample_size(20)
+        .measurement_time(Duration::from_secs(3))
+        .configure_from_args();
+    let mut group = criterion.benchmark_group("decision");
+    for scale in [SMALL, LARGE] {
+        for mode in [PolicyMode::Fair, PolicyMode::Baseline] {
+            let mut loaded = LoadedPlacer::new(scale, mode);
+            let id = BenchmarkId::new(scale.name, format!("{mode:?}"));
+            group.bench_function(id, |bencher| {
+                bencher.iter_custom(|decisions| {
+                    loaded.polls.clear();
+                    let start = Instant::now();
+                    loaded.cycle_until(decisions as usize);
+                    start.elapsed()
+                });
+            });
+        }
+    }
+    group.finish();
+    criterion.final_summary();
+}
