--- a/crates/hs-ledger/src/admit.rs
+++ b/crates/hs-ledger/src/admit.rs
@@ -92,6 +92,7 @@
     ) -> Admission {
         let mut record = self.new_record(submission, spec, now_ms);
         record.open = None;
+        record.expires_at_ms = 0;
         record.ended_ms = now_ms.max(1);
         record.reason = Some(reason);
         record.tasks.truncate(1);
--- a/crates/hs-ledger/src/mark.rs
+++ b/crates/hs-ledger/src/mark.rs
@@ -226,7 +226,9 @@
         entry.last = self.last;
         if entry.record.outcome().is_final() {
             entry.record.ended_ms = now_ms.max(1);
+            // Neither is of use after the end, and finished records take most of the value.
             entry.record.open = None;
+            entry.record.expires_at_ms = 0;
         }
         let bytes = record_bytes(&entry.record);
         self.bytes = self.bytes - entry.bytes + bytes;
--- a/crates/hs-ledger/src/record.rs
+++ b/crates/hs-ledger/src/record.rs
@@ -53,7 +53,8 @@
     /// Manifest revision under which the record was admitted.
     #[serde(rename = "v", default, skip_serializing_if = "is_zero_u64")]
     pub revision: u64,
-    /// Wall time in milliseconds after which no start may be requested.
+    /// Wall time in milliseconds after which no start may be requested; zero once the record is
+    /// closed.
     #[serde(rename = "x", default, skip_serializing_if = "is_zero_u64")]
     pub expires_at_ms: u64,
     /// Wall time of the admission in milliseconds.
