--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -4,4 +4,6 @@
 mod cluster;
 mod faults;
 mod gang;
+mod not_run;
+mod single_run;
 mod whole_path;
