feat: services, kept at their count in each data centre

Cause: one of the three kinds of work could be named in a manifest and was refused. Ruled out: ledger records for replicas, which need a store write for each start and stop during an outage; a replica may run twice for a moment, so that the tasks themselves are record enough. Change: a keeper for each service, chosen by rendezvous hashing, compares the wanted count with the tasks that all owners of the data centre list, with back-off for replicas that end by themselves; peer call Tasks; manifest fields customer and payload; events E7001 to E7003. Requests are not routed to replicas yet; a changed payload does not replace running replicas.

--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -5,5 +5,6 @@
 mod faults;
 mod gang;
 mod not_run;
+mod service;
 mod single_run;
 mod whole_path;
--- /dev/null
+++ b/crates/hornbeamshunt/tests/promises/service.rs
@@ -0,0 +1,90 @@
+//! Services: replicas are kept at the count that the manifest states.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hs_standin::WorkerOptions;
+use hs_wire::{TaskPhase, VmState};
+
+use crate::cluster::{EntryNode, TestPlatform, eventually, publish, run_test};
+
+fn manifest(replicas: u16) -> String {
+    format!(
+        r#"{{
+        customers: [{{ name: "acme" }}],
+        workloads: [
+            {{ name: "pricing", class: "service", customer: "acme", tasks: {replicas},
+              resources: {{ cpu_milli: 1000, slots: 1 }}, payload: "sleep=600000" }},
+        ],
+    }}"#
+    )
+}
+
+/// Returns how many replicas run of each number.
+async fn running(platform: &TestPlatform) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for log in platform.logs().await {
+        for start in log
+            .0
+            .iter()
+            .filter(|start| start.phase == TaskPhase::Running)
+        {
+            let number = start.id.0.split(':').nth(2).unwrap_or_default();
+            *counts.entry(number.to_owned()).or_insert(0) += 1;
+        }
+    }
+    counts
+}
+
+async fn wait_for(platform: &TestPlatform, replicas: u16, limit: Duration) {
+    let wanted: BTreeMap<String, usize> =
+        (0..replicas).map(|index| (index.to_string(), 1)).collect();
+    eventually(&format!("{replicas} replicas"), limit, async || {
+        (running(platform).await == wanted).then_some(())
+    })
+    .await;
+}
+
+/// Guards against replicas that are missing or doubled after a change of the count, the death of the
+/// keeper, and a worker that leaves.
+#[test]
+fn replicas_follow_the_manifest_and_survive_their_keeper() {
+    run_test(async {
+        let mut platform = TestPlatform::start(6, WorkerOptions::default()).await;
+        let mut nodes = EntryNode::start_all(&mut platform, 3, &manifest(7)).await;
+        let limit = Duration::from_secs(15);
+        wait_for(&platform, 7, limit).await;
+        assert!(publish(&platform, &manifest(4)).status.success());
+        wait_for(&platform, 4, limit).await;
+        let before = platform.logs().await;
+        nodes[0].kill();
+        // Longer than the takeover of workers and keeper together, in which nothing may be doubled.
+        tokio::time::sleep(Duration::from_secs(9)).await;
+        wait_for(&platform, 4, Duration::from_secs(1)).await;
+        let started =
+            |logs: &[hs_standin::WorkerLog]| logs.iter().map(|log| log.0.len()).sum::<usize>();
+        let after = platform.logs().await;
+        assert_eq!(
+            started(&after),
+            started(&before),
+            "a running replica was replaced"
+        );
+        let busy = after
+            .iter()
+            .position(|log| log.0.iter().any(|start| start.phase == TaskPhase::Running));
+        let busy = busy.expect("a worker with replicas");
+        platform.entries[busy].state = VmState::Leaving;
+        platform.publish_vms().await;
+        eventually("an empty worker", limit, async || {
+            let logs = platform.logs().await;
+            let is_empty = logs[busy]
+                .0
+                .iter()
+                .all(|start| start.phase != TaskPhase::Running);
+            is_empty.then_some(())
+        })
+        .await;
+        wait_for(&platform, 4, limit).await;
+        platform.assert_within_capacity().await;
+    });
+}
--- a/crates/hs-config/src/check.rs
+++ b/crates/hs-config/src/check.rs
@@ -109,7 +109,7 @@
             (FieldKind::Name, ConfigTree::Text(name)) => self.name(path, name),
             (FieldKind::Token, ConfigTree::Text(token)) => self.token(path, token),
             (FieldKind::Address, ConfigTree::Text(address)) => self.address(path, address),
-            (FieldKind::Flag, ConfigTree::Flag) => {}
+            (FieldKind::Text, ConfigTree::Text(_)) | (FieldKind::Flag, ConfigTree::Flag) => {}
             (FieldKind::Whole(min, max), ConfigTree::Whole(number)) => {
                 if !(min..=max).contains(number) {
                     self.report(path, format!("{number} is out of range {min} to {max}"));
--- a/crates/hs-config/src/check_manifest.rs
+++ b/crates/hs-config/src/check_manifest.rs
@@ -30,7 +30,9 @@
         }
     }
     for (index, workload) in tree.items("workloads").iter().enumerate() {
-        check_workload(check, &root.field("workloads").item(index), workload);
+        let path = root.field("workloads").item(index);
+        check_workload(check, &path, workload);
+        check_service(check, &path, workload, tree.items("customers"));
     }
     let Some(reserve) = tree.get("short_reserve") else {
         return;
@@ -62,6 +64,39 @@
     check.report(&path.field("tasks"), message);
 }
 
+fn check_service(
+    check: &mut TreeCheck,
+    path: &FieldPath,
+    workload: &ConfigTree,
+    customers: &[ConfigTree],
+) {
+    let is_service = match workload.text("class") {
+        Some(class) => class == "service",
+        None => return,
+    };
+    let is_listed = |name| {
+        customers
+            .iter()
+            .any(|entry| entry.text("name") == Some(name))
+    };
+    match (is_service, workload.text("customer")) {
+        (true, None) if workload.get("customer").is_none() => {
+            let message = "a service needs the customer that it is accounted to";
+            check.report(&path.field("customer"), message);
+        }
+        (true, Some(name)) if !is_listed(name) => {
+            let message = format!("the manifest has no customer {name:?}");
+            check.report(&path.field("customer"), message);
+        }
+        _ => {}
+    }
+    for field in ["customer", "payload"] {
+        if !is_service && workload.get(field).is_some() {
+            check.report(&path.field(field), "only services have this field");
+        }
+    }
+}
+
 /// Returns whether amounts are all absent or zero. Malformed ones are reported elsewhere.
 fn is_zero(amounts: &ConfigTree) -> bool {
     match amounts {
--- a/crates/hs-config/src/manifest.rs
+++ b/crates/hs-config/src/manifest.rs
@@ -83,7 +83,8 @@
     pub urgent: bool,
     /// What one task takes.
     pub resources: Resources,
-    /// Number of tasks of one submission, 1 to 1000. One for checks and orders.
+    /// Number of tasks of one submission, 1 to 1000. One for checks and orders. For a service, the
+    /// number of replicas in each data centre.
     #[serde(default = "default_tasks")]
     pub tasks: u16,
     /// Declared run time of one task in milliseconds, 1 to 31536000000 (one year). Absent: not known.
@@ -93,6 +94,12 @@
     /// checks and batch work, false for orders and gangs.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub repeatable: Option<bool>,
+    /// The customer that a service is accounted to. Required for services, only for them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<String>,
+    /// Input of the replicas of a service; only for services. Absent: empty.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub payload: Option<String>,
 }
 
 impl WorkloadEntry {
--- a/crates/hs-config/src/rule.rs
+++ b/crates/hs-config/src/rule.rs
@@ -7,6 +7,8 @@
     Name,
     /// A secret of at least 16 visible ASCII characters.
     Token,
+    /// Any string.
+    Text,
     /// An address as `ip:port`.
     Address,
     /// `true` or `false`.
@@ -64,6 +66,7 @@
         match self {
             Self::Name => "a name".into(),
             Self::Token => "a string of at least 16 characters".into(),
+            Self::Text => "a string".into(),
             Self::Address => "an address ip:port".into(),
             Self::Flag => "true or false".into(),
             Self::Whole(min, max) => format!("a whole number, {min} to {max}"),
--- a/crates/hs-config/src/rules.rs
+++ b/crates/hs-config/src/rules.rs
@@ -2,7 +2,7 @@
 
 use crate::rule::FieldDefault::{Absent, Required, Value};
 use crate::rule::FieldKind::{
-    Address, Addresses, Choice, Flag, Name, Names, Object, Objects, Token, Whole,
+    Address, Addresses, Choice, Flag, Name, Names, Object, Objects, Text, Token, Whole,
 };
 use crate::rule::{FieldDefault, FieldKind, FieldRule, ObjectRule};
 
@@ -98,6 +98,8 @@
         field("tasks", Whole(1, 1000), Value("1"), "tasks"),
         field("estimate_ms", Whole(1, MAX_ESTIMATE_MS), Absent, "ms"),
         field("repeatable", Flag, Absent, ""),
+        field("customer", Name, Absent, ""),
+        field("payload", Text, Absent, ""),
     ],
 };
 
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -85,6 +85,12 @@
     StoreUp = 6004, Info, "store available";
     /// A store write had no reply and was read back.
     WriteReadBack = 6005, Warn, "store write without reply, read back";
+    /// A replica of a service was started.
+    ReplicaStarted = 7001, Info, "service replica started";
+    /// A replica of a service was stopped, since it is not wanted.
+    ReplicaStopped = 7002, Info, "service replica stopped";
+    /// A replica of a service could not be started, or ended by itself.
+    ReplicaMissing = 7003, Warn, "service replica missing";
 }
 
 impl EventCode {
--- a/crates/hs-node/src/lib.rs
+++ b/crates/hs-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod placer;
 pub mod port;
 pub mod run;
+pub mod service;
 pub mod shared;
 pub mod sync;
 pub mod work;
--- a/crates/hs-node/src/peer/pool.rs
+++ b/crates/hs-node/src/peer/pool.rs
@@ -8,7 +8,8 @@
 use hs_peer::message::peer_client::PeerClient;
 use hs_peer::message::{
     ForwardReply, ForwardRequest, HeartbeatReply, HeartbeatRequest, PullReply, PullRequest,
-    ReleaseRequest, ReserveReply, ReserveRequest, ResolveReply, ResolveRequest,
+    ReleaseRequest, ReserveReply, ReserveRequest, ResolveReply, ResolveRequest, TasksReply,
+    TasksRequest,
 };
 use hs_peer::{BreakerOptions, BreakerState, CircuitBreaker};
 use thiserror::Error;
@@ -162,6 +163,21 @@
         finish("forward", peer, client.forward(request), limit).await
     }
 
+    /// Gets the tasks that hold room on the peer's workers and whose id begins with a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no reply comes; the call can be repeated.
+    pub async fn tasks(
+        &self,
+        peer: &str,
+        request: TasksRequest,
+        limit: Duration,
+    ) -> Result<TasksReply, PeerError> {
+        let mut client = self.client("task list", peer)?;
+        finish("task list", peer, client.tasks(request), limit).await
+    }
+
     /// Gets the manifest and the VM list of a peer.
     ///
     /// # Errors
--- a/crates/hs-node/src/peer/server.rs
+++ b/crates/hs-node/src/peer/server.rs
@@ -8,7 +8,7 @@
 use hs_peer::message::{
     ForwardReply, ForwardRequest, Grant, HeartbeatReply, HeartbeatRequest, PullReply, PullRequest,
     ReleaseReply, ReleaseRequest, ReserveReply, ReserveRequest, ResolveReply, ResolveRequest,
-    TaskEndKind,
+    TaskEndKind, TasksReply, TasksRequest,
 };
 use hs_wire::WorkId;
 use tokio::net::TcpListener;
@@ -188,6 +188,15 @@
         Ok(Response::new(reply))
     }
 
+    async fn tasks(&self, request: Request<TasksRequest>) -> Result<Response<TasksReply>, Status> {
+        let tasks = self
+            .shared
+            .placer
+            .held_tasks(&request.into_inner().prefix)
+            .await;
+        Ok(Response::new(TasksReply { tasks }))
+    }
+
     async fn pull(&self, request: Request<PullRequest>) -> Result<Response<PullReply>, Status> {
         let request = request.into_inner();
         let mut reply = PullReply::default();
--- a/crates/hs-node/src/placer/handle.rs
+++ b/crates/hs-node/src/placer/handle.rs
@@ -1,6 +1,7 @@
 //! Handle to the placer task.
 
 use hs_core::TaskEnd;
+use hs_peer::message::HeldTask;
 use hs_wire::{NotRunReason, WorkId};
 use tokio::sync::{mpsc, oneshot};
 
@@ -59,6 +60,14 @@
         result.await.unwrap_or_default()
     }
 
+    /// Asks for the tasks that hold room and whose id begins with a prefix.
+    pub async fn held_tasks(&self, prefix: &str) -> Vec<HeldTask> {
+        let (reply, result) = oneshot::channel();
+        let prefix = prefix.to_owned();
+        self.send(PlacerMessage::HeldTasks { prefix, reply });
+        result.await.unwrap_or_default()
+    }
+
     /// Asks for a summary.
     pub async fn status(&self) -> PlacerStatus {
         let (reply, result) = oneshot::channel();
--- a/crates/hs-node/src/placer/message.rs
+++ b/crates/hs-node/src/placer/message.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use hs_core::TaskEnd;
+use hs_peer::message::HeldTask;
 use hs_wire::{LeaseGrant, TaskView, WorkId};
 use tokio::sync::oneshot;
 
@@ -116,6 +117,13 @@
         /// Number of live entry processes in the data centre.
         members: u32,
     },
+    /// Asks for the tasks that hold room and whose id begins with a prefix.
+    HeldTasks {
+        /// The prefix.
+        prefix: String,
+        /// Where they go.
+        reply: oneshot::Sender<Vec<HeldTask>>,
+    },
     /// Asks for a summary.
     Status {
         /// Where it goes.
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -141,6 +141,9 @@
                 self.members = members;
                 self.apply_policy();
             }
+            PlacerMessage::HeldTasks { prefix, reply } => {
+                let _ = reply.send(self.held_tasks(&prefix));
+            }
             PlacerMessage::Status { reply } => {
                 let _ = reply.send(self.status());
             }
--- a/crates/hs-node/src/placer/workers.rs
+++ b/crates/hs-node/src/placer/workers.rs
@@ -5,6 +5,7 @@
 
 use hs_core::{TaskEnd, WorkBand, WorkRequest, WorkerKey, WorkerSpec, WorkerState};
 use hs_event::EventCode;
+use hs_peer::message::HeldTask;
 use hs_wire::{TaskPhase, TaskView};
 
 use super::task::{FORMER_CUSTOMER, WorkerSlot};
@@ -141,4 +142,19 @@
             workers,
         }
     }
+
+    pub(super) fn held_tasks(&self, prefix: &str) -> Vec<HeldTask> {
+        let mut held = Vec::new();
+        for slot in self.slots.values() {
+            let tasks = slot.tasks.keys().filter(|task| task.0.starts_with(prefix));
+            held.extend(tasks.map(|task| HeldTask {
+                task_id: task.0.clone(),
+                worker: slot.report.name.clone(),
+                address: slot.report.address.clone(),
+                fence: slot.report.grant.fence,
+                draining: slot.report.draining || slot.report.grant.draining,
+            }));
+        }
+        held
+    }
 }
--- a/crates/hs-node/src/run.rs
+++ b/crates/hs-node/src/run.rs
@@ -23,6 +23,7 @@
 use crate::peer::{PeerPool, PeerServerTask};
 use crate::placer::{PlacerHandle, PlacerTask};
 use crate::port::{ClockPort, HttpPlatform, Platform};
+use crate::service::ServiceKeeper;
 use crate::shared::NodeShared;
 use crate::sync::{SyncHandle, SyncTask};
 
@@ -153,6 +154,7 @@
     for (number, messages) in (0..).zip(partition_messages) {
         tokio::spawn(PartitionTask::new(shared.clone(), number, messages).run());
     }
+    tokio::spawn(ServiceKeeper::new(shared.clone()).run());
     let (ended, peer_stop) = watch::channel(false);
     let peer_server =
         tokio::spawn(PeerServerTask::new(shared.clone()).run(listeners.peer, peer_stop.clone()));
--- a/crates/hs-node/src/work/submit.rs
+++ b/crates/hs-node/src/work/submit.rs
@@ -42,7 +42,7 @@
             check(shared, submission.clone(), entry, view.revision(), arrived).await
         }
         Some(entry) if entry.class == WorkClass::Service => {
-            let detail = "workloads of class service are not served yet";
+            let detail = "replicas of a service are started by the manifest, not by submissions";
             WorkReply::not_run(&submission.key, NotRunReason::UnsupportedClass, detail)
         }
         _ => call_owner(shared, DurableCall::Submit(submission.clone()), arrived)
--- a/crates/hs-wire/src/outcome.rs
+++ b/crates/hs-wire/src/outcome.rs
@@ -57,7 +57,7 @@
     UnknownCustomer,
     /// The manifest has no such workload.
     UnknownWorkload,
-    /// The workload's class is not served yet.
+    /// The workload is a service, which the manifest starts.
     UnsupportedClass,
     /// No worker, or no quota, is large enough even when idle.
     NeverFits,
