feat: encode each record once per change

Ruled out: a binary form (a store value that people cannot read, for a gain on the same work). Change: an entry keeps its encoded record, which also gives its size; a write joins them. Results are looked up for release only if the record has a cut one.

--- a/crates/hs-ledger/src/admit.rs
+++ b/crates/hs-ledger/src/admit.rs
@@ -3,7 +3,8 @@
 use hs_wire::{NotRunReason, Submission, WorkClass};
 
 use crate::hash::{body_hash, name_hash};
-use crate::size::{ADMIT_BYTES, REFUSAL_BYTES, record_bytes};
+use crate::partition::RecordEntry;
+use crate::size::{ADMIT_BYTES, REFUSAL_BYTES};
 use crate::{LedgerPartition, LedgerRecord, LedgerTask, OpenPart, RecordKey, Stamp, TaskState};
 
 /// What the manifest and the forwarding process say about a submission.
@@ -68,11 +69,12 @@
             return self.tombstone(submission, spec, NotRunReason::KeyExpired, now_ms);
         }
         let record = self.new_record(submission, spec, now_ms);
-        if self.bytes + record_bytes(&record) > ADMIT_BYTES {
+        let entry = RecordEntry::new(record, self.last.next());
+        if self.bytes + entry.bytes > ADMIT_BYTES {
             return self.tombstone(submission, spec, NotRunReason::LedgerFull, now_ms);
         }
-        self.last = self.last.next();
-        let record = self.insert(record);
+        self.last = entry.last;
+        let record = self.insert(entry);
         Admission::New {
             record,
             stamp: self.last,
@@ -99,11 +101,12 @@
         for task in &mut record.tasks {
             task.state = TaskState::NotRun;
         }
-        if self.bytes + record_bytes(&record) > REFUSAL_BYTES {
+        let entry = RecordEntry::new(record, self.last.next());
+        if self.bytes + entry.bytes > REFUSAL_BYTES {
             return Admission::Refused(reason);
         }
-        self.last = self.last.next();
-        let record = self.insert(record);
+        self.last = entry.last;
+        let record = self.insert(entry);
         Admission::Existing { record }
     }
 
--- a/crates/hs-ledger/src/flush.rs
+++ b/crates/hs-ledger/src/flush.rs
@@ -2,11 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use serde::{Serialize, Serializer};
-
-use crate::task::is_false;
 use crate::writing::{Flight, Writing};
-use crate::{FlushEnd, LedgerPartition, OwnerAddress, PartitionImage, ReadBack, RecordKey};
+use crate::{FlushEnd, LedgerPartition, PartitionImage, ReadBack, RecordKey};
 
 /// Longest time between the starts of two writes. The owner has to write once a second; the rest is
 /// a margin for late timers.
@@ -19,6 +16,9 @@
 /// Longest wait between two tries of a write.
 const LONGEST_BACK_OFF: Duration = Duration::from_secs(1);
 
+/// End of an encoded value without records.
+const FRAME_END: &[u8] = b"]}";
+
 /// One write that the caller has to make.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LedgerFlush {
@@ -172,38 +172,19 @@
         }
     }
 
+    /// Encodes like a [`PartitionImage`] with all records.
     fn encode(&self) -> Vec<u8> {
-        let view = ImageView {
-            epoch: self.epoch,
-            owner: &self.owner,
-            writer: &self.writer,
-            seq: self.seq,
-            released: self.releasing,
-            records: self,
-        };
         let mut body = Vec::with_capacity(self.bytes);
-        serde_json::to_writer(&mut body, &view).expect("ledger types have only string keys");
+        let frame = self.frame(self.seq, self.releasing);
+        let start = frame.strip_suffix(FRAME_END);
+        body.extend_from_slice(start.expect("the records are the last field"));
+        for (index, entry) in self.records.values().enumerate() {
+            if index > 0 {
+                body.push(b',');
+            }
+            body.extend_from_slice(&entry.encoded);
+        }
+        body.extend_from_slice(FRAME_END);
         body
     }
 }
-
-/// Encodes like a [`PartitionImage`], without a copy of the records.
-#[derive(Serialize)]
-struct ImageView<'a> {
-    epoch: u64,
-    owner: &'a OwnerAddress,
-    writer: &'a str,
-    seq: u64,
-    #[serde(skip_serializing_if = "is_false")]
-    released: bool,
-    #[serde(serialize_with = "serialize_records")]
-    records: &'a LedgerPartition,
-}
-
-fn serialize_records<S: Serializer>(
-    partition: &&LedgerPartition,
-    serializer: S,
-) -> Result<S::Ok, S::Error> {
-    let records = partition.records.values().map(|entry| &entry.record);
-    serializer.collect_seq(records)
-}
--- a/crates/hs-ledger/src/mark.rs
+++ b/crates/hs-ledger/src/mark.rs
@@ -2,9 +2,7 @@
 
 use hs_wire::{NotRunReason, Outcome};
 
-use crate::size::{
-    KEPT_DETAIL_BYTES, KEPT_RESULT_BYTES, RESULT_BYTES, WORKER_BYTES, cut, record_bytes,
-};
+use crate::size::{KEPT_DETAIL_BYTES, KEPT_RESULT_BYTES, RESULT_BYTES, WORKER_BYTES, cut};
 use crate::{LedgerPartition, MarkError, RecordKey, RetryCause, Stamp, TaskKey, TaskState};
 
 /// Age of a placement in milliseconds above which the worker may have forgotten the task. Workers
@@ -223,16 +221,15 @@
     fn changed(&mut self, record: RecordKey, now_ms: u64) -> Stamp {
         self.last = self.last.next();
         let entry = &mut self.records[record];
-        entry.last = self.last;
         if entry.record.outcome().is_final() {
             entry.record.ended_ms = now_ms.max(1);
             // Neither is of use after the end, and finished records take most of the value.
             entry.record.open = None;
             entry.record.expires_at_ms = 0;
         }
-        let bytes = record_bytes(&entry.record);
-        self.bytes = self.bytes - entry.bytes + bytes;
-        entry.bytes = bytes;
+        self.bytes -= entry.bytes;
+        entry.update(self.last);
+        self.bytes += entry.bytes;
         self.last
     }
 }
--- a/crates/hs-ledger/src/partition.rs
+++ b/crates/hs-ledger/src/partition.rs
@@ -8,7 +8,7 @@
 
 use crate::hash::name_hash;
 use crate::long_results::LongResults;
-use crate::size::{encoded_bytes, record_bytes};
+use crate::size::{encode, record_bytes};
 use crate::writing::Writing;
 use crate::{LedgerOptions, LedgerOwner, LedgerRecord, OwnerAddress, PartitionImage, Stamp};
 
@@ -25,10 +25,34 @@
     pub first: Stamp,
     /// Stamp of the last change.
     pub last: Stamp,
+    /// The record in the store value. It is encoded once per change, since each write repeats all
+    /// records.
+    pub encoded: Vec<u8>,
     /// Result of [`record_bytes`].
     pub bytes: usize,
 }
 
+impl RecordEntry {
+    /// Builds the entry of a record that was changed last at `stamp`.
+    pub fn new(record: LedgerRecord, stamp: Stamp) -> Self {
+        let encoded = encode(&record);
+        Self {
+            bytes: record_bytes(&record, &encoded),
+            record,
+            first: stamp,
+            last: stamp,
+            encoded,
+        }
+    }
+
+    /// Notes that the record was changed at `stamp`.
+    pub fn update(&mut self, stamp: Stamp) {
+        self.last = stamp;
+        self.encoded = encode(&self.record);
+        self.bytes = record_bytes(&self.record, &self.encoded);
+    }
+}
+
 /// The owner's view of a partition.
 #[derive(Debug)]
 pub struct LedgerPartition {
@@ -104,16 +128,9 @@
             releasing: false,
             lost: false,
         };
-        partition.bytes = encoded_bytes(&PartitionImage {
-            epoch: partition.epoch,
-            owner: partition.owner.clone(),
-            writer: partition.writer.clone(),
-            seq: u64::MAX,
-            released: true,
-            records: Vec::new(),
-        });
+        partition.bytes = partition.frame(u64::MAX, true).len();
         for record in image.records {
-            partition.insert(record);
+            partition.insert(RecordEntry::new(record, partition.last));
         }
         partition
     }
@@ -173,17 +190,22 @@
         self.bytes
     }
 
-    /// Adds a record with the stamp of the last change.
-    pub(crate) fn insert(&mut self, record: LedgerRecord) -> RecordKey {
-        let hash = name_hash(&record.customer, &record.key);
-        let bytes = record_bytes(&record);
-        self.bytes += bytes;
-        let entry = RecordEntry {
-            record,
-            first: self.last,
-            last: self.last,
-            bytes,
-        };
+    /// Returns the encoded value without records.
+    pub(crate) fn frame(&self, seq: u64, released: bool) -> Vec<u8> {
+        encode(&PartitionImage {
+            epoch: self.epoch,
+            owner: self.owner.clone(),
+            writer: self.writer.clone(),
+            seq,
+            released,
+            records: Vec::new(),
+        })
+    }
+
+    /// Adds a record.
+    pub(crate) fn insert(&mut self, entry: RecordEntry) -> RecordKey {
+        let hash = name_hash(&entry.record.customer, &entry.record.key);
+        self.bytes += entry.bytes;
         let key = self.records.insert(entry);
         self.index.entry(hash).or_default().push(key);
         key
@@ -195,7 +217,9 @@
             return;
         };
         self.bytes -= entry.bytes;
-        self.long_results.release(key);
+        if entry.record.tasks.iter().any(|task| task.truncated) {
+            self.long_results.release(key);
+        }
         let hash = name_hash(&entry.record.customer, &entry.record.key);
         if let Some(bucket) = self.index.get_mut(&hash) {
             bucket.retain(|other| *other != key);
--- a/crates/hs-ledger/src/size.rs
+++ b/crates/hs-ledger/src/size.rs
@@ -3,8 +3,6 @@
 //! The size that counts against the limits is the encoded size plus what open tasks may still add to
 //! it, so that the value cannot outgrow the store's limit after records were admitted.
 
-use std::io::{self, Write};
-
 use serde::Serialize;
 
 use crate::{LedgerRecord, TaskState};
@@ -40,7 +38,7 @@
 const END_BYTES: usize = 66;
 
 /// Returns the size that a record counts with, with the comma that separates it from the next.
-pub(crate) fn record_bytes(record: &LedgerRecord) -> usize {
+pub(crate) fn record_bytes(record: &LedgerRecord, encoded: &[u8]) -> usize {
     let tasks = record.tasks.iter().map(|task| match task.state {
         TaskState::Waiting => PLACEMENT_BYTES + CHANGE_BYTES,
         TaskState::Placed => CHANGE_BYTES,
@@ -54,18 +52,16 @@
         0 => END_BYTES,
         _ => 0,
     };
-    encoded_bytes(record) + 1 + end + tasks.sum::<usize>()
+    encoded.len() + 1 + end + tasks.sum::<usize>()
 }
 
-/// Returns the encoded size of a value.
+/// Encodes a part of the store value.
 ///
 /// # Panics
 ///
 /// Panics if the value cannot be encoded, which the types of the store value exclude.
-pub(crate) fn encoded_bytes(value: &impl Serialize) -> usize {
-    let mut counter = ByteCounter(0);
-    serde_json::to_writer(&mut counter, value).expect("ledger types have only string keys");
-    counter.0
+pub(crate) fn encode(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("ledger types have only string keys")
 }
 
 /// Returns the longest beginning of `text` with at most `raw` bytes that takes at most `room` bytes
@@ -86,17 +82,3 @@
     }
     &text[..end]
 }
-
-/// Counts the bytes that are written to it.
-struct ByteCounter(usize);
-
-impl Write for ByteCounter {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0 += bytes.len();
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
