--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -1,10 +1,14 @@
 //! What must always hold, with real entry processes under failure. One file for each promise.
 
 mod at_most_once;
+mod capacity;
 mod cluster;
 mod faults;
 mod gang;
+mod leaving;
 mod not_run;
+mod own_answer;
 mod service;
 mod single_run;
+mod takeover;
 mod whole_path;
