--- a/crates/hornbeamshunt/src/main.rs
+++ b/crates/hornbeamshunt/src/main.rs
@@ -8,6 +8,7 @@
 mod draining;
 mod exit;
 mod file;
+mod load;
 mod publish;
 mod publisher;
 mod result;
@@ -50,6 +51,7 @@
     Cancel(cancel::CancelCommand),
     Status(status::StatusCommand),
     Demo(demo::DemoCommand),
+    Load(load::LoadCommand),
     Serve(serve::ServeCommand),
     Standin(standin::StandinCommand),
 }
@@ -65,6 +67,7 @@
             Self::Result(command) => block_on(command.run()),
             Self::Cancel(command) => block_on(command.run()),
             Self::Status(command) => block_on(command.run()),
+            Self::Load(command) => serve::block_on(command.run()),
             Self::Demo(command) => serve::block_on(command.run()),
             Self::Serve(command) => serve::block_on(command.run()),
             Self::Standin(command) => serve::block_on(command.run()),
--- a/crates/hs-load/src/error.rs
+++ b/crates/hs-load/src/error.rs
@@ -44,4 +44,10 @@
         /// What went wrong.
         cause: String,
     },
+    /// A call of a comparison did not end as expected.
+    #[error("comparison: {cause}")]
+    Compare {
+        /// What went wrong.
+        cause: String,
+    },
 }
--- a/crates/hs-load/src/lib.rs
+++ b/crates/hs-load/src/lib.rs
@@ -24,6 +24,7 @@
 //! | `mixed` | 30 s | 80 % checks, 15 % orders, 4 % batch tasks, 1 % gangs at `rate`; 1 % stragglers |
 
 mod call;
+mod compare;
 mod draw;
 mod error;
 mod manifest;
@@ -35,6 +36,7 @@
 mod table;
 mod tally;
 
+pub use compare::{CompareOptions, CompareReport, run_compare};
 pub use error::LoadError;
 pub use manifest::SAMPLE_MANIFEST;
 pub use options::LoadOptions;
--- a/crates/hs-load/src/tally.rs
+++ b/crates/hs-load/src/tally.rs
@@ -76,19 +76,13 @@
 
 impl RowTally {
     fn new() -> Result<Self, LoadError> {
-        let histogram = || {
-            let built = Histogram::new_with_bounds(1, MAX_MICROS, DIGITS);
-            built.map_err(|error| LoadError::Histogram {
-                cause: error.to_string(),
-            })
-        };
         Ok(Self {
             count: 0,
             resent: 0,
             outcomes: BTreeMap::new(),
-            wait: histogram()?,
-            total: histogram()?,
-            added: histogram()?,
+            wait: new_histogram()?,
+            total: new_histogram()?,
+            added: new_histogram()?,
         })
     }
 
@@ -119,7 +113,15 @@
     }
 }
 
-fn summary(histogram: &Histogram<u64>) -> TimeSummary {
+/// Builds an empty histogram of microseconds.
+pub(crate) fn new_histogram() -> Result<Histogram<u64>, LoadError> {
+    let built = Histogram::new_with_bounds(1, MAX_MICROS, DIGITS);
+    built.map_err(|error| LoadError::Histogram {
+        cause: error.to_string(),
+    })
+}
+
+pub(crate) fn summary(histogram: &Histogram<u64>) -> TimeSummary {
     if histogram.is_empty() {
         return TimeSummary::default();
     }
