test: place all tasks before any ends in the size test

Cause: without the reserve for growth the size test still passed once closed records had become smaller: it ended each record right after its placement, so that the value never grew. Ruled out: a larger payload, which would hide the growth. Change: all admitted tasks are placed first, which is when the value is largest. Conclusion: the test is stricter; the code is unchanged.

--- a/crates/hs-ledger/tests/ledger/writes.rs
+++ b/crates/hs-ledger/tests/ledger/writes.rs
@@ -143,19 +143,29 @@
         admitted.len()
     );
     let (worker, result) = ("w".repeat(64), "\u{1}".repeat(9000));
-    for record in admitted {
-        for task in 0..2 {
-            let key = TaskKey { task, attempt: 0 };
-            ledger
-                .mark_placed(record, key, &worker, u64::MAX / 2)
-                .unwrap();
-            ledger
-                .mark_task(record, key, TaskState::Done, &result, NOW_MS)
-                .unwrap();
-        }
+    let keys = [0, 1].map(|task| TaskKey { task, attempt: 0 });
+    // The value is largest when all tasks are placed, since the payload goes with the end.
+    for (record, key) in admitted
+        .iter()
+        .flat_map(|record| keys.map(|key| (*record, key)))
+    {
+        ledger
+            .mark_placed(record, key, &worker, u64::MAX / 2)
+            .unwrap();
+    }
+    let placed = write(&mut ledger, 1, NOW_MS).encode().unwrap();
+    assert!(placed.len() <= ledger.size() && ledger.size() < PartitionImage::MAX_BYTES);
+    for (record, key) in admitted
+        .iter()
+        .flat_map(|record| keys.map(|key| (*record, key)))
+    {
+        ledger
+            .mark_task(record, key, TaskState::Done, &result, NOW_MS)
+            .unwrap();
         assert!(ledger.size() < PartitionImage::MAX_BYTES);
     }
-    let body = ledger.begin_flush(Instant::now(), NOW_MS).unwrap().body;
+    let due = ledger.next_flush(Instant::now()).unwrap();
+    let body = ledger.begin_flush(due, NOW_MS).unwrap().body;
     assert!(
         body.len() <= ledger.size(),
         "{} {}",
