fix: durable work submitted during a store outage waits for the store

Cause: while the store took no writes, the owner refused new keys in memory and, while its ownership was fresh, answered not_run. If it died before the refusal was written, the next owner knew nothing of it and would run a duplicate that was delayed on the way. The refusal also spent the key for the caller. Ruled out: a longer freshness; it only shows that the work has not run so far. Change: the record stays admitted in memory, the caller is told unknown with a retry hint at once, and the record is written and run when the store is back. may_answer_not_run and store_unavailable are gone; the test of the former now checks freshness itself, which queries about unknown keys rely on, with the same limits. Conclusion: during an outage nothing is refused for good, and a caller that repeats its key gets its one run.

--- a/crates/hornbeamshunt/tests/promises/faults.rs
+++ b/crates/hornbeamshunt/tests/promises/faults.rs
@@ -154,8 +154,7 @@
     /// Guards against a paused owner that goes on with workers and partitions taken over since.
     paused_owner, 60: vec![Wait(1500), Stop(0), Wait(6000), Continue(0), Wait(500), Stop(1), Wait(5000), Continue(1)];
     /// Guards against starts without a durable record, and false "not run", while the store is down.
-    /// What arrives during the outage may be refused; what arrived in the 1.5 s before is done.
-    store_outage, 25: vec![Wait(1500), Store(json!({ "down": "refuse" })), Wait(4000), Store(json!({}))];
+    store_outage, 60: vec![Wait(1500), Store(json!({ "down": "refuse" })), Wait(4000), Store(json!({}))];
     /// Guards against a write that is taken for failed because its reply was lost.
     lost_store_replies, 60: vec![
         Wait(1000), Store(json!({ "lose_replies": { "next": 3 } })),
--- a/crates/hs-ledger/src/flush.rs
+++ b/crates/hs-ledger/src/flush.rs
@@ -47,11 +47,9 @@
             seq: self.seq,
             stamp: self.last,
             began: now,
-            sent_before: self.sent,
             released: self.releasing,
         };
         self.writing = Writing::Flying(flight);
-        self.sent = self.last;
         self.began = Some(now);
         Some(LedgerFlush {
             body: self.encode(),
@@ -68,10 +66,7 @@
         match end {
             FlushEnd::Written { revision } => self.confirm(flight, revision),
             FlushEnd::Conflict => self.lose(),
-            FlushEnd::NotSent => {
-                self.sent = flight.sent_before;
-                self.wait(now);
-            }
+            FlushEnd::NotSent => self.wait(now),
             FlushEnd::Unknown => self.writing = Writing::Doubtful(flight),
         }
     }
--- a/crates/hs-ledger/src/partition.rs
+++ b/crates/hs-ledger/src/partition.rs
@@ -21,8 +21,6 @@
 #[derive(Debug)]
 pub(crate) struct RecordEntry {
     pub record: LedgerRecord,
-    /// Stamp of the admission, or of the takeover.
-    pub first: Stamp,
     /// Stamp of the last change.
     pub last: Stamp,
     /// The record in the store value. It is encoded once per change, since each write repeats all
@@ -39,7 +37,6 @@
         Self {
             bytes: record_bytes(&record, &encoded),
             record,
-            first: stamp,
             last: stamp,
             encoded,
         }
@@ -71,8 +68,6 @@
     pub(crate) long_results: LongResults,
     /// Stamp of the last change.
     pub(crate) last: Stamp,
-    /// Last change that a write may have carried to the store.
-    pub(crate) sent: Stamp,
     /// Last change that is in the store.
     pub(crate) committed: Stamp,
     pub(crate) writing: Writing,
@@ -118,7 +113,6 @@
             // The takeover is the first change. Every record that is taken over gets its stamp, so
             // that replies wait for the first flush.
             last: Stamp::ZERO.next(),
-            sent: Stamp::ZERO,
             committed: Stamp::ZERO,
             writing: Writing::Idle,
             began: None,
--- a/crates/hs-ledger/src/view.rs
+++ b/crates/hs-ledger/src/view.rs
@@ -1,7 +1,5 @@
 //! Views of a partition's records.
 
-use std::time::Instant;
-
 use hs_wire::{NotRunReason, Outcome, WorkId, WorkReply};
 
 use crate::hash::name_hash;
@@ -86,16 +84,6 @@
         reply
     }
 
-    /// Returns whether a reply of not run may be sent although it is not committed: the ownership is
-    /// fresh, and no write that carried the record was sent.
-    pub fn may_answer_not_run(&self, record: RecordKey, now: Instant) -> bool {
-        self.records.get(record).is_some_and(|entry| {
-            entry.record.outcome() == Outcome::NotRun
-                && entry.first > self.sent
-                && self.is_fresh(now)
-        })
-    }
-
     /// Forgets results over 4 KB that were kept for the first delivery.
     pub fn release_results(&mut self, record: RecordKey) {
         self.long_results.release(record);
--- a/crates/hs-ledger/src/writing.rs
+++ b/crates/hs-ledger/src/writing.rs
@@ -13,8 +13,6 @@
     pub stamp: Stamp,
     /// When the write was handed out.
     pub began: Instant,
-    /// [`LedgerPartition::sent`](crate::LedgerPartition) before this write.
-    pub sent_before: Stamp,
     /// Whether the value gives the partition up.
     pub released: bool,
 }
--- a/crates/hs-ledger/tests/ledger/world.rs
+++ b/crates/hs-ledger/tests/ledger/world.rs
@@ -239,19 +239,8 @@
         let Some(record) = self.processes[who].open(pick) else {
             return;
         };
-        let now = self.now();
         let ledger = &mut self.processes[who].ledger;
         let _ = ledger.refuse(record, NotRunReason::QueueFull, "full", self.now_ms);
-        if ledger.may_answer_not_run(record, now) {
-            let key = &ledger.record(record).unwrap().key;
-            let needle = format!("\"k\":\"{key}\"");
-            let on_the_way = self.store.late.iter().any(|(revision, body)| {
-                // The store refuses the others when they arrive.
-                *revision == self.store.revision && String::from_utf8_lossy(body).contains(&needle)
-            });
-            let in_store = self.store.has(&format!("outcome {key} accepted"));
-            assert!(!in_store && !on_the_way, "{key} may still run");
-        }
     }
 
     /// Answers the callers whose replies are committed.
--- a/crates/hs-ledger/tests/ledger/writes.rs
+++ b/crates/hs-ledger/tests/ledger/writes.rs
@@ -67,53 +67,37 @@
     }
 }
 
-/// Guards against a reply of not run from an owner that may have been replaced, or about a record
-/// that a write may have carried to the store.
+/// Guards against an owner that takes itself for the only one although a candidate may have replaced
+/// it: it would say that there is no record of a key that the next owner has.
 #[test]
-fn uncommitted_not_run_needs_freshness_and_an_unsent_record() {
+fn freshness_ends_before_a_candidate_may_take_over() {
     struct Case {
         name: &'static str,
         age_ms: u64,
-        end: Option<FlushEnd>,
         release: bool,
-        allowed: bool,
+        fresh: bool,
     }
     #[rustfmt::skip]
     let cases = [
-        Case { name: "never sent", age_ms: 2499, end: None, release: false, allowed: true },
-        Case { name: "not fresh", age_ms: 2500, end: None, release: false, allowed: false },
-        Case { name: "certainly not sent", age_ms: 500, end: Some(FlushEnd::NotSent), release: false, allowed: true },
-        Case { name: "possibly sent", age_ms: 500, end: Some(FlushEnd::Unknown), release: false, allowed: false },
-        Case { name: "released", age_ms: 500, end: None, release: true, allowed: false },
+        Case { name: "just written", age_ms: 2499, release: false, fresh: true },
+        Case { name: "too old", age_ms: 2500, release: false, fresh: false },
+        Case { name: "released", age_ms: 500, release: true, fresh: false },
     ];
     for case in cases {
         let now = Instant::now();
         let mut ledger = take_over(None, 0, "p");
         assert!(!ledger.is_fresh(now), "fresh before the first write");
         ledger.begin_flush(now, NOW_MS).unwrap();
+        // The age counts from the begin of the write, since its effect may be as old as that.
         ledger.end_flush(
             FlushEnd::Written { revision: 1 },
             now + Duration::from_secs(1),
         );
-        let record = admit(&mut ledger, "k", &spec(1, false));
-        if let Some(end) = case.end {
-            let due = ledger.next_flush(now).unwrap();
-            ledger.begin_flush(due, NOW_MS).unwrap();
-            ledger.end_flush(end, due);
-        }
-        ledger
-            .refuse(record, NotRunReason::QueueFull, "", NOW_MS)
-            .unwrap();
         if case.release {
             ledger.release();
         }
         let later = now + Duration::from_millis(case.age_ms);
-        assert_eq!(
-            ledger.may_answer_not_run(record, later),
-            case.allowed,
-            "{}",
-            case.name
-        );
+        assert_eq!(ledger.is_fresh(later), case.fresh, "{}", case.name);
     }
 }
 
--- a/crates/hs-node/src/ledger/calls.rs
+++ b/crates/hs-node/src/ledger/calls.rs
@@ -1,7 +1,5 @@
 //! Callers' calls to an owned partition.
 
-use std::time::Instant;
-
 use hs_event::EventCode;
 use hs_ledger::{Admission, AdmitSpec, RecordKey, TaskKey};
 use hs_wire::{NotRunReason, Submission, WorkClass, WorkReply};
@@ -44,7 +42,7 @@
         expires_at_ms: u64,
         reply: oneshot::Sender<LedgerAnswer>,
     ) {
-        let (now, now_ms) = (self.now(), self.wall_ms());
+        let now_ms = self.wall_ms();
         let checked = self.check(submission);
         let Some(owned) = &mut self.owned else {
             return;
@@ -54,23 +52,17 @@
         match owned.partition.admit(submission, &spec, now_ms) {
             Admission::New { record, .. } => {
                 owned.answers.entry(record).or_default().push(reply);
-                let refusal = match checked {
-                    Err(reason) => Some(reason),
-                    // A store that takes no writes would hold the caller up to the end of its wait.
-                    Ok(_) if owned.is_store_down => Some(NotRunReason::StoreUnavailable),
-                    Ok(_) => None,
-                };
-                match refusal {
-                    Some(reason) => {
+                match checked {
+                    Err(reason) => {
                         let _ = owned.partition.refuse(record, reason, "", now_ms);
                     }
-                    None => self.start_new(record),
+                    Ok(_) => self.start_new(record),
                 }
-                self.answer_unstored(record, now);
+                self.answer_unstored(record);
             }
             Admission::Existing { record } => {
                 owned.answers.entry(record).or_default().push(reply);
-                self.answer_unstored(record, now);
+                self.answer_unstored(record);
             }
             Admission::Refused(NotRunReason::KeyReused) => {
                 let waiter = CommitWaiter::Reused {
@@ -122,14 +114,14 @@
     }
 
     /// Answers callers at once where no commit can be waited for, because the store takes no writes.
-    pub(super) fn answer_unstored(&mut self, record: RecordKey, now: Instant) {
+    pub(super) fn answer_unstored(&mut self, record: RecordKey) {
         let Some(owned) = &mut self.owned else {
             return;
         };
         if !owned.is_store_down || owned.is_committed(record) {
             return;
         }
-        let reply = owned.reply_unstored(record, now);
+        let reply = owned.reply_unstored(record);
         for waiter in owned.answers.remove(&record).unwrap_or_default() {
             let _ = waiter.send(LedgerAnswer::Reply(reply.clone()));
         }
@@ -141,7 +133,6 @@
         key: &str,
         reply: oneshot::Sender<LedgerAnswer>,
     ) {
-        let (now, now_ms) = (self.now(), self.wall_ms());
         let Some(owned) = &mut self.owned else {
             return;
         };
@@ -151,11 +142,7 @@
         let answer = if owned.is_committed(record) {
             owned.reply(record)
         } else {
-            if owned.is_store_down {
-                let reason = NotRunReason::StoreUnavailable;
-                let _ = owned.partition.refuse(record, reason, "", now_ms);
-            }
-            owned.reply_unstored(record, now)
+            owned.reply_unstored(record)
         };
         let _ = reply.send(LedgerAnswer::Reply(answer));
     }
--- a/crates/hs-node/src/ledger/owned.rs
+++ b/crates/hs-node/src/ledger/owned.rs
@@ -1,10 +1,9 @@
 //! A partition while this process owns it.
 
 use std::collections::{BTreeMap, HashMap};
-use std::time::Instant;
 
 use hs_ledger::{LedgerPartition, RecordKey, Stamp, TaskKey, TaskState};
-use hs_wire::{NotRunReason, Outcome, WorkReply};
+use hs_wire::{NotRunReason, WorkReply};
 use tokio::sync::{oneshot, watch};
 
 use super::LedgerAnswer;
@@ -61,13 +60,12 @@
     }
 
     /// Returns the reply about a record that is not in the store.
-    pub(super) fn reply_unstored(&self, record: RecordKey, now: Instant) -> WorkReply {
-        let mut reply = self.reply(record);
-        let is_certain =
-            reply.outcome == Outcome::NotRun && self.partition.may_answer_not_run(record, now);
-        if !is_certain {
-            reply = WorkReply::unknown(&reply.key, "the store does not take the record");
-        }
+    ///
+    /// It is never "not run": if this process dies before the refusal is in the store, the next owner
+    /// knows nothing of it and would start a duplicate that was delayed on the way.
+    pub(super) fn reply_unstored(&self, record: RecordKey) -> WorkReply {
+        let key = self.partition.record(record).map_or("", |kept| &kept.key);
+        let mut reply = WorkReply::unknown(key, "the store does not take the record");
         reply.retry_after_ms = Some(STORE_RETRY_MS);
         reply
     }
--- a/crates/hs-wire/src/outcome.rs
+++ b/crates/hs-wire/src/outcome.rs
@@ -69,8 +69,6 @@
     DeadlinePassed,
     /// The worker refused the start, and the retry budget or the deadline was used up.
     WorkerRefused,
-    /// The store did not take the durable record.
-    StoreUnavailable,
     /// The owner of the record could not be reached and was sent nothing.
     OwnerUnreachable,
     /// The ledger partition has no room for another record.
@@ -100,7 +98,6 @@
             | Self::KeyExpired => 422,
             Self::QuotaExceeded | Self::QueueFull | Self::DeadlinePassed => 429,
             Self::WorkerRefused
-            | Self::StoreUnavailable
             | Self::OwnerUnreachable
             | Self::LedgerFull
             | Self::ShuttingDown
