--- a/crates/hornbeamshunt/tests/promises/cluster/node.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/node.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hs_http::HttpClient;
@@ -32,10 +33,8 @@
 
 /// One entry process. Dropping it kills the process.
 pub struct EntryNode {
-    pub id: String,
     pub caller: SocketAddr,
     pub control: SocketAddr,
-    pub peer: SocketAddr,
     config: PathBuf,
     child: Option<Child>,
     client: HttpClient,
@@ -91,7 +90,7 @@
         let config = std::env::temp_dir().join(name);
         fs::write(&config, settings.to_string()).expect("settings");
         platform.entries.push(VmEntry {
-            id: id.clone(),
+            id,
             addr: advertise.to_string(),
             data_centre,
             rack: String::new(),
@@ -100,10 +99,8 @@
             capacity: Resources::ZERO,
         });
         Self {
-            id,
             caller,
             control,
-            peer,
             config,
             child: None,
             client: HttpClient::default(),
@@ -231,13 +228,13 @@
 /// Number of ledger partitions of an installation.
 pub(super) const PARTITIONS: usize = 4;
 
+/// Tells apart the files of publications that race.
+static NEXT_FILE: AtomicUsize = AtomicUsize::new(0);
+
 /// Publishes a manifest with the command line, and returns its output.
 pub fn publish(platform: &TestPlatform, manifest: &str) -> std::process::Output {
-    let name = format!(
-        "hornbeamshunt-{}-{}.manifest",
-        std::process::id(),
-        platform.store.address.port()
-    );
+    let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+    let name = format!("hornbeamshunt-{}-{number}.manifest", std::process::id());
     let path = std::env::temp_dir().join(name);
     fs::write(&path, manifest).expect("manifest");
     let output = Command::new(BINARY)
--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -3,9 +3,11 @@
 mod at_most_once;
 mod capacity;
 mod cluster;
+mod drain;
 mod faults;
 mod gang;
 mod leaving;
+mod manifest;
 mod not_run;
 mod own_answer;
 mod service;
