feat: a burst leaves a margin of room to the other customers

Cause: with start-time fair queuing alone, a burst of one customer takes all room, so that every check of the others waits for the end of a task. Change: a customer that holds more than one and a half times its share of the room, among the customers with work, may not take the last sixteenth with short work.

--- a/crates/hs-core/src/band_queue.rs
+++ b/crates/hs-core/src/band_queue.rs
@@ -387,9 +387,4 @@
             queue.list(shape, (tag, sequence), &mut self.ready);
         }
     }
-
-    /// Returns whether a lane waits for its customer's quota.
-    pub(crate) fn is_parked(&self, lane: LaneKey) -> bool {
-        self.lanes[lane].parked
-    }
 }
--- a/crates/hs-core/src/decide.rs
+++ b/crates/hs-core/src/decide.rs
@@ -5,7 +5,7 @@
 use hs_wire::NotRunReason;
 use smallvec::SmallVec;
 
-use crate::band_queue::QueueHead;
+use crate::band_queue::{QueueHead, WorkShape};
 use crate::work_record::{WorkRecord, WorkStage};
 use crate::{Decision, Placer, PolicyMode, WorkBand, WorkKey, WorkRequest, WorkerKey};
 
@@ -30,7 +30,15 @@
         if let Some(decision) = self.serve_drain(now) {
             return Some(decision);
         }
-        let (head, workers) = self.next_fit(WorkBand::Long, now)?;
+        let mut found = self.next_fit(WorkBand::Long, now);
+        for _ in 0..self.margin_retries() {
+            if found.is_some() {
+                break;
+            }
+            self.retry_margin();
+            found = self.next_fit(WorkBand::Long, now);
+        }
+        let (head, workers) = found?;
         Some(self.place_head(head, workers, now))
     }
 
@@ -49,6 +57,12 @@
                     self.queues[index].park(head);
                     continue;
                 }
+                if self.takes_margin(head.customer, band, head.shape.total()) {
+                    self.accounts[head.customer].parked.push((band, head.lane));
+                    self.queues[index].park(head);
+                    self.wait_for_margin(head.customer);
+                    continue;
+                }
                 let request = &self.works[head.work].request;
                 match self.find(request, Some(head.work), now) {
                     Some(workers) => return Some((head, workers)),
@@ -110,6 +124,8 @@
         account.used = account
             .used
             .saturating_add(need.saturating_mul(workers.len() as u32));
+        let customer = record.request.customer;
+        self.note_activity(customer);
         for (task, worker) in workers.iter().enumerate() {
             self.pool.reserve(*worker, band, need, (work, task as u16));
             if self.health.placed(*worker, work, now) {
@@ -126,13 +142,9 @@
 
     /// Refuses waiting work whose deadline has passed.
     fn shed(&mut self, work: WorkKey, now: Instant) -> Option<Decision> {
-        let over_quota = match &self.works[work].stage {
-            WorkStage::Queued(Some(lane)) => {
-                let band = self.works[work].request.band;
-                self.queues[band as usize].is_parked(*lane)
-            }
-            _ => false,
-        };
+        let request = &self.works[work].request;
+        let over_quota = self.policy.mode == PolicyMode::Fair
+            && !self.accounts[request.customer].admits(WorkShape::of(request).total());
         let record = self.dequeue(work)?;
         let reason = if over_quota {
             NotRunReason::QuotaExceeded
--- a/crates/hs-core/src/lib.rs
+++ b/crates/hs-core/src/lib.rs
@@ -17,6 +17,7 @@
 mod drain;
 mod free_tree;
 mod health_board;
+mod margin;
 mod outlier;
 mod room_index;
 mod run_times;
--- a/crates/hs-core/src/placer.rs
+++ b/crates/hs-core/src/placer.rs
@@ -37,6 +37,10 @@
     pub(crate) events: VecDeque<Decision>,
     pub(crate) health: HealthBoard,
     pub(crate) drain: DrainState,
+    /// Customers that wait for room beyond the margin.
+    pub(crate) margin_line: VecDeque<CustomerKey>,
+    /// Sum of the weights of the customers with work.
+    pub(crate) active_weight: u64,
     /// Finished run times by workload.
     pub(crate) run_times: HashMap<u32, RunTimes>,
 }
@@ -57,6 +61,8 @@
             events: VecDeque::new(),
             health: HealthBoard::default(),
             drain: DrainState::default(),
+            margin_line: VecDeque::new(),
+            active_weight: 0,
             run_times: HashMap::new(),
         }
     }
@@ -98,6 +104,7 @@
         if self.policy.mode != before.mode {
             self.requeue();
         }
+        self.count_activity();
         let customers: Vec<_> = self.accounts.keys().collect();
         for customer in customers {
             self.unpark(customer);
@@ -203,11 +210,13 @@
             .collect();
         waiting.sort_unstable();
         self.arrivals.clear();
+        self.margin_line.clear();
         self.queues = WorkBand::ALL.map(BandQueue::new);
         for account in self.accounts.values_mut() {
             account.queued = [0; 4];
             account.tags = [0; 4];
             account.parked.clear();
+            account.waits_for_margin = false;
         }
         for (_, work) in waiting {
             self.enqueue(work);
@@ -229,6 +238,8 @@
             }
         };
         record.stage = WorkStage::Queued(lane);
+        let customer = record.request.customer;
+        self.note_activity(customer);
     }
 
     /// Removes waiting work that was not placed and returns its record.
@@ -239,6 +250,7 @@
             let account = &mut self.accounts[record.request.customer];
             let queue = &mut self.queues[record.request.band as usize];
             queue.forget(lane, account, &self.works);
+            self.note_activity(record.request.customer);
         }
         Some(record)
     }
--- a/crates/hs-core/src/submit.rs
+++ b/crates/hs-core/src/submit.rs
@@ -26,6 +26,7 @@
         );
         if let Some(account) = self.accounts.get_mut(customer) {
             account.used = account.used.saturating_add(need);
+            self.note_activity(customer);
         }
         self.pool.reserve(worker, band, need, (work, 0));
         work
@@ -75,6 +76,7 @@
         if !account.admits(shape.total())
             || self.queues[request.band as usize].is_blocked(shape)
             || self.next_fit(request.band, now).is_some()
+            || self.takes_margin(request.customer, request.band, shape.total())
         {
             return None;
         }
@@ -109,6 +111,7 @@
         }
         if let Some(account) = self.accounts.get_mut(customer) {
             account.used = account.used.saturating_sub(need);
+            self.note_activity(customer);
             self.unpark(customer);
         }
         self.pool.update(worker, |record| {
--- a/crates/hs-core/src/worker_pool.rs
+++ b/crates/hs-core/src/worker_pool.rs
@@ -27,6 +27,8 @@
     /// Number of workers of each capacity.
     capacities: Vec<(Resources, u32)>,
     active: usize,
+    /// Capacity and used part of the workers that take work, summed.
+    totals: [(u64, u64); 5],
     short_reserve: Resources,
     long_ceiling: Option<u32>,
 }
@@ -54,7 +56,9 @@
             Some((_, count)) => *count += 1,
             None => self.capacities.push((capacity, 1)),
         }
-        let worker = self.records.insert(WorkerRecord::new(spec, rack));
+        let record = WorkerRecord::new(spec, rack);
+        add_totals(&mut self.totals, &record, u64::wrapping_add);
+        let worker = self.records.insert(record);
         self.racks[rack].push(worker);
         self.active += 1;
         self.refresh(worker);
@@ -64,6 +68,7 @@
     /// Removes a worker.
     pub(crate) fn remove(&mut self, worker: WorkerKey) -> Option<WorkerRecord> {
         let record = self.records.remove(worker)?;
+        add_totals(&mut self.totals, &record, u64::wrapping_sub);
         for index in &mut self.indices {
             index.remove(worker);
         }
@@ -87,7 +92,9 @@
     pub(crate) fn update(&mut self, worker: WorkerKey, change: impl FnOnce(&mut WorkerRecord)) {
         if let Some(record) = self.records.get_mut(worker) {
             let before = record.state;
+            add_totals(&mut self.totals, record, u64::wrapping_sub);
             change(record);
+            add_totals(&mut self.totals, record, u64::wrapping_add);
             self.active -= usize::from(before == WorkerState::Active);
             self.active += usize::from(record.state == WorkerState::Active);
             self.refresh(worker);
@@ -111,6 +118,11 @@
             .map(|worker| (*worker, &self.records[*worker]))
     }
 
+    /// Returns the capacity and the used part of each dimension over the workers that take work.
+    pub(crate) fn totals(&self) -> [(u64, u64); 5] {
+        self.totals
+    }
+
     /// Returns the number of workers.
     pub(crate) fn len(&self) -> usize {
         self.records.len()
@@ -279,6 +291,19 @@
     }
 }
 
+/// Adds a worker to the totals or, with the reverse operation, takes it out.
+fn add_totals(totals: &mut [(u64, u64); 5], record: &WorkerRecord, add: fn(u64, u64) -> u64) {
+    if !record.takes_work() {
+        return;
+    }
+    let amounts = record.spec.capacity.dimensions().into_iter();
+    let amounts = amounts.zip(record.used().dimensions());
+    for ((capacity, used), (more_capacity, more_used)) in totals.iter_mut().zip(amounts) {
+        *capacity = add(*capacity, u64::from(more_capacity));
+        *used = add(*used, u64::from(more_used));
+    }
+}
+
 /// Returns how many times an amount fits into a room.
 fn times(need: Resources, room: Resources) -> u32 {
     let pairs = need.dimensions().into_iter().zip(room.dimensions());
--- a/crates/hs-core/tests/capacity.rs
+++ b/crates/hs-core/tests/capacity.rs
@@ -62,7 +62,8 @@
     check(|commands| run(&commands, false, PolicyMode::Fair));
 }
 
-/// Guards against work that waits although it fits, for instance behind a larger piece.
+/// Guards against work that waits although it fits, for instance behind a larger piece. Only the
+/// margin that a burst leaves to the other customers may stay free.
 #[test]
 fn plain_work_never_waits_beside_room() {
     check(|commands| run(&commands, true, PolicyMode::Fair));
--- a/crates/hs-core/tests/queues.rs
+++ b/crates/hs-core/tests/queues.rs
@@ -59,6 +59,36 @@
     }
 }
 
+/// Guards against a burst that takes all room, so that each check of the others has to wait for an
+/// end, and against room that stays free without need.
+#[test]
+fn burst_leaves_a_margin() {
+    for (others, expected) in [(false, 256), (true, 239)] {
+        let (mut placer, now) = build(policy(2), 16, amount(16, 16));
+        let customers = ["c0", "c1"].map(|name| placer.customer(name).unwrap());
+        let check = |index| request(customers[index], WorkBand::Short, amount(1, 1));
+        if others {
+            assert!(placer.place_now(check(1), now).is_some());
+        }
+        for _ in 0..1000 {
+            placer.submit(check(0), now).unwrap();
+        }
+        let placed = poll_tags(&mut placer, now);
+        assert_eq!(placed.len(), expected, "others: {others}");
+        assert_eq!(placer.place_now(check(0), now), None);
+        if others {
+            let now_placed = (0..20).filter(|_| placer.place_now(check(1), now).is_some());
+            assert_eq!(now_placed.count(), 16);
+        }
+        // The burst goes on as its own tasks end.
+        for (_, work) in &placed[..100] {
+            placer.finish(*work, 0, TaskEnd::Done, now);
+        }
+        let again = poll_tags(&mut placer, now).len();
+        assert_eq!(again, if others { 84 } else { 100 });
+    }
+}
+
 /// Guards against a customer that saves up credit while its work does not fit, and then holds up
 /// all others.
 #[test]
