--- a/crates/hornbeamshunt/tests/load.rs
+++ b/crates/hornbeamshunt/tests/load.rs
@@ -60,31 +60,27 @@
 /// Guards against a run with a wrong or missing answer that a script takes for a good one.
 #[test]
 fn exit_code_tells_about_the_answers() {
+    let case = |name, answer, exit| AnswerCase { name, answer, exit };
     let cases = [
-        AnswerCase {
-            name: "own answers",
-            answer: own,
-            exit: 0,
-        },
-        AnswerCase {
-            name: "refusals",
-            answer: |work| WorkReply::not_run(&work.key, NotRunReason::QueueFull, ""),
-            exit: 0,
-        },
-        AnswerCase {
-            name: "another's answers",
-            answer: |work| {
-                let mut reply = own(work);
-                reply.results[0].push('x');
-                reply
+        case("own answers", own as fn(&Submission) -> WorkReply, 0),
+        case(
+            "refusals",
+            |work| WorkReply::not_run(&work.key, NotRunReason::QueueFull, ""),
+            0,
+        ),
+        case(
+            "another's answers",
+            |work| WorkReply {
+                results: vec!["x".to_owned()],
+                ..own(work)
             },
-            exit: 1,
-        },
-        AnswerCase {
-            name: "unknown outcomes",
-            answer: |work| WorkReply::unknown(&work.key, ""),
-            exit: 4,
-        },
+            1,
+        ),
+        case(
+            "unknown outcomes",
+            |work| WorkReply::unknown(&work.key, ""),
+            4,
+        ),
     ];
     for case in cases {
         let entry = start_entry(case.answer).to_string();
--- a/crates/hs-http/src/request.rs
+++ b/crates/hs-http/src/request.rs
@@ -9,6 +9,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::BodyError;
+
 /// A request whose body has been read.
 #[derive(Debug)]
 pub struct HttpRequest {
@@ -51,9 +53,9 @@
     ///
     /// # Errors
     ///
-    /// Returns the parser's message, which names the line and the field.
-    pub fn json<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
-        serde_json::from_slice(&self.body)
+    /// Returns the line, the parser's message and the text before the fault, which shows the field.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, BodyError> {
+        serde_json::from_slice(&self.body).map_err(|error| BodyError::new(&self.body, &error))
     }
 
     /// Returns the token of an `Authorization: Bearer` header.
--- a/crates/hs-standin/src/worker/mod.rs
+++ b/crates/hs-standin/src/worker/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use hs_http::{HttpReply, HttpRequest};
+use hs_http::{BodyError, HttpReply, HttpRequest};
 use hs_wire::{LeaseRequest, StartReply, StartRequest, StopRequest, WorkId};
 use hyper::Method;
 use serde::Serialize;
@@ -239,6 +239,6 @@
     }
 }
 
-fn malformed(error: &serde_json::Error) -> HttpReply {
+fn malformed(error: &BodyError) -> HttpReply {
     HttpReply::error(400, "malformed", error.to_string())
 }
