--- a/crates/hs-http/src/call.rs
+++ b/crates/hs-http/src/call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_TYPE, IF_NONE_MATCH};
 use hyper::{HeaderMap, Method, Request};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -163,6 +163,28 @@
             .await
     }
 
+    /// Sends a request without a body, whose reply is 304 without a body if the resource still has
+    /// this entity tag.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpClient::call`].
+    pub async fn get_if_changed(
+        &self,
+        step: &'static str,
+        peer: &str,
+        path: &str,
+        tag: &str,
+        limit: Duration,
+    ) -> Result<CallReply, CallError> {
+        let request = Request::builder()
+            .uri(format!("http://{peer}{path}"))
+            .header(IF_NONE_MATCH, tag)
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| not_sent(step, peer, &error))?;
+        self.send(step, peer, request, limit).await
+    }
+
     /// Sends a prepared request.
     ///
     /// # Errors
--- a/crates/hs-node/src/port/mod.rs
+++ b/crates/hs-node/src/port/mod.rs
@@ -86,8 +86,12 @@
 
 /// The platform's VM list.
 pub trait VmPort: Clone + Send + Sync + 'static {
-    /// Reads the list.
-    fn list(&self, limit: Duration) -> impl Future<Output = Result<VmList, PortError>> + Send;
+    /// Reads the list; `None` if it still has the version `known`.
+    fn list(
+        &self,
+        known: u64,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Option<VmList>, PortError>> + Send;
 }
 
 /// The workers, each known by its address.
--- a/crates/hs-node/src/port/vms.rs
+++ b/crates/hs-node/src/port/vms.rs
@@ -26,14 +26,22 @@
 }
 
 impl VmPort for HttpVms {
-    async fn list(&self, limit: Duration) -> Result<VmList, PortError> {
+    /// Asks with the version as entity tag. A platform that ignores it sends the whole list, which
+    /// grows with the fleet.
+    async fn list(&self, known: u64, limit: Duration) -> Result<Option<VmList>, PortError> {
         let step = "VM list read";
-        let reply = self.client.get(step, &self.peer, "/vms", limit).await?;
-        if reply.status != 200 {
-            return Err(PortError::from_reply(step, &self.peer, &reply));
+        let tag = format!("\"{known}\"");
+        let call = self
+            .client
+            .get_if_changed(step, &self.peer, "/vms", &tag, limit);
+        let reply = call.await?;
+        match reply.status {
+            200 => {
+                let list = reply.json().map(Some);
+                list.map_err(|error| PortError::unreadable(step, &self.peer, error))
+            }
+            304 => Ok(None),
+            _ => Err(PortError::from_reply(step, &self.peer, &reply)),
         }
-        reply
-            .json()
-            .map_err(|error| PortError::unreadable(step, &self.peer, error))
     }
 }
--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -198,10 +198,13 @@
 /// Reads the VM list: once a second as the data centre's watcher, else rarely.
 async fn read_vms<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
     loop {
-        let found = shared.platform.vms().list(READ_LIMIT).await;
+        let known = shared.vms.borrow().version;
+        let found = shared.platform.vms().list(known, READ_LIMIT).await;
         let is_read = found.is_ok();
-        if let Ok(list) = found {
+        if let Ok(Some(list)) = found {
             handle.send(SyncMessage::Listed(list));
+        }
+        if is_read {
             sleep(LIST_EVERY).await;
         }
         pace(&shared, is_read).await;
--- a/crates/hs-standin/src/vms.rs
+++ b/crates/hs-standin/src/vms.rs
@@ -7,6 +7,7 @@
 use hs_http::{HttpReply, HttpRequest};
 use hs_wire::{VmEntry, VmList};
 use hyper::Method;
+use hyper::header::IF_NONE_MATCH;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -67,7 +68,7 @@
             hold(fault.delay_ms).await;
             match fault.down {
                 Some(mode) => mode.reply(),
-                None => Some(HttpReply::json(200, lock(state).visible(Instant::now()))),
+                None => Some(lock(state).reply(request)),
             }
         }
         (Method::POST, "/vms") => Some(match request.json::<VmsUpdate>() {
@@ -89,6 +90,17 @@
 }
 
 impl VmsState {
+    /// Returns the list, or 304 to a reader that names its version as entity tag.
+    fn reply(&mut self, request: &HttpRequest) -> HttpReply {
+        let list = self.visible(Instant::now());
+        let tag = format!("\"{}\"", list.version);
+        let known = request.headers.get(IF_NONE_MATCH);
+        if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+            return HttpReply::text(304, "");
+        }
+        HttpReply::json(200, list).with_header("etag", tag)
+    }
+
     /// Returns the list that readers get now, and forgets older ones.
     fn visible(&mut self, now: Instant) -> &VmList {
         while self.lists.get(1).is_some_and(|(from, _)| *from <= now) {
