fix: drop the accelerator groups of the room index

Change: one sequence of groups. Tests for best fit over all dimensions and for idle workers that stay whole were missing, as a search that took the first workers passed. The small tasks of the starvation test now run 50 to 170 ms: they ended together before, so that a large task got room even without claims. Conclusion: one part less, and two parts that are covered by tests.

--- a/crates/hs-core/src/room_index.rs
+++ b/crates/hs-core/src/room_index.rs
@@ -10,9 +10,6 @@
 const LEVELS: usize = 16;
 
 /// Groups workers by free room, the fullest first, so that best fit looks at few of them.
-///
-/// Workers with a free accelerator form groups of their own, so that work without accelerators
-/// takes them last.
 #[derive(Debug)]
 pub(crate) struct RoomIndex {
     trees: Vec<FreeTree>,
@@ -23,7 +20,7 @@
     fn default() -> Self {
         Self {
             trees: std::iter::repeat_with(FreeTree::default)
-                .take(2 * LEVELS)
+                .take(LEVELS)
                 .collect(),
             places: SecondaryMap::new(),
         }
@@ -59,8 +56,7 @@
         need: Resources,
         mut visit: impl FnMut(WorkerKey, Resources) -> bool,
     ) {
-        let first = if need.accelerators > 0 { LEVELS } else { 0 };
-        for tree in &self.trees[first..] {
+        for tree in &self.trees {
             if !tree.visit_fits(need, &mut visit) {
                 return;
             }
@@ -75,10 +71,5 @@
         .map(|(free, total)| u64::from(free) * LEVELS as u64 / u64::from(total))
         .min()
         .unwrap_or(0);
-    let level = (level as usize).min(LEVELS - 1);
-    if free.accelerators > 0 {
-        LEVELS + level
-    } else {
-        level
-    }
+    (level as usize).min(LEVELS - 1)
 }
--- a/crates/hs-core/tests/gangs.rs
+++ b/crates/hs-core/tests/gangs.rs
@@ -96,7 +96,7 @@
     need: Resources,
     band: WorkBand,
     small_band: WorkBand,
-    /// Declared run time of the small tasks; they really run 100 ms.
+    /// Declared run time of the small tasks; they really run 50 to 170 ms.
     small_estimate_ms: u64,
     limit_ms: u64,
 }
@@ -135,28 +135,28 @@
     ];
     for case in cases {
         let mut cluster = Cluster::new(policy(2), 8, amount(8, 8));
+        // Small tasks fill every worker, and run 50 to 170 ms, so that no worker becomes empty by
+        // itself.
+        let mut count = 0;
         let mut feed = |cluster: &mut Cluster| {
-            let other = cluster.placer.customer("c1").unwrap();
+            let other = cluster.placer.customer("c1").expect("a known customer");
             while cluster.placer.free_summary().queued < 40 {
+                count += 1;
+                let tag = 1005 + count * 7 % 13;
                 let mut small =
-                    cluster.request(case.small_band, amount(1, 1), case.small_estimate_ms, 1010);
+                    cluster.request(case.small_band, amount(1, 1), case.small_estimate_ms, tag);
                 small.customer = other;
                 cluster.submit(small);
             }
         };
-        // Small tasks fill every worker, and their ends spread over time.
-        cluster.run(Duration::from_millis(50), |cluster| {
-            for _ in 0..14 {
-                let small =
-                    cluster.request(case.small_band, amount(1, 1), case.small_estimate_ms, 1010);
-                cluster.submit(small);
-            }
-        });
+        cluster.run(Duration::from_millis(300), &mut feed);
         let mut large = cluster.request(case.band, case.need, 100, 7010);
         large.tasks = case.tasks;
         cluster.submit(large);
         cluster.run(Duration::from_secs(10), &mut feed);
-        let started = cluster.started(7010);
+        let started = cluster
+            .started(7010)
+            .map(|at| at - Duration::from_millis(300));
         let limit = Duration::from_millis(case.limit_ms);
         assert!(
             started.is_some_and(|at| at < limit),
--- a/crates/hs-core/tests/queues.rs
+++ b/crates/hs-core/tests/queues.rs
@@ -293,3 +293,71 @@
     let tags = poll_tags(&mut placer, now).into_iter().map(|(tag, _)| tag);
     assert!(tags.eq(0..10));
 }
+
+struct FitCase {
+    name: &'static str,
+    /// Cores and slots that already run on each worker of 16 cores and 16 slots.
+    held: [(u32, u32); 3],
+    need: (u32, u32),
+    expected: usize,
+}
+
+/// Guards against a choice that looks at one dimension only, or that breaks up large free room.
+#[test]
+fn best_fit_counts_every_dimension() {
+    let case = |name, held, need, expected| FitCase {
+        name,
+        held,
+        need,
+        expected,
+    };
+    let cases = [
+        case("fullest by cores", [(1, 1), (12, 1), (4, 1)], (2, 1), 1),
+        case("fullest by slots", [(1, 12), (1, 1), (1, 4)], (2, 1), 0),
+        case(
+            "fullest lacks one dimension",
+            [(15, 1), (1, 1), (4, 1)],
+            (2, 1),
+            2,
+        ),
+        case(
+            "sum decides in one level",
+            [(8, 2), (8, 7), (8, 4)],
+            (2, 1),
+            1,
+        ),
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut placer = Placer::new(policy(1), now);
+        let customer = placer.customer("c0").unwrap();
+        let keys = case.held.map(|(cores, slots)| {
+            let key = placer.add_worker(worker(0, 0, amount(16, 16)), now);
+            let held = request(customer, WorkBand::Short, amount(cores, slots));
+            placer.adopt(key, held, now);
+            key
+        });
+        let need = request(customer, WorkBand::Normal, amount(case.need.0, case.need.1));
+        let Some(Decision::Place { workers, .. }) = placer.place_now(need, now) else {
+            panic!("{}", case.name);
+        };
+        assert_eq!(workers[0], keys[case.expected], "{}", case.name);
+    }
+}
+
+/// Guards against a search that stops at the first workers with room: of many idle workers none is
+/// broken up while a used one has room.
+#[test]
+fn idle_workers_stay_whole() {
+    let (mut placer, now) = build(policy(1), 40, amount(16, 16));
+    let customer = placer.customer("c0").unwrap();
+    let used = placer.add_worker(worker(40, 0, amount(16, 16)), now);
+    placer.adopt(used, request(customer, WorkBand::Short, amount(4, 4)), now);
+    for _ in 0..12 {
+        let check = request(customer, WorkBand::Short, amount(1, 1));
+        let Some(Decision::Place { workers, .. }) = placer.place_now(check, now) else {
+            panic!("there is room");
+        };
+        assert_eq!(workers[0], used);
+    }
+}
