test: reservations on leaving workers, stragglers, renewal and turns

Ruled out: removal of the four parts, since each has a case that starves without it. Change: one test for each of: claims on a leaving worker, claims on the room of a straggler, a validity that doubles, and turns between waiting gangs. The usual run time is no longer looked at in backfill. Conclusion: the parts of the reservation that are left are covered.

--- a/crates/hs-core/src/drain.rs
+++ b/crates/hs-core/src/drain.rs
@@ -137,10 +137,7 @@
         if request.tasks > 1 {
             return None;
         }
-        let times = self.run_times.get(&request.workload);
-        let usual = times.and_then(|times| times.usual()).unwrap_or_default();
-        let run = request.estimate?.max(usual);
-        if now + run > reservation.ready_at {
+        if now + request.estimate? > reservation.ready_at {
             return None;
         }
         let mut claims = reservation.claims.iter().take(MAX_BACKFILL);
--- a/crates/hs-core/tests/gangs.rs
+++ b/crates/hs-core/tests/gangs.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use common::{amount, policy, request, worker};
-use hs_core::{Decision, Placer, PlacerPolicy, TaskEnd, WorkBand, WorkKey, WorkRequest};
+use hs_core::{
+    Decision, Placer, PlacerPolicy, TaskEnd, WorkBand, WorkKey, WorkRequest, WorkerState,
+};
 use hs_wire::Resources;
 
 /// A cluster whose tasks end after their real run time.
@@ -76,8 +78,10 @@
             else {
                 continue;
             };
-            // The lowest three digits of a tag say how many tens of milliseconds the work runs.
-            let end = self.now + Duration::from_millis(tag % 1000 * 10);
+            // The lowest three digits of a tag say how many tens of milliseconds the work runs, and
+            // how many hundreds from 9000 on.
+            let unit = if tag < 9000 { 10 } else { 100 };
+            let end = self.now + Duration::from_millis(tag % 1000 * unit);
             let tasks = (0..workers.len()).map(|task| (end, work, task as u16));
             self.ends.extend(tasks);
             self.placed.push((tag, self.now - self.start));
@@ -280,3 +284,117 @@
     let racks: Vec<_> = workers.into_iter().map(rack).collect();
     assert_eq!(racks, [1, 1, 1]);
 }
+
+/// Keeps 20 small tasks waiting. They run 200 to 320 ms, so that no worker becomes empty by itself.
+fn feed_small(cluster: &mut Cluster) {
+    while cluster.placer.free_summary().queued < 20 {
+        let started = cluster.placed.len() as u64 + u64::from(cluster.placer.free_summary().queued);
+        let tag = 1020 + started * 7 % 13;
+        let small = cluster.request(WorkBand::Long, amount(2, 1), 300, tag);
+        cluster.submit(small);
+    }
+}
+
+/// Guards against claims on a worker that is leaving, which would keep the gang waiting until they
+/// expire.
+#[test]
+fn leaving_worker_loses_its_claims() {
+    for leaving in 0..3 {
+        let mut cluster = Cluster::new(policy(1), 0, Resources::ZERO);
+        let now = cluster.now;
+        let keys: Vec<_> = (0..3)
+            .map(|index| {
+                cluster
+                    .placer
+                    .add_worker(worker(index, 0, amount(8, 8)), now)
+            })
+            .collect();
+        cluster.run(Duration::from_millis(100), feed_small);
+        let gang = cluster.gang(2, 100, 7010);
+        cluster.submit(gang);
+        cluster.run(Duration::from_millis(250), feed_small);
+        assert_eq!(cluster.started(7010), None);
+        let now = cluster.now;
+        cluster
+            .placer
+            .set_worker_state(keys[leaving], WorkerState::Draining, now);
+        cluster.run(Duration::from_secs(3), feed_small);
+        let started = cluster.started(7010);
+        let limit = Duration::from_millis(1500);
+        assert!(
+            started.is_some_and(|at| at < limit),
+            "{leaving}: {started:?}"
+        );
+    }
+}
+
+/// Guards against claims on the room of a straggler, whose declared end has passed, so that it
+/// seems to end at any moment.
+#[test]
+fn straggler_is_not_waited_for() {
+    let mut cluster = Cluster::new(policy(1), 1, amount(8, 8));
+    // It declares 100 ms like the samples after it, and really runs 9.99 s.
+    let mut straggler = cluster.request(WorkBand::Long, amount(4, 1), 100, 1999);
+    straggler.workload = 1;
+    cluster.submit(straggler);
+    for _ in 0..40 {
+        let mut sample = cluster.request(WorkBand::Long, amount(1, 1), 100, 1010);
+        sample.workload = 1;
+        cluster.submit(sample);
+    }
+    cluster.run(Duration::from_secs(2), |_| {});
+    let now = cluster.now;
+    cluster.placer.add_worker(worker(1, 0, amount(8, 8)), now);
+    cluster.run(Duration::from_millis(100), feed_small);
+    let large = cluster.request(WorkBand::Long, amount(8, 1), 100, 7010);
+    cluster.submit(large);
+    cluster.run(Duration::from_secs(5), feed_small);
+    let started = cluster.started(7010);
+    let limit = Duration::from_secs(4);
+    assert!(started.is_some_and(|at| at < limit), "{started:?}");
+}
+
+/// Guards against a gang that never starts beside tasks which declare no run time and run longer
+/// than a reservation is valid.
+#[test]
+fn reservation_lasts_longer_when_renewed() {
+    let mut cluster = Cluster::new(policy(1), 2, amount(8, 8));
+    let feed = |cluster: &mut Cluster| {
+        if cluster.placer.free_summary().queued < 3 {
+            let mut task = cluster.request(WorkBand::Long, amount(8, 1), 45_000, 9450);
+            task.estimate = None;
+            cluster.submit(task);
+        }
+    };
+    let mut first = cluster.request(WorkBand::Long, amount(8, 1), 25_000, 9250);
+    first.estimate = None;
+    cluster.submit(first);
+    cluster.run(Duration::from_secs(2), feed);
+    let gang = cluster.gang(2, 100, 7010);
+    cluster.submit(gang);
+    // It is passed over when the first task ends, and gets its first reservation then.
+    cluster.run(Duration::from_secs(300), feed);
+    let started = cluster.started(7010);
+    let limit = Duration::from_secs(200);
+    assert!(started.is_some_and(|at| at < limit), "{started:?}");
+}
+
+/// Guards against work that never gets its room and keeps the only reservation for ever, so that
+/// other large work starves.
+#[test]
+fn reservations_take_turns() {
+    let mut cluster = Cluster::new(policy(1), 3, amount(8, 8));
+    let mut endless = cluster.request(WorkBand::Long, amount(8, 1), 1000, 9999);
+    endless.estimate = None;
+    cluster.submit(endless);
+    cluster.run(Duration::from_millis(100), feed_small);
+    for (tasks, tag) in [(3, 6010), (2, 7010)] {
+        let gang = cluster.gang(tasks, 100, tag);
+        cluster.submit(gang);
+    }
+    cluster.run(Duration::from_secs(90), feed_small);
+    assert_eq!(cluster.started(6010), None);
+    let started = cluster.started(7010);
+    let limit = Duration::from_secs(40);
+    assert!(started.is_some_and(|at| at < limit), "{started:?}");
+}
