--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -6,6 +6,8 @@
 mod drain;
 mod faults;
 mod gang;
+mod gone_worker;
+mod history;
 mod leaving;
 mod manifest;
 mod not_run;
--- a/crates/hs-node/src/ledger/calls.rs
+++ b/crates/hs-node/src/ledger/calls.rs
@@ -62,6 +62,7 @@
             }
             Admission::Existing { record } => {
                 owned.answers.entry(record).or_default().push(reply);
+                owned.answer_if_final(record);
                 self.answer_unstored(record);
             }
             Admission::Refused(NotRunReason::KeyReused) => {
@@ -133,16 +134,18 @@
         key: &str,
         reply: oneshot::Sender<LedgerAnswer>,
     ) {
+        let now = self.now();
         let Some(owned) = &mut self.owned else {
             return;
         };
         let Some(record) = owned.partition.find(customer, key) else {
             return;
         };
-        let answer = if owned.is_committed(record) {
-            owned.reply(record)
-        } else {
-            owned.reply_unstored(record)
+        // Open work may have ended at a newer owner that this one does not know of.
+        let is_current = !owned.is_open(record) || owned.partition.is_fresh(now);
+        let answer = match owned.is_committed(record) && is_current {
+            true => owned.reply(record),
+            false => owned.reply_unstored(record),
         };
         let _ = reply.send(LedgerAnswer::Reply(answer));
     }
@@ -157,13 +160,16 @@
         let Some(owned) = &mut self.owned else {
             return;
         };
+        let is_fresh = owned.partition.is_fresh(now);
         match owned.partition.find(customer, key) {
-            Some(record) => owned.answer_at_commit(record, reply),
-            None if owned.partition.is_fresh(now) => {
+            Some(record) if is_fresh || !owned.is_open(record) => {
+                owned.answer_at_commit(record, reply);
+            }
+            None if is_fresh => {
                 let _ = reply.send(LedgerAnswer::NoRecord);
             }
-            // A newer owner may have a record that this one does not know.
-            None => {
+            // A newer owner may have a record, or an outcome, that this one does not know.
+            Some(_) | None => {
                 let _ = reply.send(LedgerAnswer::NotOwned { owner: None });
             }
         }
@@ -188,7 +194,9 @@
             if let Some(signal) = owned.signals.get(&record) {
                 let _ = signal.send(true);
             }
+            owned.answer_at_commit(record, reply);
+        } else {
+            self.query(customer, key, reply);
         }
-        owned.answer_at_commit(record, reply);
     }
 }
--- a/crates/hs-node/src/ledger/candidate.rs
+++ b/crates/hs-node/src/ledger/candidate.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hs_event::EventCode;
-use hs_ledger::{LedgerOwner, LedgerPartition, PartitionImage, ReadBack};
+use hs_ledger::{LedgerOwner, LedgerPartition, PartitionImage, ReadBack, Stamp};
 
 use super::owned::OwnedPartition;
 use super::partition_task::{STORE_LIMIT, SeenRevision};
@@ -107,6 +107,7 @@
             commits: BTreeMap::new(),
             answers: HashMap::new(),
             signals: HashMap::new(),
+            settled: Stamp::ZERO,
         });
         self.flush();
     }
--- a/crates/hs-node/src/ledger/owned.rs
+++ b/crates/hs-node/src/ledger/owned.rs
@@ -37,6 +37,8 @@
     pub(super) commits: BTreeMap<Stamp, Vec<CommitWaiter>>,
     pub(super) answers: HashMap<RecordKey, Vec<oneshot::Sender<LedgerAnswer>>>,
     pub(super) signals: HashMap<RecordKey, watch::Sender<bool>>,
+    /// Commits up to this one have been acted on.
+    pub(super) settled: Stamp,
 }
 
 impl OwnedPartition {
@@ -46,6 +48,51 @@
             .is_none_or(|stamp| stamp <= self.partition.committed())
     }
 
+    /// Returns whether the record has tasks that have not ended.
+    pub(super) fn is_open(&self, record: RecordKey) -> bool {
+        let kept = self.partition.record(record);
+        kept.is_some_and(|kept| !kept.outcome().is_final())
+    }
+
+    /// Answers everybody who waits for a record whose final outcome is committed.
+    pub(super) fn answer_if_final(&mut self, record: RecordKey) {
+        if !self.is_committed(record) || self.is_open(record) {
+            return;
+        }
+        let reply = self.reply(record);
+        for waiter in self.answers.remove(&record).unwrap_or_default() {
+            let _ = waiter.send(LedgerAnswer::Reply(reply.clone()));
+        }
+        self.partition.release_results(record);
+    }
+
+    /// Acts on what has been committed since the last call. Its cost grows with the number of waiting
+    /// callers and open records, so that it does nothing between two commits.
+    pub(super) fn settle(&mut self) {
+        let committed = self.partition.committed();
+        while let Some(entry) = self.commits.first_entry() {
+            if *entry.key() > committed {
+                break;
+            }
+            for waiter in entry.remove() {
+                self.wake(waiter);
+            }
+        }
+        if committed == self.settled {
+            return;
+        }
+        self.settled = committed;
+        let waiting: Vec<RecordKey> = self.answers.keys().copied().collect();
+        for record in waiting {
+            self.answer_if_final(record);
+        }
+        let partition = &self.partition;
+        self.signals.retain(|record, _| {
+            let kept = partition.record(*record);
+            kept.is_some_and(|kept| !kept.outcome().is_final())
+        });
+    }
+
     pub(super) fn answer_at_commit(
         &mut self,
         record: RecordKey,
--- a/crates/hs-node/src/ledger/partition_task.rs
+++ b/crates/hs-node/src/ledger/partition_task.rs
@@ -4,12 +4,12 @@
 use std::time::{Duration, Instant};
 
 use hs_event::EventCode;
-use hs_ledger::{FlushEnd, LedgerOptions, LedgerPartition, RecordKey};
+use hs_ledger::{FlushEnd, LedgerOptions};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
 use super::owned::OwnedPartition;
-use super::{LedgerAnswer, PARTITIONS, PartitionMessage, PartitionStatus};
+use super::{PARTITIONS, PartitionMessage, PartitionStatus};
 use crate::port::{ClockPort, Platform, StorePort, StoreWrite};
 use crate::shared::NodeShared;
 
@@ -178,37 +178,9 @@
     }
 
     fn settle(&mut self) {
-        let Some(owned) = &mut self.owned else {
-            return;
-        };
-        let committed = owned.partition.committed();
-        while let Some(entry) = owned.commits.first_entry() {
-            if *entry.key() > committed {
-                break;
-            }
-            for waiter in entry.remove() {
-                owned.wake(waiter);
-            }
+        if let Some(owned) = &mut self.owned {
+            owned.settle();
         }
-        let partition = &owned.partition;
-        let finished = |record: &RecordKey| {
-            partition
-                .stamp(*record)
-                .is_none_or(|stamp| stamp <= committed)
-                && partition
-                    .record(*record)
-                    .is_none_or(|kept| kept.outcome().is_final())
-        };
-        let ready: Vec<RecordKey> = owned.answers.keys().copied().filter(finished).collect();
-        for record in ready {
-            let reply = owned.reply(record);
-            for waiter in owned.answers.remove(&record).unwrap_or_default() {
-                let _ = waiter.send(LedgerAnswer::Reply(reply.clone()));
-            }
-            owned.partition.release_results(record);
-        }
-        let is_open = |record: &RecordKey| partition_is_open(&owned.partition, *record);
-        owned.signals.retain(|record, _| is_open(record));
     }
 
     pub(super) fn flush(&mut self) {
@@ -289,9 +261,3 @@
         status
     }
 }
-
-fn partition_is_open(partition: &LedgerPartition, record: RecordKey) -> bool {
-    partition
-        .record(record)
-        .is_some_and(|kept| !kept.outcome().is_final())
-}
--- a/crates/hs-node/src/member/snapshot.rs
+++ b/crates/hs-node/src/member/snapshot.rs
@@ -76,9 +76,13 @@
     }
 
     /// Returns the address of a live peer of the data centre whose workers together have the room.
-    pub fn sample_peer(&self, seed: u64, need: Resources) -> Option<String> {
+    ///
+    /// With `idle_only`, a peer with a queue is left out: its own work takes what room it has, so that
+    /// thousands of waiting requests would ask it in vain several times a second.
+    pub fn sample_peer(&self, seed: u64, need: Resources, idle_only: bool) -> Option<String> {
         let view = self.membership.sample_peer(seed)?;
-        need.fits(view.free).then(|| view.address.to_owned())
+        let is_likely = need.fits(view.free) && (view.queued == 0 || !idle_only);
+        is_likely.then(|| view.address.to_owned())
     }
 
     /// Returns the preferred owner of a worker of this data centre, and whether it is this process.
--- a/crates/hs-node/src/shared.rs
+++ b/crates/hs-node/src/shared.rs
@@ -16,6 +16,9 @@
 use crate::placer::PlacerHandle;
 use crate::port::Platform;
 
+/// Most characters of a key that stand in a task id.
+const SHOWN_KEY: usize = 40;
+
 /// Settings, adapters and handles of one process. Shared behind an `Arc`, never changed.
 pub struct NodeShared<P: Platform> {
     /// Settings.
@@ -56,11 +59,14 @@
         format!("{}.{}", self.settings.id, self.incarnation)
     }
 
-    /// Returns the id of the next check of this process.
-    pub fn next_check_id(&self) -> WorkId {
+    /// Returns the id of the next check of this process. The key is part of it, as far as its
+    /// characters may stand in an id, so that log lines of tasks can be found by key.
+    pub fn next_check_id(&self, key: &str) -> WorkId {
         let number = self.next_check.fetch_add(1, Ordering::Relaxed);
+        let is_plain = |letter: &char| letter.is_ascii_alphanumeric() || "-_.".contains(*letter);
+        let shown: String = key.chars().filter(is_plain).take(SHOWN_KEY).collect();
         WorkId(format!(
-            "c.{}.{:x}.{number}",
+            "c.{}.{:x}.{number}:{shown}",
             self.settings.id, self.incarnation
         ))
     }
--- a/crates/hs-node/src/work/reserve.rs
+++ b/crates/hs-node/src/work/reserve.rs
@@ -129,7 +129,7 @@
         Err(PlaceRefusal::Busy) => {}
         Err(PlaceRefusal::Refused(reason)) => return Err(reason),
     }
-    if let Some(held) = try_elsewhere(shared, spec).await {
+    if let Some(held) = try_elsewhere(shared, spec, false).await {
         return Ok(held);
     }
     wait(shared, spec).await
@@ -165,7 +165,7 @@
                 };
             }
             _ = tries.tick() => {
-                if let Some(held) = try_elsewhere(shared, spec).await {
+                if let Some(held) = try_elsewhere(shared, spec, true).await {
                     return Ok(held);
                 }
             }
@@ -194,7 +194,7 @@
         tokio::select! {
             () = &mut passed => return Err(NotRunReason::DeadlinePassed),
             _ = tries.tick() => {
-                if let Some(held) = try_elsewhere(shared, spec).await {
+                if let Some(held) = try_elsewhere(shared, spec, false).await {
                     return Ok(held);
                 }
             }
@@ -220,8 +220,9 @@
 async fn try_elsewhere<P: Platform>(
     shared: &Arc<NodeShared<P>>,
     spec: &ReserveSpec,
+    idle_only: bool,
 ) -> Option<HeldGrants<P>> {
-    if let Some(held) = try_peer(shared, spec).await {
+    if let Some(held) = try_peer(shared, spec, idle_only).await {
         return Some(held);
     }
     match spec.tasks.len() {
@@ -233,10 +234,11 @@
 async fn try_peer<P: Platform>(
     shared: &Arc<NodeShared<P>>,
     spec: &ReserveSpec,
+    idle_only: bool,
 ) -> Option<HeldGrants<P>> {
     let need = spec.resources.saturating_mul(spec.tasks.len() as u32);
     let seed = shared.next_seed();
-    let peer = shared.members.borrow().sample_peer(seed, need)?;
+    let peer = shared.members.borrow().sample_peer(seed, need, idle_only)?;
     let grants = ask_peer(shared, spec, &spec.tasks, &peer, false).await;
     let is_granted = !grants.is_empty() && grants.len() == spec.tasks.len();
     shared.metrics.forwarded(is_granted);
