--- a/crates/hornbeamshunt/src/main.rs
+++ b/crates/hornbeamshunt/src/main.rs
@@ -3,10 +3,12 @@
 mod cancel;
 mod check;
 mod control;
+mod demo;
 mod drain;
 mod draining;
 mod exit;
 mod file;
+mod load;
 mod publish;
 mod publisher;
 mod result;
@@ -48,6 +50,8 @@
     Result(result::ResultCommand),
     Cancel(cancel::CancelCommand),
     Status(status::StatusCommand),
+    Demo(demo::DemoCommand),
+    Load(load::LoadCommand),
     Serve(serve::ServeCommand),
     Standin(standin::StandinCommand),
 }
@@ -63,6 +67,8 @@
             Self::Result(command) => block_on(command.run()),
             Self::Cancel(command) => block_on(command.run()),
             Self::Status(command) => block_on(command.run()),
+            Self::Load(command) => serve::block_on(command.run()),
+            Self::Demo(command) => serve::block_on(command.run()),
             Self::Serve(command) => serve::block_on(command.run()),
             Self::Standin(command) => serve::block_on(command.run()),
         }
--- a/crates/hs-core/src/placer.rs
+++ b/crates/hs-core/src/placer.rs
@@ -9,6 +9,9 @@
 use crate::band_queue::BandQueue;
 use crate::customer_account::CustomerAccount;
 use crate::deadline_heap::DeadlineHeap;
+use crate::drain::DrainState;
+use crate::health_board::HealthBoard;
+use crate::run_times::RunTimes;
 use crate::work_record::{WorkRecord, WorkStage};
 use crate::worker_pool::WorkerPool;
 use crate::{
@@ -32,6 +35,14 @@
     pub(crate) sequence: u64,
     /// Decisions about workers that wait for [`Placer::poll`].
     pub(crate) events: VecDeque<Decision>,
+    pub(crate) health: HealthBoard,
+    pub(crate) drain: DrainState,
+    /// Customers that wait for room beyond the margin.
+    pub(crate) margin_line: VecDeque<CustomerKey>,
+    /// Sum of the weights of the customers with work.
+    pub(crate) active_weight: u64,
+    /// Finished run times by workload.
+    pub(crate) run_times: HashMap<u32, RunTimes>,
 }
 
 impl Default for Placer {
@@ -48,6 +59,11 @@
             queued: 0,
             sequence: 0,
             events: VecDeque::new(),
+            health: HealthBoard::default(),
+            drain: DrainState::default(),
+            margin_line: VecDeque::new(),
+            active_weight: 0,
+            run_times: HashMap::new(),
         }
     }
 }
@@ -88,6 +104,7 @@
         if self.policy.mode != before.mode {
             self.requeue();
         }
+        self.count_activity();
         let customers: Vec<_> = self.accounts.keys().collect();
         for customer in customers {
             self.unpark(customer);
@@ -111,6 +128,11 @@
     /// Sets whether a worker takes new work.
     pub fn set_worker_state(&mut self, worker: WorkerKey, state: WorkerState, _now: Instant) {
         self.pool.update(worker, |record| record.state = state);
+        if state == WorkerState::Draining {
+            self.health.forget(worker);
+            self.pool.update(worker, |record| record.withheld = false);
+            self.readmit_excess();
+        }
         self.room_returned(worker);
     }
 
@@ -118,12 +140,20 @@
     /// valid until [`Placer::finish`] is called for each of them.
     pub fn remove_worker(&mut self, worker: WorkerKey, _now: Instant) -> Vec<(WorkKey, u16)> {
         let record = self.pool.remove(worker);
+        self.health.forget(worker);
+        self.readmit_excess();
+        self.drain.note_room();
         record.map(|record| record.tasks).unwrap_or_default()
     }
 
     /// Returns when [`Placer::poll`] has to be called even without an input.
     pub fn next_wake(&self) -> Option<Instant> {
-        self.deadlines.first()
+        let wakes = [
+            self.deadlines.first(),
+            self.health.first_wake(),
+            self.drain.wake().filter(|_| self.queued > 0),
+        ];
+        wakes.into_iter().flatten().min()
     }
 
     /// Returns the free room, as heartbeats carry it.
@@ -146,6 +176,7 @@
 
     /// Tries the waiting work again that may fit on a worker whose room has grown.
     pub(crate) fn room_returned(&mut self, worker: WorkerKey) {
+        self.drain.note_room();
         for band in WorkBand::ALL {
             if let Some(room) = self.pool.room(worker, band) {
                 self.queues[band as usize].unblock(room);
@@ -171,17 +202,21 @@
 
     /// Moves all waiting work into the queues of the mode in force, in order of submission.
     fn requeue(&mut self) {
+        self.end_drain();
+        self.drain = DrainState::default();
         let works = self.works.iter().filter(|(_, record)| record.is_queued());
         let mut waiting: Vec<_> = works
             .map(|(work, record)| (record.sequence, work))
             .collect();
         waiting.sort_unstable();
         self.arrivals.clear();
+        self.margin_line.clear();
         self.queues = WorkBand::ALL.map(BandQueue::new);
         for account in self.accounts.values_mut() {
             account.queued = [0; 4];
             account.tags = [0; 4];
             account.parked.clear();
+            account.waits_for_margin = false;
         }
         for (_, work) in waiting {
             self.enqueue(work);
@@ -203,6 +238,8 @@
             }
         };
         record.stage = WorkStage::Queued(lane);
+        let customer = record.request.customer;
+        self.note_activity(customer);
     }
 
     /// Removes waiting work that was not placed and returns its record.
@@ -213,6 +250,7 @@
             let account = &mut self.accounts[record.request.customer];
             let queue = &mut self.queues[record.request.band as usize];
             queue.forget(lane, account, &self.works);
+            self.note_activity(record.request.customer);
         }
         Some(record)
     }
--- a/crates/hs-core/src/submit.rs
+++ b/crates/hs-core/src/submit.rs
@@ -26,6 +26,7 @@
         );
         if let Some(account) = self.accounts.get_mut(customer) {
             account.used = account.used.saturating_add(need);
+            self.note_activity(customer);
         }
         self.pool.reserve(worker, band, need, (work, 0));
         work
@@ -75,6 +76,7 @@
         if !account.admits(shape.total())
             || self.queues[request.band as usize].is_blocked(shape)
             || self.next_fit(request.band, now).is_some()
+            || self.takes_margin(request.customer, request.band, shape.total())
         {
             return None;
         }
@@ -87,30 +89,36 @@
     }
 
     /// Frees the room of one task that has ended, or whose start was refused.
-    pub fn finish(&mut self, work: WorkKey, task: u16, _end: TaskEnd, _now: Instant) {
+    pub fn finish(&mut self, work: WorkKey, task: u16, end: TaskEnd, now: Instant) {
         let Some(record) = self.works.get_mut(work) else {
             return;
         };
         let (band, need) = (record.request.band, record.request.resources);
-        let customer = record.request.customer;
-        let WorkStage::Running { workers, .. } = &mut record.stage else {
+        let (customer, workload) = (record.request.customer, record.request.workload);
+        let WorkStage::Running { workers, since, .. } = &mut record.stage else {
             return;
         };
         let placed = workers.get_mut(usize::from(task)).and_then(Option::take);
         let Some(worker) = placed else {
             return;
         };
+        if end == TaskEnd::Done {
+            let run = now.saturating_duration_since(*since);
+            self.run_times.entry(workload).or_default().record(run);
+        }
         if workers.iter().all(Option::is_none) {
             self.works.remove(work);
         }
         if let Some(account) = self.accounts.get_mut(customer) {
             account.used = account.used.saturating_sub(need);
+            self.note_activity(customer);
             self.unpark(customer);
         }
         self.pool.update(worker, |record| {
             record.release(band, need, (work, task));
         });
         self.room_returned(worker);
+        self.note_end(worker, work, end, now);
     }
 
     /// Cancels work in constant time.
@@ -150,6 +158,7 @@
             request,
             submitted: now,
             sequence: self.sequence,
+            drains: 0,
             stage,
         })
     }
--- a/crates/hs-core/src/worker_pool.rs
+++ b/crates/hs-core/src/worker_pool.rs
@@ -27,6 +27,8 @@
     /// Number of workers of each capacity.
     capacities: Vec<(Resources, u32)>,
     active: usize,
+    /// Capacity and used part of the workers that take work, summed.
+    totals: [(u64, u64); 5],
     short_reserve: Resources,
     long_ceiling: Option<u32>,
 }
@@ -54,7 +56,9 @@
             Some((_, count)) => *count += 1,
             None => self.capacities.push((capacity, 1)),
         }
-        let worker = self.records.insert(WorkerRecord::new(spec, rack));
+        let record = WorkerRecord::new(spec, rack);
+        add_totals(&mut self.totals, &record, u64::wrapping_add);
+        let worker = self.records.insert(record);
         self.racks[rack].push(worker);
         self.active += 1;
         self.refresh(worker);
@@ -64,6 +68,7 @@
     /// Removes a worker.
     pub(crate) fn remove(&mut self, worker: WorkerKey) -> Option<WorkerRecord> {
         let record = self.records.remove(worker)?;
+        add_totals(&mut self.totals, &record, u64::wrapping_sub);
         for index in &mut self.indices {
             index.remove(worker);
         }
@@ -87,7 +92,9 @@
     pub(crate) fn update(&mut self, worker: WorkerKey, change: impl FnOnce(&mut WorkerRecord)) {
         if let Some(record) = self.records.get_mut(worker) {
             let before = record.state;
+            add_totals(&mut self.totals, record, u64::wrapping_sub);
             change(record);
+            add_totals(&mut self.totals, record, u64::wrapping_add);
             self.active -= usize::from(before == WorkerState::Active);
             self.active += usize::from(record.state == WorkerState::Active);
             self.refresh(worker);
@@ -99,25 +106,49 @@
         self.records.iter()
     }
 
+    /// Returns every worker rack by rack, beginning with a rack that depends on `start`.
+    pub(crate) fn iter_from_rack(
+        &self,
+        start: u64,
+    ) -> impl Iterator<Item = (WorkerKey, &WorkerRecord)> {
+        let first = start.checked_rem(self.racks.len() as u64).unwrap_or(0) as usize;
+        let racks = self.racks[first..].iter().chain(&self.racks[..first]);
+        racks
+            .flatten()
+            .map(|worker| (*worker, &self.records[*worker]))
+    }
+
+    /// Returns the capacity and the used part of each dimension over the workers that take work.
+    pub(crate) fn totals(&self) -> [(u64, u64); 5] {
+        self.totals
+    }
+
     /// Returns the number of workers.
     pub(crate) fn len(&self) -> usize {
         self.records.len()
     }
 
     /// Returns the number of workers that are not draining.
-    #[expect(dead_code, reason = "read by ejection and drain reservations")]
     pub(crate) fn active(&self) -> usize {
         self.active
     }
 
     /// Returns the free room of a band on a worker, claims included.
     pub(crate) fn room(&self, worker: WorkerKey, band: WorkBand) -> Option<Resources> {
-        let record = self.records.get(worker)?;
+        self.room_of(self.records.get(worker)?, band)
+    }
+
+    /// Returns the free room of a band on a worker, claims included.
+    pub(crate) fn room_of(&self, record: &WorkerRecord, band: WorkBand) -> Option<Resources> {
         record.free(band, self.short_reserve, self.long_ceiling)
     }
 
+    /// Returns how many more tasks of a band the ceiling for long work admits on a worker.
+    pub(crate) fn tasks_left(&self, record: &WorkerRecord, band: WorkBand) -> u32 {
+        record.tasks_left(band, self.long_ceiling)
+    }
+
     /// Returns the most that work of a band may hold on a worker.
-    #[expect(dead_code, reason = "read by ejection and drain reservations")]
     pub(crate) fn ceiling(&self, record: &WorkerRecord, band: WorkBand) -> Resources {
         record.ceiling(band, self.short_reserve)
     }
@@ -127,7 +158,8 @@
         let (Some(record), Some(room)) = (self.records.get(worker), self.room(worker, band)) else {
             return 0;
         };
-        times(need, room).min(record.tasks_left(band, self.long_ceiling))
+        need.count_in(room)
+            .min(record.tasks_left(band, self.long_ceiling))
     }
 
     /// Returns whether tasks fit on the workers when nothing else runs there.
@@ -138,7 +170,7 @@
         };
         let ceiling = self.long_ceiling.filter(|_| band == WorkBand::Long);
         let fits = |(capacity, count): &(Resources, u32)| {
-            let each = times(need, capacity.saturating_sub(reserve));
+            let each = need.count_in(capacity.saturating_sub(reserve));
             u64::from(each.min(ceiling.unwrap_or(u32::MAX))) * u64::from(*count)
         };
         let fits = self.capacities.iter().map(fits);
@@ -183,7 +215,7 @@
         let mut total = 0;
         self.indices[band as usize].visit_fits(need, |worker, free| {
             let left = self.records[worker].tasks_left(band, self.long_ceiling);
-            let count = times(need, free).min(left).min(tasks);
+            let count = need.count_in(free).min(left).min(tasks);
             found.push((worker, count));
             total += count;
             // A few more than needed, so that racks can be compared.
@@ -242,7 +274,8 @@
             return 0;
         };
         let room = room.saturating_sub(record.held_off(band));
-        times(need, room).min(record.tasks_left(band, self.long_ceiling))
+        need.count_in(room)
+            .min(record.tasks_left(band, self.long_ceiling))
     }
 
     fn refresh(&mut self, worker: WorkerKey) {
@@ -260,11 +293,17 @@
     }
 }
 
-/// Returns how many times an amount fits into a room.
-fn times(need: Resources, room: Resources) -> u32 {
-    let pairs = need.dimensions().into_iter().zip(room.dimensions());
-    let counts = pairs.filter_map(|(need, room)| room.checked_div(need));
-    counts.min().unwrap_or(u32::MAX)
+/// Adds a worker to the totals or, with the reverse operation, takes it out.
+fn add_totals(totals: &mut [(u64, u64); 5], record: &WorkerRecord, add: fn(u64, u64) -> u64) {
+    if !record.takes_work() {
+        return;
+    }
+    let amounts = record.spec.capacity.dimensions().into_iter();
+    let amounts = amounts.zip(record.used().dimensions());
+    for ((capacity, used), (more_capacity, more_used)) in totals.iter_mut().zip(amounts) {
+        *capacity = add(*capacity, u64::from(more_capacity));
+        *used = add(*used, u64::from(more_used));
+    }
 }
 
 /// Returns the sum over all dimensions of the share of a worker that stays free after a start.
--- a/crates/hs-node/src/placer/message.rs
+++ b/crates/hs-node/src/placer/message.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use hs_core::TaskEnd;
+use hs_peer::message::HeldTask;
 use hs_wire::{LeaseGrant, TaskView, WorkId};
 use tokio::sync::oneshot;
 
@@ -15,6 +16,8 @@
 pub enum PlaceMode {
     /// It is placed at once or refused.
     Immediate,
+    /// As many of its first tasks as there is room for are placed at once, each for itself.
+    Partial,
     /// It waits in the queue until its deadline.
     Queued,
 }
@@ -114,6 +117,13 @@
         /// Number of live entry processes in the data centre.
         members: u32,
     },
+    /// Asks for the tasks that hold room and whose id begins with a prefix.
+    HeldTasks {
+        /// The prefix.
+        prefix: String,
+        /// Where they go.
+        reply: oneshot::Sender<Vec<HeldTask>>,
+    },
     /// Asks for a summary.
     Status {
         /// Where it goes.
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -6,67 +6,57 @@
 
 use hs_core::{
     CancelState, CustomerPolicy, Decision, Placer, PlacerPolicy, TaskEnd, WorkBand, WorkKey,
-    WorkRequest, WorkerKey, WorkerSpec, WorkerState,
+    WorkRequest, WorkerKey,
 };
 use hs_event::EventCode;
 use hs_peer::RetryBudget;
-use hs_wire::{NotRunReason, TaskPhase, TaskView, WorkId};
+use hs_wire::{NotRunReason, WorkId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
-use super::message::SuspectList;
 use super::{
-    PlaceMode, PlaceRefusal, PlaceRequest, PlacerMessage, PlacerStatus, TaskGrant, TaskReservation,
-    WorkerReport, WorkerStatus,
+    PlaceMode, PlaceRefusal, PlaceRequest, PlacerMessage, TaskGrant, TaskReservation, WorkerReport,
 };
 use crate::manifest::ManifestView;
 use crate::port::ClockPort;
 
-/// Age at which a reservation is asked about, and the time between two questions.
-const SUSPECT_AGE: Duration = Duration::from_secs(5);
-
-/// Age at which a reservation whose task the worker does not know is freed after a raised fence.
-const MISSING_AGE: Duration = Duration::from_secs(10);
-
-/// Most tasks in one question, so that a renewal stays small.
-const SUSPECTS_PER_QUERY: usize = 64;
-
 /// Most messages that are taken before decisions are made.
 const MESSAGES_PER_TURN: usize = 256;
 
 /// Longest sleep between two looks at deadlines and opening hours.
 const IDLE_WAKE: Duration = Duration::from_secs(1);
 
-/// Name under which tasks are accounted whose customer has left the manifest.
-const FORMER_CUSTOMER: &str = "-";
-
 struct QueuedWork {
     work: WorkKey,
     request: PlaceRequest,
     reply: oneshot::Sender<Result<Vec<TaskGrant>, PlaceRefusal>>,
 }
 
-struct WorkerSlot {
-    report: WorkerReport,
-    is_ejected: bool,
-    tasks: HashMap<WorkId, TaskReservation>,
+pub(super) struct WorkerSlot {
+    pub(super) report: WorkerReport,
+    pub(super) is_ejected: bool,
+    pub(super) tasks: HashMap<WorkId, TaskReservation>,
 }
 
+/// Name under which tasks are accounted whose customer has left the manifest.
+pub(super) const FORMER_CUSTOMER: &str = "-";
+
 /// Owns the placement core and the reservations on the workers of this process.
 pub struct PlacerTask<Clock> {
-    clock: Clock,
+    pub(super) clock: Clock,
     receiver: mpsc::UnboundedReceiver<PlacerMessage>,
-    placer: Placer,
-    view: Option<Arc<ManifestView>>,
+    pub(super) placer: Placer,
+    pub(super) view: Option<Arc<ManifestView>>,
     members: u32,
     minute: u16,
-    slots: HashMap<WorkerKey, WorkerSlot>,
-    names: HashMap<String, WorkerKey>,
-    placed: HashMap<WorkId, WorkerKey>,
+    pub(super) slots: HashMap<WorkerKey, WorkerSlot>,
+    pub(super) names: HashMap<String, WorkerKey>,
+    pub(super) placed: HashMap<WorkId, WorkerKey>,
     queued: HashMap<u64, QueuedWork>,
     queued_tasks: HashMap<WorkId, u64>,
     next_tag: u64,
     budget: RetryBudget,
+    pub(super) next_report: Instant,
 }
 
 impl<Clock: ClockPort> PlacerTask<Clock> {
@@ -74,6 +64,7 @@
     pub fn new(clock: Clock, receiver: mpsc::UnboundedReceiver<PlacerMessage>) -> Self {
         let placer = Placer::new(PlacerPolicy::default(), clock.now());
         let budget = RetryBudget::new(clock.now());
+        let next_report = clock.now();
         Self {
             clock,
             receiver,
@@ -88,6 +79,7 @@
             queued_tasks: HashMap::new(),
             next_tag: 0,
             budget,
+            next_report,
         }
     }
 
@@ -105,6 +97,7 @@
                 () = sleep_until(wake.into()) => {}
             }
             self.follow_opening_hours();
+            self.report_stragglers();
             self.decide();
         }
     }
@@ -148,6 +141,9 @@
                 self.members = members;
                 self.apply_policy();
             }
+            PlacerMessage::HeldTasks { prefix, reply } => {
+                let _ = reply.send(self.held_tasks(&prefix));
+            }
             PlacerMessage::Status { reply } => {
                 let _ = reply.send(self.status());
             }
@@ -179,6 +175,7 @@
                     let _ = reply.send(Err(PlaceRefusal::Busy));
                 }
             },
+            PlaceMode::Partial => self.place_partial(work, &request, reply),
             PlaceMode::Queued => match self.placer.submit(work, now) {
                 Ok(work) => {
                     if let Some(first) = request.tasks.first() {
@@ -198,6 +195,35 @@
         }
     }
 
+    /// Places tasks one by one until the first that finds no room.
+    fn place_partial(
+        &mut self,
+        mut work: WorkRequest,
+        request: &PlaceRequest,
+        reply: oneshot::Sender<Result<Vec<TaskGrant>, PlaceRefusal>>,
+    ) {
+        let now = self.clock.now();
+        work.tasks = 1;
+        let mut grants = Vec::new();
+        for task in &request.tasks {
+            let Some(Decision::Place { work, workers, .. }) =
+                self.placer.place_now(work.clone(), now)
+            else {
+                break;
+            };
+            let tasks = std::slice::from_ref(task);
+            grants.extend(self.hold(work, &workers, tasks, request, Duration::ZERO));
+        }
+        let granted = grants.len();
+        let result = match granted {
+            0 => Err(PlaceRefusal::Busy),
+            _ => Ok(grants),
+        };
+        if reply.send(result).is_err() {
+            self.release_unsent(&request.tasks[..granted]);
+        }
+    }
+
     fn work_request(&self, request: &PlaceRequest, tag: u64) -> Result<WorkRequest, NotRunReason> {
         let view = self.view.as_ref().ok_or(NotRunReason::NotReady)?;
         let (number, entry) = view
@@ -224,10 +250,25 @@
         waited: Duration,
         reply: oneshot::Sender<Result<Vec<TaskGrant>, PlaceRefusal>>,
     ) {
+        let grants = self.hold(work, workers, &request.tasks, request, waited);
+        if reply.send(Ok(grants)).is_err() {
+            self.release_unsent(&request.tasks);
+        }
+    }
+
+    /// Notes the reservations of placed tasks and builds their grants.
+    fn hold(
+        &mut self,
+        work: WorkKey,
+        workers: &[WorkerKey],
+        tasks: &[WorkId],
+        request: &PlaceRequest,
+        waited: Duration,
+    ) -> Vec<TaskGrant> {
         let now = self.clock.now();
         let revision = self.view.as_ref().map_or(0, |view| view.revision());
         let mut grants = Vec::with_capacity(workers.len());
-        for (index, (worker, task)) in workers.iter().zip(&request.tasks).enumerate() {
+        for (index, (worker, task)) in workers.iter().zip(tasks).enumerate() {
             let Some(slot) = self.slots.get_mut(worker) else {
                 continue;
             };
@@ -240,26 +281,30 @@
             };
             slot.tasks.insert(task.clone(), reservation);
             self.placed.insert(task.clone(), *worker);
+            let report = &slot.report;
             EventCode::WorkPlaced.log(format_args!(
-                "task={task} customer={} workload={} worker={} fence={} revision={revision} waited_ms={}",
+                "task={task} customer={} workload={} worker={} fence={} revision={revision} \
+                 waited_ms={}",
                 request.customer,
                 request.workload,
-                slot.report.name,
-                slot.report.grant.fence,
+                report.name,
+                report.grant.fence,
                 waited.as_millis(),
             ));
             grants.push(TaskGrant {
-                worker: slot.report.name.clone(),
-                address: slot.report.address.clone(),
-                fence: slot.report.grant.fence,
-                incarnation: slot.report.grant.incarnation,
+                worker: report.name.clone(),
+                address: report.address.clone(),
+                fence: report.grant.fence,
+                incarnation: report.grant.incarnation,
             });
         }
-        if reply.send(Ok(grants)).is_err() {
-            // The caller has gone, so that nothing was sent to the workers.
-            for task in &request.tasks {
-                self.release(task, TaskEnd::Refused);
-            }
+        grants
+    }
+
+    /// Frees tasks whose caller has gone, so that nothing was sent to their workers.
+    fn release_unsent(&mut self, tasks: &[WorkId]) {
+        for task in tasks {
+            self.release(task, TaskEnd::Refused);
         }
     }
 
@@ -277,7 +322,7 @@
         }
     }
 
-    fn release(&mut self, task: &WorkId, end: TaskEnd) {
+    pub(super) fn release(&mut self, task: &WorkId, end: TaskEnd) {
         let Some(worker) = self.placed.remove(task) else {
             return;
         };
@@ -289,146 +334,6 @@
             .finish(reservation.work, reservation.index, end, self.clock.now());
     }
 
-    fn worker_up(&mut self, report: WorkerReport) {
-        self.worker_down(&report.name);
-        let now = self.clock.now();
-        let spec = WorkerSpec {
-            name: report.name.clone(),
-            rack: report.rack.clone(),
-            capacity: report.grant.capacity,
-        };
-        let worker = self.placer.add_worker(spec, now);
-        let tasks = report.grant.tasks.clone();
-        self.names.insert(report.name.clone(), worker);
-        let slot = WorkerSlot {
-            report,
-            is_ejected: false,
-            tasks: HashMap::new(),
-        };
-        self.slots.insert(worker, slot);
-        for task in tasks.iter().filter(|task| task.phase == TaskPhase::Running) {
-            self.adopt(worker, task, now);
-        }
-        self.follow_state(worker);
-    }
-
-    fn adopt(&mut self, worker: WorkerKey, task: &TaskView, now: Instant) {
-        let named = self.placer.customer(&task.customer);
-        let Some(customer) = named.or_else(|| self.placer.customer(FORMER_CUSTOMER)) else {
-            return;
-        };
-        let entry = self
-            .view
-            .as_ref()
-            .and_then(|view| view.workload(&task.workload));
-        let request = WorkRequest {
-            customer,
-            workload: entry.map_or(u32::MAX, |(number, _)| number),
-            band: entry.map_or(WorkBand::Long, |(_, entry)| {
-                WorkBand::of(entry.class, entry.urgent)
-            }),
-            resources: task.resources,
-            tasks: 1,
-            estimate: None,
-            deadline: None,
-            tag: 0,
-        };
-        let work = self.placer.adopt(worker, request, now);
-        let reservation = TaskReservation {
-            work,
-            index: 0,
-            since: now,
-            asked: None,
-            is_missing: false,
-        };
-        self.placed.insert(task.id.clone(), worker);
-        if let Some(slot) = self.slots.get_mut(&worker) {
-            slot.tasks.insert(task.id.clone(), reservation);
-        }
-    }
-
-    fn worker_renewed(&mut self, report: WorkerReport) {
-        let Some(worker) = self.names.get(&report.name).copied() else {
-            return;
-        };
-        if let Some(slot) = self.slots.get_mut(&worker) {
-            slot.report = report;
-        }
-        self.follow_state(worker);
-    }
-
-    fn follow_state(&mut self, worker: WorkerKey) {
-        let Some(slot) = self.slots.get(&worker) else {
-            return;
-        };
-        let state = match slot.report.draining || slot.report.grant.draining {
-            true => WorkerState::Draining,
-            false => WorkerState::Active,
-        };
-        self.placer
-            .set_worker_state(worker, state, self.clock.now());
-    }
-
-    fn worker_down(&mut self, name: &str) {
-        let Some(worker) = self.names.remove(name) else {
-            return;
-        };
-        let now = self.clock.now();
-        self.placer.remove_worker(worker, now);
-        let Some(slot) = self.slots.remove(&worker) else {
-            return;
-        };
-        for (task, reservation) in slot.tasks {
-            self.placed.remove(&task);
-            self.placer
-                .finish(reservation.work, reservation.index, TaskEnd::Stopped, now);
-        }
-    }
-
-    fn suspects(&mut self, name: &str) -> SuspectList {
-        let now = self.clock.now();
-        let mut list = SuspectList::default();
-        let worker = self.names.get(name);
-        let Some(slot) = worker.and_then(|worker| self.slots.get_mut(worker)) else {
-            return list;
-        };
-        for (task, reservation) in &mut slot.tasks {
-            let age = now.saturating_duration_since(reservation.asked.unwrap_or(reservation.since));
-            if age < SUSPECT_AGE || list.tasks.len() >= SUSPECTS_PER_QUERY {
-                continue;
-            }
-            reservation.asked = Some(now);
-            let held = now.saturating_duration_since(reservation.since);
-            list.bump |= reservation.is_missing && held >= MISSING_AGE;
-            list.tasks.push(task.clone());
-        }
-        list
-    }
-
-    fn queried(&mut self, name: &str, asked: &[WorkId], bumped: bool, known: &[TaskView]) {
-        let Some(worker) = self.names.get(name).copied() else {
-            return;
-        };
-        for task in asked {
-            let view = known.iter().find(|view| view.id == *task);
-            match view.map(|view| view.phase) {
-                Some(TaskPhase::Running) => self.set_missing(worker, task, false),
-                Some(TaskPhase::Done) => self.release(task, TaskEnd::Done),
-                Some(TaskPhase::Failed) => self.release(task, TaskEnd::Failed),
-                Some(TaskPhase::Stopped) => self.release(task, TaskEnd::Stopped),
-                None if bumped => self.release(task, TaskEnd::Refused),
-                None => self.set_missing(worker, task, true),
-            }
-        }
-    }
-
-    fn set_missing(&mut self, worker: WorkerKey, task: &WorkId, is_missing: bool) {
-        let slot = self.slots.get_mut(&worker);
-        if let Some(reservation) = slot.and_then(|slot| slot.tasks.get_mut(task)) {
-            reservation.is_missing = is_missing;
-        }
-    }
-
     fn follow_opening_hours(&mut self) {
         let minute = (self.clock.wall_ms() / 60_000 % 1440) as u16;
         if minute != self.minute {
@@ -484,38 +389,4 @@
         }
         Some(queued)
     }
-
-    fn set_ejected(&mut self, worker: WorkerKey, pause: Option<Duration>) {
-        let Some(slot) = self.slots.get_mut(&worker) else {
-            return;
-        };
-        slot.is_ejected = pause.is_some();
-        let name = &slot.report.name;
-        match pause {
-            Some(pause) => EventCode::WorkerEjected
-                .log(format_args!("worker={name} pause_ms={}", pause.as_millis())),
-            None => EventCode::WorkerReadmitted.log(format_args!("worker={name}")),
-        }
-    }
-
-    fn status(&self) -> PlacerStatus {
-        let mut workers: Vec<WorkerStatus> = Vec::with_capacity(self.slots.len());
-        for (worker, slot) in &self.slots {
-            let (capacity, reserved) = self.placer.worker_load(*worker).unwrap_or_default();
-            workers.push(WorkerStatus {
-                name: slot.report.name.clone(),
-                draining: slot.report.draining || slot.report.grant.draining,
-                ejected: slot.is_ejected,
-                fence: slot.report.grant.fence,
-                capacity,
-                reserved,
-                tasks: slot.tasks.len(),
-            });
-        }
-        workers.sort_by(|left, right| left.name.cmp(&right.name));
-        PlacerStatus {
-            summary: self.placer.free_summary(),
-            workers,
-        }
-    }
 }
--- a/crates/hs-node/src/work/check.rs
+++ b/crates/hs-node/src/work/check.rs
@@ -42,7 +42,7 @@
             let spec = ReserveSpec {
                 customer: self.submission.customer.clone(),
                 workload: self.submission.workload.clone(),
-                tasks: vec![self.shared.next_check_id()],
+                tasks: vec![self.shared.next_check_id(&self.submission.key)],
                 resources: self.entry.resources,
                 deadline: Some(start_by),
             };
--- a/crates/hs-peer/src/membership.rs
+++ b/crates/hs-peer/src/membership.rs
@@ -14,7 +14,7 @@
 mod owner;
 
 slotmap::new_key_type! {
-    /// Key of a member, valid until the member leaves the VM list.
+    /// Key of a member, valid until the member has left the VM list and is forgotten.
     pub struct MemberKey;
 }
 
@@ -22,6 +22,36 @@
 ///
 /// It does no I/O. The process passes in the time, VM lists and heartbeats, and calls
 /// [`Membership::tick`] more often than once per [`MemberOptions::dead_after`].
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Instant;
+///
+/// use hs_peer::message::HeartbeatRequest;
+/// use hs_peer::{MemberEvent, MemberOptions, Membership};
+///
+/// let options = MemberOptions {
+///     id: "entry-1".to_owned(),
+///     data_centre: "north".to_owned(),
+///     address: "10.0.0.1:9000".to_owned(),
+///     ..MemberOptions::default()
+/// };
+/// let now = Instant::now();
+/// let mut membership = Membership::new(options, now);
+/// // Without a VM list, peers are learned from their heartbeats.
+/// let heartbeat = HeartbeatRequest {
+///     id: "entry-2".to_owned(),
+///     data_centre: "north".to_owned(),
+///     address: "10.0.0.2:9000".to_owned(),
+///     incarnation: 1,
+///     ..HeartbeatRequest::default()
+/// };
+/// let events = membership.heard(&heartbeat, now);
+/// assert!(matches!(events[..], [MemberEvent::Joined { .. }]));
+/// assert!(membership.preferred_owner("worker-1").is_some());
+/// assert_eq!(membership.beat_targets(now), ["10.0.0.2:9000"]);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Membership {
     options: MemberOptions,
@@ -45,6 +75,7 @@
     pub fn new(options: MemberOptions, now: Instant) -> Self {
         let mut member = Member::new(&options.id, &options.address, &options.data_centre, now);
         member.state = MemberState::Live;
+        member.incarnation = options.incarnation;
         let mut members = SlotMap::with_key();
         let own = members.insert(member);
         let mut membership = Self {
@@ -162,7 +193,8 @@
         events
     }
 
-    /// Excludes the own process from ownership, since it is shutting down.
+    /// Excludes the own process from ownership, since it is shutting down. Its heartbeats announce
+    /// this from now on, and it never counts as live again.
     pub fn leave(&mut self) {
         self.members[self.own].state = MemberState::Departed;
         self.rebuild();
@@ -178,7 +210,7 @@
             .map(|(key, member)| self.view(key, member))
     }
 
-    /// Returns a member, or `None` if it has left the VM list.
+    /// Returns a member, or `None` if it has left the VM list and is forgotten.
     pub fn get(&self, key: MemberKey) -> Option<MemberView<'_>> {
         self.members.get(key).map(|member| self.view(key, member))
     }
@@ -193,55 +225,51 @@
         if heartbeat.id.is_empty() || heartbeat.address.is_empty() {
             return None;
         }
-        if let Some(key) = self.keys.get(&heartbeat.id) {
-            return (*key != self.own).then_some(*key);
+        let known = self.keys.get(&heartbeat.id).copied();
+        if known == Some(self.own) {
+            return None;
         }
+        let is_listed = known.is_some_and(|key| self.members[key].listing.is_some());
         let version = heartbeat.vm_list_version;
-        if self.list_version.is_some_and(|have| version <= have) || !self.make_room() {
+        if !is_listed && self.list_version.is_some_and(|have| version <= have) {
+            return None;
+        }
+        let limit = self.options.max_members;
+        if known.is_none() && self.members.len() >= limit && !self.forget_oldest() {
             return None;
         }
         let centre = &heartbeat.data_centre;
         Some(self.key_or_insert(&heartbeat.id, &heartbeat.address, centre, now))
     }
 
-    /// Makes room for a peer that is not listed. At the limit, the unlisted peer that has been lost
-    /// for the longest time is forgotten. Returns whether there is room.
-    fn make_room(&mut self) -> bool {
-        if self.members.len() < self.options.max_members {
-            return true;
-        }
-        let lost = self
-            .members
-            .iter()
-            .filter(|(_, member)| !member.is_live() && member.listing.is_none());
+    /// Forgets the unlisted peer that has been lost for the longest time; returns whether there is
+    /// one. Peers are remembered until then so that their lower incarnations stay ignored if they
+    /// come back to the VM list.
+    fn forget_oldest(&mut self) -> bool {
+        let lost = self.members.iter().filter(|(key, member)| {
+            *key != self.own && !member.is_live() && member.listing.is_none()
+        });
         let oldest = lost.min_by_key(|(_, member)| member.deadline);
-        match oldest.map(|(key, _)| key).filter(|key| *key != self.own) {
-            Some(key) => {
-                self.remove(key);
-                true
-            }
-            None => false,
+        let Some(key) = oldest.map(|(key, _)| key) else {
+            return false;
+        };
+        if let Some(member) = self.members.remove(key) {
+            self.keys.remove(&member.id);
         }
+        true
     }
 
+    /// Ends the live members that the VM list does not contain, and forgets some of the others if
+    /// there are too many.
     fn drop_unlisted(&mut self, version: u64) -> Vec<MemberEvent> {
-        let own = self.own;
-        let unlisted: Vec<_> = self
-            .members
-            .iter()
-            .filter(|(key, member)| {
-                let has_newer_list = member.is_live() && member.vm_list_version > version;
-                *key != own && member.listing.is_none() && !has_newer_list
-            })
-            .map(|(key, _)| key)
-            .collect();
         let mut events = Vec::new();
-        for key in unlisted {
-            if self.members[key].is_live() {
+        for key in self.live_peers() {
+            let member = &self.members[key];
+            if member.listing.is_none() && member.vm_list_version <= version {
                 events.push(self.lose(key, LossReason::Unlisted));
             }
-            self.remove(key);
         }
+        while self.members.len() > self.options.max_members && self.forget_oldest() {}
         events
     }
 
@@ -256,12 +284,6 @@
         }
     }
 
-    fn remove(&mut self, key: MemberKey) {
-        if let Some(member) = self.members.remove(key) {
-            self.keys.remove(&member.id);
-        }
-    }
-
     fn lose(&mut self, key: MemberKey, reason: LossReason) -> MemberEvent {
         let member = &mut self.members[key];
         member.end(match reason {
@@ -274,6 +296,11 @@
         MemberEvent::Lost { key, id, reason }
     }
 
+    /// Returns whether a member may exist: it is listed or live, or there is no VM list.
+    fn may_exist(&self, member: &Member) -> bool {
+        self.list_version.is_none() || member.listing.is_some() || member.is_live()
+    }
+
     fn timeout_of(&self, key: MemberKey) -> Duration {
         if self.members[key].data_centre == self.options.data_centre {
             self.options.dead_after
--- a/crates/hs-peer/src/membership/beat.rs
+++ b/crates/hs-peer/src/membership/beat.rs
@@ -3,8 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use hs_wire::Resources;
+
 use super::Membership;
 use crate::member::{Member, MemberState};
+use crate::message::HeartbeatRequest;
 use crate::rendezvous;
 
 impl Membership {
@@ -18,10 +21,9 @@
         let mut targets = Vec::new();
         if is_due(&mut self.next_beat, self.options.heartbeat_interval, now) {
             let own_centre = &self.options.data_centre;
-            let peers = self
-                .members
-                .iter()
-                .filter(|(key, member)| *key != self.own && member.data_centre == *own_centre);
+            let peers = self.members.iter().filter(|(key, member)| {
+                *key != self.own && member.data_centre == *own_centre && self.may_exist(member)
+            });
             targets.extend(peers.map(|(_, member)| member.address.clone()));
             if self.list_version.is_none() {
                 let is_known = |seed: &String| {
@@ -43,12 +45,29 @@
         targets
     }
 
+    /// Builds the heartbeat of the own process, with what it has free and queued and the revision of
+    /// its manifest.
+    pub fn heartbeat(&self, free: Resources, queued: u32, revision: u64) -> HeartbeatRequest {
+        let own = &self.members[self.own];
+        HeartbeatRequest {
+            id: own.id.clone(),
+            data_centre: own.data_centre.clone(),
+            address: own.address.clone(),
+            incarnation: own.incarnation,
+            free: Some(free.into()),
+            queued,
+            manifest_revision: revision,
+            vm_list_version: self.vm_list_version(),
+            leaving: !own.is_live(),
+        }
+    }
+
     fn remote_targets(&self, targets: &mut Vec<String>) {
         let own_hash = self.members[self.own].hash;
         let mut centres: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
         for member in self.members.values() {
             let is_remote = member.data_centre != self.options.data_centre;
-            if is_remote && member.state != MemberState::Departed {
+            if is_remote && member.state != MemberState::Departed && self.may_exist(member) {
                 let centre = centres.entry(&member.data_centre).or_default();
                 centre.push(member);
             }
--- a/crates/hs-wire/src/outcome.rs
+++ b/crates/hs-wire/src/outcome.rs
@@ -57,7 +57,7 @@
     UnknownCustomer,
     /// The manifest has no such workload.
     UnknownWorkload,
-    /// The workload's class is not served yet.
+    /// The workload is a service, which the manifest starts.
     UnsupportedClass,
     /// No worker, or no quota, is large enough even when idle.
     NeverFits,
@@ -69,8 +69,6 @@
     DeadlinePassed,
     /// The worker refused the start, and the retry budget or the deadline was used up.
     WorkerRefused,
-    /// The store did not take the durable record.
-    StoreUnavailable,
     /// The owner of the record could not be reached and was sent nothing.
     OwnerUnreachable,
     /// The ledger partition has no room for another record.
@@ -100,7 +98,6 @@
             | Self::KeyExpired => 422,
             Self::QuotaExceeded | Self::QueueFull | Self::DeadlinePassed => 429,
             Self::WorkerRefused
-            | Self::StoreUnavailable
             | Self::OwnerUnreachable
             | Self::LedgerFull
             | Self::ShuttingDown
