--- a/crates/hs-node/src/ledger/candidate.rs
+++ b/crates/hs-node/src/ledger/candidate.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use hs_event::EventCode;
-use hs_ledger::{LedgerOwner, LedgerPartition, PartitionImage, ReadBack, Stamp};
+use hs_ledger::{
+    ImageError, LedgerOwner, LedgerPartition, PartitionHead, PartitionImage, ReadBack, Stamp,
+};
 
 use super::owned::OwnedPartition;
 use super::partition_task::{STORE_LIMIT, SeenRevision};
@@ -49,46 +51,59 @@
     }
 
     pub(super) fn read(&mut self, found: Option<StoreValue>) {
-        let revision = found.as_ref().map_or(0, |value| value.revision);
-        let image = match found
-            .map(|value| PartitionImage::decode(&value.body))
-            .transpose()
-        {
-            Ok(image) => image,
-            Err(error) => {
-                log::error!("ledger partition {} is unreadable: {error}", self.number);
-                return;
-            }
+        let result = match self.owned {
+            Some(_) => self.read_back(found),
+            None => self.read_head(found),
         };
+        if let Err(error) = result {
+            log::error!("ledger partition {} is unreadable: {error}", self.number);
+        }
+    }
+
+    /// Decides a write whose reply was lost.
+    fn read_back(&mut self, found: Option<StoreValue>) -> Result<(), ImageError> {
         let now = self.now();
-        if let Some(owned) = &mut self.owned {
-            if owned.partition.needs_read_back() {
-                let found = image.map(|image| (revision, image));
-                let result = owned.partition.read_back(found, now);
-                owned.is_store_down &= result != ReadBack::Written;
-                EventCode::WriteReadBack
-                    .log(format_args!("partition={} result={result:?}", self.number));
-            }
-            return;
+        let Some(owned) = &mut self.owned else {
+            return Ok(());
+        };
+        if owned.partition.needs_read_back() {
+            let result = owned.partition.read_back(decode(found)?, now);
+            owned.is_store_down &= result != ReadBack::Written;
+            EventCode::WriteReadBack
+                .log(format_args!("partition={} result={result:?}", self.number));
         }
-        let addr = image.as_ref().map(|image| image.owner.addr.clone());
-        self.owner = addr.filter(|addr| !addr.is_empty());
-        let is_free = image.is_none() || self.owner.is_none();
+        Ok(())
+    }
+
+    /// Looks at the owner as a candidate, and takes over if it is gone.
+    fn read_head(&mut self, found: Option<StoreValue>) -> Result<(), ImageError> {
+        let revision = found.as_ref().map_or(0, |value| value.revision);
+        let head = found
+            .as_ref()
+            .map(|value| PartitionHead::decode(&value.body))
+            .transpose()?;
+        let is_free = head.as_ref().is_none_or(|head| head.released);
+        self.owner = head.filter(|_| !is_free).map(|head| head.owner.addr);
         let Some(rank) = self.candidate_rank() else {
-            return;
+            return Ok(());
         };
+        let now = self.now();
         let since = match &self.seen {
             Some(seen) if seen.revision == revision => seen.since,
             _ => now,
         };
         self.seen = Some(SeenRevision { revision, since });
-        let patience = match is_free && rank == 0 {
-            true => Duration::ZERO,
-            false => TAKE_OVER_AFTER + CANDIDATE_STEP * rank as u32,
+        let first_wait = if is_free {
+            Duration::ZERO
+        } else {
+            TAKE_OVER_AFTER
         };
+        let patience = first_wait + CANDIDATE_STEP * rank as u32;
         if now.saturating_duration_since(since) >= patience {
+            let image = decode(found)?.map(|(_, image)| image);
             self.take_over(image, revision);
         }
+        Ok(())
     }
 
     pub(super) fn take_over(&mut self, image: Option<PartitionImage>, revision: u64) {
@@ -123,3 +138,8 @@
         format!("ledger/{}", self.number)
     }
 }
+
+fn decode(found: Option<StoreValue>) -> Result<Option<(u64, PartitionImage)>, ImageError> {
+    let decode = |value: StoreValue| Ok((value.revision, PartitionImage::decode(&value.body)?));
+    found.map(decode).transpose()
+}
--- a/crates/hs-node/src/member/task.rs
+++ b/crates/hs-node/src/member/task.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hs_core::FreeSummary;
 use hs_event::EventCode;
 use hs_peer::message::HeartbeatRequest;
 use hs_peer::{MemberEvent, MemberOptions, Membership};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::{MemberMessage, MemberSnapshot};
 use crate::port::{ClockPort, Platform};
@@ -21,6 +22,9 @@
 /// Longest time for one heartbeat call.
 const BEAT_LIMIT: Duration = Duration::from_millis(300);
 
+/// Longest wait for the free room that a heartbeat carries; the last one is sent otherwise.
+const STATUS_LIMIT: Duration = Duration::from_millis(30);
+
 /// Owns the membership state machine.
 pub struct MemberTask<P: Platform> {
     shared: Arc<NodeShared<P>>,
@@ -28,6 +32,7 @@
     snapshots: watch::Sender<Arc<MemberSnapshot>>,
     sync: SyncHandle,
     membership: Membership,
+    summary: FreeSummary,
 }
 
 impl<P: Platform> MemberTask<P> {
@@ -46,6 +51,7 @@
             snapshots,
             sync,
             membership,
+            summary: FreeSummary::default(),
         }
     }
 
@@ -103,8 +109,13 @@
         }
     }
 
-    async fn beat(&self) -> HeartbeatRequest {
-        let summary = self.shared.placer.status().await.summary;
+    /// Builds a heartbeat. A placer with a long queue of messages must not delay it, since peers would
+    /// take this process for dead at the peak of its load.
+    async fn beat(&mut self) -> HeartbeatRequest {
+        if let Ok(status) = timeout(STATUS_LIMIT, self.shared.placer.status()).await {
+            self.summary = status.summary;
+        }
+        let summary = self.summary;
         let revision = self.shared.view().map_or(0, |view| view.revision());
         self.membership
             .heartbeat(summary.free, summary.queued, revision)
