fix: look a key up before its workload is refused as a service

Cause: a submission whose workload is a service in the manifest in force was refused at once, also if its key had run as an order under an earlier manifest: told done, then not_run (unsupported_class). Ruled out: a workload that is gone from the manifest; its key is looked up. Change: the owner of the record refuses it, like any other durable work, and records the refusal. Before: workload_changed_after_the_run failed. After: it passes. Conclusion: only the owner of the record says that durable work did not run. A workload that becomes a check is still not looked up, since checks have no record.

--- a/crates/hornbeamshunt/tests/promises/not_run.rs
+++ b/crates/hornbeamshunt/tests/promises/not_run.rs
@@ -9,8 +9,8 @@
 use tokio::time::sleep;
 
 use crate::cluster::{
-    Caller, EntryNode, KeyAudit, TestPlatform, eventually, key_owned_by, partition_owner, run_test,
-    submission, submit_until_final,
+    Caller, EntryNode, KeyAudit, TestPlatform, eventually, key_owned_by, partition_owner, publish,
+    run_test, submission, submit_until_final,
 };
 
 const MANIFEST: &str = r#"{
@@ -298,3 +298,47 @@
         assert_final(&platform, &nodes.iter().collect::<Vec<_>>(), told).await;
     });
 }
+
+async fn put_in_force(platform: &TestPlatform, nodes: &[EntryNode], text: &str, revision: u64) {
+    let output = publish(platform, text);
+    assert!(output.status.success(), "{output:?}");
+    for node in nodes {
+        eventually("the manifest in force", FINAL_LIMIT, async || {
+            let status = node.status().await?;
+            (status["manifest_revision"] == revision).then_some(())
+        })
+        .await;
+    }
+}
+
+/// Guards against a refusal by the manifest in force of a key that ran under an earlier one.
+#[test]
+fn workload_changed_after_the_run() {
+    run_test(async {
+        let mut platform = TestPlatform::start(1, slots(2)).await;
+        let nodes = EntryNode::start_all(&mut platform, 2, MANIFEST).await;
+        let entry =
+            r#"{ name: "order", class: "order", resources: { cpu_milli: 1000, slots: 1 } }"#;
+        let service = entry.replace(r#"class: "order""#, r#"class: "service", customer: "acme""#);
+        let other = entry.replace(r#"name: "order""#, r#"name: "other""#);
+        let mut told = Vec::new();
+        for (number, workload) in [service, other].into_iter().enumerate() {
+            let mut audit = order(&format!("k{number}"), 5000, "sleep=20");
+            let caller = Caller::default();
+            audit
+                .replies
+                .extend(caller.submit(nodes[0].caller, &audit.work).await);
+            assert_eq!(audit.outcome(), Some(Outcome::Done), "{audit:?}");
+            let changed = MANIFEST.replace(entry, &workload);
+            put_in_force(&platform, &nodes, &changed, 2 * number as u64 + 2).await;
+            for node in &nodes {
+                audit
+                    .replies
+                    .extend(caller.submit(node.caller, &audit.work).await);
+            }
+            told.push(audit);
+            put_in_force(&platform, &nodes, MANIFEST, 2 * number as u64 + 3).await;
+        }
+        platform.assert_kept(&told).await;
+    });
+}
--- a/crates/hs-node/src/work/submit.rs
+++ b/crates/hs-node/src/work/submit.rs
@@ -41,10 +41,8 @@
         Some(entry) if entry.class == WorkClass::Check => {
             check(shared, submission.clone(), entry, view.revision(), arrived).await
         }
-        Some(entry) if entry.class == WorkClass::Service => {
-            let detail = "replicas of a service are started by the manifest, not by submissions";
-            WorkReply::not_run(&submission.key, NotRunReason::UnsupportedClass, detail)
-        }
+        // Only the owner of the key's record knows whether it ran under an earlier manifest, so that it
+        // also refuses what no manifest entry or a service stands for.
         _ => call_owner(shared, DurableCall::Submit(submission.clone()), arrived)
             .await
             .unwrap_or_else(|| WorkReply::unknown(&submission.key, "no record")),
