fix: do not count room that was never used against its worker

Cause: a gang that got only part of its room released it as "refused", which counts as a failed start. Waiting wide gangs thereby ejected sound workers again and again (E3004, 2 s to 16 s), so that the room for a gang was never complete. Ruled out: the order in which gangs reserve; no start was sent or refused in the logs. Change: room whose start was never sent is released as "stopped", which leaves a worker's health as it is. Conclusion: gangs that wait leave the workers in service.

--- a/crates/hs-node/src/ledger/runner.rs
+++ b/crates/hs-node/src/ledger/runner.rs
@@ -131,7 +131,7 @@
             .map(|placed| (placed.task, placed.worker.to_string()))
             .collect();
         if self.port.change(TaskChange::Placed(change)).await.is_none() {
-            held.release_all(TaskEnd::Refused);
+            held.release_all(TaskEnd::Stopped);
             return None;
         }
         let starts = self.start_all(&placed).await;
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -304,7 +304,7 @@
     /// Frees tasks whose caller has gone, so that nothing was sent to their workers.
     fn release_unsent(&mut self, tasks: &[WorkId]) {
         for task in tasks {
-            self.release(task, TaskEnd::Refused);
+            self.release(task, TaskEnd::Stopped);
         }
     }
 
--- a/crates/hs-node/src/work/reserve.rs
+++ b/crates/hs-node/src/work/reserve.rs
@@ -279,7 +279,7 @@
             return Some(held);
         }
     }
-    held.release_all(TaskEnd::Refused);
+    held.release_all(TaskEnd::Stopped);
     None
 }
 
