test: wait for load on the worker before it leaves

Cause: one of two full runs at once failed with "only 18 starts before it was listed". Ruled out: a late start; the check of these came after. Change: the test waits for these starts instead of a fixed time. The bounds are the same. A full run of all files was not repeated after this change. Conclusion: the precondition no longer depends on the load of the machine.

--- a/crates/hornbeamshunt/tests/promises/leaving.rs
+++ b/crates/hornbeamshunt/tests/promises/leaving.rs
@@ -11,7 +11,8 @@
 use tokio::time::sleep;
 
 use crate::cluster::{
-    Caller, EntryNode, TestPlatform, publish, run_test, submission, wall_ms, worker_owner,
+    Caller, EntryNode, TestPlatform, eventually, publish, run_test, submission, wall_ms,
+    worker_owner,
 };
 
 const MANIFEST: &str = r#"{
@@ -77,7 +78,10 @@
         let entry = nodes[live[name % live.len()]].caller;
         loads.spawn(load(entry, name, stop.clone()));
     }
-    sleep(Duration::from_secs(1)).await;
+    eventually("load on the worker", Duration::from_secs(5), async || {
+        (platform.logs().await[0].0.len() > 20).then_some(())
+    })
+    .await;
     let listed_ms = wall_ms();
     if case.is_listed {
         platform.entries[0].state = VmState::Leaving;
