--- a/crates/hornbeamshunt/src/demo/mod.rs
+++ b/crates/hornbeamshunt/src/demo/mod.rs
@@ -51,7 +51,6 @@
     for fault in faults.iter().take(10) {
         println!("  {fault}");
     }
-    println!("stopping; warnings of lost partitions and dead peers belong to it");
     cluster.stop().await;
     let elapsed = begin.elapsed().as_secs_f64();
     match faults.len() {
--- a/crates/hornbeamshunt/src/main.rs
+++ b/crates/hornbeamshunt/src/main.rs
@@ -22,6 +22,7 @@
 mod work_call;
 
 use std::env;
+use std::io::{self, Write};
 use std::process::ExitCode;
 
 use argh::FromArgs;
@@ -92,7 +93,8 @@
     let arguments = match Arguments::from_args(&["hornbeamshunt"], &words) {
         Ok(arguments) => arguments,
         Err(early) if early.status.is_ok() => {
-            println!("{}", early.output);
+            // `println` would panic when the reader, such as `head`, has gone.
+            let _ = writeln!(io::stdout(), "{}", early.output);
             return CommandExit::Success.into();
         }
         Err(early) => {
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -71,6 +71,8 @@
     PeerJoined = 4001, Info, "peer live";
     /// A peer stopped sending heartbeats.
     PeerLost = 4002, Warn, "peer dead";
+    /// A peer ended as planned.
+    PeerLeft = 4003, Info, "peer left";
     /// A manifest came into force.
     ManifestApplied = 5001, Info, "manifest in force";
     /// A manifest was not applied.
@@ -85,6 +87,8 @@
     StoreUp = 6004, Info, "store available";
     /// A store write had no reply and was read back.
     WriteReadBack = 6005, Warn, "store write without reply, read back";
+    /// A ledger partition was given up.
+    PartitionReleased = 6006, Info, "ledger partition given up";
     /// A replica of a service was started.
     ReplicaStarted = 7001, Info, "service replica started";
     /// A replica of a service was stopped, since it is not wanted.
--- a/crates/hs-node/src/ledger/partition_task.rs
+++ b/crates/hs-node/src/ledger/partition_task.rs
@@ -154,7 +154,11 @@
             self.owned = None;
             self.seen = None;
             self.shared.ledger.set_owned(self.number, false);
-            EventCode::PartitionLost.log(format_args!("partition={}", self.number));
+            let code = match self.hand_over {
+                Some(_) => EventCode::PartitionReleased,
+                None => EventCode::PartitionLost,
+            };
+            code.log(format_args!("partition={}", self.number));
         }
     }
 
--- a/crates/hs-node/src/member/task.rs
+++ b/crates/hs-node/src/member/task.rs
@@ -6,7 +6,7 @@
 use hs_core::FreeSummary;
 use hs_event::EventCode;
 use hs_peer::message::HeartbeatRequest;
-use hs_peer::{MemberEvent, MemberOptions, Membership};
+use hs_peer::{LossReason, MemberEvent, MemberOptions, Membership};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, timeout};
@@ -145,7 +145,13 @@
                     EventCode::PeerJoined.log(format_args!("peer={id}"));
                 }
                 MemberEvent::Lost { id, reason, .. } => {
-                    EventCode::PeerLost.log(format_args!("peer={id} reason={reason}"));
+                    let code = match reason {
+                        LossReason::Timeout => EventCode::PeerLost,
+                        LossReason::Leaving | LossReason::Restarted | LossReason::Unlisted => {
+                            EventCode::PeerLeft
+                        }
+                    };
+                    code.log(format_args!("peer={id} reason={reason}"));
                 }
                 MemberEvent::Woke { pause } => {
                     EventCode::ProcessWoke.log(format_args!("pause_ms={}", pause.as_millis()));
