--- a/crates/hornbeamshunt/tests/promises/main.rs
+++ b/crates/hornbeamshunt/tests/promises/main.rs
@@ -15,4 +15,5 @@
 mod service;
 mod single_run;
 mod takeover;
+mod urgent;
 mod whole_path;
--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -42,6 +42,8 @@
     lists: watch::Sender<Arc<VmList>>,
     state: ManifestState,
     pulling: HashSet<String>,
+    /// Manifest revision and number of members that the placer knows.
+    told: Option<(u64, u32)>,
 }
 
 impl<P: Platform> SyncTask<P> {
@@ -61,6 +63,7 @@
             lists,
             state: ManifestState::default(),
             pulling: HashSet::new(),
+            told: None,
         }
     }
 
@@ -156,11 +159,17 @@
         }
     }
 
-    fn tell_placer(&self) {
+    /// Tells the placer what changed. Snapshots of the membership come with every heartbeat, and the
+    /// placer's cost of a policy grows with the number of customers.
+    fn tell_placer(&mut self) {
         let Some(view) = self.shared.view() else {
             return;
         };
         let members = self.shared.members.borrow().local_count();
+        let told = Some((view.revision(), members));
+        if std::mem::replace(&mut self.told, told) == told {
+            return;
+        }
         self.shared
             .placer
             .send(PlacerMessage::Manifest { view, members });
