fix: ask peers about the tasks of a worker that left the VM list

Cause: the peers to ask were found by the worker's entry in the list, so that for a worker that had left it only the own links were asked, although a peer with an older list may still know its tasks. Ruled out: a longer wait than 35 s; it does not make the answer more certain. Change: without an entry, the entry processes of the own data centre are asked. Conclusion: a gone worker's tasks are only given up if no owner in the data centre answers for them.

--- a/crates/hs-node/src/ledger/fate.rs
+++ b/crates/hs-node/src/ledger/fate.rs
@@ -146,12 +146,10 @@
 fn likely_owners<P: Platform>(shared: &NodeShared<P>, worker: &str) -> Vec<String> {
     let list = shared.vms.borrow().clone();
     let members = shared.members.borrow().clone();
-    let data_centre = list
-        .vms
-        .iter()
-        .find(|vm| vm.id == worker)
-        .map(|vm| &vm.data_centre);
-    let preferred = match data_centre == Some(&shared.settings.data_centre) {
+    let listed = list.vms.iter().find(|vm| vm.id == worker);
+    // A worker that is gone from the list may still be known to a peer whose list is older.
+    let data_centre = listed.map_or(&shared.settings.data_centre, |vm| &vm.data_centre);
+    let preferred = match *data_centre == shared.settings.data_centre {
         true => members.preferred_owner(worker),
         false => None,
     };
@@ -161,9 +159,10 @@
         .into_iter()
         .collect();
     let own = shared.settings.peer_address().to_string();
-    let entries = list.vms.iter().filter(|vm| {
-        vm.role == VmRole::Entry && Some(&vm.data_centre) == data_centre && vm.addr != own
-    });
+    let entries = list
+        .vms
+        .iter()
+        .filter(|vm| vm.role == VmRole::Entry && vm.data_centre == *data_centre && vm.addr != own);
     for entry in entries {
         if !peers.contains(&entry.addr) {
             peers.push(entry.addr.clone());
