refactor: one place decides whom to ask for a partition's owner

Cause: the search for the owner mixed the order of the targets, the calls and the hints in one loop, and two processes that name each other during a takeover were asked in turn without a pause. Ruled out: following no hints; the owner is often none of the first candidates. Change: the targets are listed by a function of their own; after three hints without an answer the search pauses for 100 ms.

--- a/crates/hs-node/src/work/durable.rs
+++ b/crates/hs-node/src/work/durable.rs
@@ -17,6 +17,9 @@
 /// Pause before the candidates are asked again, when none of them owns the partition.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Most hints that are followed without a pause.
+const MAX_HOPS: u32 = 3;
+
 /// Shortest time for a call, so that a caller that does not wait still learns that its work is
 /// recorded: a group commit takes two flush intervals and two store calls at most.
 const SHORTEST_WAIT: Duration = Duration::from_millis(1500);
@@ -96,16 +99,10 @@
     let until = deadline_of(clock, arrived, call.wait().as_millis() as u64);
     let expires_at_ms = clock.wall_ms() + expiry(&call).as_millis() as u64;
     let mut hint: Option<String> = None;
+    let mut hops = 0;
     while clock.now() < until {
-        let mut targets: Vec<(String, bool)> =
-            hint.take().map(|peer| (peer, false)).into_iter().collect();
-        if shared.ledger.is_owned(partition) {
-            targets.insert(0, (String::new(), true));
-        }
-        targets.extend(shared.members.borrow().candidates(partition));
         let suspects = suspects(shared);
-        targets.sort_by_key(|(peer, _)| suspects.contains(peer));
-        for (peer, is_self) in targets {
+        for (peer, is_self) in targets(shared, partition, hint.take(), &suspects) {
             let mut left = until.saturating_duration_since(clock.now());
             if suspects.contains(&peer) {
                 left = left.min(SUSPECT_LIMIT);
@@ -118,19 +115,18 @@
                 OwnerAnswer::Reply(reply) => return Some(reply),
                 OwnerAnswer::NoRecord => return None,
                 OwnerAnswer::Elsewhere(owner) => {
-                    let own = shared.settings.peer_address().to_string();
-                    hint = owner
-                        .filter(|owner| *owner != own && *owner != peer)
-                        .filter(|owner| !suspects.contains(owner))
-                        .or(hint);
+                    hint = owner.filter(|owner| *owner != peer && !suspects.contains(owner));
                 }
             }
             if hint.is_some() {
                 break;
             }
         }
-        if hint.is_none() {
+        hops += 1;
+        // During a takeover two processes may name each other as the owner.
+        if hint.is_none() || hops >= MAX_HOPS {
             sleep(RETRY_PAUSE).await;
+            hops = 0;
         }
     }
     sleep_until(until.into()).await;
@@ -139,6 +135,25 @@
     Some(reply)
 }
 
+/// Returns whom to ask for the owner, in order, and whether it is this process: a process that was named
+/// as the owner, then the candidates, and last those that count as dead.
+fn targets<P: Platform>(
+    shared: &NodeShared<P>,
+    partition: u32,
+    hint: Option<String>,
+    suspects: &[String],
+) -> Vec<(String, bool)> {
+    let own = shared.settings.peer_address().to_string();
+    let mut targets: Vec<(String, bool)> = Vec::new();
+    if shared.ledger.is_owned(partition) {
+        targets.push((own.clone(), true));
+    }
+    targets.extend(hint.filter(|hint| *hint != own).map(|hint| (hint, false)));
+    targets.extend(shared.members.borrow().candidates(partition));
+    targets.sort_by_key(|(peer, _)| suspects.contains(peer));
+    targets
+}
+
 /// Returns the addresses of the listed entry processes of the own data centre that count as dead.
 fn suspects<P: Platform>(shared: &NodeShared<P>) -> Vec<String> {
     let own = shared.settings.peer_address().to_string();
