test: three entry processes and the whole platform as processes

Cause: the test with every part as its own process had one entry process, and the VM list in the test. Ruled out: dropping it in favour of the mixed run, whose platform is part of the test process. Change: store, VM list and worker run as standin processes beside three serve processes; checks, orders, batch work and gangs go through each, and every answer is compared with the caller's own.

--- a/crates/hornbeamshunt/tests/promises/whole_path.rs
+++ b/crates/hornbeamshunt/tests/promises/whole_path.rs
@@ -1,10 +1,12 @@
 //! Mixed work through three entry processes, with store, VM list and workers as processes too.
 
+use std::net::SocketAddr;
 use std::process::{Child, Command};
 use std::time::Duration;
 
 use hs_standin::WorkerOptions;
-use hs_wire::Outcome;
+use hs_wire::{Outcome, VmEntry, VmRole, VmState};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use crate::cluster::{
@@ -97,49 +99,60 @@
     }
 }
 
-/// Guards against stand-ins that only work inside a test: the platform runs as processes here.
+/// Guards against parts that only work inside a test: three entry processes, store, VM list and workers
+/// all run as processes here.
 #[test]
 fn every_part_as_its_own_process() {
     run_test(async {
         let mut platform = TestPlatform::start(0, WorkerOptions::default()).await;
-        let worker = free_address().to_string();
-        let start = |words: &[&str]| {
+        let (store, vms, worker) = (free_address(), free_address(), free_address());
+        let start = |kind: &str, address: SocketAddr| {
             let mut command = Command::new(env!("CARGO_BIN_EXE_hornbeamshunt"));
-            ChildGuard(
-                command
-                    .arg("standin")
-                    .args(words)
-                    .spawn()
-                    .expect("stand-in"),
-            )
+            command.args(["standin", kind, "--listen", &address.to_string()]);
+            ChildGuard(command.spawn().expect("stand-in"))
         };
-        let store = free_address().to_string();
-        let _worker = start(&["worker", "--listen", &worker]);
-        let _store = start(&["store", "--listen", &store]);
-        platform.entries.push(hs_wire::VmEntry {
+        let _parts = [
+            start("store", store),
+            start("vms", vms),
+            start("worker", worker),
+        ];
+        platform.store.address = store;
+        platform.vms.address = vms;
+        platform.entries.push(VmEntry {
             id: "w0".to_owned(),
-            addr: worker,
+            addr: worker.to_string(),
             data_centre: "dc1".to_owned(),
-            rack: String::new(),
-            role: hs_wire::VmRole::Worker,
-            state: hs_wire::VmState::Live,
+            rack: "r0".to_owned(),
+            role: VmRole::Worker,
+            state: VmState::Live,
             capacity: WorkerOptions::default().capacity,
         });
-        platform.store.address = store.parse().expect("address");
-        eventually("store", Duration::from_secs(5), async || {
-            let output = publish(&platform, MANIFEST);
-            output.status.success().then_some(())
-        })
-        .await;
-        let mut node = EntryNode::prepare(&mut platform, 0, NodeSpec::default()).await;
+        for address in [store, vms, worker] {
+            eventually("stand-ins", Duration::from_secs(5), async || {
+                TcpStream::connect(address).await.ok()
+            })
+            .await;
+        }
+        assert!(publish(&platform, MANIFEST).status.success());
+        let mut nodes = Vec::new();
+        for number in 0..3 {
+            nodes.push(EntryNode::prepare(&mut platform, number, NodeSpec::default()).await);
+        }
         platform.publish_vms().await;
-        node.spawn();
-        wait_owned(std::slice::from_ref(&node), 1).await;
-        let work = submission("k", "order", 5000, "sleep=10");
-        let reply = Caller::default()
-            .submit(node.caller, &work)
-            .await
-            .expect("a reply");
-        assert_eq!(reply.outcome, Outcome::Done, "{reply:?}");
+        for node in &mut nodes {
+            node.spawn();
+        }
+        wait_owned(&nodes, 1).await;
+        let cases = [("check", 1), ("order", 1), ("batch", 3), ("gang", 4)];
+        for (turn, (workload, results)) in cases.into_iter().cycle().take(12).enumerate() {
+            let key = format!("{workload}-{turn}");
+            let work = submission(&key, workload, 10_000, "sleep=10");
+            let reply = Caller::default()
+                .submit(nodes[turn % 3].caller, &work)
+                .await;
+            let reply = reply.expect("a reply");
+            assert_eq!(reply.outcome, Outcome::Done, "{reply:?}");
+            assert_eq!(reply.results, vec![key; results], "the caller's own answer");
+        }
     });
 }
