--- /dev/null
+++ b/crates/hornbeamshunt/src/edge.rs
@@ -0,0 +1,25 @@
+//! `edge`: runs a process on the users' platform.
+
+use std::io::Write;
+
+use argh::FromArgs;
+
+use crate::exit::{CommandError, CommandExit};
+
+/// Run a process on the platform whose settings file the environment names, until SIGTERM.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "edge")]
+pub(crate) struct EdgeCommand {}
+
+impl EdgeCommand {
+    pub(crate) async fn run(self) -> Result<CommandExit, CommandError> {
+        let environment = env_logger::Env::default().default_filter_or("info");
+        env_logger::Builder::from_env(environment)
+            .target(env_logger::Target::Stdout)
+            .format(|line, record| writeln!(line, "{} {}", record.level(), record.args()))
+            .init();
+        let ended = hs_platform::run().await;
+        ended.map_err(|error| CommandError::failed(error.to_string()))?;
+        Ok(CommandExit::Success)
+    }
+}
--- a/crates/hornbeamshunt/src/main.rs
+++ b/crates/hornbeamshunt/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod drain;
 mod draining;
+mod edge;
 mod exit;
 mod file;
 mod load;
@@ -54,6 +55,7 @@
     Demo(demo::DemoCommand),
     Load(load::LoadCommand),
     Serve(serve::ServeCommand),
+    Edge(edge::EdgeCommand),
     Standin(standin::StandinCommand),
 }
 
@@ -68,6 +70,7 @@
             Self::Result(command) => block_on(command.run()),
             Self::Cancel(command) => block_on(command.run()),
             Self::Status(command) => block_on(command.run()),
+            Self::Edge(command) => block_on(command.run()),
             Self::Load(command) => serve::block_on(command.run()),
             Self::Demo(command) => serve::block_on(command.run()),
             Self::Serve(command) => serve::block_on(command.run()),
--- /dev/null
+++ b/crates/hs-cell/src/effect.rs
@@ -0,0 +1,81 @@
+//! What a cell asks its owner to do.
+
+use std::sync::Arc;
+
+use crate::job_record::{JobOutcome, JobRecord};
+use crate::{JobId, StepId, TaskId, WorkerKey};
+
+/// One run of a task.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TaskRun {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run, from 1.
+    pub run: u32,
+}
+
+/// A start to be sent to a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StartOrder {
+    /// The run.
+    pub run: TaskRun,
+    /// Input of the job.
+    pub input: Arc<str>,
+    /// Checkpoint to resume from.
+    pub checkpoint: Option<Arc<str>>,
+    /// Ticket that allows the worker to run the step.
+    pub ticket: Option<Arc<str>>,
+}
+
+/// A call for advice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdviceRequest {
+    /// The step.
+    pub step: StepId,
+    /// Workers to ask about.
+    pub workers: Vec<WorkerKey>,
+    /// Expected duration of the call.
+    pub cost: std::time::Duration,
+    /// Priority of the queue; 0 comes first.
+    pub priority: u8,
+}
+
+/// Something to do outside the cell.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CellEffect {
+    /// Send a start.
+    Start(WorkerKey, StartOrder),
+    /// Stop a run, and repeat that until the worker answers.
+    Stop(WorkerKey, TaskRun),
+    /// Ask which workers may run a step.
+    Advise(AdviceRequest),
+    /// Ends of this worker up to the number are recorded and may be acknowledged.
+    Acknowledge(WorkerKey, u64),
+    /// The worker has left and holds nothing any more.
+    Forget(WorkerKey),
+}
+
+/// A change to be written to the store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RecordRow {
+    /// Progress of an unfinished job.
+    Progress(JobId, JobRecord),
+    /// End of a job.
+    Finished(JobId, JobOutcome),
+}
+
+/// Changes to be written in one transaction.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CellBatch {
+    /// The changes.
+    pub rows: Vec<RecordRow>,
+    pub(crate) starts: Vec<(WorkerKey, TaskRun)>,
+    pub(crate) ends: Vec<(WorkerKey, u64)>,
+}
+
+impl CellBatch {
+    /// Returns whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/hs-cell/src/record.rs
@@ -0,0 +1,209 @@
+//! Records of unfinished jobs: written for the store, read at a takeover.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::cell::Cell;
+use crate::job::{Job, Occurrence, StepRun, Task, TaskState};
+use crate::job_record::{JobRecord, StepRecord, TaskPlace, TaskRecord, WorkerLife};
+use crate::job_spec::JobSpec;
+use crate::worker::{Slot, SlotPhase, Worker, WorkerEntry};
+use crate::{JobId, StepId, TaskRun, WorkerKey};
+
+impl Cell {
+    /// Returns what the store has to keep of an unfinished job.
+    pub(crate) fn record(&self, id: JobId) -> JobRecord {
+        let mut record = JobRecord::default();
+        let Some(job) = self.jobs.get(&id) else {
+            return record;
+        };
+        record.first_occurrence = job.first_occurrence;
+        for occurrence in &job.occurrences {
+            for (number, step) in (0u16..).zip(&occurrence.steps) {
+                let done = step.is_done();
+                let tasks = match done {
+                    true => Vec::new(),
+                    false => self.task_records(step, &mut record.workers),
+                };
+                if done || !tasks.is_empty() {
+                    record.steps.push(StepRecord {
+                        occurrence: occurrence.number,
+                        step: number,
+                        done,
+                        tasks,
+                    });
+                }
+            }
+        }
+        record
+    }
+
+    fn task_records(&self, step: &StepRun, workers: &mut Vec<WorkerLife>) -> Vec<TaskRecord> {
+        let mut records = Vec::new();
+        for (index, task) in (0u16..).zip(&step.tasks) {
+            let place = match task.state {
+                TaskState::Waiting if task.run == 0 => continue,
+                TaskState::Waiting => TaskPlace::Waiting,
+                TaskState::Done => TaskPlace::Done,
+                TaskState::Placed(key) => match self.workers.get(key) {
+                    Some(worker) => TaskPlace::Worker(position(workers, worker)),
+                    None => TaskPlace::Waiting,
+                },
+            };
+            records.push(TaskRecord {
+                index,
+                place,
+                run: task.run,
+                failures: task.failures,
+                failed_run: task.failed_run,
+                checkpoint: task.checkpoint.as_deref().unwrap_or_default().to_owned(),
+            });
+        }
+        records
+    }
+
+    /// Adds an unfinished job from its record. The workers of the registry have to be known before.
+    ///
+    /// Runs on a worker that isn't listed count as running until `lease_end`.
+    pub fn restore(
+        &mut self,
+        id: JobId,
+        spec: Arc<JobSpec>,
+        record: &JobRecord,
+        lease_end: Instant,
+        now: Instant,
+        now_ms: u64,
+    ) {
+        let workers: Vec<WorkerKey> = record
+            .workers
+            .iter()
+            .map(|life| self.restore_worker(life, lease_end))
+            .collect();
+        let mut job = Job::new(spec.clone());
+        job.first_occurrence = record.first_occurrence;
+        job.next_occurrence = record.first_occurrence;
+        let last = record.steps.iter().map(|step| step.occurrence).max();
+        for number in record.first_occurrence..=last.unwrap_or(0) {
+            if last.is_some() && number < spec.occurrences() {
+                job.occurrences.push(Occurrence::new(&spec, number, now));
+                job.next_occurrence = number + 1;
+            }
+        }
+        for step in &record.steps {
+            let step_id = StepId {
+                job: id,
+                occurrence: step.occurrence,
+                step: step.step,
+            };
+            self.restore_step(&mut job, step_id, step, &workers, now);
+        }
+        let begun: Vec<u32> = job.occurrences.iter().map(|o| o.number).collect();
+        self.jobs.insert(id, job);
+        for number in begun {
+            self.queue_runnable(id, number);
+        }
+        self.begin_due(id, now, now_ms);
+    }
+
+    fn restore_step(
+        &mut self,
+        job: &mut Job,
+        id: StepId,
+        record: &StepRecord,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) {
+        let need = job.step_spec(id).map(|spec| spec.held());
+        let Some(need) = need else {
+            return;
+        };
+        job.started = true;
+        let Some(step) = job.step_mut(id) else {
+            return;
+        };
+        if record.done {
+            for task in &mut step.tasks {
+                task.state = TaskState::Done;
+            }
+            step.done = u16::try_from(step.tasks.len()).unwrap_or(u16::MAX);
+            return;
+        }
+        for record in &record.tasks {
+            let Some(task) = step.tasks.get_mut(usize::from(record.index)) else {
+                continue;
+            };
+            let place = match record.place {
+                TaskPlace::Worker(position) => workers.get(usize::from(position)).copied(),
+                TaskPlace::Waiting | TaskPlace::Done => None,
+            };
+            restore_task(task, record, place);
+            if record.place == TaskPlace::Done {
+                step.done += 1;
+            }
+            if let Some(key) = place {
+                let run = TaskRun {
+                    task: id.task(record.index),
+                    run: record.run,
+                };
+                let slot = Slot {
+                    need,
+                    phase: SlotPhase::Running,
+                    known_since: Some(now),
+                    percent: 0,
+                    moved_at: now,
+                };
+                self.workers[key].hold(run, slot);
+            }
+        }
+    }
+
+    /// Finds the worker of a recorded life, or its successor, whose first list shows what runs there.
+    fn restore_worker(&mut self, life: &WorkerLife, lease_end: Instant) -> WorkerKey {
+        if let Some(&key) = self.by_id.get(life.id.as_str()) {
+            return key;
+        }
+        let id: Arc<str> = life.id.as_str().into();
+        let entry = WorkerEntry {
+            id: id.clone(),
+            born_ms: life.born_ms,
+            service: "".into(),
+            labels: Vec::new(),
+            capacity: hs_wire::Resources::ZERO,
+            draining: true,
+        };
+        let mut worker = Worker::new(entry, lease_end);
+        worker.listed = false;
+        let key = self.workers.insert(worker);
+        self.by_id.insert(id, key);
+        key
+    }
+}
+
+fn restore_task(task: &mut Task, record: &TaskRecord, place: Option<WorkerKey>) {
+    task.run = record.run;
+    task.failures = record.failures;
+    task.failed_run = record.failed_run;
+    task.checkpoint = match record.checkpoint.as_str() {
+        "" => None,
+        checkpoint => Some(checkpoint.into()),
+    };
+    task.state = match (record.place, place) {
+        (TaskPlace::Done, _) => TaskState::Done,
+        (_, Some(key)) => TaskState::Placed(key),
+        (_, None) => TaskState::Waiting,
+    };
+}
+
+fn position(workers: &mut Vec<WorkerLife>, worker: &Worker) -> u16 {
+    let entry = &worker.entry;
+    let same = |life: &WorkerLife| life.id == *entry.id && life.born_ms == entry.born_ms;
+    let found = workers.iter().position(same);
+    let index = found.unwrap_or_else(|| {
+        workers.push(WorkerLife {
+            id: entry.id.to_string(),
+            born_ms: entry.born_ms,
+        });
+        workers.len() - 1
+    });
+    u16::try_from(index).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/crates/hs-control/src/chain.rs
@@ -0,0 +1,193 @@
+//! Conditional writes of the owner, one after the other.
+//!
+//! Each transaction expects the claim as the previous one left it and writes it anew. So a write of an
+//! owner that lost the claim, and a copy of an earlier write that the store carries out late, both fail.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::time::sleep;
+
+use crate::keys;
+use crate::port::{ClockPort, PortError, StoreItem, StorePort, StoreTxn, TxnReply};
+
+/// Time after which a write is sent again. The store answers within milliseconds if it is well.
+const RESEND_AFTER: Duration = Duration::from_millis(300);
+
+/// Longest time that a write is waited for, when the store is slow.
+const MAX_RESEND_AFTER: Duration = Duration::from_millis(1500);
+
+/// Pause after a refused write.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// Value of the claim.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct ClaimValue {
+    /// Fence that workers compare.
+    pub fence: u64,
+    /// Number of the last write of the owner.
+    pub sequence: u64,
+    /// Name of the owner.
+    pub node: String,
+    /// Start of the owner's process, which tells its lives apart.
+    pub started_ms: u64,
+    /// Address of the owner's peer listener.
+    pub address: String,
+    /// Whether the owner has given the cell up.
+    pub released: bool,
+}
+
+/// Why a write of the owner failed for good.
+#[derive(Clone, Debug, Error)]
+pub(crate) enum ChainError {
+    /// Another process holds the claim.
+    #[error("the claim is held by {node} with fence {fence}")]
+    Lost {
+        /// The other process.
+        node: String,
+        /// Its fence.
+        fence: u64,
+    },
+    /// The claim has vanished or can't be read.
+    #[error("the claim is unreadable")]
+    Unreadable,
+}
+
+/// The owner's claim and the revision that its next write expects.
+#[derive(Clone, Debug)]
+pub(crate) struct ClaimChain {
+    pub claim: ClaimValue,
+    pub revision: u64,
+}
+
+/// A claim as it was read.
+#[derive(Clone, Debug)]
+pub(crate) struct SeenClaim {
+    /// `None` if there is none.
+    pub value: Option<ClaimValue>,
+    pub revision: u64,
+}
+
+impl SeenClaim {
+    fn from_item(item: Option<&StoreItem>) -> Self {
+        let value = item.and_then(|item| item.value.as_deref());
+        Self {
+            value: value.and_then(|value| serde_json::from_slice(value).ok()),
+            revision: item.map_or(0, |item| item.revision),
+        }
+    }
+}
+
+/// Reads the claim.
+///
+/// # Errors
+///
+/// Returns the store's error.
+pub(crate) async fn read_claim<S: StorePort>(
+    store: &S,
+    limit: Duration,
+) -> Result<SeenClaim, PortError> {
+    let item = store.read(keys::OWNER, limit).await?;
+    Ok(SeenClaim::from_item(item.as_ref()))
+}
+
+/// Tries to take the claim over from its state `seen`. Returns `None` if another process was faster.
+///
+/// # Errors
+///
+/// Returns the store's error if the write was refused or its fate stays unknown.
+pub(crate) async fn take_claim<S: StorePort>(
+    store: &S,
+    seen: &SeenClaim,
+    mut claim: ClaimValue,
+    tries: u32,
+) -> Result<Option<ClaimChain>, PortError> {
+    // The revision of an item only rises, so the fence is higher than that of any earlier owner.
+    claim.fence = seen.revision + 1;
+    let txn = claim_txn(&claim, seen.revision);
+    let mut left = tries;
+    loop {
+        let error = match store.transact(&txn, RESEND_AFTER).await {
+            Ok(TxnReply::Committed(revision)) => {
+                return Ok(Some(ClaimChain { claim, revision }));
+            }
+            Ok(TxnReply::Conflict(items)) => {
+                let now = SeenClaim::from_item(items.first());
+                // An earlier copy of this write may have been carried out.
+                let own = now.value.as_ref() == Some(&claim);
+                let revision = now.revision;
+                return Ok(own.then_some(ClaimChain { claim, revision }));
+            }
+            Err(error) => error,
+        };
+        left = left.saturating_sub(1);
+        if left == 0 {
+            return Err(error);
+        }
+    }
+}
+
+fn claim_txn(claim: &ClaimValue, revision: u64) -> StoreTxn {
+    // A struct of strings and numbers always serialises.
+    let value = serde_json::to_vec(claim).unwrap_or_default();
+    StoreTxn {
+        expect: vec![(keys::OWNER.to_owned(), revision)],
+        writes: vec![(keys::OWNER.to_owned(), value)],
+        deletes: Vec::new(),
+    }
+}
+
+/// Writes rows under the claim, and repeats that until the store has answered for certain.
+///
+/// Returns the new chain and a time at or after which the claim was certainly held.
+///
+/// # Errors
+///
+/// Returns [`ChainError`] if the claim is lost. Then none of the rows was written by this call, unless
+/// an earlier copy of it was carried out before the claim was lost.
+pub(crate) async fn append<P: StorePort + ClockPort>(
+    port: &P,
+    chain: &ClaimChain,
+    writes: Vec<(String, Vec<u8>)>,
+    deletes: Vec<String>,
+    released: bool,
+) -> Result<(ClaimChain, Instant), ChainError> {
+    let mut claim = chain.claim.clone();
+    claim.sequence += 1;
+    claim.released = released;
+    let mut txn = claim_txn(&claim, chain.revision);
+    txn.writes.extend(writes);
+    txn.deletes = deletes;
+    let mut limit = RESEND_AFTER;
+    let first_sent = port.now();
+    loop {
+        match port.transact(&txn, limit).await {
+            Ok(TxnReply::Committed(revision)) => {
+                return Ok((ClaimChain { claim, revision }, first_sent));
+            }
+            Ok(TxnReply::Conflict(items)) => {
+                let now = SeenClaim::from_item(items.first());
+                return match now.value {
+                    Some(value) if value == claim => {
+                        let revision = now.revision;
+                        Ok((ClaimChain { claim, revision }, first_sent))
+                    }
+                    Some(value) => Err(ChainError::Lost {
+                        node: value.node,
+                        fence: value.fence,
+                    }),
+                    None => Err(ChainError::Unreadable),
+                };
+            }
+            Err(error) => {
+                log::debug!("write sequence={} failed: {error}", claim.sequence);
+                if error.is_refused() {
+                    sleep(RETRY_PAUSE).await;
+                } else {
+                    limit = (limit * 2).min(MAX_RESEND_AFTER);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hs-control/src/lib.rs
@@ -0,0 +1,33 @@
+//! Tasks that run a cell on a platform.
+//!
+//! Each process takes jobs and writes them to the store. One process owns the cell: it holds the claim
+//! in the store, runs the state machine of `hs-cell`, records its changes, and talks to the workers.
+//! The others tell it of new jobs, ask it for states, and take over when it fails.
+//!
+//! The platform is reached only through the traits of [`port`].
+
+#[rustfmt::skip]
+#[expect(missing_docs, clippy::allow_attributes, reason = "generated code")]
+#[path = "generated/hornbeamshunt.control.v1.rs"]
+pub mod message;
+
+mod advisers;
+mod chain;
+mod config;
+mod control;
+mod election;
+mod intake;
+mod keys;
+mod link;
+mod notify;
+mod owner;
+mod peers;
+pub mod port;
+mod recover;
+mod run;
+mod server;
+mod shared;
+
+pub use config::{ClusterConfig, QueueRoute};
+pub use control::{CancelReply, Control, StateAnswer, SubmitReply};
+pub use run::{ControlOptions, RunError, run};
--- /dev/null
+++ b/crates/hs-control/src/notify.rs
@@ -0,0 +1,119 @@
+//! Tells the owner of stored jobs and cancellations, until an owner has taken note.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hs_cell::{JobId, JobSpec};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::message::{JobRow, OfferRequest};
+use crate::shared::{NodeContext, OwnerMessage, Ownership};
+
+/// Notices that may wait. Beyond that, the owner finds the jobs by its watch of the store.
+const QUEUE_NOTICES: usize = 1024;
+
+/// Most notices in one call.
+const MAX_BATCH: usize = 32;
+
+/// Time that a call may take.
+const CALL_LIMIT: Duration = Duration::from_millis(400);
+
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// Tries after which the rest is left to the owner's watch of the store.
+const MAX_TRIES: u32 = 40;
+
+/// Something new in the store.
+#[derive(Clone, Debug)]
+pub(crate) enum Notice {
+    Job(JobId, Arc<JobSpec>, Vec<u8>),
+    Cancel(JobId),
+}
+
+/// Sends notices to the task.
+#[derive(Clone, Debug)]
+pub(crate) struct NotifyHandle {
+    sender: mpsc::Sender<Notice>,
+}
+
+impl NotifyHandle {
+    /// Starts the task.
+    pub(crate) fn spawn(context: NodeContext) -> Self {
+        let (sender, receiver) = mpsc::channel(QUEUE_NOTICES);
+        tokio::spawn(run(context, receiver));
+        Self { sender }
+    }
+
+    /// Tells the owner, soon.
+    pub(crate) fn send(&self, notice: Notice) {
+        if self.sender.try_send(notice).is_err() {
+            log::debug!("notice left to the owner's watch of the store");
+        }
+    }
+}
+
+async fn run(context: NodeContext, mut receiver: mpsc::Receiver<Notice>) {
+    while let Some(notice) = receiver.recv().await {
+        let mut batch = vec![notice];
+        while batch.len() < MAX_BATCH
+            && let Ok(notice) = receiver.try_recv()
+        {
+            batch.push(notice);
+        }
+        for _ in 0..MAX_TRIES {
+            if offer(&context, &batch).await {
+                break;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn offer(context: &NodeContext, batch: &[Notice]) -> bool {
+    let ownership = context.ownership.borrow().clone();
+    match ownership {
+        Ownership::Unknown => false,
+        Ownership::Here(owner) => {
+            let mut jobs = Vec::new();
+            let mut cancelled = Vec::new();
+            for notice in batch {
+                match notice {
+                    Notice::Job(id, spec, _) => jobs.push((*id, spec.clone())),
+                    Notice::Cancel(id) => cancelled.push(*id),
+                }
+            }
+            let answer = owner.ask(|reply| OwnerMessage::Offer {
+                jobs,
+                cancelled,
+                reply,
+            });
+            answer.await.is_some()
+        }
+        Ownership::Peer(address) => {
+            let mut request = OfferRequest::default();
+            for notice in batch {
+                match notice {
+                    Notice::Job(id, _, spec) => request.jobs.push(JobRow {
+                        id: id.0,
+                        spec: spec.clone(),
+                    }),
+                    Notice::Cancel(id) => request.cancelled.push(id.0),
+                }
+            }
+            let call = context
+                .peers
+                .call("offer", &address, CALL_LIMIT, |mut client| async move {
+                    client.offer(request).await
+                });
+            match call.await {
+                Ok(_) => true,
+                Err(error) => {
+                    log::debug!("{error}");
+                    false
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hs-control/src/owner.rs
@@ -0,0 +1,621 @@
+//! The task that owns the cell.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hs_cell::{
+    Cell, CellBatch, CellEffect, CellOptions, JobId, JobSpec, RecordRow, WorkerKey,
+};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::advisers::{AdviceEnd, AdviserPool};
+use crate::chain::{self, ChainError, ClaimChain};
+use crate::config::ClusterConfig;
+use crate::keys::{self, IntakeKey};
+use crate::link::{AUTHORITY, LinkEvent, LinkHandle, LinkOrder};
+use crate::peers::PeerPool;
+use crate::port::{
+    ListedWorker, Platform, PortError, StoreChanges, StoreItem, WorkerChange, WorkerChanges,
+    WorkerPeer,
+};
+use crate::recover::{self, JobValue};
+use crate::shared::{BeatAnswer, OwnerMessage};
+
+/// Entries of a transaction that are left for records; the claim takes two of 32.
+const BATCH_ENTRIES: usize = 30;
+
+/// Time without a change after which the claim is proved all the same.
+const PROOF_EVERY: Duration = Duration::from_millis(350);
+
+/// How often time is passed to the cell.
+const TICK: Duration = Duration::from_millis(40);
+
+/// How often the store is asked for jobs that nobody announced.
+const INTAKE_EVERY: Duration = Duration::from_millis(1000);
+
+/// How often the registry is asked for changes.
+const REGISTRY_EVERY: Duration = Duration::from_millis(300);
+
+/// Time that a call to the registry or for the intake may take.
+const READ_LIMIT: Duration = Duration::from_millis(700);
+
+/// A process that has not sent a beat for so long is taken to be gone.
+const MEMBER_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Events that may wait.
+const EVENT_QUEUE: usize = 1024;
+
+/// Records that are erased in one transaction.
+const ERASE_JOBS: usize = 9;
+
+/// Factor by which a time on a worker's clock, which may be 2 % slow, is extended.
+const CLOCK_FACTOR: f64 = 1.025;
+
+/// Added to the end of leases of an earlier owner.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+
+/// What an owner task is made of.
+#[derive(Debug)]
+pub(crate) struct OwnerParts<P> {
+    pub platform: P,
+    pub peers: PeerPool,
+    pub options: CellOptions,
+    pub config: watch::Receiver<Option<Arc<ClusterConfig>>>,
+    pub chain: ClaimChain,
+    /// A time at which the claim was certainly held.
+    pub proved_at: Instant,
+    pub requests: mpsc::Receiver<OwnerMessage>,
+}
+
+/// Why an owner task ended.
+#[derive(Clone, Debug)]
+pub(crate) enum OwnerEnd {
+    /// The cell was given up.
+    Released,
+    /// Another process owns the cell.
+    Lost(String),
+    /// The state could not be read.
+    Unreadable(String),
+}
+
+/// Events of the owner's helper tasks.
+#[derive(Debug)]
+enum OwnerEvent {
+    Committed(CommitEnd),
+    Workers(Vec<WorkerChange>),
+    AllWorkers(Vec<ListedWorker>),
+    Intake(Vec<StoreItem>),
+}
+
+#[derive(Debug)]
+struct CommitEnd {
+    batch: CellBatch,
+    result: Result<(ClaimChain, Instant), ChainError>,
+}
+
+struct OwnerTask<P> {
+    platform: P,
+    cell: Cell,
+    chain: ClaimChain,
+    committing: bool,
+    committed_at: Instant,
+    proof: watch::Sender<Instant>,
+    proved_at: Instant,
+    takeover_end: Instant,
+    links: HashMap<WorkerKey, LinkHandle>,
+    advisers: AdviserPool<P>,
+    members: HashMap<String, (Arc<str>, Instant)>,
+    cancelled_rows: Vec<JobId>,
+    release: Option<oneshot::Sender<()>>,
+    events: mpsc::Sender<OwnerEvent>,
+    link_events: mpsc::Sender<(WorkerKey, LinkEvent)>,
+    helpers: JoinSet<()>,
+    lost: Option<OwnerEnd>,
+}
+
+/// Runs the cell until it is given up or lost.
+pub(crate) async fn run<P: Platform>(parts: OwnerParts<P>) -> OwnerEnd {
+    let platform = parts.platform.clone();
+    let started = platform.now();
+    let state = match read_state(&platform).await {
+        Ok(state) => state,
+        Err(error) => return OwnerEnd::Unreadable(error.to_string()),
+    };
+    let (events, mut event_receiver) = mpsc::channel(EVENT_QUEUE);
+    let (link_events, mut link_receiver) = mpsc::channel(EVENT_QUEUE);
+    let (advice_ends, mut advice_receiver) = mpsc::channel(EVENT_QUEUE);
+    let mut config = parts.config;
+    let mut requests = parts.requests;
+    let takeover_end = started + AUTHORITY.mul_f64(CLOCK_FACTOR) + LEASE_MARGIN;
+    let mut owner = OwnerTask {
+        advisers: AdviserPool::new(platform.clone(), parts.peers, advice_ends),
+        cell: Cell::new(parts.options),
+        chain: parts.chain,
+        committing: false,
+        committed_at: started,
+        proof: watch::channel(parts.proved_at).0,
+        proved_at: parts.proved_at,
+        takeover_end,
+        links: HashMap::new(),
+        members: HashMap::new(),
+        cancelled_rows: Vec::new(),
+        release: None,
+        events,
+        link_events,
+        helpers: JoinSet::new(),
+        lost: None,
+        platform: platform.clone(),
+    };
+    if let Some(config) = &*config.borrow_and_update() {
+        owner.configure(config);
+    }
+    owner.restore(state);
+    log::info!(
+        "E8001 cell taken over fence={} jobs={} runs={} workers={} read_ms={}",
+        owner.chain.claim.fence,
+        owner.cell.unfinished(),
+        owner.cell.holding(),
+        owner.links.len(),
+        platform.now().saturating_duration_since(started).as_millis()
+    );
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        owner.pump();
+        if let Some(end) = owner.lost.take() {
+            return end;
+        }
+        tokio::select! {
+            Some((key, event)) = link_receiver.recv() => {
+                owner.link_event(key, event);
+                while let Ok((key, event)) = link_receiver.try_recv() {
+                    owner.link_event(key, event);
+                }
+            }
+            Some(event) = event_receiver.recv() => owner.event(event),
+            Some(end) = advice_receiver.recv() => owner.advice(end),
+            Some(message) = requests.recv() => {
+                owner.request(message);
+                while let Ok(message) = requests.try_recv() {
+                    owner.request(message);
+                }
+            }
+            Ok(()) = config.changed() => {
+                let config = config.borrow_and_update().clone();
+                if let Some(config) = config {
+                    owner.configure(&config);
+                }
+            }
+            _ = ticks.tick() => owner.tick(),
+        }
+    }
+}
+
+struct StoredState {
+    workers: Vec<ListedWorker>,
+    registry_revision: u64,
+    cell: recover::StoredCell,
+}
+
+/// Tries to read the state before the cell is given up.
+const READ_TRIES: u32 = 8;
+
+async fn read_state<P: Platform>(platform: &P) -> Result<StoredState, PortError> {
+    let mut left = READ_TRIES;
+    loop {
+        let error = match read_state_once(platform).await {
+            Ok(state) => return Ok(state),
+            Err(error) => error,
+        };
+        left -= 1;
+        if left == 0 {
+            return Err(error);
+        }
+        log::debug!("state not read: {error}");
+        sleep(TICK).await;
+    }
+}
+
+async fn read_state_once<P: Platform>(platform: &P) -> Result<StoredState, PortError> {
+    let (workers, cell) = tokio::join!(platform.workers(READ_LIMIT), recover::read_cell(platform));
+    let (workers, registry_revision) = workers?;
+    Ok(StoredState {
+        workers,
+        registry_revision,
+        cell: cell?,
+    })
+}
+
+impl<P: Platform> OwnerTask<P> {
+    fn restore(&mut self, state: StoredState) {
+        for worker in state.workers {
+            self.list_worker(worker);
+        }
+        let revision = state.cell.intake_revision;
+        state.cell.restore(&mut self.cell, &self.platform, self.takeover_end);
+        let platform = self.platform.clone();
+        let events = self.events.clone();
+        let registry = follow_registry(platform.clone(), state.registry_revision, events.clone());
+        self.helpers.spawn(registry);
+        self.helpers.spawn(follow_intake(platform, revision, events));
+    }
+
+    fn configure(&mut self, config: &ClusterConfig) {
+        let queues = config.routes.iter().map(|route| route.queue.clone());
+        self.cell.configure(queues);
+    }
+
+    fn list_worker(&mut self, worker: ListedWorker) {
+        let id = worker.entry.id.clone();
+        let born_ms = worker.entry.born_ms;
+        let now = self.platform.now();
+        // An earlier owner's lease may last on a worker that was there at the takeover.
+        let lease_end = self.takeover_end.max(now);
+        let key = self.cell.worker_listed(worker.entry, lease_end, now);
+        if self.links.contains_key(&key) {
+            return;
+        }
+        let peer = WorkerPeer {
+            id: id.clone(),
+            address: worker.address.clone(),
+            born_ms,
+        };
+        log::info!("E8011 worker linked worker={id} address={} born_ms={born_ms}", worker.address);
+        let link = LinkHandle::spawn(
+            self.platform.clone(),
+            key,
+            peer,
+            self.chain.claim.fence,
+            self.proof.subscribe(),
+            self.link_events.clone(),
+        );
+        self.links.insert(key, link);
+    }
+
+    fn event(&mut self, event: OwnerEvent) {
+        match event {
+            OwnerEvent::Committed(end) => self.committed(end),
+            OwnerEvent::Workers(changes) => {
+                for change in changes {
+                    match change {
+                        WorkerChange::Listed(worker) => self.list_worker(worker),
+                        WorkerChange::Gone(id) => {
+                            log::info!("E8012 worker left the registry worker={id}");
+                            self.cell.worker_unlisted(&id);
+                        }
+                    }
+                }
+            }
+            OwnerEvent::AllWorkers(workers) => {
+                for (id, _) in self.cell.listed_workers() {
+                    if !workers.iter().any(|worker| worker.entry.id == id) {
+                        self.cell.worker_unlisted(&id);
+                    }
+                }
+                for worker in workers {
+                    self.list_worker(worker);
+                }
+            }
+            OwnerEvent::Intake(items) => {
+                for item in items {
+                    self.intake(&item);
+                }
+            }
+        }
+    }
+
+    fn intake(&mut self, item: &StoreItem) {
+        let Some(value) = item.value.as_deref() else {
+            return;
+        };
+        match keys::parse_intake(&item.key) {
+            Some(IntakeKey::Job(id)) if !self.cell.has_job(id) => match JobValue::parse(value) {
+                Some(JobValue::Accepted(spec)) => self.add_job(id, Arc::new(spec), "store"),
+                Some(JobValue::Ended(_)) => {}
+                None => log::warn!("E8103 record unreadable key={}", item.key),
+            },
+            Some(IntakeKey::Cancel(id)) => self.cancel(id),
+            Some(IntakeKey::Job(_)) => {}
+            None => log::warn!("E8103 record unreadable key={}", item.key),
+        }
+    }
+
+    fn add_job(&mut self, id: JobId, spec: Arc<JobSpec>, source: &str) {
+        let now = self.platform.now();
+        let now_ms = self.platform.unix_ms();
+        let queue = spec.queue.clone();
+        let steps = spec.steps.len();
+        if self.cell.add_job(id, spec, now, now_ms) {
+            log::info!("E8021 job queued job={id} queue={queue} steps={steps} source={source}");
+        }
+    }
+
+    fn cancel(&mut self, id: JobId) {
+        if self.cell.cancel(id) {
+            self.cancelled_rows.push(id);
+        } else {
+            log::debug!("cancellation of unknown job {id}");
+        }
+    }
+
+    fn request(&mut self, message: OwnerMessage) {
+        // A reply that nobody waits for any more is dropped.
+        match message {
+            OwnerMessage::Beat {
+                node,
+                address,
+                reply,
+            } => {
+                let now = self.platform.now();
+                let known = self.members.insert(node.clone(), (address.into(), now));
+                if known.is_none() {
+                    log::info!("E8031 member joined node={node}");
+                    self.share_members();
+                }
+                let _ = reply.send(BeatAnswer {
+                    fence: self.chain.claim.fence,
+                    proof_age: now.saturating_duration_since(self.proved_at),
+                });
+            }
+            OwnerMessage::Offer {
+                jobs,
+                cancelled,
+                reply,
+            } => {
+                for (id, spec) in jobs {
+                    self.add_job(id, spec, "offer");
+                }
+                for id in cancelled {
+                    self.cancel(id);
+                }
+                let _ = reply.send(());
+            }
+            OwnerMessage::State(id, reply) => {
+                let _ = reply.send(self.cell.state(id));
+            }
+            OwnerMessage::Pending(queue, reply) => {
+                let count = self.cell.pending(&queue);
+                let _ = reply.send(u64::try_from(count).unwrap_or(u64::MAX));
+            }
+            OwnerMessage::Release(reply) => self.release = Some(reply),
+        }
+    }
+
+    fn share_members(&mut self) {
+        let addresses: Vec<Arc<str>> =
+            self.members.values().map(|(address, _)| address.clone()).collect();
+        self.advisers.set_members(&addresses);
+    }
+
+    fn link_event(&mut self, key: WorkerKey, event: LinkEvent) {
+        let now = self.platform.now();
+        match event {
+            LinkEvent::Renewing(lease_end) => self.cell.lease_renewed(key, lease_end),
+            LinkEvent::Report(report, asked_at) => {
+                self.cell.worker_reported(key, report, asked_at);
+            }
+            LinkEvent::Silent => self.cell.worker_silent(key),
+            LinkEvent::Started(run) => self.cell.start_confirmed(key, run, now),
+            LinkEvent::StartRefused(run, why) => {
+                log::info!("E8042 start refused task={} run={} why={why:?}", run.task, run.run);
+                self.cell.start_refused(key, run, why, now);
+            }
+            LinkEvent::StartUnanswered(run) => {
+                log::warn!("E8043 start unanswered task={} run={}", run.task, run.run);
+                self.cell.start_unanswered(key, run, now);
+            }
+            LinkEvent::Stopped(run) => self.cell.stop_confirmed(key, run, now),
+            LinkEvent::Fenced => {
+                let why = "a worker has seen a higher fence".to_owned();
+                self.lost = Some(OwnerEnd::Lost(why));
+            }
+        }
+    }
+
+    fn advice(&mut self, end: AdviceEnd) {
+        self.advisers.ended(&end);
+        let now = self.platform.now();
+        self.cell.advice_settled(end.step, end.reply, now);
+    }
+
+    fn tick(&mut self) {
+        let now = self.platform.now();
+        let before = self.members.len();
+        self.members
+            .retain(|_, (_, seen)| now.saturating_duration_since(*seen) < MEMBER_LIMIT);
+        if self.members.len() != before {
+            self.share_members();
+        }
+    }
+
+    /// Passes time to the cell, carries its effects out, and begins the next write.
+    fn pump(&mut self) {
+        let now = self.platform.now();
+        self.cell.advance(now, self.platform.unix_ms());
+        for effect in self.cell.take_effects() {
+            self.carry_out(effect);
+        }
+        if !self.committing {
+            self.begin_commit(now);
+        }
+    }
+
+    fn carry_out(&mut self, effect: CellEffect) {
+        match effect {
+            CellEffect::Start(key, order) => {
+                let run = order.run;
+                let worker = self.cell.worker_id(key).unwrap_or_default();
+                log::info!("E8041 start sent task={} run={} worker={worker}", run.task, run.run);
+                if let Some(link) = self.links.get(&key) {
+                    link.order(LinkOrder::Start(order));
+                }
+            }
+            CellEffect::Stop(key, run) => {
+                log::info!("E8044 stop sent task={} run={}", run.task, run.run);
+                if let Some(link) = self.links.get(&key) {
+                    link.order(LinkOrder::Stop(run));
+                }
+            }
+            CellEffect::Advise(request) => {
+                let ids = request.workers.iter();
+                let workers = ids.filter_map(|key| self.cell.worker_id(*key)).collect();
+                self.advisers.ask(request, workers);
+            }
+            CellEffect::Acknowledge(key, number) => {
+                if let Some(link) = self.links.get(&key) {
+                    link.acknowledge(number);
+                }
+            }
+            CellEffect::Forget(key) => {
+                self.links.remove(&key);
+            }
+        }
+    }
+
+    fn begin_commit(&mut self, now: Instant) {
+        let batch = self.cell.take_batch(BATCH_ENTRIES / ENTRIES_PER_END);
+        let releasing = self.release.is_some() && batch.is_empty();
+        let mut writes = Vec::new();
+        let mut deletes = Vec::new();
+        for row in &batch.rows {
+            add_row(row, &mut writes, &mut deletes);
+        }
+        if batch.is_empty() {
+            for id in self.cell.take_erasable(now, ERASE_JOBS) {
+                deletes.extend([keys::job(id), keys::run(id), keys::cancel(id)]);
+            }
+            while deletes.len() < BATCH_ENTRIES
+                && let Some(id) = self.cancelled_rows.pop()
+            {
+                deletes.push(keys::cancel(id));
+            }
+        }
+        let due = now.saturating_duration_since(self.committed_at) >= PROOF_EVERY;
+        if writes.is_empty() && deletes.is_empty() && !due && !releasing {
+            return;
+        }
+        self.committing = true;
+        let platform = self.platform.clone();
+        let chain = self.chain.clone();
+        let events = self.events.clone();
+        self.helpers.spawn(async move {
+            let result = chain::append(&platform, &chain, writes, deletes, releasing).await;
+            // An owner task that has ended needs no result.
+            let _ = events.send(OwnerEvent::Committed(CommitEnd { batch, result })).await;
+        });
+    }
+
+    fn committed(&mut self, end: CommitEnd) {
+        self.committing = false;
+        while self.helpers.try_join_next().is_some() {}
+        match end.result {
+            Ok((chain, proved_at)) => {
+                let now = self.platform.now();
+                self.committed_at = now;
+                self.proved_at = proved_at;
+                self.proof.send_replace(proved_at);
+                self.chain = chain;
+                self.cell.committed(end.batch, now);
+                if self.chain.claim.released {
+                    if let Some(reply) = self.release.take() {
+                        let _ = reply.send(());
+                    }
+                    self.lost = Some(OwnerEnd::Released);
+                }
+            }
+            Err(error) => self.lost = Some(OwnerEnd::Lost(error.to_string())),
+        }
+    }
+}
+
+/// Entries of a transaction that the end of a job takes.
+const ENTRIES_PER_END: usize = 2;
+
+fn add_row(row: &RecordRow, writes: &mut Vec<(String, Vec<u8>)>, deletes: &mut Vec<String>) {
+    let (key, value) = match row {
+        RecordRow::Progress(id, record) => (keys::run(*id), serde_json::to_vec(record)),
+        RecordRow::Finished(id, outcome) => {
+            deletes.push(keys::run(*id));
+            let value: JobValue = JobValue::Ended(*outcome);
+            (keys::job(*id), serde_json::to_vec(&value))
+        }
+    };
+    match value {
+        Ok(value) => writes.push((key, value)),
+        Err(error) => log::error!("E8104 record not written key={key}: {error}"),
+    }
+}
+
+/// Passes changes of the registry to the owner task.
+async fn follow_registry<P: Platform>(
+    platform: P,
+    mut revision: u64,
+    events: mpsc::Sender<OwnerEvent>,
+) {
+    loop {
+        sleep(REGISTRY_EVERY).await;
+        let event = match platform.worker_changes(revision, Duration::ZERO, READ_LIMIT).await {
+            Ok(WorkerChanges::Events(changes, next)) => {
+                revision = next.max(revision);
+                OwnerEvent::Workers(changes)
+            }
+            Ok(WorkerChanges::Forgotten) => match platform.workers(READ_LIMIT).await {
+                Ok((workers, next)) => {
+                    revision = next;
+                    OwnerEvent::AllWorkers(workers)
+                }
+                Err(error) => {
+                    log::debug!("{error}");
+                    continue;
+                }
+            },
+            Err(error) => {
+                log::debug!("{error}");
+                continue;
+            }
+        };
+        if events.send(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Passes jobs and cancellations that nobody announced to the owner task.
+async fn follow_intake<P: Platform>(
+    platform: P,
+    mut revision: u64,
+    events: mpsc::Sender<OwnerEvent>,
+) {
+    loop {
+        sleep(INTAKE_EVERY).await;
+        let watched = platform.watch(keys::INTAKE, revision, Duration::ZERO, READ_LIMIT).await;
+        let items = match watched {
+            Ok(StoreChanges::Events(items, next)) => {
+                revision = next.max(revision);
+                items
+            }
+            Ok(StoreChanges::Forgotten) => {
+                match recover::read_all(&platform, keys::INTAKE).await {
+                    Ok((items, next)) => {
+                        revision = next;
+                        items
+                    }
+                    Err(error) => {
+                        log::debug!("{error}");
+                        continue;
+                    }
+                }
+            }
+            Err(error) => {
+                log::debug!("{error}");
+                continue;
+            }
+        };
+        if !items.is_empty() && events.send(OwnerEvent::Intake(items)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hs-control/src/peers.rs
@@ -0,0 +1,123 @@
+//! Connections to the other processes of the cell.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use thiserror::Error;
+use tokio::time::timeout;
+use tonic::transport::{Channel, Endpoint};
+
+use crate::message::cell_client::CellClient;
+
+/// Time to open a connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Why a call to a peer has no usable answer.
+#[derive(Debug, Error)]
+pub(crate) enum PeerError {
+    /// The peer does not own the cell.
+    #[error("{step} at {peer}: not the owner")]
+    NotOwner {
+        /// What the call was for.
+        step: &'static str,
+        /// Address of the peer.
+        peer: String,
+    },
+    /// Nothing listens at the address, so the peer's process has ended.
+    #[error("{step} at {peer}: connection refused")]
+    ConnectionRefused {
+        /// What the call was for.
+        step: &'static str,
+        /// Address of the peer.
+        peer: String,
+    },
+    /// The call failed.
+    #[error("{step} at {peer}: {cause}")]
+    Failed {
+        /// What the call was for.
+        step: &'static str,
+        /// Address of the peer.
+        peer: String,
+        /// What went wrong.
+        cause: String,
+    },
+}
+
+/// Open connections by address. A connection on which a call failed is opened anew.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PeerPool {
+    channels: Arc<Mutex<HashMap<Arc<str>, Channel>>>,
+}
+
+impl PeerPool {
+    /// Makes a call within a time limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] with the step and the address.
+    pub(crate) async fn call<T, Call, Answer>(
+        &self,
+        step: &'static str,
+        address: &str,
+        limit: Duration,
+        call: Call,
+    ) -> Result<T, PeerError>
+    where
+        Call: FnOnce(CellClient<Channel>) -> Answer,
+        Answer: Future<Output = Result<tonic::Response<T>, tonic::Status>>,
+    {
+        let client = CellClient::new(self.channel(step, address)?);
+        let status = match timeout(limit, call(client)).await {
+            Ok(Ok(response)) => return Ok(response.into_inner()),
+            Ok(Err(status)) => status,
+            Err(_) => tonic::Status::deadline_exceeded("no answer in time"),
+        };
+        let peer = address.to_owned();
+        if status.code() == tonic::Code::FailedPrecondition {
+            return Err(PeerError::NotOwner { step, peer });
+        }
+        self.forget(address);
+        if is_refused(&status) {
+            return Err(PeerError::ConnectionRefused { step, peer });
+        }
+        let cause = status.to_string();
+        Err(PeerError::Failed { step, peer, cause })
+    }
+
+    fn channel(&self, step: &'static str, address: &str) -> Result<Channel, PeerError> {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(channel) = channels.get(address) {
+            return Ok(channel.clone());
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{address}"));
+        let endpoint = endpoint.map_err(|error| PeerError::Failed {
+            step,
+            peer: address.to_owned(),
+            cause: error.to_string(),
+        })?;
+        let channel = endpoint
+            .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .connect_lazy();
+        channels.insert(address.into(), channel.clone());
+        Ok(channel)
+    }
+
+    fn forget(&self, address: &str) {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        channels.remove(address);
+    }
+}
+
+/// Returns whether the connection was refused, which is certain to be the end of the peer's process.
+fn is_refused(status: &tonic::Status) -> bool {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        if let Some(error) = error.downcast_ref::<std::io::Error>() {
+            return error.kind() == std::io::ErrorKind::ConnectionRefused;
+        }
+        source = error.source();
+    }
+    false
+}
--- /dev/null
+++ b/crates/hs-control/src/server.rs
@@ -0,0 +1,155 @@
+//! Answers the calls of the other processes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hs_cell::{JobId, JobSpec};
+use tonic::{Request, Response, Status};
+
+use crate::advisers::parse_step;
+use crate::control::{Control, phase_of};
+use crate::intake::IntakeResult;
+use crate::keys;
+use crate::message::cell_server::Cell;
+use crate::message::{
+    AcceptReply, AcceptRequest, AcceptResult, AdviseReply, AdviseRequest, AllowedWorker, BeatReply,
+    BeatRequest, OfferReply, OfferRequest, PendingReply, PendingRequest, StateReply, StateRequest,
+};
+use crate::notify::Notice;
+use crate::port::Platform;
+use crate::recover::JobValue;
+use crate::shared::{OwnerHandle, OwnerMessage, Ownership};
+
+/// Longest time that a peer may ask this process to try a write.
+const MAX_ACCEPT: Duration = Duration::from_secs(3);
+
+/// The service of a process.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerServer<P> {
+    pub control: Control<P>,
+}
+
+impl<P: Platform> PeerServer<P> {
+    fn owner(&self) -> Result<OwnerHandle, Status> {
+        match &*self.control.context.ownership.borrow() {
+            Ownership::Here(owner) => Ok(owner.clone()),
+            Ownership::Unknown | Ownership::Peer(_) => Err(not_owner()),
+        }
+    }
+}
+
+fn not_owner() -> Status {
+    Status::failed_precondition("not the owner")
+}
+
+#[tonic::async_trait]
+impl<P: Platform> Cell for PeerServer<P> {
+    async fn beat(&self, request: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
+        let BeatRequest { node, address } = request.into_inner();
+        let owner = self.owner()?;
+        let answer = owner.ask(|reply| OwnerMessage::Beat {
+            node,
+            address,
+            reply,
+        });
+        let answer = answer.await.ok_or_else(not_owner)?;
+        Ok(Response::new(BeatReply {
+            fence: answer.fence,
+            proof_age_ms: u64::try_from(answer.proof_age.as_millis()).unwrap_or(u64::MAX),
+        }))
+    }
+
+    async fn offer(&self, request: Request<OfferRequest>) -> Result<Response<OfferReply>, Status> {
+        let request = request.into_inner();
+        let owner = self.owner()?;
+        let mut jobs: Vec<(JobId, Arc<JobSpec>)> = Vec::with_capacity(request.jobs.len());
+        for row in request.jobs {
+            match JobValue::parse(&row.spec) {
+                Some(JobValue::Accepted(spec)) => jobs.push((JobId(row.id), Arc::new(spec))),
+                _ => return Err(Status::invalid_argument("a spec is unreadable")),
+            }
+        }
+        let cancelled = request.cancelled.into_iter().map(JobId).collect();
+        let answer = owner.ask(|reply| OwnerMessage::Offer {
+            jobs,
+            cancelled,
+            reply,
+        });
+        answer.await.ok_or_else(not_owner)?;
+        Ok(Response::new(OfferReply {}))
+    }
+
+    async fn state(&self, request: Request<StateRequest>) -> Result<Response<StateReply>, Status> {
+        let id = JobId(request.into_inner().id);
+        let owner = self.owner()?;
+        let answer = owner.ask(|reply| OwnerMessage::State(id, reply));
+        let state = answer.await.ok_or_else(not_owner)?;
+        let phase = phase_of(state).into();
+        Ok(Response::new(StateReply { phase }))
+    }
+
+    async fn pending(
+        &self,
+        request: Request<PendingRequest>,
+    ) -> Result<Response<PendingReply>, Status> {
+        let queue = request.into_inner().queue;
+        let owner = self.owner()?;
+        let answer = owner.ask(|reply| OwnerMessage::Pending(queue, reply));
+        let count = answer.await.ok_or_else(not_owner)?;
+        Ok(Response::new(PendingReply { count }))
+    }
+
+    async fn advise(
+        &self,
+        request: Request<AdviseRequest>,
+    ) -> Result<Response<AdviseReply>, Status> {
+        let request = request.into_inner();
+        let step = parse_step(&request.step);
+        let step = step.ok_or_else(|| Status::invalid_argument("the step is unreadable"))?;
+        let workers: Vec<Arc<str>> = request.workers.into_iter().map(Into::into).collect();
+        let limit = Duration::from_millis(request.limit_ms);
+        let reply = self.control.platform.advise(step, &workers, limit).await;
+        let reply = reply.map_err(|error| Status::unavailable(error.to_string()))?;
+        let allowed = reply.allowed.into_iter().map(|(id, ticket)| AllowedWorker {
+            id: id.to_string(),
+            ticket: ticket.to_string(),
+        });
+        Ok(Response::new(AdviseReply {
+            allowed: allowed.collect(),
+            valid_ms: u64::try_from(reply.valid.as_millis()).unwrap_or(0),
+        }))
+    }
+
+    async fn accept(
+        &self,
+        request: Request<AcceptRequest>,
+    ) -> Result<Response<AcceptReply>, Status> {
+        let request = request.into_inner();
+        let row = request.job.unwrap_or_default();
+        let id = JobId(row.id);
+        let (key, value, notice) = if request.cancel {
+            (keys::cancel(id), b"{}".to_vec(), Notice::Cancel(id))
+        } else {
+            let Some(JobValue::Accepted(spec)) = JobValue::parse(&row.spec) else {
+                return Err(Status::invalid_argument("the spec is unreadable"));
+            };
+            let notice = Notice::Job(id, Arc::new(spec), row.spec.clone());
+            (keys::job(id), row.spec, notice)
+        };
+        let limit = Duration::from_millis(request.limit_ms).min(MAX_ACCEPT);
+        let give_up_at = self.control.platform.now() + limit;
+        let result = self.control.accept_for_peer(key, value, give_up_at).await;
+        let result = match result {
+            IntakeResult::Stored => {
+                self.control.notify.send(notice);
+                AcceptResult::Stored
+            }
+            IntakeResult::Present => AcceptResult::Stored,
+            IntakeResult::Refused => AcceptResult::Refused,
+            IntakeResult::Unknown => AcceptResult::Unknown,
+        };
+        Ok(Response::new(AcceptReply {
+            result: result.into(),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/hs-control/src/shared.rs
@@ -0,0 +1,76 @@
+//! What the tasks of a process share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hs_cell::{JobId, JobSpec, JobState};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::config::ClusterConfig;
+use crate::peers::PeerPool;
+
+/// Who owns the cell, as this process knows it.
+#[derive(Clone, Debug)]
+pub(crate) enum Ownership {
+    /// Not known.
+    Unknown,
+    /// This process.
+    Here(OwnerHandle),
+    /// Another process, at this address.
+    Peer(Arc<str>),
+}
+
+/// Sends requests to the owner task of this process.
+#[derive(Clone, Debug)]
+pub(crate) struct OwnerHandle {
+    pub sender: mpsc::Sender<OwnerMessage>,
+}
+
+/// A request to the owner task.
+#[derive(Debug)]
+pub(crate) enum OwnerMessage {
+    Beat {
+        node: String,
+        address: String,
+        reply: oneshot::Sender<BeatAnswer>,
+    },
+    Offer {
+        jobs: Vec<(JobId, Arc<JobSpec>)>,
+        cancelled: Vec<JobId>,
+        reply: oneshot::Sender<()>,
+    },
+    State(JobId, oneshot::Sender<Option<JobState>>),
+    Pending(String, oneshot::Sender<u64>),
+    /// The process ends: give the cell up.
+    Release(oneshot::Sender<()>),
+}
+
+/// The owner's answer to a beat.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BeatAnswer {
+    pub fence: u64,
+    pub proof_age: Duration,
+}
+
+impl OwnerHandle {
+    /// Sends a request and waits for the answer. Returns `None` if the owner task has ended.
+    pub(crate) async fn ask<T>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> OwnerMessage,
+    ) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.sender.send(message(reply)).await.ok()?;
+        answer.await.ok()
+    }
+}
+
+/// Name, addresses and views of a process.
+#[derive(Clone, Debug)]
+pub(crate) struct NodeContext {
+    pub node: Arc<str>,
+    pub address: Arc<str>,
+    pub started_ms: u64,
+    pub config: watch::Receiver<Option<Arc<ClusterConfig>>>,
+    pub ownership: watch::Receiver<Ownership>,
+    pub peers: PeerPool,
+}
--- a/crates/hs-gen/src/main.rs
+++ b/crates/hs-gen/src/main.rs
@@ -16,29 +16,61 @@
     check: bool,
 }
 
-const GENERATED_NAME: &str = "hornbeamshunt.peer.v1.rs";
+/// Messages of one crate.
+struct MessageSet {
+    /// Folder of the crate, beside this one.
+    crate_name: &'static str,
+    /// File under `proto`.
+    proto: &'static str,
+    /// File under `src/generated`.
+    generated: &'static str,
+}
+
+const MESSAGE_SETS: [MessageSet; 2] = [
+    MessageSet {
+        crate_name: "hs-peer",
+        proto: "peer.proto",
+        generated: "hornbeamshunt.peer.v1.rs",
+    },
+    MessageSet {
+        crate_name: "hs-control",
+        proto: "control.proto",
+        generated: "hornbeamshunt.control.v1.rs",
+    },
+];
 
 fn main() -> Result<ExitCode, Box<dyn Error>> {
     let options: GenOptions = argh::from_env();
-    let peer = Path::new(env!("CARGO_MANIFEST_DIR")).join("../hs-peer");
-    let target = peer.join("src/generated").join(GENERATED_NAME);
+    for set in &MESSAGE_SETS {
+        if !generate(set, options.check)? {
+            eprintln!(
+                "the messages of {} are stale: run `cargo run -p hs-gen` and commit the result",
+                set.crate_name
+            );
+            return Ok(ExitCode::FAILURE);
+        }
+    }
+    println!("the peer messages are up to date");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Writes the messages, or compares them. Returns whether they are up to date.
+fn generate(set: &MessageSet, check: bool) -> Result<bool, Box<dyn Error>> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("..")
+        .join(set.crate_name);
+    let target = folder.join("src/generated").join(set.generated);
     let scratch = env::temp_dir().join(format!("hs-gen-{}", std::process::id()));
     fs::create_dir_all(&scratch)?;
-    let descriptors = protox::compile(["peer.proto"], [peer.join("proto")])?;
+    let descriptors = protox::compile([set.proto], [folder.join("proto")])?;
     tonic_prost_build::configure()
         .out_dir(&scratch)
         .compile_fds(descriptors)?;
-    let fresh = fs::read_to_string(scratch.join(GENERATED_NAME))?;
+    let fresh = fs::read_to_string(scratch.join(set.generated))?;
     fs::remove_dir_all(&scratch)?;
-    if !options.check {
-        fs::write(&target, fresh)?;
-        println!("wrote the peer messages");
-        return Ok(ExitCode::SUCCESS);
-    }
-    if fs::read_to_string(&target)? == fresh {
-        println!("the peer messages are up to date");
-        return Ok(ExitCode::SUCCESS);
+    if check {
+        return Ok(fs::read_to_string(&target)? == fresh);
     }
-    eprintln!("the peer messages are stale: run `cargo run -p hs-gen` and commit the result");
-    Ok(ExitCode::FAILURE)
+    fs::write(&target, fresh)?;
+    Ok(true)
 }
