fix: waiting steps are reconsidered without news; stalls are measured by a run's own pace

A worker on which a task failed was excluded for the whole step, so small sets of allowed workers ran empty. Change: a pass at least each 100 ms while steps wait; a failed worker comes last instead of never; a run is stalled by five times its own pace, and its times are those of the list's arrival.

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -20,8 +20,6 @@
 pub struct CellOptions {
     /// How long the end of a job stays readable.
     pub status_for: Duration,
-    /// How long after its assignment a running task may stand still before it is moved.
-    pub stall_after: Duration,
     /// How much slower a gang runs on more than one rack, or a task away from its data.
     pub cross_rack_factor: f64,
 }
@@ -30,7 +28,6 @@
     fn default() -> Self {
         Self {
             status_for: Duration::from_secs(120),
-            stall_after: Duration::from_millis(1500),
             cross_rack_factor: 1.5,
         }
     }
@@ -63,6 +60,7 @@
     pub(crate) dirty: VecDeque<JobId>,
     pub(crate) effects: Vec<CellEffect>,
     pub(crate) changed: bool,
+    pub(crate) scheduled_at: Option<Instant>,
 }
 
 impl Cell {
@@ -80,6 +78,7 @@
             dirty: VecDeque::new(),
             effects: Vec::new(),
             changed: false,
+            scheduled_at: None,
         }
     }
 
@@ -164,7 +163,7 @@
         self.begin_all_due(now, now_ms);
         self.expire_leases(now);
         self.move_stalled(now);
-        self.schedule(now, now_ms);
+        self.schedule(now);
     }
 
     /// Returns the jobs whose records may be deleted, and forgets them.
--- a/crates/hs-cell/src/ends.rs
+++ b/crates/hs-cell/src/ends.rs
@@ -110,6 +110,7 @@
             }
             slot.known_since.get_or_insert(now);
             slot.moved_at = now;
+            slot.began_at = now;
         }
         if let Some(job) = self.jobs.get_mut(&run.task.job()) {
             job.started = true;
@@ -170,17 +171,23 @@
     }
 
     /// Takes a worker's list, asked for at `asked_at`.
-    pub fn worker_reported(&mut self, key: WorkerKey, report: WorkerReport, asked_at: Instant) {
+    pub fn worker_reported(
+        &mut self,
+        key: WorkerKey,
+        report: WorkerReport,
+        asked_at: Instant,
+        now: Instant,
+    ) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
         let first = !worker.reported;
         worker.reported = true;
         for end in report.ended {
-            self.apply_end(key, end, asked_at);
+            self.apply_end(key, end, now);
         }
         for run in &report.running {
-            self.apply_running(key, run, asked_at);
+            self.apply_running(key, run, now);
         }
         self.drop_absent(key, &report.running, asked_at);
         let acknowledged = self.workers[key].acknowledged();
@@ -222,6 +229,7 @@
             known_since: Some(now),
             percent: report.percent,
             moved_at: now,
+            began_at: now,
         };
         worker.hold(run, slot);
         self.stop_run(key, run);
@@ -508,15 +516,12 @@
 
     /// Stops tasks whose progress stands still while the worker reports them as running.
     pub(crate) fn move_stalled(&mut self, now: Instant) {
-        let limit = self.options.stall_after;
         let mut stalled = Vec::new();
         for (key, worker) in &self.workers {
-            let stands = |slot: &Slot| {
-                slot.phase == SlotPhase::Running
-                    && slot.percent < 100
-                    && now.saturating_duration_since(slot.moved_at) > limit
-            };
-            let runs = worker.slots.iter().filter(|(_, slot)| stands(slot));
+            if !worker.reported {
+                continue;
+            }
+            let runs = worker.slots.iter().filter(|(_, slot)| slot.is_stalled(now));
             stalled.extend(runs.map(|(run, _)| (key, *run)));
         }
         for (key, run) in stalled {
@@ -536,6 +541,6 @@
         let Some(spec) = job.step_spec(run.task.step) else {
             return false;
         };
-        !spec.lasting && !spec.gang
+        !spec.lasting
     }
 }
--- a/crates/hs-cell/src/place.rs
+++ b/crates/hs-cell/src/place.rs
@@ -5,7 +5,7 @@
 //! suit it best against steps of lower priority, so that small tasks don't keep it out for good.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hs_wire::Resources;
 use smallvec::SmallVec;
@@ -21,6 +21,9 @@
 /// those before them use it up.
 const QUEUE_DEPTH: u32 = 24;
 
+/// Time after which a pass is made without any news, since tickets end and suspect workers come back.
+const PASS_EVERY: Duration = Duration::from_millis(100);
+
 /// A worker that can take tasks of a step.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -31,14 +34,19 @@
     left: u32,
     /// Whether the worker is on the rack of the data.
     near: bool,
+    /// Whether a task of the step has failed there.
+    failed: bool,
 }
 
 impl Cell {
-    /// Places what waits. Does nothing if nothing has changed since the last pass.
-    pub(crate) fn schedule(&mut self, now: Instant, _now_ms: u64) {
-        if !std::mem::take(&mut self.changed) {
+    /// Places what waits, if something has changed since the last pass or that was a while ago.
+    pub(crate) fn schedule(&mut self, now: Instant) {
+        let old = |at: Instant| now.saturating_duration_since(at) >= PASS_EVERY;
+        let due = !self.ready.is_empty() && self.scheduled_at.is_none_or(old);
+        if !std::mem::take(&mut self.changed) && !due {
             return;
         }
+        self.scheduled_at = Some(now);
         for worker in self.workers.values_mut() {
             worker.reserved_by = None;
         }
@@ -105,7 +113,7 @@
             }
             return;
         }
-        candidates.sort_by_key(|c| (!c.near, c.left, c.key));
+        candidates.sort_by_key(|c| (c.failed, !c.near, c.left, c.key));
         if spec.same_rack || spec.gang {
             self.prefer_one_rack(&mut candidates, wanted);
         }
@@ -151,6 +159,7 @@
             known_since: None,
             percent: 0,
             moved_at: now,
+            began_at: now,
         };
         self.workers[key].hold(run, slot);
         self.mark_dirty(id.job);
@@ -195,8 +204,7 @@
                 let here = worker.slots.keys().filter(|run| run.task.step == id).count() as u32;
                 fits = fits.min(u32::from(spec.max_per_worker).saturating_sub(here));
             }
-            let failed_here = step.tasks.iter().any(|task| task.avoid == Some(key));
-            if fits == 0 || failed_here {
+            if fits == 0 {
                 continue;
             }
             let after = worker.free().saturating_sub(need);
@@ -206,6 +214,7 @@
                 fits,
                 left: left as u32,
                 near: spec.affinity.is_none() || spec.affinity == worker.rack,
+                failed: step.tasks.iter().any(|task| task.avoid == Some(key)),
             });
         }
         candidates
@@ -259,9 +268,8 @@
         let job = self.jobs.get(&id.job)?;
         let service = self.service_of(job)?;
         let spec = job.step_spec(id)?;
-        let step = job.step(id)?;
         let need = spec.held();
-        let workers = self.workers.iter().filter(|(key, worker)| {
+        let workers = self.workers.iter().filter(|(_, worker)| {
             worker.entry.service == service
                 && worker.listed
                 && worker.reported
@@ -269,7 +277,6 @@
                 && worker.suspect_until.is_none_or(|until| now >= until)
                 && need.fits(worker.entry.capacity)
                 && has_label(&worker.entry.labels, spec.requires.as_ref())
-                && !step.tasks.iter().any(|task| task.avoid == Some(*key))
         });
         let keys = workers.map(|(key, _)| key).collect();
         Some((job.spec.as_ref()?.queue.clone(), keys))
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -151,6 +151,7 @@
                     known_since: Some(now),
                     percent: 0,
                     moved_at: now,
+                    began_at: now,
                 };
                 self.workers[key].hold(run, slot);
             }
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -130,7 +130,34 @@
     /// From when on a list without the run means that it is gone.
     pub known_since: Option<Instant>,
     pub percent: u8,
+    /// When the progress was last seen to change.
     pub moved_at: Instant,
+    /// When the run was seen to begin.
+    pub began_at: Instant,
+}
+
+/// Least time without progress after which a run stands still. Lists are up to a second apart.
+const MIN_STALL: Duration = Duration::from_millis(1600);
+
+/// The same for a run that has not made any progress, whose pace is not known.
+const FIRST_STALL: Duration = Duration::from_millis(2600);
+
+/// A run stands still after this many times the time that it took for a percent so far.
+const STALL_FACTOR: u32 = 5;
+
+impl Slot {
+    /// Returns whether the run makes no progress, measured by its own pace.
+    pub(crate) fn is_stalled(&self, now: Instant) -> bool {
+        if self.phase != SlotPhase::Running || self.percent >= 100 {
+            return false;
+        }
+        let pace = self.moved_at.saturating_duration_since(self.began_at);
+        let limit = match self.percent {
+            0 => FIRST_STALL,
+            percent => (pace / u32::from(percent) * STALL_FACTOR).max(MIN_STALL),
+        };
+        now.saturating_duration_since(self.moved_at) > limit
+    }
 }
 
 /// One life of a worker.
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -395,7 +395,7 @@
         match event {
             LinkEvent::Renewing(lease_end) => self.cell.lease_renewed(key, lease_end),
             LinkEvent::Report(report, asked_at) => {
-                self.cell.worker_reported(key, report, asked_at);
+                self.cell.worker_reported(key, report, asked_at, now);
             }
             LinkEvent::Silent => self.cell.worker_silent(key),
             LinkEvent::Started(run) => self.cell.start_confirmed(key, run, now),
