fix: a worker that does not answer is no longer sent renewals

Ruled out: a missing pass, as no start was logged for these tasks at all. Change: after a call without an answer the link only looks until the worker answers; starts never ask for a later end than the last renewal.

--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -97,7 +97,7 @@
             fence,
             proof,
             events,
-            clock: Arc::default(),
+            state: Arc::default(),
         };
         tokio::spawn(link.run(order_receiver, cursor));
         Self {
@@ -129,6 +129,14 @@
     read_at: Instant,
 }
 
+/// What the tasks of a link know of the worker.
+#[derive(Clone, Copy, Debug, Default)]
+struct LinkState {
+    clock: Option<WorkerClock>,
+    /// End of the lease that the last renewal asked for, by the owner's clock.
+    lease_end: Option<Instant>,
+}
+
 #[derive(Clone, Debug)]
 struct WorkerLink<P> {
     platform: P,
@@ -137,7 +145,7 @@
     fence: u64,
     proof: watch::Receiver<Instant>,
     events: mpsc::Sender<(WorkerKey, LinkEvent)>,
-    clock: Arc<Mutex<Option<WorkerClock>>>,
+    state: Arc<Mutex<LinkState>>,
 }
 
 impl<P: Platform> WorkerLink<P> {
@@ -170,20 +178,32 @@
         (end >= now + MIN_LEASE).then_some(end)
     }
 
-    /// Returns the same time on the worker's clock, at the latest.
+    fn with_state<T>(&self, change: impl FnOnce(&mut LinkState) -> T) -> T {
+        change(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns a time on the worker's clock, at the latest.
     fn on_worker_clock(&self, end: Instant) -> Option<u64> {
-        let clock = (*self.clock.lock().unwrap_or_else(PoisonError::into_inner))?;
+        let clock = self.with_state(|state| state.clock)?;
         let ahead = end.saturating_duration_since(clock.read_at);
         Some(clock.clock_ms + u64::try_from(ahead.as_millis()).ok()?)
     }
 
-    fn note_clock(&self, clock_ms: u64, read_at: Instant) {
-        let clock = WorkerClock { clock_ms, read_at };
-        *self.clock.lock().unwrap_or_else(PoisonError::into_inner) = Some(clock);
+    /// Returns the end of the lease that the last renewal asked for, on the worker's clock.
+    ///
+    /// Starts never ask for more, so that they don't prolong the lease of a worker that is silent.
+    fn renewed_until(&self) -> Option<u64> {
+        let end = self.with_state(|state| state.lease_end)?;
+        let now = self.platform.now();
+        let useful = end >= now + MIN_LEASE;
+        useful.then(|| self.on_worker_clock(end)).flatten()
     }
 
     async fn hold(self, mut cursor: watch::Receiver<u64>) {
         let mut seen = 0;
+        // A worker that does not answer is only looked at: a renewal that arrives late would keep runs
+        // that the owner takes to be over.
+        let mut answered = false;
         loop {
             let acknowledged = *cursor.borrow_and_update();
             if acknowledged < seen {
@@ -196,9 +216,10 @@
                 sleep(RETRY_PAUSE).await;
                 continue;
             };
-            let lease_end_ms = self.on_worker_clock(end);
+            let lease_end_ms = self.on_worker_clock(end).filter(|_| answered);
             if lease_end_ms.is_some() {
                 let now = self.platform.now();
+                self.with_state(|state| state.lease_end = Some(end));
                 let lease = end.saturating_duration_since(now);
                 let over = end + lease.mul_f64(CLOCK_MARGIN) + END_MARGIN;
                 self.tell(LinkEvent::Renewing(over)).await;
@@ -214,9 +235,13 @@
                 wait,
             };
             let asked_at = self.platform.now();
-            match self.platform.hold(&self.peer, order, wait + CALL_LIMIT).await {
+            let reply = self.platform.hold(&self.peer, order, wait + CALL_LIMIT).await;
+            answered = matches!(reply, Ok(HoldReply::Report { .. }));
+            match reply {
                 Ok(HoldReply::Report { clock_ms, report }) => {
-                    self.note_clock(clock_ms, self.platform.now());
+                    let read_at = self.platform.now();
+                    let clock = WorkerClock { clock_ms, read_at };
+                    self.with_state(|state| state.clock = Some(clock));
                     let last = report.ended.iter().map(|end| end.number).max();
                     seen = seen.max(last.unwrap_or(0));
                     self.tell(LinkEvent::Report(report, asked_at)).await;
@@ -245,8 +270,7 @@
         let run = order.run;
         let mut in_doubt = false;
         for _ in 0..START_TRIES {
-            let end = self.lease_end();
-            let Some(end_ms) = end.and_then(|end| self.on_worker_clock(end)) else {
+            let Some(end_ms) = self.renewed_until() else {
                 break;
             };
             let sent = self
