fix: one waiting call for advice a step

Ruled out: lost ends of calls; each call reports its end. Change: a newer call replaces a waiting one of the same step; a call counts as lost after 10 s.

--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -9,7 +9,7 @@
 use crate::{StepId, WorkerKey};
 
 /// Longest time that a call for advice may be out before it counts as lost.
-const CALL_LIMIT: Duration = Duration::from_secs(3);
+const CALL_LIMIT: Duration = Duration::from_secs(10);
 
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/hs-control/src/advisers.rs
+++ b/crates/hs-control/src/advisers.rs
@@ -45,6 +45,8 @@
 pub(crate) struct AdviceEnd {
     pub step: StepId,
     pub reply: Option<AdviceReply>,
+    /// Number of workers that were asked about.
+    pub named: usize,
     address: Option<Arc<str>>,
 }
 
@@ -94,6 +96,7 @@
 
     /// Adds a call.
     pub(crate) fn ask(&mut self, request: AdviceRequest, workers: Vec<Arc<str>>) {
+        self.waiting.retain(|call| call.request.step != request.step);
         self.waiting.push(WaitingCall { request, workers });
         // Short calls of urgent queues go first.
         self.waiting.sort_by_key(|call| (call.request.priority, call.request.cost));
@@ -150,6 +153,7 @@
             let end = AdviceEnd {
                 step,
                 reply,
+                named: call.workers.len(),
                 address,
             };
             // An owner task that has ended needs no advice.
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -417,6 +417,8 @@
 
     fn advice(&mut self, end: AdviceEnd) {
         self.advisers.ended(&end);
+        let allowed = end.reply.as_ref().map(|reply| reply.allowed.len());
+        log::info!("E8051 advice ended step={} named={} allowed={allowed:?}", end.step, end.named);
         let now = self.platform.now();
         self.cell.advice_settled(end.step, end.reply, now);
     }
@@ -460,6 +462,7 @@
                 }
             }
             CellEffect::Advise(request) => {
+                log::info!("E8052 advice wanted step={} named={}", request.step, request.workers.len());
                 let ids = request.workers.iter();
                 let workers = ids.filter_map(|key| self.cell.worker_id(*key)).collect();
                 self.advisers.ask(request, workers);
