feat: slow owners give the cell up; processes without the store leave the rotation

Change: the owner measures the lag of its timer and releases the claim; a process that neither the store nor the owner answers is not ready and refuses at once; the claim is proved each 200 ms and taken over after standing still for 500 ms.

--- a/crates/hs-control/src/config.rs
+++ b/crates/hs-control/src/config.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use crate::port::{ConfigAnswer, Platform};
+use crate::store_health::StoreHealth;
 
 /// Longest wait of one call for changes. Short, so that a silent connection is noticed in time.
 const WATCH_WAIT: Duration = Duration::from_millis(900);
@@ -52,12 +53,15 @@
 /// Keeps the newest configuration. Versions never go back.
 pub(crate) async fn follow<P: Platform>(
     platform: P,
+    health: StoreHealth,
     sender: watch::Sender<Option<Arc<ClusterConfig>>>,
 ) {
     let mut known = None;
     loop {
         let limit = WATCH_WAIT + WATCH_SLACK;
-        match platform.config(known, WATCH_WAIT, limit).await {
+        let answer = platform.config(known, WATCH_WAIT, limit).await;
+        health.note(answer.is_ok(), platform.now());
+        match answer {
             Ok(ConfigAnswer::Newest(config, revision)) => {
                 let current = sender.borrow().as_ref().map_or(0, |config| config.version);
                 let newer = config.version > current || sender.borrow().is_none();
--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -136,6 +136,9 @@
         let Ownership::Peer(address) = self.context.ownership.borrow().clone() else {
             return result;
         };
+        if !self.context.owner_answers(self.platform.now()) {
+            return result;
+        }
         let spec = if cancel { Vec::new() } else { value.to_vec() };
         let request = AcceptRequest {
             job: Some(JobRow { id: id.0, spec }),
--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -23,14 +23,14 @@
 const BEAT_EVERY: Duration = Duration::from_millis(200);
 
 /// Time that the owner may take to answer a beat.
-const BEAT_LIMIT: Duration = Duration::from_millis(400);
+const BEAT_LIMIT: Duration = Duration::from_millis(300);
 
 /// Time that a read of the claim may take.
 const READ_LIMIT: Duration = Duration::from_millis(400);
 
 /// How long the claim has to stand still before it is taken over. An owner that is well writes at least
-/// each 350 ms.
-const STILL_FOR: Duration = Duration::from_millis(800);
+/// each 200 ms.
+const STILL_FOR: Duration = Duration::from_millis(500);
 
 /// The same where the owner's process has certainly ended.
 const STILL_AFTER_END: Duration = Duration::from_millis(60);
@@ -53,6 +53,9 @@
 /// Pause of a process that lost the cell or could not read it, so that others go first.
 const REST: Duration = Duration::from_millis(400);
 
+/// Pause of a process that gave the cell up because it was too slow.
+const SLOW_REST: Duration = Duration::from_secs(6);
+
 /// Requests that may wait for the owner task.
 const REQUEST_QUEUE: usize = 1024;
 
@@ -62,6 +65,9 @@
     pub platform: P,
     pub context: NodeContext,
     pub ownership: watch::Sender<Ownership>,
+    pub owner_seen: watch::Sender<Option<Instant>>,
+    /// Until when other processes go first, after this one was too slow.
+    pub rest_until: Option<Instant>,
     pub options: CellOptions,
     pub stop: watch::Receiver<bool>,
 }
@@ -75,7 +81,7 @@
 
 impl<P: Platform> Election<P> {
     /// Follows the owner, and owns the cell when it is this process's turn.
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(mut self) {
         let mut view: Option<ClaimView> = None;
         loop {
             if *self.stop.borrow() {
@@ -149,6 +155,7 @@
                     return FollowEnd::Silent;
                 }
                 Ok(_) => {
+                    self.owner_seen.send_replace(Some(self.platform.now()));
                     if !reached {
                         reached = true;
                         log::info!("E8032 owner followed node={} fence={}", owner.node, owner.fence);
@@ -170,7 +177,7 @@
 
     /// Waits until the claim has stood still for long enough, then takes it. Returns at once if it
     /// changes meanwhile.
-    async fn try_take(&self, view: &mut Option<ClaimView>, still_for: Duration) {
+    async fn try_take(&mut self, view: &mut Option<ClaimView>, still_for: Duration) {
         let revision = view.as_ref().map(|view| view.seen.revision);
         let began = self.platform.now();
         let turn = TURN * self.turn();
@@ -178,6 +185,10 @@
             if *self.stop.borrow() {
                 return;
             }
+            if self.rest_until.is_some_and(|until| self.platform.now() < until) {
+                sleep(LOOK_EVERY).await;
+                return;
+            }
             if self.look(view).await.is_none() {
                 sleep(LOOK_EVERY).await;
                 continue;
@@ -206,7 +217,7 @@
         u32::try_from(hasher.finish() % TURNS).unwrap_or(0)
     }
 
-    async fn take(&self, seen: &SeenClaim) {
+    async fn take(&mut self, seen: &SeenClaim) {
         let claim = ClaimValue {
             fence: 0,
             sequence: 0,
@@ -252,6 +263,10 @@
         self.set(Ownership::Unknown);
         match end {
             OwnerEnd::Released => log::info!("E8002 cell given up"),
+            OwnerEnd::TooSlow(lag) => {
+                log::warn!("E8006 cell given up, this process is slow lag_ms={}", lag.as_millis());
+                self.rest_until = Some(self.platform.now() + SLOW_REST);
+            }
             OwnerEnd::Lost(cause) => log::warn!("E8003 cell lost cause=\"{cause}\""),
             OwnerEnd::Unreadable(cause) => {
                 log::warn!("E8004 cell not readable cause=\"{cause}\"");
--- a/crates/hs-control/src/intake.rs
+++ b/crates/hs-control/src/intake.rs
@@ -6,6 +6,7 @@
 use tokio::sync::{mpsc, oneshot, Semaphore};
 use tokio::time::sleep;
 
+use crate::store_health::StoreHealth;
 use crate::port::{ClockPort, StorePort, StoreTxn, TxnReply};
 
 /// Rows that one transaction may write; each has a condition too, and the store takes 32 entries.
@@ -56,9 +57,9 @@
 
 impl IntakeHandle {
     /// Starts the task.
-    pub(crate) fn spawn<S: StorePort + ClockPort>(store: S) -> Self {
+    pub(crate) fn spawn<S: StorePort + ClockPort>(store: S, health: StoreHealth) -> Self {
         let (sender, receiver) = mpsc::channel(QUEUE_ROWS);
-        tokio::spawn(run(store, receiver));
+        tokio::spawn(run(store, health, receiver));
         Self { sender }
     }
 
@@ -84,7 +85,11 @@
     }
 }
 
-async fn run<S: StorePort + ClockPort>(store: S, mut receiver: mpsc::Receiver<IntakeRow>) {
+async fn run<S: StorePort + ClockPort>(
+    store: S,
+    health: StoreHealth,
+    mut receiver: mpsc::Receiver<IntakeRow>,
+) {
     let permits = Arc::new(Semaphore::new(MAX_IN_FLIGHT));
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else {
@@ -99,27 +104,34 @@
         {
             // Two rows of one key in a transaction would contradict each other.
             if rows.iter().any(|other| other.key == row.key) {
-                write(store.clone(), std::mem::take(&mut rows)).await;
+                write(store.clone(), health.clone(), std::mem::take(&mut rows)).await;
             }
             rows.push(row);
         }
         let store = store.clone();
+        let health = health.clone();
         tokio::spawn(async move {
-            write(store, rows).await;
+            write(store, health, rows).await;
             drop(permit);
         });
     }
 }
 
 /// Writes rows, and repeats that until the store has answered for certain or their time is over.
-async fn write<S: StorePort + ClockPort>(store: S, mut rows: Vec<IntakeRow>) {
+async fn write<S: StorePort + ClockPort>(
+    store: S,
+    health: StoreHealth,
+    mut rows: Vec<IntakeRow>,
+) {
     // Whether an earlier copy of a write may still be carried out.
     let mut in_doubt = false;
     let mut limit = RESEND_AFTER;
     while !rows.is_empty() {
         let now = store.now();
-        let (over, left): (Vec<_>, Vec<_>) =
-            rows.into_iter().partition(|row| now >= row.give_up_at);
+        // A row that was never sent is refused at once while the store is away.
+        let give_up = !in_doubt && health.is_away(now);
+        let over = |row: &IntakeRow| give_up || now >= row.give_up_at;
+        let (over, left): (Vec<_>, Vec<_>) = rows.into_iter().partition(over);
         let result = match in_doubt {
             true => IntakeResult::Unknown,
             false => IntakeResult::Refused,
@@ -131,7 +143,9 @@
         if rows.is_empty() {
             return;
         }
-        match store.transact(&transaction(&rows), limit).await {
+        let reply = store.transact(&transaction(&rows), limit).await;
+        health.note(reply.is_ok(), store.now());
+        match reply {
             Ok(TxnReply::Committed(_)) => {
                 for row in rows {
                     answer(row, IntakeResult::Stored);
--- /dev/null
+++ b/crates/hs-control/src/lag.rs
@@ -0,0 +1,41 @@
+//! How far the owner's task lags behind its timer, which shows a VM that is too slow for the cell.
+
+use std::time::{Duration, Instant};
+
+/// Weight of a new measurement.
+const WEIGHT: f64 = 0.12;
+
+/// Mean lag from which on the process is too slow. A VM that is well lags by a few milliseconds.
+const SLOW_LAG: Duration = Duration::from_millis(60);
+
+/// Longest lag that counts at a time: a single pause does not make a VM slow.
+const MAX_LAG: Duration = Duration::from_millis(250);
+
+/// Mean lag of a periodic timer.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LagMeter {
+    ticked_at: Option<Instant>,
+    mean_s: f64,
+}
+
+impl LagMeter {
+    /// Notes that the timer has fired.
+    pub(crate) fn tick(&mut self, now: Instant, period: Duration) {
+        if let Some(before) = self.ticked_at {
+            let gap = now.saturating_duration_since(before);
+            let lag = gap.saturating_sub(period).min(MAX_LAG);
+            self.mean_s += (lag.as_secs_f64() - self.mean_s) * WEIGHT;
+        }
+        self.ticked_at = Some(now);
+    }
+
+    /// Returns the mean lag.
+    pub(crate) fn lag(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_s)
+    }
+
+    /// Returns whether the process is too slow.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.lag() >= SLOW_LAG
+    }
+}
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -18,6 +18,7 @@
 mod election;
 mod intake;
 mod keys;
+mod lag;
 mod link;
 mod notify;
 mod owner;
@@ -27,6 +28,7 @@
 mod run;
 mod server;
 mod shared;
+mod store_health;
 
 pub use config::{ClusterConfig, QueueRoute};
 pub use control::{CancelReply, Control, StateAnswer, SubmitReply};
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -15,6 +15,7 @@
 use crate::chain::{self, ChainError, ClaimChain};
 use crate::config::ClusterConfig;
 use crate::keys::{self, IntakeKey};
+use crate::lag::LagMeter;
 use crate::link::{AUTHORITY, LinkEvent, LinkHandle, LinkOrder};
 use crate::peers::PeerPool;
 use crate::port::{
@@ -28,7 +29,7 @@
 const BATCH_ENTRIES: usize = 30;
 
 /// Time without a change after which the claim is proved all the same.
-const PROOF_EVERY: Duration = Duration::from_millis(350);
+const PROOF_EVERY: Duration = Duration::from_millis(200);
 
 /// How often time is passed to the cell.
 const TICK: Duration = Duration::from_millis(40);
@@ -75,6 +76,8 @@
 pub(crate) enum OwnerEnd {
     /// The cell was given up.
     Released,
+    /// The cell was given up, since this process lags behind by so much.
+    TooSlow(Duration),
     /// Another process owns the cell.
     Lost(String),
     /// The state could not be read.
@@ -110,6 +113,7 @@
     members: HashMap<String, (Arc<str>, Instant)>,
     cancelled_rows: Vec<JobId>,
     release: Option<oneshot::Sender<()>>,
+    lag: LagMeter,
     events: mpsc::Sender<OwnerEvent>,
     link_events: mpsc::Sender<(WorkerKey, LinkEvent)>,
     helpers: JoinSet<()>,
@@ -143,6 +147,7 @@
         members: HashMap::new(),
         cancelled_rows: Vec::new(),
         release: None,
+        lag: LagMeter::default(),
         events,
         link_events,
         helpers: JoinSet::new(),
@@ -425,6 +430,7 @@
 
     fn tick(&mut self) {
         let now = self.platform.now();
+        self.lag.tick(now, TICK);
         let before = self.members.len();
         self.members
             .retain(|_, (_, seen)| now.saturating_duration_since(*seen) < MEMBER_LIMIT);
@@ -480,7 +486,9 @@
 
     fn begin_commit(&mut self, now: Instant) {
         let batch = self.cell.take_batch(BATCH_ENTRIES / ENTRIES_PER_END);
-        let releasing = self.release.is_some() && batch.is_empty();
+        // Without another process that could take the cell, a slow owner is better than none.
+        let slow = self.lag.is_slow() && !self.members.is_empty();
+        let releasing = slow || (self.release.is_some() && batch.is_empty());
         let mut writes = Vec::new();
         let mut deletes = Vec::new();
         for row in &batch.rows {
@@ -523,10 +531,13 @@
                 self.chain = chain;
                 self.cell.committed(end.batch, now);
                 if self.chain.claim.released {
-                    if let Some(reply) = self.release.take() {
-                        let _ = reply.send(());
-                    }
-                    self.lost = Some(OwnerEnd::Released);
+                    self.lost = Some(match self.release.take() {
+                        Some(reply) => {
+                            let _ = reply.send(());
+                            OwnerEnd::Released
+                        }
+                        None => OwnerEnd::TooSlow(self.lag.lag()),
+                    });
                 }
             }
             Err(error) => self.lost = Some(OwnerEnd::Lost(error.to_string())),
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -15,15 +15,23 @@
 use crate::control::Control;
 use crate::election::Election;
 use crate::intake::IntakeHandle;
+use crate::keys;
 use crate::message::cell_server::CellServer;
 use crate::notify::NotifyHandle;
 use crate::peers::PeerPool;
 use crate::port::Platform;
 use crate::server::PeerServer;
 use crate::shared::{NodeContext, Ownership};
+use crate::store_health::StoreHealth;
 
-/// How often readiness is determined while an owner is known.
-const READY_EVERY: Duration = Duration::from_millis(250);
+/// How often readiness is determined.
+const READY_EVERY: Duration = Duration::from_millis(150);
+
+/// How often the store is looked at while it does not answer.
+const PROBE_EVERY: Duration = Duration::from_millis(150);
+
+/// Time that such a look may take.
+const PROBE_LIMIT: Duration = Duration::from_millis(400);
 
 /// Settings of a process.
 #[derive(Clone, Debug)]
@@ -65,6 +73,8 @@
     let (config_sender, config) = watch::channel(None);
     let (ownership_sender, ownership) = watch::channel(Ownership::Unknown);
     let (ready_sender, ready) = watch::channel(false);
+    let (owner_seen_sender, owner_seen) = watch::channel(None);
+    let store_health = StoreHealth::default();
     let context = NodeContext {
         node: options.node.as_str().into(),
         address: address.to_string().into(),
@@ -72,24 +82,33 @@
         config,
         ownership,
         peers: PeerPool::default(),
+        store_health: store_health.clone(),
+        owner_seen,
     };
     let control = Control {
         platform: platform.clone(),
         context: context.clone(),
-        intake: IntakeHandle::spawn(platform.clone()),
+        intake: IntakeHandle::spawn(platform.clone(), store_health.clone()),
         notify: NotifyHandle::spawn(context.clone()),
         ready,
     };
-    tokio::spawn(config::follow(platform.clone(), config_sender));
+    tokio::spawn(config::follow(
+        platform.clone(),
+        store_health.clone(),
+        config_sender,
+    ));
+    tokio::spawn(probe_store(platform.clone(), store_health));
     let election = Election {
-        platform,
+        platform: platform.clone(),
         context: context.clone(),
         ownership: ownership_sender,
+        owner_seen: owner_seen_sender,
+        rest_until: None,
         options: options.cell,
         stop: stop.clone(),
     };
     tokio::spawn(election.run());
-    tokio::spawn(follow_ready(context, ready_sender, stop));
+    tokio::spawn(follow_ready(platform, context, ready_sender, stop));
     tokio::spawn(serve_peers(control.clone(), listener));
     Ok(control)
 }
@@ -106,21 +125,37 @@
     }
 }
 
-/// Determines whether this process should get new connections: it has a configuration and an owner,
-/// and is not about to end.
-async fn follow_ready(
+/// Looks at the store while it does not answer, so that its return is noticed soon.
+async fn probe_store<P: Platform>(platform: P, health: StoreHealth) {
+    loop {
+        sleep(PROBE_EVERY).await;
+        if health.is_away(platform.now()) {
+            let answer = platform.read(keys::OWNER, PROBE_LIMIT).await;
+            health.note(answer.is_ok(), platform.now());
+        }
+    }
+}
+
+/// Determines whether this process should get new connections: it has a configuration, reaches the owner
+/// or the store, and is not about to end.
+async fn follow_ready<P: Platform>(
+    platform: P,
     context: NodeContext,
     ready: watch::Sender<bool>,
     mut stop: watch::Receiver<bool>,
 ) {
     loop {
         let stopping = *stop.borrow();
-        let owned = !matches!(*context.ownership.borrow(), Ownership::Unknown);
+        let now = platform.now();
+        let store = !context.store_health.is_away(now);
+        let owner = context.owner_answers(now);
         let configured = context.config.borrow().is_some();
-        let now = configured && owned && !stopping;
-        let changed = ready.send_if_modified(|current| std::mem::replace(current, now) != now);
+        let serves = configured && (store || owner) && !stopping;
+        let changed = ready.send_if_modified(|ready| std::mem::replace(ready, serves) != serves);
         if changed {
-            log::info!("E8005 readiness changed ready={now} configured={configured} owner={owned} stopping={stopping}");
+            log::info!(
+                "E8005 readiness changed ready={serves} configured={configured} store={store} owner={owner} stopping={stopping}"
+            );
         }
         tokio::select! {
             () = sleep(READY_EVERY) => {}
--- a/crates/hs-control/src/shared.rs
+++ b/crates/hs-control/src/shared.rs
@@ -1,13 +1,14 @@
 //! What the tasks of a process share.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hs_cell::{JobId, JobSpec, JobState};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::config::ClusterConfig;
 use crate::peers::PeerPool;
+use crate::store_health::StoreHealth;
 
 /// Who owns the cell, as this process knows it.
 #[derive(Clone, Debug)]
@@ -73,4 +74,21 @@
     pub config: watch::Receiver<Option<Arc<ClusterConfig>>>,
     pub ownership: watch::Receiver<Ownership>,
     pub peers: PeerPool,
+    pub store_health: StoreHealth,
+    /// When the owner last answered a beat, or this process owned the cell.
+    pub owner_seen: watch::Receiver<Option<Instant>>,
+}
+
+/// Time since the owner's last answer after which it is not asked any more.
+const OWNER_SILENCE: Duration = Duration::from_millis(900);
+
+impl NodeContext {
+    /// Returns whether the owner has answered lately.
+    pub(crate) fn owner_answers(&self, now: Instant) -> bool {
+        if matches!(*self.ownership.borrow(), Ownership::Here(_)) {
+            return true;
+        }
+        let seen = *self.owner_seen.borrow();
+        seen.is_some_and(|at| now.saturating_duration_since(at) < OWNER_SILENCE)
+    }
 }
--- /dev/null
+++ b/crates/hs-control/src/store_health.rs
@@ -0,0 +1,54 @@
+//! Whether the store answers this process.
+//!
+//! A process that the store does not answer refuses submissions at once, instead of sending writes whose
+//! fate it can't tell, and gives its place in the rotation to others.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Time since the last answer after which a failed call means that the store is away. The store answers
+/// within milliseconds if it is well, and within 300 ms if it is slow.
+const SILENCE: Duration = Duration::from_millis(450);
+
+#[derive(Debug, Default)]
+struct HealthState {
+    answered_at: Option<Instant>,
+    /// Whether a call has failed since the last answer.
+    failed: bool,
+}
+
+/// Shared view of the store's health.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StoreHealth {
+    state: Arc<Mutex<HealthState>>,
+}
+
+impl StoreHealth {
+    /// Notes the result of a call.
+    pub(crate) fn note(&self, answered: bool, now: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if answered {
+            if state.failed && away(&state, now) {
+                log::info!("E6004 store answers again");
+            }
+            state.answered_at = Some(now);
+            state.failed = false;
+            return;
+        }
+        let before = away(&state, now);
+        state.failed = true;
+        if !before && away(&state, now) {
+            log::warn!("E6003 store does not answer");
+        }
+    }
+
+    /// Returns whether calls should not be tried now.
+    pub(crate) fn is_away(&self, now: Instant) -> bool {
+        away(&self.state.lock().unwrap_or_else(PoisonError::into_inner), now)
+    }
+}
+
+fn away(state: &HealthState, now: Instant) -> bool {
+    let silent = |at: Instant| now.saturating_duration_since(at) >= SILENCE;
+    state.failed && state.answered_at.is_none_or(silent)
+}
