perf: calls for advice in three groups of processes, fewer renewals; takeover of an unproved claim

Ruled out: room on workers (steps with tickets started within 20 ms) and the store (5 ms a write). Change: tickets are renewed only where room waits for them or the step is among the first three of its queue; one process takes short calls only, a third no long ones; an owner that has not proved its claim for 600 ms is replaced after the claim stood still for 300 ms.

--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -148,7 +148,16 @@
     ///
     /// A step without an allowed worker that has room asks about further workers. The tickets of
     /// allowed workers are renewed before they end, since the set of a step never changes.
-    pub(crate) fn ask_advice(&mut self, id: StepId, spec: AdviceSpec, wanted: u32, now: Instant) {
+    ///
+    /// `keep` says whether tickets are renewed although the step would find no room now.
+    pub(crate) fn ask_advice(
+        &mut self,
+        id: StepId,
+        spec: AdviceSpec,
+        wanted: u32,
+        keep: bool,
+        now: Instant,
+    ) {
         let Some((queue, eligible)) = self.eligible(id, now) else {
             return;
         };
@@ -184,8 +193,12 @@
             let mut tickets = advice.tickets.iter();
             tickets.any(|t| t.worker == *key && now + renew_within >= t.until)
         };
-        let mut named: Vec<WorkerKey> = known.iter().copied().filter(expiring).collect();
         let allowed_room: u32 = known.iter().map(|key| free(*key)).fold(0, u32::saturating_add);
+        let enough = if step_spec.gang { wanted } else { 1 };
+        let mut named: Vec<WorkerKey> = match keep || allowed_room >= enough {
+            true => known.iter().copied().filter(expiring).collect(),
+            false => Vec::new(),
+        };
         if allowed_room < wanted {
             let unknown = |key: &WorkerKey| !known.contains(key) && !advice.denied.contains(key);
             let mut fresh: Vec<WorkerKey> = eligible.iter().copied().filter(unknown).collect();
--- a/crates/hs-cell/src/place.rs
+++ b/crates/hs-cell/src/place.rs
@@ -21,6 +21,9 @@
 /// those before them use it up.
 const QUEUE_DEPTH: u32 = 24;
 
+/// Steps of one queue up to this place keep their tickets valid while they wait for room.
+const RENEW_DEPTH: u32 = 3;
+
 /// Time after which a pass is made without any news, since tickets end and suspect workers come back.
 const PASS_EVERY: Duration = Duration::from_millis(100);
 
@@ -63,8 +66,7 @@
         for key in keys {
             let depth = &mut depths[usize::from(key.priority)];
             *depth += 1;
-            let in_reach = *depth <= QUEUE_DEPTH;
-            self.place_step(key, in_reach, now);
+            self.place_step(key, *depth, now);
             match self.has_waiting(key.step) {
                 true => self.ready.push(key.step),
                 false => self.unqueue(key.step),
@@ -84,7 +86,8 @@
         step.is_some_and(|step| step.waiting().next().is_some())
     }
 
-    fn place_step(&mut self, key: OrderKey, in_reach: bool, now: Instant) {
+    fn place_step(&mut self, key: OrderKey, depth: u32, now: Instant) {
+        let in_reach = depth <= QUEUE_DEPTH;
         let id = key.step;
         let Some(job) = self.jobs.get(&id.job) else {
             return;
@@ -105,7 +108,7 @@
             && in_reach
             && (room < wanted || job.step(id).is_some_and(|s| s.advice.tickets.is_empty()))
         {
-            self.ask_advice(id, advice, wanted, now);
+            self.ask_advice(id, advice, wanted, depth <= RENEW_DEPTH, now);
         }
         if candidates.is_empty() || (spec.gang && room < wanted) {
             if in_reach && spec.gang {
--- a/crates/hs-control/src/advisers.rs
+++ b/crates/hs-control/src/advisers.rs
@@ -13,11 +13,20 @@
 use crate::peers::PeerPool;
 use crate::port::{AdvicePort, Platform};
 
+/// Calls up to this duration are short, and may use any process.
+const SHORT_CALL: Duration = Duration::from_millis(25);
+
 /// Calls that take longer are long.
-const LONG_CALL: Duration = Duration::from_millis(25);
+const LONG_CALL: Duration = Duration::from_millis(150);
 
 /// One of this many processes takes no long calls.
-const SHORT_ONLY_SHARE: usize = 3;
+const NO_LONG_SHARE: usize = 3;
+
+/// Processes that take short calls only, if there are enough of them.
+const SHORT_ONLY: usize = 1;
+
+/// Fewest processes among which some are set aside for short calls.
+const MIN_SPLIT: usize = 3;
 
 /// Time that a call may take beyond its expected duration.
 const CALL_SLACK: Duration = Duration::from_millis(400);
@@ -113,20 +122,11 @@
     }
 
     fn dispatch(&mut self) {
-        let short_only = match self.advisers.len() {
-            0..=2 => 0,
-            count => count.div_ceil(SHORT_ONLY_SHARE),
-        };
         let mut index = 0;
         while index < self.waiting.len() {
-            let long = self.waiting[index].request.cost > LONG_CALL;
-            let free = match long {
-                true => {
-                    let mut advisers = self.advisers.iter().skip(short_only);
-                    advisers.position(|adviser| !adviser.busy).map(|p| p + short_only)
-                }
-                false => self.advisers.iter().position(|adviser| !adviser.busy),
-            };
+            let first = self.first_adviser(self.waiting[index].request.cost);
+            let mut advisers = self.advisers.iter().skip(first);
+            let free = advisers.position(|adviser| !adviser.busy).map(|at| at + first);
             match free {
                 Some(adviser) => {
                     let call = self.waiting.remove(index);
@@ -139,6 +139,18 @@
         }
     }
 
+    /// Returns the position of the first process that may take a call of this duration.
+    fn first_adviser(&self, cost: Duration) -> usize {
+        let count = self.advisers.len();
+        if count < MIN_SPLIT || cost <= SHORT_CALL {
+            0
+        } else if cost <= LONG_CALL {
+            SHORT_ONLY
+        } else {
+            count.div_ceil(NO_LONG_SHARE)
+        }
+    }
+
     fn send(&self, call: WaitingCall, address: Option<Arc<str>>) {
         let platform = self.platform.clone();
         let peers = self.peers.clone();
--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -32,11 +32,14 @@
 /// each 200 ms.
 const STILL_FOR: Duration = Duration::from_millis(500);
 
+/// The same where the owner says that it can't prove its claim.
+const STILL_UNPROVED: Duration = Duration::from_millis(300);
+
 /// The same where the owner's process has certainly ended.
 const STILL_AFTER_END: Duration = Duration::from_millis(60);
 
 /// An owner that has not proved its claim for so long is taken to be cut off from the store.
-const MAX_PROOF_AGE: Duration = Duration::from_millis(1500);
+const MAX_PROOF_AGE: Duration = Duration::from_millis(600);
 
 /// Pause between two looks at the claim.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -107,6 +110,7 @@
                 FollowEnd::NotOwner | FollowEnd::Silent => {
                     self.try_take(&mut view, STILL_FOR).await;
                 }
+                FollowEnd::Unproved => self.try_take(&mut view, STILL_UNPROVED).await,
                 FollowEnd::Ended => self.try_take(&mut view, STILL_AFTER_END).await,
             }
         }
@@ -152,7 +156,7 @@
                 Ok(reply) if Duration::from_millis(reply.proof_age_ms) > MAX_PROOF_AGE => {
                     // The owner may still be the owner, so requests go on to it.
                     self.set(Ownership::Peer(address));
-                    return FollowEnd::Silent;
+                    return FollowEnd::Unproved;
                 }
                 Ok(_) => {
                     self.owner_seen.send_replace(Some(self.platform.now()));
@@ -281,8 +285,10 @@
 enum FollowEnd {
     /// The process does not own the cell.
     NotOwner,
-    /// The process does not answer, or is cut off from the store.
+    /// The process does not answer.
     Silent,
+    /// The process can't prove its claim, so it may be cut off from the store.
+    Unproved,
     /// The process has ended.
     Ended,
 }
