--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -52,7 +52,6 @@
 pub(crate) struct StepAdvice {
     pub tickets: Vec<Ticket>,
     pub denied: Vec<WorkerKey>,
-    pub asked: Vec<WorkerKey>,
     pub asked_at: Option<Instant>,
     pub retry_at: Option<Instant>,
 }
@@ -102,8 +101,16 @@
 }
 
 impl Cell {
-    /// Takes the reply to a call for advice, or `None` if the call failed.
-    pub fn advice_settled(&mut self, step: StepId, reply: Option<AdviceReply>, now: Instant) {
+    /// Takes the reply to a call for advice on the workers `named`, or `None` if the call failed.
+    ///
+    /// A reply counts for the workers that its own call named, since a later call may be out already.
+    pub fn advice_settled(
+        &mut self,
+        step: StepId,
+        named: &[Arc<str>],
+        reply: Option<AdviceReply>,
+        now: Instant,
+    ) {
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
@@ -112,26 +119,26 @@
             return;
         };
         let advice = &mut run.advice;
-        let asked = std::mem::take(&mut advice.asked);
         advice.asked_at = None;
         let Some(reply) = reply else {
             advice.retry_at = Some(now + RETRY_PAUSE);
             return;
         };
+        let by_id = &self.by_id;
+        let asked: Vec<WorkerKey> = named
+            .iter()
+            .filter_map(|id| by_id.get(id).copied())
+            .collect();
         advice.tickets.retain(|t| !asked.contains(&t.worker));
         let until = now + reply.valid;
         for (id, ticket) in reply.allowed {
-            let Some(&worker) = self.by_id.get(&id) else {
-                continue;
-            };
-            if !asked.contains(&worker) {
-                continue;
+            if let Some(&worker) = by_id.get(&id).filter(|key| asked.contains(key)) {
+                advice.tickets.push(Ticket {
+                    worker,
+                    ticket,
+                    until,
+                });
             }
-            advice.tickets.push(Ticket {
-                worker,
-                ticket,
-                until,
-            });
         }
         let tickets = &advice.tickets;
         let allowed = |worker: &WorkerKey| tickets.iter().any(|t| t.worker == *worker);
@@ -193,7 +200,10 @@
             let mut tickets = advice.tickets.iter();
             tickets.any(|t| t.worker == *key && now + renew_within >= t.until)
         };
-        let allowed_room: u32 = known.iter().map(|key| free(*key)).fold(0, u32::saturating_add);
+        let allowed_room: u32 = known
+            .iter()
+            .map(|key| free(*key))
+            .fold(0, u32::saturating_add);
         let enough = if step_spec.gang { wanted } else { 1 };
         let mut named: Vec<WorkerKey> = match keep || allowed_room >= enough {
             true => known.iter().copied().filter(expiring).collect(),
@@ -220,12 +230,11 @@
         let cost = spec.cost(named.len());
         let request = AdviceRequest {
             step: id,
-            workers: named.clone(),
+            workers: named,
             cost,
             priority,
         };
         if let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) {
-            step.advice.asked = named;
             step.advice.asked_at = Some(now);
             step.advice.retry_at = None;
         }
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -20,6 +20,8 @@
 pub struct CellOptions {
     /// How long the end of a job stays readable.
     pub status_for: Duration,
+    /// Longest time by the owner's clock that a worker keeps its runs after a renewal.
+    pub max_lease: Duration,
     /// How much slower a gang runs on more than one rack, or a task away from its data.
     pub cross_rack_factor: f64,
 }
@@ -28,6 +30,7 @@
     fn default() -> Self {
         Self {
             status_for: Duration::from_secs(120),
+            max_lease: Duration::from_millis(5100),
             cross_rack_factor: 1.5,
         }
     }
@@ -145,7 +148,10 @@
 
     /// Returns the number of unfinished jobs.
     pub fn unfinished(&self) -> usize {
-        self.jobs.values().filter(|job| job.outcome.is_none()).count()
+        self.jobs
+            .values()
+            .filter(|job| job.outcome.is_none())
+            .count()
     }
 
     /// Returns the number of runs that hold room.
@@ -220,7 +226,8 @@
             };
             worker.unrecorded.remove(&number);
             let acknowledged = worker.acknowledged();
-            self.effects.push(CellEffect::Acknowledge(key, acknowledged));
+            self.effects
+                .push(CellEffect::Acknowledge(key, acknowledged));
         }
     }
 
--- a/crates/hs-cell/src/ends.rs
+++ b/crates/hs-cell/src/ends.rs
@@ -50,6 +50,9 @@
 
     fn inherit_runs(&mut self, earlier: WorkerKey, key: WorkerKey, now: Instant) {
         let slots = std::mem::take(&mut self.workers[earlier].slots);
+        let lease_end = self.workers[earlier].lease_end;
+        let worker = &mut self.workers[key];
+        worker.lease_end = worker.lease_end.max(lease_end);
         for (run, mut slot) in slots {
             let phase = slot.phase;
             if phase == SlotPhase::Recording {
@@ -183,6 +186,10 @@
         };
         let first = !worker.reported;
         worker.reported = true;
+        if first {
+            // From this list on no earlier owner can renew the lease.
+            worker.lease_end = worker.lease_end.min(now + self.options.max_lease);
+        }
         for end in report.ended {
             self.apply_end(key, end, now);
         }
@@ -192,7 +199,8 @@
         self.drop_absent(key, &report.running, asked_at);
         let acknowledged = self.workers[key].acknowledged();
         if first || acknowledged > 0 {
-            self.effects.push(CellEffect::Acknowledge(key, acknowledged));
+            self.effects
+                .push(CellEffect::Acknowledge(key, acknowledged));
         }
         if first {
             self.touch();
@@ -329,7 +337,11 @@
         }
         self.touch();
         let id = run.task.step;
-        if self.jobs.get(&id.job).is_none_or(|job| job.outcome.is_some()) {
+        if self
+            .jobs
+            .get(&id.job)
+            .is_none_or(|job| job.outcome.is_some())
+        {
             return;
         }
         self.note_checkpoint(run, &report.checkpoint);
--- a/crates/hs-cell/src/job.rs
+++ b/crates/hs-cell/src/job.rs
@@ -105,7 +105,10 @@
     }
 
     pub(crate) fn step(&self, id: StepId) -> Option<&StepRun> {
-        let occurrence = self.occurrences.iter().find(|o| o.number == id.occurrence)?;
+        let occurrence = self
+            .occurrences
+            .iter()
+            .find(|o| o.number == id.occurrence)?;
         occurrence.steps.get(usize::from(id.step))
     }
 
@@ -153,7 +156,11 @@
     /// Returns whether all steps that come before are done.
     pub(crate) fn is_runnable(&self, spec: &StepSpec) -> bool {
         let mut before = spec.after.iter();
-        before.all(|step| self.steps.get(usize::from(*step)).is_none_or(StepRun::is_done))
+        before.all(|step| {
+            self.steps
+                .get(usize::from(*step))
+                .is_none_or(StepRun::is_done)
+        })
     }
 }
 
--- a/crates/hs-cell/src/job_spec.rs
+++ b/crates/hs-cell/src/job_spec.rs
@@ -141,7 +141,10 @@
     pub fn chain(&self) -> Duration {
         let mut ends: SmallVec<[u64; 8]> = SmallVec::new();
         for step in &self.steps {
-            let before = step.after.iter().filter_map(|after| ends.get(usize::from(*after)));
+            let before = step
+                .after
+                .iter()
+                .filter_map(|after| ends.get(usize::from(*after)));
             let start = before.max().copied().unwrap_or(0);
             ends.push(start + step.estimate_ms);
         }
@@ -170,9 +173,7 @@
     /// Returns the due time of an occurrence in Unix milliseconds.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
         match self.schedule {
-            Some(schedule) => {
-                schedule.first_ms + u64::from(occurrence) * schedule.interval_ms
-            }
+            Some(schedule) => schedule.first_ms + u64::from(occurrence) * schedule.interval_ms,
             None => self.accepted_ms,
         }
     }
--- a/crates/hs-cell/src/place.rs
+++ b/crates/hs-cell/src/place.rs
@@ -100,10 +100,16 @@
             return;
         }
         let wanted = waiting.len() as u32;
-        let queue = job.spec.as_ref().and_then(|spec| self.queues.get(&spec.queue));
+        let queue = job
+            .spec
+            .as_ref()
+            .and_then(|spec| self.queues.get(&spec.queue));
         let advice = queue.and_then(|queue| queue.advice);
         let mut candidates = self.candidates(job, id, &spec, key.priority, advice.is_some(), now);
-        let room: u32 = candidates.iter().map(|c| c.fits).fold(0, u32::saturating_add);
+        let room: u32 = candidates
+            .iter()
+            .map(|c| c.fits)
+            .fold(0, u32::saturating_add);
         if let Some(advice) = advice
             && in_reach
             && (room < wanted || job.step(id).is_some_and(|s| s.advice.tickets.is_empty()))
@@ -120,7 +126,11 @@
         if spec.same_rack || spec.gang {
             self.prefer_one_rack(&mut candidates, wanted);
         }
-        let run = self.jobs.get(&id.job).and_then(|job| job.step(id)).map(|s| s.last_run() + 1);
+        let run = self
+            .jobs
+            .get(&id.job)
+            .and_then(|job| job.step(id))
+            .map(|s| s.last_run() + 1);
         let gang_run = run.filter(|_| spec.gang);
         let mut tasks = waiting.into_iter();
         for candidate in candidates {
@@ -200,11 +210,15 @@
             if !has_label(&worker.entry.labels, spec.requires.as_ref()) {
                 continue;
             }
-            if worker.suspect_until.is_some() {
+            if worker.on_probation(now) {
                 fits = fits.min(1);
             }
             if spec.max_per_worker > 0 {
-                let here = worker.slots.keys().filter(|run| run.task.step == id).count() as u32;
+                let here = worker
+                    .slots
+                    .keys()
+                    .filter(|run| run.task.step == id)
+                    .count() as u32;
                 fits = fits.min(u32::from(spec.max_per_worker).saturating_sub(here));
             }
             if fits == 0 {
@@ -250,7 +264,12 @@
         let need = spec.held();
         let advised = !step.advice.tickets.is_empty();
         let allowed = |key: &WorkerKey| {
-            !advised || step.advice.tickets.iter().any(|ticket| ticket.worker == *key)
+            !advised
+                || step
+                    .advice
+                    .tickets
+                    .iter()
+                    .any(|ticket| ticket.worker == *key)
         };
         let open = |key: &WorkerKey| self.workers[*key].reserved_by.is_none();
         let mut keys: Vec<WorkerKey> = eligible.into_iter().filter(allowed).filter(open).collect();
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -23,6 +23,10 @@
 /// Longest time that a suspect worker is left alone.
 const MAX_SUSPECT_FOR: Duration = Duration::from_secs(16);
 
+/// Time after its rest in which a suspect worker gets one run at a time. After that it counts as sound,
+/// since a gang that needs it could otherwise wait for good.
+const PROBATION: Duration = Duration::from_secs(3);
+
 /// What the registry says of a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerEntry {
@@ -209,12 +213,18 @@
     pub(crate) fn takes_work(&self, now: Instant) -> bool {
         let trusted = match self.suspect_until {
             // One probe at a time decides about a suspect worker.
-            Some(until) => now >= until && self.slots.is_empty(),
+            Some(until) => now >= until && (self.slots.is_empty() || !self.on_probation(now)),
             None => true,
         };
         self.listed && self.reported && !self.entry.draining && now < self.lease_end && trusted
     }
 
+    /// Returns whether the worker rests after failures, or has to prove itself after that.
+    pub(crate) fn on_probation(&self, now: Instant) -> bool {
+        self.suspect_until
+            .is_some_and(|until| now < until + PROBATION)
+    }
+
     pub(crate) fn free(&self) -> Resources {
         self.entry.capacity.saturating_sub(self.used)
     }
--- /dev/null
+++ b/crates/hs-cell/tests/cell/patterns.rs
@@ -0,0 +1,148 @@
+//! Load patterns, each with the decision that answers it.
+
+use std::time::Duration;
+
+use hs_cell::{JobId, RunEnd, StepSpec};
+
+use crate::fixture::{advised_queue, id, job, queue, step};
+use crate::world::World;
+
+const ROUND: Duration = Duration::from_millis(50);
+
+fn warm(workers: usize, queues: Vec<hs_cell::QueueSpec>) -> World {
+    let mut world = World::new(workers, queues, 1);
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    world
+}
+
+fn runs(world: &World, job: JobId) -> usize {
+    world.placed(job).len()
+}
+
+/// Pattern: short checks arrive while long work waits. The check goes first when room becomes free.
+#[test]
+fn short_checks_pass_waiting_long_work() {
+    let mut world = warm(1, vec![queue("check", 0, 2), queue("recon", 2, 2)]);
+    world.submit(id(1), job("recon", vec![step(1, 8000, 500)]));
+    world.quiet_round(ROUND);
+    world.submit(id(2), job("recon", vec![step(1, 8000, 500)]));
+    world.submit(id(3), job("check", vec![step(1, 8000, 300)]));
+    world.quiet_round(ROUND);
+    let (worker, run) = world.placed(id(1))[0];
+    world.end(worker, run, RunEnd::Done);
+    world.quiet_round(ROUND);
+    assert_eq!((runs(&world, id(2)), runs(&world, id(3))), (0, 1));
+}
+
+/// Pattern: a crest has made some checks late. Those that can still meet their objective go first, so
+/// that the delay is not passed on.
+#[test]
+fn late_checks_give_way_to_those_in_time() {
+    let mut world = warm(1, vec![queue("check", 0, 2)]);
+    world.submit(id(1), job("check", vec![step(1, 8000, 500)]));
+    world.quiet_round(ROUND);
+    world.submit(id(2), job("check", vec![step(1, 8000, 300)]));
+    world.pass(Duration::from_millis(1500));
+    world.submit(id(3), job("check", vec![step(1, 8000, 300)]));
+    let (worker, run) = world.placed(id(1))[0];
+    world.end(worker, run, RunEnd::Done);
+    world.quiet_round(ROUND);
+    assert_eq!((runs(&world, id(2)), runs(&world, id(3))), (0, 1));
+}
+
+/// Pattern: a gang waits while small tasks of a lower priority keep coming. Its workers are kept free.
+#[test]
+fn small_tasks_do_not_starve_a_gang() {
+    let mut world = warm(2, vec![queue("plan", 1, 2), queue("recon", 2, 2)]);
+    world.submit(id(1), job("recon", vec![step(2, 5000, 9000)]));
+    world.quiet_round(ROUND);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 6000, 500)
+    };
+    world.submit(id(2), job("plan", vec![gang]));
+    for number in 10..20 {
+        world.submit(id(number), job("recon", vec![step(1, 3000, 9000)]));
+    }
+    for _ in 0..4 {
+        world.quiet_round(ROUND);
+    }
+    let small: usize = (10..20).map(|number| runs(&world, id(number))).sum();
+    assert_eq!(
+        small, 0,
+        "small tasks took the room that the gang waits for"
+    );
+    for (worker, run) in world.placed(id(1)) {
+        world.end(worker, run, RunEnd::Done);
+    }
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    assert_eq!(runs(&world, id(2)), 2);
+}
+
+/// Pattern: small and wide tasks share workers. Small ones fill the fullest worker, so that the wide one
+/// finds an empty one.
+#[test]
+fn small_tasks_leave_an_empty_worker() {
+    let mut world = warm(3, vec![queue("check", 0, 2)]);
+    for number in 1..5 {
+        world.submit(id(number), job("check", vec![step(1, 2000, 900)]));
+        world.quiet_round(ROUND);
+    }
+    let workers: std::collections::BTreeSet<usize> = (1..5)
+        .flat_map(|number| world.placed(id(number)))
+        .map(|(worker, _)| worker)
+        .collect();
+    assert_eq!(workers.len(), 1);
+}
+
+/// Pattern: a worker fails everything it starts. It is left alone, and other workers take the work.
+#[test]
+fn a_worker_that_fails_everything_is_left_alone() {
+    let mut world = warm(2, vec![queue("check", 0, 9)]);
+    let bad = 0;
+    for number in 1..15 {
+        world.submit(id(number), job("check", vec![step(1, 500, 900)]));
+        world.quiet_round(ROUND);
+        let failing: Vec<_> = world.workers[bad].running.keys().copied().collect();
+        for run in failing {
+            world.end(bad, run, RunEnd::Failed);
+        }
+    }
+    let failed = (1..15).filter(|n| world.placed(id(*n)).is_empty()).count();
+    assert!(
+        failed <= 2,
+        "{failed} checks wait or fail although a sound worker has room"
+    );
+}
+
+/// Pattern: many gangs wait for room. Only the first of them keep their tickets valid, so that the calls
+/// for new work are not held up.
+#[test]
+fn gangs_far_back_do_not_renew_tickets() {
+    let queues = vec![
+        advised_queue("plan", 1, Duration::from_millis(300)),
+        queue("recon", 0, 2),
+    ];
+    let mut world = warm(4, queues);
+    world.submit(id(1), job("recon", vec![step(4, 8000, 60_000)]));
+    world.quiet_round(ROUND);
+    for number in 10..20 {
+        let gang = StepSpec {
+            gang: true,
+            ..step(2, 4000, 500)
+        };
+        world.submit(id(number), job("plan", vec![gang]));
+    }
+    let mut calls = 0;
+    for _ in 0..200 {
+        world.pump();
+        calls += world.advice_calls().len();
+        world.quiet_round(ROUND);
+    }
+    // Ten first calls, and renewals of three steps each two seconds at the most for ten seconds.
+    assert!(calls <= 10 + 3 * 10, "{calls} calls for advice in 10 s");
+}
--- /dev/null
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -0,0 +1,130 @@
+//! Faults that played days have shown.
+
+use std::time::Duration;
+
+use hs_cell::{JobOutcome, JobState, RunEnd};
+
+use crate::fixture::{advised_queue, id, job, queue, step};
+use crate::world::World;
+
+const ROUND: Duration = Duration::from_millis(50);
+
+/// Guards against a step that waits for good once its call for advice has failed and nothing else
+/// happens.
+#[test]
+fn a_failed_call_for_advice_is_repeated_without_news() {
+    let queues = vec![advised_queue("plan", 1, Duration::from_millis(300))];
+    let mut world = World::new(2, queues, 1);
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    world.submit(id(1), job("plan", vec![step(1, 1000, 500)]));
+    world.pump();
+    let call = world.advice_calls()[0].step;
+    world.cell.advice_settled(call, &[], None, world.now);
+    for _ in 0..10 {
+        world.pass(ROUND);
+        world.pump();
+    }
+    assert!(world.advice_calls().len() >= 2, "the call was not repeated");
+}
+
+/// Guards against a task that can never run again since the only worker for it failed it once.
+#[test]
+fn a_task_returns_to_the_only_worker_after_a_failure() {
+    let mut world = World::new(1, vec![queue("check", 0, 3)], 1);
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
+    world.quiet_round(ROUND);
+    let (worker, run) = world.placed(id(1))[0];
+    world.end(worker, run, RunEnd::Failed);
+    world.settle(20);
+    assert_eq!(
+        world.state(id(1)),
+        Some(JobState::Ended(JobOutcome::Completed))
+    );
+}
+
+/// Guards against runs of a worker that is gone for good and that are never started elsewhere.
+#[test]
+fn runs_of_a_silent_worker_restart_after_its_lease() {
+    let mut world = World::new(2, vec![queue("check", 0, 3)], 1);
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    world.submit(id(1), job("check", vec![step(1, 8000, 500)]));
+    world.quiet_round(ROUND);
+    let (worker, first) = world.placed(id(1))[0];
+    world.crash(worker);
+    for _ in 0..120 {
+        world.quiet_round(ROUND);
+    }
+    let (other, second) = world.placed(id(1))[0];
+    assert_ne!(other, worker);
+    assert!(second.run > first.run);
+}
+
+/// Guards against a run that is stopped at once because its worker's list was asked for before it began.
+#[test]
+fn a_young_run_does_not_count_as_stalled() {
+    let mut world = World::new(1, vec![queue("check", 0, 3)], 1);
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
+    world.quiet_round(ROUND);
+    for _ in 0..20 {
+        world.quiet_round(ROUND);
+    }
+    assert_eq!(world.placed(id(1))[0].1.run, 1);
+}
+
+/// Guards against a failure that counts twice when its end is listed again to a new owner.
+#[test]
+fn a_failure_counts_once_across_a_takeover() {
+    let mut world = World::new(1, vec![queue("check", 0, 2)], 1);
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
+    world.quiet_round(ROUND);
+    let (worker, run) = world.placed(id(1))[0];
+    world.end(worker, run, RunEnd::Failed);
+    world.hold(worker);
+    world.pump();
+    world.begin_commit();
+    // The record with the failure is written, and the end was not acknowledged.
+    world.lose_owner(true);
+    world.settle(20);
+    assert_eq!(
+        world.state(id(1)),
+        Some(JobState::Ended(JobOutcome::Completed))
+    );
+}
+
+/// Guards against a second run while a start that was meant for an earlier life of a worker runs on the
+/// later one.
+#[test]
+fn a_new_life_inherits_runs_until_its_first_list() {
+    let mut world = World::new(2, vec![queue("check", 0, 3)], 1);
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    world.submit(id(1), job("check", vec![step(1, 8000, 500)]));
+    world.quiet_round(ROUND);
+    let (worker, _) = world.placed(id(1))[0];
+    world.restart(worker);
+    world.pump();
+    world.begin_commit();
+    world.finish_commit();
+    assert!(
+        world.placed(id(1)).is_empty(),
+        "the run was placed before the first list"
+    );
+    for _ in 0..4 {
+        world.quiet_round(ROUND);
+    }
+    assert_eq!(world.placed(id(1)).len(), 1);
+}
--- a/crates/hs-control/src/advisers.rs
+++ b/crates/hs-control/src/advisers.rs
@@ -54,8 +54,8 @@
 pub(crate) struct AdviceEnd {
     pub step: StepId,
     pub reply: Option<AdviceReply>,
-    /// Number of workers that were asked about.
-    pub named: usize,
+    /// Workers that were asked about.
+    pub named: Vec<Arc<str>>,
     address: Option<Arc<str>>,
 }
 
@@ -105,10 +105,12 @@
 
     /// Adds a call.
     pub(crate) fn ask(&mut self, request: AdviceRequest, workers: Vec<Arc<str>>) {
-        self.waiting.retain(|call| call.request.step != request.step);
+        self.waiting
+            .retain(|call| call.request.step != request.step);
         self.waiting.push(WaitingCall { request, workers });
         // Short calls of urgent queues go first.
-        self.waiting.sort_by_key(|call| (call.request.priority, call.request.cost));
+        self.waiting
+            .sort_by_key(|call| (call.request.priority, call.request.cost));
         self.dispatch();
     }
 
@@ -126,7 +128,9 @@
         while index < self.waiting.len() {
             let first = self.first_adviser(self.waiting[index].request.cost);
             let mut advisers = self.advisers.iter().skip(first);
-            let free = advisers.position(|adviser| !adviser.busy).map(|at| at + first);
+            let free = advisers
+                .position(|adviser| !adviser.busy)
+                .map(|at| at + first);
             match free {
                 Some(adviser) => {
                     let call = self.waiting.remove(index);
@@ -165,7 +169,7 @@
             let end = AdviceEnd {
                 step,
                 reply,
-                named: call.workers.len(),
+                named: call.workers,
                 address,
             };
             // An owner task that has ended needs no advice.
--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -213,12 +213,12 @@
             Ownership::Here(owner) => owner.ask(|reply| OwnerMessage::State(id, reply)).await,
             Ownership::Peer(address) => {
                 let request = StateRequest { id: id.0 };
-                let call =
-                    self.context
-                        .peers
-                        .call("state", &address, OWNER_LIMIT, |mut client| async move {
-                            client.state(request).await
-                        });
+                let call = self.context.peers.call(
+                    "state",
+                    &address,
+                    OWNER_LIMIT,
+                    |mut client| async move { client.state(request).await },
+                );
                 match call.await {
                     Ok(reply) => Some(state_of(reply.phase())),
                     Err(error) => {
--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -124,7 +124,9 @@
     async fn look(&self, view: &mut Option<ClaimView>) -> Option<Option<ClaimValue>> {
         match chain::read_claim(&self.platform, READ_LIMIT).await {
             Ok(seen) => {
-                let same = view.as_ref().is_some_and(|view| view.seen.revision == seen.revision);
+                let same = view
+                    .as_ref()
+                    .is_some_and(|view| view.seen.revision == seen.revision);
                 if !same {
                     *view = Some(ClaimView {
                         seen: seen.clone(),
@@ -149,9 +151,12 @@
                 node: self.context.node.to_string(),
                 address: self.context.address.to_string(),
             };
-            let beat = self.context.peers.call("beat", &address, BEAT_LIMIT, |mut client| async move {
-                client.beat(request).await
-            });
+            let beat =
+                self.context
+                    .peers
+                    .call("beat", &address, BEAT_LIMIT, |mut client| async move {
+                        client.beat(request).await
+                    });
             match beat.await {
                 Ok(reply) if Duration::from_millis(reply.proof_age_ms) > MAX_PROOF_AGE => {
                     // The owner may still be the owner, so requests go on to it.
@@ -162,12 +167,19 @@
                     self.owner_seen.send_replace(Some(self.platform.now()));
                     if !reached {
                         reached = true;
-                        log::info!("E8032 owner followed node={} fence={}", owner.node, owner.fence);
+                        log::info!(
+                            "E8032 owner followed node={} fence={}",
+                            owner.node,
+                            owner.fence
+                        );
                         self.set(Ownership::Peer(address.clone()));
                     }
                 }
                 Err(error) => {
-                    log::info!("E8033 owner not reached node={} cause=\"{error}\"", owner.node);
+                    log::info!(
+                        "E8033 owner not reached node={} cause=\"{error}\"",
+                        owner.node
+                    );
                     return match error {
                         PeerError::NotOwner { .. } => FollowEnd::NotOwner,
                         PeerError::ConnectionRefused { .. } => FollowEnd::Ended,
@@ -189,7 +201,10 @@
             if *self.stop.borrow() {
                 return;
             }
-            if self.rest_until.is_some_and(|until| self.platform.now() < until) {
+            if self
+                .rest_until
+                .is_some_and(|until| self.platform.now() < until)
+            {
                 sleep(LOOK_EVERY).await;
                 return;
             }
@@ -268,7 +283,10 @@
         match end {
             OwnerEnd::Released => log::info!("E8002 cell given up"),
             OwnerEnd::TooSlow(lag) => {
-                log::warn!("E8006 cell given up, this process is slow lag_ms={}", lag.as_millis());
+                log::warn!(
+                    "E8006 cell given up, this process is slow lag_ms={}",
+                    lag.as_millis()
+                );
                 self.rest_until = Some(self.platform.now() + SLOW_REST);
             }
             OwnerEnd::Lost(cause) => log::warn!("E8003 cell lost cause=\"{cause}\""),
--- a/crates/hs-control/src/intake.rs
+++ b/crates/hs-control/src/intake.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use tokio::sync::{mpsc, oneshot, Semaphore};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::sleep;
 
-use crate::store_health::StoreHealth;
 use crate::port::{ClockPort, StorePort, StoreTxn, TxnReply};
+use crate::store_health::StoreHealth;
 
 /// Rows that one transaction may write; each has a condition too, and the store takes 32 entries.
 const MAX_ROWS: usize = 15;
@@ -118,11 +118,7 @@
 }
 
 /// Writes rows, and repeats that until the store has answered for certain or their time is over.
-async fn write<S: StorePort + ClockPort>(
-    store: S,
-    health: StoreHealth,
-    mut rows: Vec<IntakeRow>,
-) {
+async fn write<S: StorePort + ClockPort>(store: S, health: StoreHealth, mut rows: Vec<IntakeRow>) {
     // Whether an earlier copy of a write may still be carried out.
     let mut in_doubt = false;
     let mut limit = RESEND_AFTER;
@@ -156,7 +152,10 @@
                 let found = |row: &IntakeRow| items.iter().any(|item| item.key == row.key);
                 let (present, left): (Vec<_>, Vec<_>) = rows.into_iter().partition(found);
                 if present.is_empty() {
-                    log::warn!("store reports a conflict without an item, rows={}", left.len());
+                    log::warn!(
+                        "store reports a conflict without an item, rows={}",
+                        left.len()
+                    );
                     sleep(RETRY_PAUSE).await;
                 }
                 for row in present {
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -8,9 +8,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use crate::port::{
-    HoldOrder, HoldReply, Platform, StartReply, StopReply, WorkerPeer,
-};
+use crate::port::{HoldOrder, HoldReply, Platform, StartReply, StopReply, WorkerPeer};
 
 /// Lease that a renewal asks for. Long enough for a takeover, short enough that the tasks of a lost
 /// worker are soon started elsewhere.
@@ -235,7 +233,10 @@
                 wait,
             };
             let asked_at = self.platform.now();
-            let reply = self.platform.hold(&self.peer, order, wait + CALL_LIMIT).await;
+            let reply = self
+                .platform
+                .hold(&self.peer, order, wait + CALL_LIMIT)
+                .await;
             answered = matches!(reply, Ok(HoldReply::Report { .. }));
             match reply {
                 Ok(HoldReply::Report { clock_ms, report }) => {
@@ -308,7 +309,11 @@
     /// Sends a stop until the worker answers.
     async fn stop(self, run: TaskRun) {
         loop {
-            match self.platform.stop(&self.peer, self.fence, run, ORDER_LIMIT).await {
+            match self
+                .platform
+                .stop(&self.peer, self.fence, run, ORDER_LIMIT)
+                .await
+            {
                 Ok(StopReply::Stopped) => return self.tell(LinkEvent::Stopped(run)).await,
                 Ok(StopReply::Fenced) => return self.tell(LinkEvent::Fenced).await,
                 // The run ended with the life that it was on.
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{
-    Cell, CellBatch, CellEffect, CellOptions, JobId, JobSpec, RecordRow, WorkerKey,
-};
+use hs_cell::{Cell, CellBatch, CellEffect, CellOptions, JobId, JobSpec, RecordRow, WorkerKey};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -164,7 +162,10 @@
         owner.cell.unfinished(),
         owner.cell.holding(),
         owner.links.len(),
-        platform.now().saturating_duration_since(started).as_millis()
+        platform
+            .now()
+            .saturating_duration_since(started)
+            .as_millis()
     );
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -240,12 +241,15 @@
             self.list_worker(worker);
         }
         let revision = state.cell.intake_revision;
-        state.cell.restore(&mut self.cell, &self.platform, self.takeover_end);
+        state
+            .cell
+            .restore(&mut self.cell, &self.platform, self.takeover_end);
         let platform = self.platform.clone();
         let events = self.events.clone();
         let registry = follow_registry(platform.clone(), state.registry_revision, events.clone());
         self.helpers.spawn(registry);
-        self.helpers.spawn(follow_intake(platform, revision, events));
+        self.helpers
+            .spawn(follow_intake(platform, revision, events));
     }
 
     fn configure(&mut self, config: &ClusterConfig) {
@@ -268,7 +272,10 @@
             address: worker.address.clone(),
             born_ms,
         };
-        log::info!("E8011 worker linked worker={id} address={} born_ms={born_ms}", worker.address);
+        log::info!(
+            "E8011 worker linked worker={id} address={} born_ms={born_ms}",
+            worker.address
+        );
         let link = LinkHandle::spawn(
             self.platform.clone(),
             key,
@@ -390,8 +397,11 @@
     }
 
     fn share_members(&mut self) {
-        let addresses: Vec<Arc<str>> =
-            self.members.values().map(|(address, _)| address.clone()).collect();
+        let addresses: Vec<Arc<str>> = self
+            .members
+            .values()
+            .map(|(address, _)| address.clone())
+            .collect();
         self.advisers.set_members(&addresses);
     }
 
@@ -405,7 +415,11 @@
             LinkEvent::Silent => self.cell.worker_silent(key),
             LinkEvent::Started(run) => self.cell.start_confirmed(key, run, now),
             LinkEvent::StartRefused(run, why) => {
-                log::info!("E8042 start refused task={} run={} why={why:?}", run.task, run.run);
+                log::info!(
+                    "E8042 start refused task={} run={} why={why:?}",
+                    run.task,
+                    run.run
+                );
                 self.cell.start_refused(key, run, why, now);
             }
             LinkEvent::StartUnanswered(run) => {
@@ -423,9 +437,14 @@
     fn advice(&mut self, end: AdviceEnd) {
         self.advisers.ended(&end);
         let allowed = end.reply.as_ref().map(|reply| reply.allowed.len());
-        log::info!("E8051 advice ended step={} named={} allowed={allowed:?}", end.step, end.named);
+        log::info!(
+            "E8051 advice ended step={} named={} allowed={allowed:?}",
+            end.step,
+            end.named
+        );
         let now = self.platform.now();
-        self.cell.advice_settled(end.step, end.reply, now);
+        self.cell
+            .advice_settled(end.step, &end.named, end.reply, now);
     }
 
     fn tick(&mut self) {
@@ -456,7 +475,11 @@
             CellEffect::Start(key, order) => {
                 let run = order.run;
                 let worker = self.cell.worker_id(key).unwrap_or_default();
-                log::info!("E8041 start sent task={} run={} worker={worker}", run.task, run.run);
+                log::info!(
+                    "E8041 start sent task={} run={} worker={worker}",
+                    run.task,
+                    run.run
+                );
                 if let Some(link) = self.links.get(&key) {
                     link.order(LinkOrder::Start(order));
                 }
@@ -468,7 +491,11 @@
                 }
             }
             CellEffect::Advise(request) => {
-                log::info!("E8052 advice wanted step={} named={}", request.step, request.workers.len());
+                log::info!(
+                    "E8052 advice wanted step={} named={}",
+                    request.step,
+                    request.workers.len()
+                );
                 let ids = request.workers.iter();
                 let workers = ids.filter_map(|key| self.cell.worker_id(*key)).collect();
                 self.advisers.ask(request, workers);
@@ -515,7 +542,9 @@
         self.helpers.spawn(async move {
             let result = chain::append(&platform, &chain, writes, deletes, releasing).await;
             // An owner task that has ended needs no result.
-            let _ = events.send(OwnerEvent::Committed(CommitEnd { batch, result })).await;
+            let _ = events
+                .send(OwnerEvent::Committed(CommitEnd { batch, result }))
+                .await;
         });
     }
 
@@ -571,7 +600,10 @@
 ) {
     loop {
         sleep(REGISTRY_EVERY).await;
-        let event = match platform.worker_changes(revision, Duration::ZERO, READ_LIMIT).await {
+        let event = match platform
+            .worker_changes(revision, Duration::ZERO, READ_LIMIT)
+            .await
+        {
             Ok(WorkerChanges::Events(changes, next)) => {
                 revision = next.max(revision);
                 OwnerEvent::Workers(changes)
@@ -605,24 +637,24 @@
 ) {
     loop {
         sleep(INTAKE_EVERY).await;
-        let watched = platform.watch(keys::INTAKE, revision, Duration::ZERO, READ_LIMIT).await;
+        let watched = platform
+            .watch(keys::INTAKE, revision, Duration::ZERO, READ_LIMIT)
+            .await;
         let items = match watched {
             Ok(StoreChanges::Events(items, next)) => {
                 revision = next.max(revision);
                 items
             }
-            Ok(StoreChanges::Forgotten) => {
-                match recover::read_all(&platform, keys::INTAKE).await {
-                    Ok((items, next)) => {
-                        revision = next;
-                        items
-                    }
-                    Err(error) => {
-                        log::debug!("{error}");
-                        continue;
-                    }
+            Ok(StoreChanges::Forgotten) => match recover::read_all(&platform, keys::INTAKE).await {
+                Ok((items, next)) => {
+                    revision = next;
+                    items
                 }
-            }
+                Err(error) => {
+                    log::debug!("{error}");
+                    continue;
+                }
+            },
             Err(error) => {
                 log::debug!("{error}");
                 continue;
--- a/crates/hs-control/src/port.rs
+++ b/crates/hs-control/src/port.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{
-    AdviceReply, StartOrder, StartRefusal, StepId, TaskRun, WorkerEntry, WorkerReport,
-};
+use hs_cell::{AdviceReply, StartOrder, StartRefusal, StepId, TaskRun, WorkerEntry, WorkerReport};
 use thiserror::Error;
 
 use crate::config::ClusterConfig;
--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -51,7 +51,10 @@
     // Progress first: a job that ends in between is then read as ended, not as never placed.
     let (runs, _) = read_all(store, keys::RUN).await?;
     for item in runs {
-        let id = item.key.strip_prefix(keys::RUN).and_then(|id| id.parse().ok());
+        let id = item
+            .key
+            .strip_prefix(keys::RUN)
+            .and_then(|id| id.parse().ok());
         let record = item.value.as_deref().map(serde_json::from_slice);
         match (id, record) {
             (Some(id), Some(Ok(record))) => {
--- a/crates/hs-control/src/store_health.rs
+++ b/crates/hs-control/src/store_health.rs
@@ -44,7 +44,10 @@
 
     /// Returns whether calls should not be tried now.
     pub(crate) fn is_away(&self, now: Instant) -> bool {
-        away(&self.state.lock().unwrap_or_else(PoisonError::into_inner), now)
+        away(
+            &self.state.lock().unwrap_or_else(PoisonError::into_inner),
+            now,
+        )
     }
 }
 
