feat: catalogued events for the cell; log lines are written by a thread of their own

Ruled out: env_logger's own buffering, which writes in the caller. Change: the line's field is a count; events 8001 to 8105 with advice; a bounded queue and a thread for standard output, lines left out are counted; ends of jobs and runs, cancellations and silent workers are logged.

--- a/crates/hornbeamshunt/src/edge.rs
+++ b/crates/hornbeamshunt/src/edge.rs
@@ -1,10 +1,11 @@
 //! `edge`: runs a process on the users' platform.
 
-use std::io::Write;
+use std::io::{self, Write};
 
 use argh::FromArgs;
 
 use crate::exit::{CommandError, CommandExit};
+use crate::log_pipe::LogPipe;
 
 /// Run a process on the platform whose settings file the environment names, until SIGTERM.
 #[derive(FromArgs)]
@@ -15,8 +16,13 @@
     pub(crate) async fn run(self) -> Result<CommandExit, CommandError> {
         let environment = env_logger::Env::default().default_filter_or("info");
         env_logger::Builder::from_env(environment)
-            .target(env_logger::Target::Stdout)
-            .format(|line, record| writeln!(line, "{} {}", record.level(), record.args()))
+            .target(env_logger::Target::Pipe(Box::new(LogPipe::spawn(
+                io::stdout(),
+            ))))
+            .format(|line, record| {
+                let time = line.timestamp_millis();
+                writeln!(line, "{time} {} {}", record.level(), record.args())
+            })
             .init();
         let ended = hs_platform::run().await;
         ended.map_err(|error| CommandError::failed(error.to_string()))?;
--- a/crates/hornbeamshunt/src/main.rs
+++ b/crates/hornbeamshunt/src/main.rs
@@ -10,6 +10,7 @@
 mod exit;
 mod file;
 mod load;
+mod log_pipe;
 mod publish;
 mod publisher;
 mod result;
--- a/crates/hs-control/src/config.rs
+++ b/crates/hs-control/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration in force in a process.
 
+use hs_event::EventCode;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -67,11 +68,11 @@
                 let newer = config.version > current || sender.borrow().is_none();
                 known = Some((config.version.max(current), revision));
                 if newer {
-                    log::info!(
-                        "E5001 configuration in force version={} previous={current} routes={} revision={revision}",
+                    EventCode::ManifestApplied.log(format_args!(
+                        "version={} previous={current} routes={} revision={revision}",
                         config.version,
                         config.routes.len()
-                    );
+                    ));
                     sender.send_replace(Some(config));
                 }
             }
--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -4,6 +4,7 @@
 //! that still changes has a living owner that this process can't reach; one that stands still is taken
 //! over. The claim makes a wrong guess safe, so the waits are short.
 
+use hs_event::EventCode;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -167,19 +168,14 @@
                     self.owner_seen.send_replace(Some(self.platform.now()));
                     if !reached {
                         reached = true;
-                        log::info!(
-                            "E8032 owner followed node={} fence={}",
-                            owner.node,
-                            owner.fence
-                        );
+                        EventCode::OwnerFollowed
+                            .log(format_args!("node={} fence={}", owner.node, owner.fence));
                         self.set(Ownership::Peer(address.clone()));
                     }
                 }
                 Err(error) => {
-                    log::info!(
-                        "E8033 owner not reached node={} cause=\"{error}\"",
-                        owner.node
-                    );
+                    EventCode::OwnerUnreached
+                        .log(format_args!("node={} cause=\"{error}\"", owner.node));
                     return match error {
                         PeerError::NotOwner { .. } => FollowEnd::NotOwner,
                         PeerError::ConnectionRefused { .. } => FollowEnd::Ended,
@@ -251,7 +247,7 @@
             Ok(Some(chain)) => chain,
             Ok(None) => return,
             Err(error) => {
-                log::info!("E8034 claim not taken cause=\"{error}\"");
+                EventCode::ClaimUntaken.log(format_args!("cause=\"{error}\""));
                 return;
             }
         };
@@ -281,17 +277,14 @@
         };
         self.set(Ownership::Unknown);
         match end {
-            OwnerEnd::Released => log::info!("E8002 cell given up"),
+            OwnerEnd::Released => EventCode::CellReleased.log(format_args!("")),
             OwnerEnd::TooSlow(lag) => {
-                log::warn!(
-                    "E8006 cell given up, this process is slow lag_ms={}",
-                    lag.as_millis()
-                );
+                EventCode::OwnerTooSlow.log(format_args!("lag_ms={}", lag.as_millis()));
                 self.rest_until = Some(self.platform.now() + SLOW_REST);
             }
-            OwnerEnd::Lost(cause) => log::warn!("E8003 cell lost cause=\"{cause}\""),
+            OwnerEnd::Lost(cause) => EventCode::CellLost.log(format_args!("cause=\"{cause}\"")),
             OwnerEnd::Unreadable(cause) => {
-                log::warn!("E8004 cell not readable cause=\"{cause}\"");
+                EventCode::CellUnreadable.log(format_args!("cause=\"{cause}\""));
                 sleep(REST).await;
             }
         }
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{StartOrder, StartRefusal, TaskRun, WorkerKey, WorkerReport};
+use hs_event::EventCode;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
@@ -237,12 +238,23 @@
                 .platform
                 .hold(&self.peer, order, wait + CALL_LIMIT)
                 .await;
+            let before = answered;
             answered = matches!(reply, Ok(HoldReply::Report { .. }));
+            if before && !answered {
+                EventCode::WorkerSilent.log(format_args!("worker={}", self.peer.id));
+            }
             match reply {
                 Ok(HoldReply::Report { clock_ms, report }) => {
                     let read_at = self.platform.now();
                     let clock = WorkerClock { clock_ms, read_at };
                     self.with_state(|state| state.clock = Some(clock));
+                    for end in report.ended.iter().filter(|end| end.number > seen) {
+                        let (run, how) = (end.run, end.end);
+                        EventCode::RunEnded.log(format_args!(
+                            "task={} run={} how={how:?} worker={} clock_ms={clock_ms}",
+                            run.task, run.run, self.peer.id
+                        ));
+                    }
                     let last = report.ended.iter().map(|end| end.number).max();
                     seen = seen.max(last.unwrap_or(0));
                     self.tell(LinkEvent::Report(report, asked_at)).await;
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -1,5 +1,6 @@
 //! The task that owns the cell.
 
+use hs_event::EventCode;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -156,8 +157,8 @@
         owner.configure(config);
     }
     owner.restore(state);
-    log::info!(
-        "E8001 cell taken over fence={} jobs={} runs={} workers={} read_ms={}",
+    EventCode::CellTaken.log(format_args!(
+        "fence={} jobs={} runs={} workers={} read_ms={}",
         owner.chain.claim.fence,
         owner.cell.unfinished(),
         owner.cell.holding(),
@@ -165,8 +166,8 @@
         platform
             .now()
             .saturating_duration_since(started)
-            .as_millis()
-    );
+            .as_millis(),
+    ));
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -272,10 +273,10 @@
             address: worker.address.clone(),
             born_ms,
         };
-        log::info!(
-            "E8011 worker linked worker={id} address={} born_ms={born_ms}",
+        EventCode::WorkerLinked.log(format_args!(
+            "worker={id} address={} born_ms={born_ms}",
             worker.address
-        );
+        ));
         let link = LinkHandle::spawn(
             self.platform.clone(),
             key,
@@ -295,7 +296,7 @@
                     match change {
                         WorkerChange::Listed(worker) => self.list_worker(worker),
                         WorkerChange::Gone(id) => {
-                            log::info!("E8012 worker left the registry worker={id}");
+                            EventCode::WorkerUnlisted.log(format_args!("worker={id}"));
                             self.cell.worker_unlisted(&id);
                         }
                     }
@@ -327,11 +328,11 @@
             Some(IntakeKey::Job(id)) if !self.cell.has_job(id) => match JobValue::parse(value) {
                 Some(JobValue::Accepted(spec)) => self.add_job(id, Arc::new(spec), "store"),
                 Some(JobValue::Ended(_)) => {}
-                None => log::warn!("E8103 record unreadable key={}", item.key),
+                None => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
             },
             Some(IntakeKey::Cancel(id)) => self.cancel(id),
             Some(IntakeKey::Job(_)) => {}
-            None => log::warn!("E8103 record unreadable key={}", item.key),
+            None => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
         }
     }
 
@@ -341,12 +342,15 @@
         let queue = spec.queue.clone();
         let steps = spec.steps.len();
         if self.cell.add_job(id, spec, now, now_ms) {
-            log::info!("E8021 job queued job={id} queue={queue} steps={steps} source={source}");
+            EventCode::JobQueued.log(format_args!(
+                "job={id} queue={queue} steps={steps} source={source}"
+            ));
         }
     }
 
     fn cancel(&mut self, id: JobId) {
         if self.cell.cancel(id) {
+            EventCode::JobCancelled.log(format_args!("job={id}"));
             self.cancelled_rows.push(id);
         } else {
             log::debug!("cancellation of unknown job {id}");
@@ -364,7 +368,7 @@
                 let now = self.platform.now();
                 let known = self.members.insert(node.clone(), (address.into(), now));
                 if known.is_none() {
-                    log::info!("E8031 member joined node={node}");
+                    EventCode::MemberJoined.log(format_args!("node={node}"));
                     self.share_members();
                 }
                 let _ = reply.send(BeatAnswer {
@@ -415,15 +419,14 @@
             LinkEvent::Silent => self.cell.worker_silent(key),
             LinkEvent::Started(run) => self.cell.start_confirmed(key, run, now),
             LinkEvent::StartRefused(run, why) => {
-                log::info!(
-                    "E8042 start refused task={} run={} why={why:?}",
-                    run.task,
-                    run.run
-                );
+                EventCode::RunRefused.log(format_args!(
+                    "task={} run={} why={why:?}",
+                    run.task, run.run
+                ));
                 self.cell.start_refused(key, run, why, now);
             }
             LinkEvent::StartUnanswered(run) => {
-                log::warn!("E8043 start unanswered task={} run={}", run.task, run.run);
+                EventCode::RunUnanswered.log(format_args!("task={} run={}", run.task, run.run));
                 self.cell.start_unanswered(key, run, now);
             }
             LinkEvent::Stopped(run) => self.cell.stop_confirmed(key, run, now),
@@ -437,11 +440,11 @@
     fn advice(&mut self, end: AdviceEnd) {
         self.advisers.ended(&end);
         let allowed = end.reply.as_ref().map(|reply| reply.allowed.len());
-        log::info!(
-            "E8051 advice ended step={} named={} allowed={allowed:?}",
+        EventCode::AdviceEnded.log(format_args!(
+            "step={} named={} allowed={allowed:?}",
             end.step,
-            end.named
-        );
+            end.named.len(),
+        ));
         let now = self.platform.now();
         self.cell
             .advice_settled(end.step, &end.named, end.reply, now);
@@ -475,27 +478,26 @@
             CellEffect::Start(key, order) => {
                 let run = order.run;
                 let worker = self.cell.worker_id(key).unwrap_or_default();
-                log::info!(
-                    "E8041 start sent task={} run={} worker={worker}",
-                    run.task,
-                    run.run
-                );
+                EventCode::StartSent.log(format_args!(
+                    "task={} run={} worker={worker}",
+                    run.task, run.run
+                ));
                 if let Some(link) = self.links.get(&key) {
                     link.order(LinkOrder::Start(order));
                 }
             }
             CellEffect::Stop(key, run) => {
-                log::info!("E8044 stop sent task={} run={}", run.task, run.run);
+                EventCode::StopSent.log(format_args!("task={} run={}", run.task, run.run));
                 if let Some(link) = self.links.get(&key) {
                     link.order(LinkOrder::Stop(run));
                 }
             }
             CellEffect::Advise(request) => {
-                log::info!(
-                    "E8052 advice wanted step={} named={}",
+                EventCode::AdviceWanted.log(format_args!(
+                    "step={} named={}",
                     request.step,
                     request.workers.len()
-                );
+                ));
                 let ids = request.workers.iter();
                 let workers = ids.filter_map(|key| self.cell.worker_id(*key)).collect();
                 self.advisers.ask(request, workers);
@@ -558,6 +560,11 @@
                 self.proved_at = proved_at;
                 self.proof.send_replace(proved_at);
                 self.chain = chain;
+                for row in &end.batch.rows {
+                    if let RecordRow::Finished(id, outcome) = row {
+                        EventCode::JobEnded.log(format_args!("job={id} outcome={outcome:?}"));
+                    }
+                }
                 self.cell.committed(end.batch, now);
                 if self.chain.claim.released {
                     self.lost = Some(match self.release.take() {
@@ -588,7 +595,7 @@
     };
     match value {
         Ok(value) => writes.push((key, value)),
-        Err(error) => log::error!("E8104 record not written key={key}: {error}"),
+        Err(error) => EventCode::RecordUnwritable.log(format_args!("key={key} cause=\"{error}\"")),
     }
 }
 
--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -1,5 +1,6 @@
 //! Reads the state of a cell back from the store.
 
+use hs_event::EventCode;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -60,7 +61,7 @@
             (Some(id), Some(Ok(record))) => {
                 cell.records.insert(id, record);
             }
-            _ => log::warn!("E8103 record unreadable key={}", item.key),
+            _ => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
         }
     }
     let (intake, revision) = read_all(store, keys::INTAKE).await?;
@@ -69,10 +70,10 @@
         match keys::parse_intake(&item.key) {
             Some(IntakeKey::Job(id)) => match item.value.as_deref().and_then(JobValue::parse) {
                 Some(value) => cell.jobs.push((id, value)),
-                None => log::warn!("E8103 record unreadable key={}", item.key),
+                None => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
             },
             Some(IntakeKey::Cancel(id)) => cell.cancelled.push(id),
-            None => log::warn!("E8103 record unreadable key={}", item.key),
+            None => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
         }
     }
     Ok(cell)
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts the tasks of a process.
 
+use hs_event::EventCode;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -121,7 +122,7 @@
         .add_service(service)
         .serve_with_incoming(incoming);
     if let Err(error) = served.await {
-        log::error!("E8105 peer listener ended: {error}");
+        EventCode::PeerListenerEnded.log(format_args!("cause=\"{error}\""));
     }
 }
 
@@ -153,9 +154,9 @@
         let serves = configured && (store || owner) && !stopping;
         let changed = ready.send_if_modified(|ready| std::mem::replace(ready, serves) != serves);
         if changed {
-            log::info!(
-                "E8005 readiness changed ready={serves} configured={configured} store={store} owner={owner} stopping={stopping}"
-            );
+            EventCode::ReadinessChanged.log(format_args!(
+                "ready={serves} configured={configured} store={store} owner={owner} stopping={stopping}"
+            ));
         }
         tokio::select! {
             () = sleep(READY_EVERY) => {}
--- a/crates/hs-control/src/store_health.rs
+++ b/crates/hs-control/src/store_health.rs
@@ -3,6 +3,7 @@
 //! A process that the store does not answer refuses submissions at once, instead of sending writes whose
 //! fate it can't tell, and gives its place in the rotation to others.
 
+use hs_event::EventCode;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -29,7 +30,7 @@
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if answered {
             if state.failed && away(&state, now) {
-                log::info!("E6004 store answers again");
+                EventCode::StoreUp.log(format_args!(""));
             }
             state.answered_at = Some(now);
             state.failed = false;
@@ -38,7 +39,7 @@
         let before = away(&state, now);
         state.failed = true;
         if !before && away(&state, now) {
-            log::warn!("E6003 store does not answer");
+            EventCode::StoreDown.log(format_args!(""));
         }
     }
 
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -37,6 +37,8 @@
     ProcessStopping = 1002, Info, "entry process shutting down";
     /// The process was paused.
     ProcessWoke = 1003, Warn, "process resumed after a pause";
+    /// The process was told that its settings changed.
+    SettingsReloaded = 1004, Info, "settings reloaded";
     /// Work was started on a worker of this process.
     WorkPlaced = 2001, Info, "work placed on a worker";
     /// Work waits in a queue.
@@ -95,6 +97,66 @@
     ReplicaStopped = 7002, Info, "service replica stopped";
     /// A replica of a service could not be started, or ended by itself.
     ReplicaMissing = 7003, Warn, "service replica missing";
+    /// This process owns the cell.
+    CellTaken = 8001, Info, "cell taken over";
+    /// This process gave the cell up as planned.
+    CellReleased = 8002, Info, "cell given up";
+    /// Another process owns the cell.
+    CellLost = 8003, Warn, "cell lost to another owner";
+    /// The state could not be read from the store.
+    CellUnreadable = 8004, Warn, "cell state not readable";
+    /// The process enters or leaves the rotation.
+    ReadinessChanged = 8005, Info, "readiness changed";
+    /// The owner lags behind its timer.
+    OwnerTooSlow = 8006, Warn, "cell given up by a slow process";
+    /// The owner begins to renew the lease of a worker.
+    WorkerLinked = 8011, Info, "worker linked";
+    /// The registry no longer lists a worker.
+    WorkerUnlisted = 8012, Info, "worker left the registry";
+    /// A renewal had no answer.
+    WorkerSilent = 8013, Info, "worker does not answer";
+    /// The owner has heard of a job.
+    JobQueued = 8021, Info, "job queued";
+    /// The end of a job is in the store.
+    JobEnded = 8022, Info, "job ended";
+    /// A job was not stored.
+    JobRefused = 8023, Info, "job refused, not run";
+    /// A job may have been stored.
+    JobInDoubt = 8024, Info, "job in doubt";
+    /// A cancellation is in effect.
+    JobCancelled = 8025, Info, "job cancelled";
+    /// A process sends beats to the owner.
+    MemberJoined = 8031, Info, "member joined";
+    /// This process has found the owner.
+    OwnerFollowed = 8032, Info, "owner followed";
+    /// A beat to the owner failed.
+    OwnerUnreached = 8033, Info, "owner not reached";
+    /// The claim could not be written.
+    ClaimUntaken = 8034, Info, "claim not taken";
+    /// A run was placed and recorded, and its start is sent.
+    StartSent = 8041, Info, "start sent";
+    /// A worker did not start a run.
+    RunRefused = 8042, Info, "start refused by the worker";
+    /// A start stays without an answer and is stopped.
+    RunUnanswered = 8043, Warn, "start unanswered";
+    /// A run is stopped.
+    StopSent = 8044, Info, "stop sent";
+    /// A worker lists the end of a run.
+    RunEnded = 8045, Info, "run ended";
+    /// The advice service has answered, or a call failed.
+    AdviceEnded = 8051, Info, "advice answered";
+    /// A step needs tickets.
+    AdviceWanted = 8052, Info, "advice wanted";
+    /// A row of a worker's list has an unreadable name.
+    ForeignRun = 8101, Warn, "worker runs something unknown";
+    /// A worker lists an end of an unknown kind.
+    UnknownEnd = 8102, Warn, "unknown kind of end";
+    /// An item of the store can not be read.
+    RecordUnreadable = 8103, Warn, "record unreadable";
+    /// A record can not be serialised.
+    RecordUnwritable = 8104, Error, "record not written";
+    /// The listener for other processes has ended.
+    PeerListenerEnded = 8105, Error, "peer listener ended";
 }
 
 impl EventCode {
