--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -42,6 +42,9 @@
 /// An owner that has not proved its claim for so long is taken to be cut off from the store.
 const MAX_PROOF_AGE: Duration = Duration::from_millis(600);
 
+/// An owner with a proof of this age or less can write to the store.
+const FRESH_PROOF: Duration = Duration::from_millis(350);
+
 /// Pause between two looks at the claim.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
@@ -69,7 +72,7 @@
     pub platform: P,
     pub context: NodeContext,
     pub ownership: watch::Sender<Ownership>,
-    pub owner_seen: watch::Sender<Option<Instant>>,
+    pub owner_seen: Arc<watch::Sender<Option<Instant>>>,
     /// Until when other processes go first, after this one was too slow.
     pub rest_until: Option<Instant>,
     pub options: CellOptions,
@@ -164,8 +167,10 @@
                     self.set(Ownership::Peer(address));
                     return FollowEnd::Unproved;
                 }
-                Ok(_) => {
-                    self.owner_seen.send_replace(Some(self.platform.now()));
+                Ok(reply) => {
+                    if Duration::from_millis(reply.proof_age_ms) <= FRESH_PROOF {
+                        self.owner_seen.send_replace(Some(self.platform.now()));
+                    }
                     if !reached {
                         reached = true;
                         EventCode::OwnerFollowed
@@ -261,6 +266,7 @@
             config: self.context.config.clone(),
             chain,
             proved_at,
+            owner_seen: self.owner_seen.clone(),
             requests,
         };
         let mut stop = self.stop.clone();
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -67,6 +67,7 @@
     pub chain: ClaimChain,
     /// A time at which the claim was certainly held.
     pub proved_at: Instant,
+    pub owner_seen: Arc<watch::Sender<Option<Instant>>>,
     pub requests: mpsc::Receiver<OwnerMessage>,
 }
 
@@ -106,6 +107,7 @@
     committed_at: Instant,
     proof: watch::Sender<Instant>,
     proved_at: Instant,
+    owner_seen: Arc<watch::Sender<Option<Instant>>>,
     takeover_end: Instant,
     links: HashMap<WorkerKey, LinkHandle>,
     advisers: AdviserPool<P>,
@@ -141,6 +143,7 @@
         committed_at: started,
         proof: watch::channel(parts.proved_at).0,
         proved_at: parts.proved_at,
+        owner_seen: parts.owner_seen,
         takeover_end,
         links: HashMap::new(),
         members: HashMap::new(),
@@ -559,6 +562,7 @@
                 self.committed_at = now;
                 self.proved_at = proved_at;
                 self.proof.send_replace(proved_at);
+                self.owner_seen.send_replace(Some(now));
                 self.chain = chain;
                 for row in &end.batch.rows {
                     if let RecordRow::Finished(id, outcome) = row {
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -2,6 +2,7 @@
 
 use hs_event::EventCode;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hs_cell::CellOptions;
@@ -103,7 +104,7 @@
         platform: platform.clone(),
         context: context.clone(),
         ownership: ownership_sender,
-        owner_seen: owner_seen_sender,
+        owner_seen: Arc::new(owner_seen_sender),
         rest_until: None,
         options: options.cell,
         stop: stop.clone(),
--- a/crates/hs-control/src/shared.rs
+++ b/crates/hs-control/src/shared.rs
@@ -75,19 +75,16 @@
     pub ownership: watch::Receiver<Ownership>,
     pub peers: PeerPool,
     pub store_health: StoreHealth,
-    /// When the owner last answered a beat, or this process owned the cell.
+    /// When the owner, which may be this process, last had a fresh proof of its claim.
     pub owner_seen: watch::Receiver<Option<Instant>>,
 }
 
 /// Time since the owner's last answer after which it is not asked any more.
-const OWNER_SILENCE: Duration = Duration::from_millis(900);
+const OWNER_SILENCE: Duration = Duration::from_millis(600);
 
 impl NodeContext {
-    /// Returns whether the owner has answered lately.
+    /// Returns whether the owner has answered lately, and could write to the store.
     pub(crate) fn owner_answers(&self, now: Instant) -> bool {
-        if matches!(*self.ownership.borrow(), Ownership::Here(_)) {
-            return true;
-        }
         let seen = *self.owner_seen.borrow();
         seen.is_some_and(|at| now.saturating_duration_since(at) < OWNER_SILENCE)
     }
