--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -156,6 +156,13 @@
         self.jobs.values().filter(waits).count()
     }
 
+    /// Returns how long a job has waited, if none of its tasks has started yet.
+    pub fn first_wait(&self, id: JobId, now: Instant) -> Option<Duration> {
+        let job = self.jobs.get(&id).filter(|job| !job.started)?;
+        let begun = job.occurrences.first()?.begun;
+        Some(now.saturating_duration_since(begun))
+    }
+
     /// Returns the number of unfinished jobs.
     pub fn unfinished(&self) -> usize {
         self.jobs
--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -10,6 +10,7 @@
 use crate::intake::{IntakeHandle, IntakeResult};
 use crate::keys;
 use crate::message::{AcceptRequest, AcceptResult, JobPhase, JobRow, PendingRequest, StateRequest};
+use crate::metrics::ControlMetrics;
 use crate::notify::{Notice, NotifyHandle};
 use crate::peers::PeerError;
 use crate::port::{ClockPort, StorePort};
@@ -84,8 +85,19 @@
         self.platform.unix_ms()
     }
 
+    /// Returns the metrics of this process.
+    pub fn metrics(&self) -> &ControlMetrics {
+        &self.context.metrics
+    }
+
     /// Stores a job. The same job may be submitted any number of times, at any process.
     pub async fn submit(&self, id: JobId, spec: JobSpec, limit: Duration) -> SubmitReply {
+        let reply = self.submit_uncounted(id, spec, limit).await;
+        self.context.metrics.submitted(reply);
+        reply
+    }
+
+    async fn submit_uncounted(&self, id: JobId, spec: JobSpec, limit: Duration) -> SubmitReply {
         let Ok(value) = serde_json::to_vec(&JobValue::Accepted(&spec)) else {
             return SubmitReply::Refused;
         };
--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -271,6 +271,7 @@
             chain,
             proved_at,
             owner_seen: self.owner_seen.clone(),
+            metrics: self.context.metrics.clone(),
             requests,
         };
         let mut stop = self.stop.clone();
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -20,6 +20,7 @@
 mod keys;
 mod lag;
 mod link;
+mod metrics;
 mod notify;
 mod owner;
 mod peers;
@@ -32,4 +33,5 @@
 
 pub use config::{ClusterConfig, QueueRoute};
 pub use control::{CancelReply, Control, StateAnswer, SubmitReply};
+pub use metrics::ControlMetrics;
 pub use run::{ControlOptions, RunError, run};
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use crate::metrics::ControlMetrics;
 use crate::port::{HoldOrder, HoldReply, Platform, StartReply, StopReply, WorkerPeer};
 
 /// Lease that a renewal asks for. Long enough for a takeover, short enough that the tasks of a lost
@@ -85,6 +86,7 @@
         peer: WorkerPeer,
         fence: u64,
         proof: watch::Receiver<Instant>,
+        metrics: ControlMetrics,
         events: mpsc::Sender<(WorkerKey, LinkEvent)>,
     ) -> Self {
         let (orders, order_receiver) = mpsc::unbounded_channel();
@@ -95,6 +97,7 @@
             peer,
             fence,
             proof,
+            metrics,
             events,
             state: Arc::default(),
         };
@@ -143,6 +146,7 @@
     peer: WorkerPeer,
     fence: u64,
     proof: watch::Receiver<Instant>,
+    metrics: ControlMetrics,
     events: mpsc::Sender<(WorkerKey, LinkEvent)>,
     state: Arc<Mutex<LinkState>>,
 }
@@ -250,6 +254,7 @@
                     self.with_state(|state| state.clock = Some(clock));
                     for end in report.ended.iter().filter(|end| end.number > seen) {
                         let (run, how) = (end.run, end.end);
+                        self.metrics.ended(how);
                         EventCode::RunEnded.log(format_args!(
                             "task={} run={} how={how:?} worker={} clock_ms={clock_ms}",
                             run.task, run.run, self.peer.id
--- /dev/null
+++ b/crates/hs-control/src/metrics.rs
@@ -0,0 +1,133 @@
+//! Metrics of one process.
+
+use std::time::Duration;
+
+use hs_cell::{RunEnd, StartRefusal};
+use hs_metrics::MetricRegistry;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+
+use crate::control::SubmitReply;
+
+/// Bounds of the histograms in seconds, dense around the 20 ms of an idle cell and the 1.2 s that urgent
+/// work may wait.
+const BOUNDS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.2, 3.0, 10.0, 60.0,
+];
+
+/// Instruments of one process. Labels are closed sets; there is none for jobs or queues.
+#[derive(Clone, Debug)]
+pub struct ControlMetrics {
+    registry: MetricRegistry,
+    submissions: Counter<u64>,
+    starts: Counter<u64>,
+    refusals: Counter<u64>,
+    ends: Counter<u64>,
+    takeovers: Counter<u64>,
+    commits: Histogram<f64>,
+    start_waits: Histogram<f64>,
+    unfinished: Gauge<u64>,
+    holding: Gauge<u64>,
+    waiting: Gauge<u64>,
+}
+
+impl ControlMetrics {
+    /// Builds the instruments.
+    pub fn new(registry: MetricRegistry) -> Self {
+        let meter = registry.meter();
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        let histogram = |name: &'static str, text: &'static str| {
+            let builder = meter.f64_histogram(name).with_description(text);
+            builder.with_boundaries(BOUNDS.to_vec()).build()
+        };
+        Self {
+            submissions: counter("hornbeamshunt_submissions", "Submissions by result"),
+            starts: counter("hornbeamshunt_starts", "Starts sent to workers"),
+            refusals: counter("hornbeamshunt_start_refusals", "Starts refused by reason"),
+            ends: counter("hornbeamshunt_run_ends", "Ends of runs by how"),
+            takeovers: counter(
+                "hornbeamshunt_takeovers",
+                "Times that this process took the cell",
+            ),
+            commits: histogram(
+                "hornbeamshunt_commit_seconds",
+                "Duration of the owner's writes",
+            ),
+            start_waits: histogram(
+                "hornbeamshunt_start_wait_seconds",
+                "Time from the owner's knowledge of a job to its first start",
+            ),
+            unfinished: gauge("hornbeamshunt_unfinished_jobs", "Jobs that have not ended"),
+            holding: gauge("hornbeamshunt_runs", "Runs that hold room on workers"),
+            waiting: gauge("hornbeamshunt_waiting_steps", "Steps with waiting tasks"),
+            registry,
+        }
+    }
+
+    pub(crate) fn submitted(&self, reply: SubmitReply) {
+        let result = match reply {
+            SubmitReply::Accepted => "accepted",
+            SubmitReply::Refused => "refused",
+            SubmitReply::Unknown => "unknown",
+        };
+        self.submissions.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    pub(crate) fn started(&self) {
+        self.starts.add(1, &[]);
+    }
+
+    pub(crate) fn waited(&self, wait: Duration) {
+        self.start_waits.record(wait.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn refused(&self, why: StartRefusal) {
+        let reason = match why {
+            StartRefusal::Old => "old",
+            StartRefusal::Late => "late",
+            StartRefusal::Room => "room",
+            StartRefusal::Ticket => "ticket",
+            StartRefusal::Unhealthy => "unhealthy",
+            StartRefusal::OtherLife => "other_life",
+            StartRefusal::Invalid => "invalid",
+        };
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    pub(crate) fn ended(&self, how: RunEnd) {
+        let how = match how {
+            RunEnd::Done => "done",
+            RunEnd::Failed => "failed",
+            RunEnd::Stopped => "stopped",
+            RunEnd::Lapsed => "lapsed",
+            RunEnd::Broken => "broken",
+            RunEnd::Alone => "alone",
+        };
+        self.ends.add(1, &[KeyValue::new("how", how)]);
+    }
+
+    pub(crate) fn took_over(&self) {
+        self.takeovers.add(1, &[]);
+    }
+
+    pub(crate) fn committed(&self, duration: Duration) {
+        self.commits.record(duration.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn observe_cell(&self, unfinished: usize, holding: usize, waiting: usize) {
+        let amount = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+        self.unfinished.record(amount(unfinished), &[]);
+        self.holding.record(amount(holding), &[]);
+        self.waiting.record(amount(waiting), &[]);
+    }
+
+    /// Returns all metrics in the text format of the pull endpoint.
+    pub fn render(&self) -> Vec<u8> {
+        self.registry.render()
+    }
+}
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -16,6 +16,7 @@
 use crate::keys::{self, IntakeKey};
 use crate::lag::LagMeter;
 use crate::link::{AUTHORITY, LinkEvent, LinkHandle, LinkOrder};
+use crate::metrics::ControlMetrics;
 use crate::peers::PeerPool;
 use crate::port::{
     ListedWorker, Platform, PortError, StoreChanges, StoreItem, WorkerChange, WorkerChanges,
@@ -36,6 +37,9 @@
 /// Time after which a scheduling pass that was put off is tried again.
 const PASS_RETRY: Duration = Duration::from_millis(4);
 
+/// How often the size of the cell is measured.
+const OBSERVE_EVERY: Duration = Duration::from_secs(1);
+
 /// How often the store is asked for jobs that nobody announced.
 const INTAKE_EVERY: Duration = Duration::from_millis(1000);
 
@@ -80,6 +84,7 @@
     /// A time at which the claim was certainly held.
     pub proved_at: Instant,
     pub owner_seen: Arc<watch::Sender<Option<Instant>>>,
+    pub metrics: ControlMetrics,
     pub requests: mpsc::Receiver<OwnerMessage>,
 }
 
@@ -120,6 +125,9 @@
     proof: watch::Sender<Instant>,
     proved_at: Instant,
     owner_seen: Arc<watch::Sender<Option<Instant>>>,
+    metrics: ControlMetrics,
+    commit_began: Instant,
+    observed_at: Instant,
     takeover_end: Instant,
     links: HashMap<WorkerKey, LinkHandle>,
     advisers: AdviserPool<P>,
@@ -156,6 +164,9 @@
         proof: watch::channel(parts.proved_at).0,
         proved_at: parts.proved_at,
         owner_seen: parts.owner_seen,
+        metrics: parts.metrics,
+        commit_began: started,
+        observed_at: started,
         takeover_end,
         links: HashMap::new(),
         members: HashMap::new(),
@@ -171,6 +182,7 @@
     if let Some(config) = &*config.borrow_and_update() {
         owner.configure(config);
     }
+    owner.metrics.took_over();
     owner.restore(state);
     EventCode::CellTaken.log(format_args!(
         "fence={} jobs={} runs={} workers={} read_ms={}",
@@ -299,6 +311,7 @@
             peer,
             self.chain.claim.fence,
             self.proof.subscribe(),
+            self.metrics.clone(),
             self.link_events.clone(),
         );
         self.links.insert(key, link);
@@ -441,6 +454,7 @@
                     "task={} run={} why={why:?}",
                     run.task, run.run
                 ));
+                self.metrics.refused(why);
                 self.cell.start_refused(key, run, why, now);
             }
             LinkEvent::StartUnanswered(run) => {
@@ -471,6 +485,13 @@
     fn tick(&mut self) {
         let now = self.platform.now();
         self.lag.tick(now, TICK);
+        if now.saturating_duration_since(self.observed_at) >= OBSERVE_EVERY {
+            self.observed_at = now;
+            let cell = &self.cell;
+            let (unfinished, holding) = (cell.unfinished(), cell.holding());
+            self.metrics
+                .observe_cell(unfinished, holding, cell.waiting_steps());
+        }
         let before = self.members.len();
         self.members
             .retain(|_, (_, seen)| now.saturating_duration_since(*seen) < MEMBER_LIMIT);
@@ -505,6 +526,10 @@
                     "task={} run={} worker={worker}",
                     run.task, run.run
                 ));
+                self.metrics.started();
+                if let Some(wait) = self.cell.first_wait(run.task.job(), self.platform.now()) {
+                    self.metrics.waited(wait);
+                }
                 if let Some(link) = self.links.get(&key) {
                     link.order(LinkOrder::Start(order));
                 }
@@ -561,6 +586,7 @@
             return;
         }
         self.committing = true;
+        self.commit_began = now;
         let platform = self.platform.clone();
         let chain = self.chain.clone();
         let events = self.events.clone();
@@ -580,6 +606,8 @@
             Ok((chain, proved_at)) => {
                 let now = self.platform.now();
                 self.committed_at = now;
+                self.metrics
+                    .committed(now.saturating_duration_since(self.commit_began));
                 self.proved_at = proved_at;
                 self.proof.send_replace(proved_at);
                 self.owner_seen.send_replace(Some(now));
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -19,6 +19,7 @@
 use crate::intake::IntakeHandle;
 use crate::keys;
 use crate::message::cell_server::CellServer;
+use crate::metrics::ControlMetrics;
 use crate::notify::NotifyHandle;
 use crate::peers::PeerPool;
 use crate::port::Platform;
@@ -69,6 +70,7 @@
 pub async fn run<P: Platform>(
     platform: P,
     options: ControlOptions,
+    metrics: ControlMetrics,
     stop: watch::Receiver<bool>,
 ) -> Result<Control<P>, RunError> {
     let address = options.peer_listen;
@@ -87,6 +89,7 @@
         ownership,
         peers: PeerPool::default(),
         store_health: store_health.clone(),
+        metrics,
         owner_seen,
     };
     let control = Control {
--- a/crates/hs-control/src/shared.rs
+++ b/crates/hs-control/src/shared.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::config::ClusterConfig;
+use crate::metrics::ControlMetrics;
 use crate::peers::PeerPool;
 use crate::store_health::StoreHealth;
 
@@ -77,6 +78,7 @@
     pub ownership: watch::Receiver<Ownership>,
     pub peers: PeerPool,
     pub store_health: StoreHealth,
+    pub metrics: ControlMetrics,
     /// When the owner, which may be this process, last had a fresh proof of its claim.
     pub owner_seen: watch::Receiver<Option<Instant>>,
 }
--- /dev/null
+++ b/crates/hs-metrics/src/lib.rs
@@ -0,0 +1,47 @@
+//! Instruments of a process, and their text format for a pull endpoint.
+
+use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Name under which all instruments are created.
+const METER_NAME: &str = "hornbeamshunt";
+
+/// Holds the instruments of a process.
+#[derive(Clone, Debug)]
+pub struct MetricRegistry {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+impl MetricRegistry {
+    /// Builds an empty registry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error if the exporter can't be registered.
+    pub fn new() -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| OTelSdkError::InternalFailure(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// Returns what creates instruments.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter(METER_NAME)
+    }
+
+    /// Returns all metrics in the text format of the pull endpoint.
+    pub fn render(&self) -> Vec<u8> {
+        // A scrape shows what could be gathered.
+        let _ = self.provider.force_flush();
+        let mut text = Vec::new();
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- a/crates/hs-node/src/metrics.rs
+++ b/crates/hs-node/src/metrics.rs
@@ -2,11 +2,10 @@
 
 use std::time::Duration;
 
+use hs_metrics::MetricRegistry;
 use hs_wire::{Outcome, WorkClass};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Histogram};
 
 /// Bounds of the wait histogram in seconds: dense around the 1.2 s that urgent work may wait.
 const WAIT_BOUNDS: [f64; 14] = [
@@ -16,8 +15,7 @@
 /// Instruments of one process. Labels are closed sets; there is none for customers or tasks.
 #[derive(Clone, Debug)]
 pub struct NodeMetrics {
-    registry: Registry,
-    provider: SdkMeterProvider,
+    registry: MetricRegistry,
     replies: Counter<u64>,
     waits: Histogram<f64>,
     forwards: Counter<u64>,
@@ -32,15 +30,8 @@
     ///
     /// Returns the library's error if the exporter can't be registered.
     pub fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|error| {
-                opentelemetry_sdk::error::OTelSdkError::InternalFailure(error.to_string())
-            })?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("hornbeamshunt");
+        let registry = MetricRegistry::new()?;
+        let meter = registry.meter();
         Ok(Self {
             replies: meter
                 .u64_counter("hornbeamshunt_replies")
@@ -64,7 +55,6 @@
                 .with_description("Ledger writes to the store by result")
                 .build(),
             registry,
-            provider,
         })
     }
 
@@ -101,9 +91,6 @@
 
     /// Returns all metrics in the text format of the pull endpoint.
     pub fn render(&self) -> Vec<u8> {
-        let _ = self.provider.force_flush();
-        let mut text = Vec::new();
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        text
+        self.registry.render()
     }
 }
