fix: steps of a queue that is not configured yet wait instead of being dropped

Ruled out: lost offers and the watch of the store (E8021 and the takeover's count include the jobs); placements (no E8041 for any of them). Change: such steps stay in the list.

--- a/crates/hs-cell/src/place.rs
+++ b/crates/hs-cell/src/place.rs
@@ -66,6 +66,8 @@
         for id in ready {
             match self.order_key(id, now) {
                 Some(key) => keys.push(key),
+                // A queue that is not configured yet holds its steps back.
+                None if self.has_waiting(id) => self.ready.push(id),
                 None => self.unqueue(id),
             }
         }
@@ -90,7 +92,8 @@
     }
 
     fn has_waiting(&self, id: StepId) -> bool {
-        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        let job = self.jobs.get(&id.job).filter(|job| job.outcome.is_none());
+        let step = job.and_then(|job| job.step(id));
         step.is_some_and(|step| step.waiting().next().is_some())
     }
 
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -265,3 +265,25 @@
         Some(JobState::Ended(JobOutcome::Completed))
     );
 }
+
+/// Guards against jobs that wait for good since the owner took over before it had the configuration.
+#[test]
+fn jobs_restored_before_the_configuration_run_after_it() {
+    let mut world = World::new(1, Vec::new(), 1);
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    assert!(
+        world.placed(id(1)).is_empty(),
+        "no queue says where it may run"
+    );
+    world.configure(vec![queue("check", 0, 2)]);
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    assert_eq!(world.placed(id(1)).len(), 1);
+}
--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -134,6 +134,12 @@
         u64::try_from((self.now - self.began).as_millis()).expect("a test is short")
     }
 
+    /// Puts queues into force.
+    pub fn configure(&mut self, queues: Vec<QueueSpec>) {
+        self.cell.configure(queues.clone());
+        self.queues = queues;
+    }
+
     /// Stores a job and tells the cell.
     pub fn submit(&mut self, id: JobId, spec: Arc<JobSpec>) {
         self.store.jobs.entry(id).or_insert((spec.clone(), None));
