--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -16,6 +16,7 @@
 mod job;
 mod job_record;
 mod job_spec;
+mod lives;
 mod order;
 mod place;
 mod queue_spec;
--- a/crates/hs-cell/tests/cell/patterns.rs
+++ b/crates/hs-cell/tests/cell/patterns.rs
@@ -9,14 +9,6 @@
 
 const ROUND: Duration = Duration::from_millis(50);
 
-fn warm(workers: usize, queues: Vec<hs_cell::QueueSpec>) -> World {
-    let mut world = World::new(workers, queues, 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
-    world
-}
-
 fn runs(world: &World, job: JobId) -> usize {
     world.placed(job).len()
 }
@@ -24,7 +16,7 @@
 /// Pattern: short checks arrive while long work waits. The check goes first when room becomes free.
 #[test]
 fn short_checks_pass_waiting_long_work() {
-    let mut world = warm(1, vec![queue("check", 0, 2), queue("recon", 2, 2)]);
+    let mut world = World::warm(1, vec![queue("check", 0, 2), queue("recon", 2, 2)]);
     world.submit(id(1), job("recon", vec![step(1, 8000, 500)]));
     world.quiet_round(ROUND);
     world.submit(id(2), job("recon", vec![step(1, 8000, 500)]));
@@ -40,7 +32,7 @@
 /// that the delay is not passed on.
 #[test]
 fn late_checks_give_way_to_those_in_time() {
-    let mut world = warm(1, vec![queue("check", 0, 2)]);
+    let mut world = World::warm(1, vec![queue("check", 0, 2)]);
     world.submit(id(1), job("check", vec![step(1, 8000, 500)]));
     world.quiet_round(ROUND);
     world.submit(id(2), job("check", vec![step(1, 8000, 300)]));
@@ -55,7 +47,7 @@
 /// Pattern: a gang waits while small tasks of a lower priority keep coming. Its workers are kept free.
 #[test]
 fn small_tasks_do_not_starve_a_gang() {
-    let mut world = warm(2, vec![queue("plan", 1, 2), queue("recon", 2, 2)]);
+    let mut world = World::warm(2, vec![queue("plan", 1, 2), queue("recon", 2, 2)]);
     world.submit(id(1), job("recon", vec![step(2, 5000, 9000)]));
     world.quiet_round(ROUND);
     let gang = StepSpec {
@@ -87,7 +79,7 @@
 /// finds an empty one.
 #[test]
 fn small_tasks_leave_an_empty_worker() {
-    let mut world = warm(3, vec![queue("check", 0, 2)]);
+    let mut world = World::warm(3, vec![queue("check", 0, 2)]);
     for number in 1..5 {
         world.submit(id(number), job("check", vec![step(1, 2000, 900)]));
         world.quiet_round(ROUND);
@@ -102,7 +94,7 @@
 /// Pattern: a worker fails everything it starts. It is left alone, and other workers take the work.
 #[test]
 fn a_worker_that_fails_everything_is_left_alone() {
-    let mut world = warm(2, vec![queue("check", 0, 9)]);
+    let mut world = World::warm(2, vec![queue("check", 0, 9)]);
     let bad = 0;
     for number in 1..15 {
         world.submit(id(number), job("check", vec![step(1, 500, 900)]));
@@ -127,7 +119,7 @@
         advised_queue("plan", 1, Duration::from_millis(300)),
         queue("recon", 0, 2),
     ];
-    let mut world = warm(4, queues);
+    let mut world = World::warm(4, queues);
     world.submit(id(1), job("recon", vec![step(4, 8000, 60_000)]));
     world.quiet_round(ROUND);
     for number in 10..20 {
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -14,10 +14,7 @@
 #[test]
 fn a_failed_call_for_advice_is_repeated_without_news() {
     let queues = vec![advised_queue("plan", 1, Duration::from_millis(300))];
-    let mut world = World::new(2, queues, 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(2, queues);
     world.submit(id(1), job("plan", vec![step(1, 1000, 500)]));
     world.pump();
     let call = world.advice_calls()[0].step;
@@ -32,10 +29,7 @@
 /// Guards against a task that can never run again since the only worker for it failed it once.
 #[test]
 fn a_task_returns_to_the_only_worker_after_a_failure() {
-    let mut world = World::new(1, vec![queue("check", 0, 3)], 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(1, vec![queue("check", 0, 3)]);
     world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
     world.quiet_round(ROUND);
     let (worker, run) = world.placed(id(1))[0];
@@ -50,10 +44,7 @@
 /// Guards against runs of a worker that is gone for good and that are never started elsewhere.
 #[test]
 fn runs_of_a_silent_worker_restart_after_its_lease() {
-    let mut world = World::new(2, vec![queue("check", 0, 3)], 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(2, vec![queue("check", 0, 3)]);
     world.submit(id(1), job("check", vec![step(1, 8000, 500)]));
     world.quiet_round(ROUND);
     let (worker, first) = world.placed(id(1))[0];
@@ -69,10 +60,7 @@
 /// Guards against a run that is stopped at once because its worker's list was asked for before it began.
 #[test]
 fn a_young_run_does_not_count_as_stalled() {
-    let mut world = World::new(1, vec![queue("check", 0, 3)], 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(1, vec![queue("check", 0, 3)]);
     world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
     world.quiet_round(ROUND);
     for _ in 0..20 {
@@ -84,10 +72,7 @@
 /// Guards against a failure that counts twice when its end is listed again to a new owner.
 #[test]
 fn a_failure_counts_once_across_a_takeover() {
-    let mut world = World::new(1, vec![queue("check", 0, 2)], 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(1, vec![queue("check", 0, 2)]);
     world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
     world.quiet_round(ROUND);
     let (worker, run) = world.placed(id(1))[0];
@@ -108,10 +93,7 @@
 /// later one.
 #[test]
 fn a_new_life_inherits_runs_until_its_first_list() {
-    let mut world = World::new(2, vec![queue("check", 0, 3)], 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(2, vec![queue("check", 0, 3)]);
     world.submit(id(1), job("check", vec![step(1, 8000, 500)]));
     world.quiet_round(ROUND);
     let (worker, _) = world.placed(id(1))[0];
@@ -132,10 +114,7 @@
 /// Guards against a start beyond the attempts that the operator allows.
 #[test]
 fn a_task_starts_no_more_often_than_allowed() {
-    let mut world = World::new(2, vec![queue("check", 0, 2)], 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(2, vec![queue("check", 0, 2)]);
     world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
     for _ in 0..40 {
         world.quiet_round(ROUND);
@@ -153,10 +132,7 @@
 /// Guards against a step that begins before an earlier one is done.
 #[test]
 fn a_step_waits_for_all_tasks_before_it() {
-    let mut world = World::new(2, vec![queue("recon", 2, 2)], 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(2, vec![queue("recon", 2, 2)]);
     let mut second = step(1, 1000, 500);
     second.after.push(0);
     world.submit(id(1), job("recon", vec![step(2, 1000, 500), second]));
@@ -184,10 +160,7 @@
 /// Guards against room that is given away while a run of an ended job still holds it, after a takeover.
 #[test]
 fn a_run_that_no_record_names_is_stopped_and_counts_until_its_end() {
-    let mut world = World::new(1, vec![queue("check", 0, 2)], 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(1, vec![queue("check", 0, 2)]);
     world.submit(id(1), job("check", vec![step(1, 8000, 500)]));
     world.quiet_round(ROUND);
     world.workers[0].reachable = false;
@@ -211,10 +184,7 @@
 /// Guards against a run that is taken to be gone since the worker's list was made before it began.
 #[test]
 fn a_list_asked_for_before_the_start_proves_nothing() {
-    let mut world = World::new(1, vec![queue("check", 0, 2)], 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(1, vec![queue("check", 0, 2)]);
     let asked_at = world.now;
     world.pass(ROUND);
     world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
@@ -234,10 +204,7 @@
 /// out to have ended well.
 #[test]
 fn a_late_end_stops_the_run_that_replaced_it() {
-    let mut world = World::new(2, vec![queue("check", 0, 2)], 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(2, vec![queue("check", 0, 2)]);
     world.submit(
         id(1),
         job("check", vec![step(1, 8000, 500), step(1, 8000, 500)]),
@@ -269,10 +236,7 @@
 /// Guards against jobs that wait for good since the owner took over before it had the configuration.
 #[test]
 fn jobs_restored_before_the_configuration_run_after_it() {
-    let mut world = World::new(1, Vec::new(), 1);
-    for _ in 0..3 {
-        world.quiet_round(ROUND);
-    }
+    let mut world = World::warm(1, Vec::new());
     world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
     for _ in 0..3 {
         world.quiet_round(ROUND);
--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -121,6 +121,15 @@
         world
     }
 
+    /// Builds a world whose workers have shown their lists.
+    pub fn warm(workers: usize, queues: Vec<QueueSpec>) -> Self {
+        let mut world = Self::new(workers, queues, 1);
+        for _ in 0..3 {
+            world.quiet_round(Duration::from_millis(50));
+        }
+        world
+    }
+
     /// Returns a pseudo-random number below a bound (splitmix64).
     pub fn draw(&mut self, bound: u64) -> u64 {
         self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -16,6 +16,7 @@
 mod config;
 mod control;
 mod election;
+mod feeds;
 mod intake;
 mod keys;
 mod lag;
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -13,16 +13,14 @@
 use crate::advisers::{AdviceEnd, AdviserPool};
 use crate::chain::{self, ChainError, ClaimChain};
 use crate::config::ClusterConfig;
+use crate::feeds::{self, FeedEvent, StoredState};
 use crate::keys::{self, IntakeKey};
 use crate::lag::LagMeter;
 use crate::link::{AUTHORITY, LinkEvent, LinkHandle, LinkOrder};
 use crate::metrics::ControlMetrics;
 use crate::peers::PeerPool;
-use crate::port::{
-    ListedWorker, Platform, PortError, StoreChanges, StoreItem, WorkerChange, WorkerChanges,
-    WorkerPeer,
-};
-use crate::recover::{self, JobValue};
+use crate::port::{ListedWorker, Platform, StoreItem, WorkerChange, WorkerPeer};
+use crate::recover::JobValue;
 use crate::shared::{BeatAnswer, OwnerMessage};
 
 /// Entries of a transaction that are left for records; the claim takes two of 32.
@@ -40,15 +38,6 @@
 /// How often the size of the cell is measured.
 const OBSERVE_EVERY: Duration = Duration::from_secs(1);
 
-/// How often the store is asked for jobs that nobody announced.
-const INTAKE_EVERY: Duration = Duration::from_millis(1000);
-
-/// How often the registry is asked for changes.
-const REGISTRY_EVERY: Duration = Duration::from_millis(300);
-
-/// Time that a call to the registry or for the intake may take.
-const READ_LIMIT: Duration = Duration::from_millis(700);
-
 /// Shortest time between two beats of a process.
 const MIN_BEAT_EVERY: Duration = Duration::from_millis(100);
 
@@ -105,9 +94,13 @@
 #[derive(Debug)]
 enum OwnerEvent {
     Committed(CommitEnd),
-    Workers(Vec<WorkerChange>),
-    AllWorkers(Vec<ListedWorker>),
-    Intake(Vec<StoreItem>),
+    Feed(FeedEvent),
+}
+
+impl From<FeedEvent> for OwnerEvent {
+    fn from(event: FeedEvent) -> Self {
+        Self::Feed(event)
+    }
 }
 
 #[derive(Debug)]
@@ -145,7 +138,7 @@
 pub(crate) async fn run<P: Platform>(parts: OwnerParts<P>) -> OwnerEnd {
     let platform = parts.platform.clone();
     let started = platform.now();
-    let state = match read_state(&platform).await {
+    let state = match feeds::read_state(&platform).await {
         Ok(state) => state,
         Err(error) => return OwnerEnd::Unreadable(error.to_string()),
     };
@@ -229,41 +222,6 @@
     }
 }
 
-struct StoredState {
-    workers: Vec<ListedWorker>,
-    registry_revision: u64,
-    cell: recover::StoredCell,
-}
-
-/// Tries to read the state before the cell is given up.
-const READ_TRIES: u32 = 8;
-
-async fn read_state<P: Platform>(platform: &P) -> Result<StoredState, PortError> {
-    let mut left = READ_TRIES;
-    loop {
-        let error = match read_state_once(platform).await {
-            Ok(state) => return Ok(state),
-            Err(error) => error,
-        };
-        left -= 1;
-        if left == 0 {
-            return Err(error);
-        }
-        log::debug!("state not read: {error}");
-        sleep(TICK).await;
-    }
-}
-
-async fn read_state_once<P: Platform>(platform: &P) -> Result<StoredState, PortError> {
-    let (workers, cell) = tokio::join!(platform.workers(READ_LIMIT), recover::read_cell(platform));
-    let (workers, registry_revision) = workers?;
-    Ok(StoredState {
-        workers,
-        registry_revision,
-        cell: cell?,
-    })
-}
-
 impl<P: Platform> OwnerTask<P> {
     fn restore(&mut self, state: StoredState) {
         for worker in state.workers {
@@ -273,12 +231,14 @@
         state
             .cell
             .restore(&mut self.cell, &self.platform, self.takeover_end);
-        let platform = self.platform.clone();
         let events = self.events.clone();
-        let registry = follow_registry(platform.clone(), state.registry_revision, events.clone());
-        self.helpers.spawn(registry);
-        self.helpers
-            .spawn(follow_intake(platform, revision, events));
+        let feeds = feeds::follow(
+            self.platform.clone(),
+            state.registry_revision,
+            revision,
+            events,
+        );
+        self.helpers.spawn(feeds);
     }
 
     fn configure(&mut self, config: &ClusterConfig) {
@@ -320,7 +280,13 @@
     fn event(&mut self, event: OwnerEvent) {
         match event {
             OwnerEvent::Committed(end) => self.committed(end),
-            OwnerEvent::Workers(changes) => {
+            OwnerEvent::Feed(event) => self.feed(event),
+        }
+    }
+
+    fn feed(&mut self, event: FeedEvent) {
+        match event {
+            FeedEvent::Workers(changes) => {
                 for change in changes {
                     match change {
                         WorkerChange::Listed(worker) => self.list_worker(worker),
@@ -331,7 +297,7 @@
                     }
                 }
             }
-            OwnerEvent::AllWorkers(workers) => {
+            FeedEvent::AllWorkers(workers) => {
                 for (id, _) in self.cell.listed_workers() {
                     if !workers.iter().any(|worker| worker.entry.id == id) {
                         self.cell.worker_unlisted(&id);
@@ -341,7 +307,7 @@
                     self.list_worker(worker);
                 }
             }
-            OwnerEvent::Intake(items) => {
+            FeedEvent::Intake(items) => {
                 for item in items {
                     self.intake(&item);
                 }
@@ -650,77 +616,3 @@
         Err(error) => EventCode::RecordUnwritable.log(format_args!("key={key} cause=\"{error}\"")),
     }
 }
-
-/// Passes changes of the registry to the owner task.
-async fn follow_registry<P: Platform>(
-    platform: P,
-    mut revision: u64,
-    events: mpsc::Sender<OwnerEvent>,
-) {
-    loop {
-        sleep(REGISTRY_EVERY).await;
-        let event = match platform
-            .worker_changes(revision, Duration::ZERO, READ_LIMIT)
-            .await
-        {
-            Ok(WorkerChanges::Events(changes, next)) => {
-                revision = next.max(revision);
-                OwnerEvent::Workers(changes)
-            }
-            Ok(WorkerChanges::Forgotten) => match platform.workers(READ_LIMIT).await {
-                Ok((workers, next)) => {
-                    revision = next;
-                    OwnerEvent::AllWorkers(workers)
-                }
-                Err(error) => {
-                    log::debug!("{error}");
-                    continue;
-                }
-            },
-            Err(error) => {
-                log::debug!("{error}");
-                continue;
-            }
-        };
-        if events.send(event).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Passes jobs and cancellations that nobody announced to the owner task.
-async fn follow_intake<P: Platform>(
-    platform: P,
-    mut revision: u64,
-    events: mpsc::Sender<OwnerEvent>,
-) {
-    loop {
-        sleep(INTAKE_EVERY).await;
-        let watched = platform
-            .watch(keys::INTAKE, revision, Duration::ZERO, READ_LIMIT)
-            .await;
-        let items = match watched {
-            Ok(StoreChanges::Events(items, next)) => {
-                revision = next.max(revision);
-                items
-            }
-            Ok(StoreChanges::Forgotten) => match recover::read_all(&platform, keys::INTAKE).await {
-                Ok((items, next)) => {
-                    revision = next;
-                    items
-                }
-                Err(error) => {
-                    log::debug!("{error}");
-                    continue;
-                }
-            },
-            Err(error) => {
-                log::debug!("{error}");
-                continue;
-            }
-        };
-        if !items.is_empty() && events.send(OwnerEvent::Intake(items)).await.is_err() {
-            return;
-        }
-    }
-}
