refactor: remove a setting and a function that nothing used

Cause: cross_rack_factor was read and never used, Cell::priority had no caller. Ruled out: a use in placement; workers on the rack of the data come first whatever the factor. Change: both are gone.

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -22,8 +22,6 @@
     pub status_for: Duration,
     /// Longest time by the owner's clock that a worker keeps its runs after a renewal.
     pub max_lease: Duration,
-    /// How much slower a gang runs on more than one rack, or a task away from its data.
-    pub cross_rack_factor: f64,
 }
 
 impl Default for CellOptions {
@@ -31,7 +29,6 @@
         Self {
             status_for: Duration::from_secs(120),
             max_lease: Duration::from_millis(5100),
-            cross_rack_factor: 1.5,
         }
     }
 }
--- a/crates/hs-cell/src/place.rs
+++ b/crates/hs-cell/src/place.rs
@@ -15,7 +15,7 @@
 use crate::job_spec::StepSpec;
 use crate::order::OrderKey;
 use crate::worker::{Slot, SlotPhase};
-use crate::{JobId, StepId, TaskRun, WorkerKey};
+use crate::{StepId, TaskRun, WorkerKey};
 
 /// Steps of one queue beyond this place in the order neither ask for advice nor reserve room, since
 /// those before them use it up.
@@ -324,12 +324,6 @@
         let queue = self.queues.get(&job.spec.as_ref()?.queue)?;
         Some(queue.service.clone())
     }
-
-    /// Returns the priority of a job's queue.
-    pub fn priority(&self, id: JobId) -> Option<u8> {
-        let spec = self.jobs.get(&id)?.spec.as_ref()?;
-        Some(self.queues.get(&spec.queue)?.priority)
-    }
 }
 
 fn has_label(labels: &[Arc<str>], wanted: Option<&Arc<str>>) -> bool {
