test: the set-up of late starts gathers partitions where one process has taken all

Cause: on a busy machine the first process takes all four ledger partitions before the others have started, so that no key has an owner that owns the worker of the case; the set-up panicked. Ruled out: a fault of the ledger (candidates take a free partition by rank, as designed). Change: if no key fits, the processes other than the one that the case needs end and start again, so that it takes all partitions; the case itself is unchanged. Before: with processes started 5 s apart (trial) the set-up finds no key for late_start_on_own_worker.

--- a/crates/hornbeamshunt/tests/promises/at_most_once.rs
+++ b/crates/hornbeamshunt/tests/promises/at_most_once.rs
@@ -9,8 +9,8 @@
 
 use crate::cluster::{
     Caller, CutLink, EntryNode, HoldKind, KeyAudit, NodeSpec, TestPlatform, eventually,
-    key_owned_by, partition_owner, publish, run_test, submission, submit_until_final, wait_owned,
-    worker_owner,
+    find_key_owned_by, gather_partitions, partition_owner, publish, run_test, submission,
+    submit_until_final, wait_owned, worker_owner,
 };
 
 const MANIFEST: &str = r#"{
@@ -112,6 +112,25 @@
 /// Parts of the starts of a first and a second attempt. A question about a task lacks them.
 const STARTS: [&str; 2] = [r#".0.0","fence""#, r#".0.1","fence""#];
 
+/// Returns a key whose partition belongs to a process that owns a worker, or to one that owns none.
+async fn key_for_case(nodes: &mut [EntryNode], workers: usize, owns_worker: bool) -> String {
+    // Workers move to another process while the processes find each other.
+    for _ in 0..3 {
+        let mut owners = Vec::new();
+        for worker in 0..workers {
+            owners.push(worker_owner(nodes, &format!("w{worker}")).await);
+        }
+        let fits = |node: usize| owners.contains(&node) == owns_worker;
+        if let Some(key) = find_key_owned_by(nodes, "k", fits).await {
+            return key;
+        }
+        let wanted = (0..nodes.len()).find(|node| fits(*node));
+        let wanted = wanted.expect("a process that the case needs");
+        gather_partitions(nodes, wanted, workers).await;
+    }
+    panic!("no key has an owner that fits");
+}
+
 async fn run_late_case(case: LateCase) {
     let (workers, starts) = match case.point {
         // With several workers the second process does not choose the worker of the first, which
@@ -139,12 +158,7 @@
         node.spawn();
     }
     wait_owned(&nodes, workers).await;
-    let mut owners = Vec::new();
-    for worker in 0..workers {
-        owners.push(worker_owner(&nodes, &format!("w{worker}")).await);
-    }
-    let fits = |node| owners.contains(&node) == case.owns_worker;
-    let key = key_owned_by(&nodes, "k", fits).await;
+    let key = key_for_case(&mut nodes, workers, case.owns_worker).await;
     let first = partition_owner(&nodes, &key).await;
     for start in &STARTS[..starts] {
         worker_link.hold(HoldKind::Request, start);
--- a/crates/hornbeamshunt/tests/promises/cluster/mod.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/mod.rs
@@ -16,7 +16,10 @@
 pub use node::{EntryNode, NodeSpec, publish, wait_owned};
 pub use platform::{TestPlatform, wall_ms};
 pub use ports::free_address;
-pub use roles::{key_owned_by, owned_workers, partition_owner, worker_owner};
+pub use roles::{
+    find_key_owned_by, gather_partitions, key_owned_by, owned_workers, partition_owner,
+    worker_owner,
+};
 
 use std::future::Future;
 use std::time::{Duration, Instant};
--- a/crates/hornbeamshunt/tests/promises/cluster/roles.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/roles.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 use super::node::PARTITIONS;
-use super::{EntryNode, eventually};
+use super::{EntryNode, eventually, wait_owned};
 
 const LIMIT: Duration = Duration::from_secs(10);
 
@@ -31,18 +31,46 @@
 }
 
 /// Returns a key with this prefix whose partition belongs to a process for which `fits` holds.
+///
+/// # Panics
+///
+/// Panics if no such process owns a partition.
 pub async fn key_owned_by(
     nodes: &[EntryNode],
     prefix: &str,
     fits: impl Fn(usize) -> bool,
 ) -> String {
+    let key = find_key_owned_by(nodes, prefix, fits).await;
+    key.unwrap_or_else(|| panic!("no key {prefix} has an owner that fits"))
+}
+
+/// Returns a key like [`key_owned_by`], or `None` if no process that fits owns a partition. On a busy
+/// machine one process can take all of them before the others have started.
+pub async fn find_key_owned_by(
+    nodes: &[EntryNode],
+    prefix: &str,
+    fits: impl Fn(usize) -> bool,
+) -> Option<String> {
     for number in 0..32 {
         let key = format!("{prefix}{number}");
         if fits(partition_owner(nodes, &key).await) {
-            return key;
+            return Some(key);
         }
     }
-    panic!("no key {prefix} has an owner that fits");
+    None
+}
+
+/// Gives all partitions to one process: the others end and start again.
+pub async fn gather_partitions(nodes: &mut [EntryNode], wanted: usize, workers: usize) {
+    let others: Vec<usize> = (0..nodes.len()).filter(|node| *node != wanted).collect();
+    for node in &others {
+        assert!(nodes[*node].terminate().await, "end of process {node}");
+    }
+    wait_owned(&nodes[wanted..=wanted], workers).await;
+    for node in others {
+        nodes[node].spawn();
+    }
+    wait_owned(nodes, workers).await;
 }
 
 async fn find_owner(nodes: &[EntryNode], what: &str, owns: impl Fn(&Value) -> bool) -> usize {
