fix: a recorded start that was never sent leaves its job counted as waiting

After a takeover each job with a recorded placement counted as begun, although the earlier owner may have lost the cell before it sent the starts; in a queue that is full after a burst those jobs wait on. Change: a restored job counts as begun if a task has ended in its record, or its worker lists the run. Before: the new test counts 0 waiting jobs, 1 is right.

--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -117,7 +117,9 @@
         let Some(need) = need else {
             return;
         };
-        job.started = true;
+        // A recorded placement may never have been sent: the worker's list shows whether it was.
+        let has_ended = |task: &TaskRecord| task.place == TaskPlace::Done || task.failures > 0;
+        job.started |= record.done || record.tasks.iter().any(has_ended);
         let Some(step) = job.step_mut(id) else {
             return;
         };
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -251,3 +251,20 @@
     }
     assert_eq!(world.placed(id(1)).len(), 1);
 }
+
+/// Guards against a count of waiting jobs that leaves out those whose starts an earlier owner recorded
+/// and never sent.
+#[test]
+fn a_recorded_start_that_was_not_sent_leaves_the_job_waiting() {
+    let mut world = World::warm(1, vec![queue("check", 0, 2)]);
+    world.submit(id(1), job("check", vec![step(1, 8000, 500)]));
+    world.pump();
+    world.begin_commit();
+    world.lose_owner(true);
+    assert_eq!(world.cell.pending("check"), 1, "before the worker's list");
+    world.hold(0);
+    assert_eq!(world.cell.pending("check"), 1, "after the worker's list");
+    world.quiet_round(ROUND);
+    world.quiet_round(ROUND);
+    assert_eq!(world.cell.pending("check"), 0, "after the start");
+}
