perf: a call for advice names enough workers for the whole step

Cause: a gang of run-plan asked about 14 workers, then about 8, then about single ones as they became free, each at the fixed time of a call (360 ms); up to 45 calls for a job. Ruled out: room (the cluster was at 60 %), the service itself (a call takes what it should). Change: the first call of a long decision names up to 28 workers more than the step is expected to need; further calls only for many unknown workers, or those that would complete the step, or once a second; tickets are renewed together; calls are ordered by the end of the job's objective, not by their length. Two of the three new pattern tests fail without it (22 names less, a call a worker); the third needs the new field. The fuzz found that a gang could wait for good on few workers; hence the call once a second.

--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -4,8 +4,6 @@
 use std::time::{Duration, Instant};
 
 use crate::cell::Cell;
-use crate::effect::{AdviceRequest, CellEffect};
-use crate::queue_spec::AdviceSpec;
 use crate::{StepId, WorkerKey};
 
 /// Longest time that a call for advice may be out before it counts as lost.
@@ -18,18 +16,9 @@
 /// call to the worker.
 pub(crate) const TICKET_MARGIN: Duration = Duration::from_millis(150);
 
-/// Most workers that one call may name.
-const MAX_NAMED: usize = 100;
-
-/// Fewest workers that a first call names.
-const MIN_NAMED: usize = 8;
-
 /// Share of workers that is expected to be allowed, before any reply is known.
 const EXPECTED_SHARE: f64 = 0.4;
 
-/// Room asked for as a multiple of what the step takes, since some allowed workers are busy.
-const ROOM_FACTOR: f64 = 2.0;
-
 /// The reply to a call for advice.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AdviceReply {
@@ -53,6 +42,8 @@
     pub tickets: Vec<Ticket>,
     pub denied: Vec<WorkerKey>,
     pub asked_at: Option<Instant>,
+    /// When the last reply came.
+    pub answered_at: Option<Instant>,
     pub retry_at: Option<Instant>,
 }
 
@@ -72,7 +63,7 @@
             .map(|ticket| ticket.worker)
     }
 
-    fn is_busy(&self, now: Instant) -> bool {
+    pub(crate) fn is_busy(&self, now: Instant) -> bool {
         let waits = self.asked_at.is_some_and(|at| now < at + CALL_LIMIT);
         let pauses = self.retry_at.is_some_and(|at| now < at);
         waits || pauses
@@ -104,7 +95,7 @@
         self.allowed = self.allowed * SHARE_DECAY + allowed as f64;
     }
 
-    fn share(self) -> f64 {
+    pub(crate) fn share(self) -> f64 {
         (self.allowed / self.named).clamp(0.05, 1.0)
     }
 }
@@ -129,6 +120,7 @@
         };
         let advice = &mut run.advice;
         advice.asked_at = None;
+        advice.answered_at = Some(now);
         let Some(reply) = reply else {
             advice.retry_at = Some(now + RETRY_PAUSE);
             return;
@@ -159,95 +151,4 @@
         advice.denied.extend(denied);
         self.touch();
     }
-
-    /// Asks for advice on a step where that helps.
-    ///
-    /// A step without an allowed worker that has room asks about further workers. The tickets of
-    /// allowed workers are renewed before they end, since the set of a step never changes.
-    ///
-    /// `keep` says whether tickets are renewed although the step would find no room now.
-    pub(crate) fn ask_advice(
-        &mut self,
-        id: StepId,
-        spec: AdviceSpec,
-        wanted: u32,
-        keep: bool,
-        now: Instant,
-    ) {
-        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
-        if step.is_none_or(|step| step.advice.is_busy(now)) {
-            return;
-        }
-        let Some((queue, eligible)) = self.eligible(id, now) else {
-            return;
-        };
-        let share = self.shares.get(&queue).copied().unwrap_or_default().share();
-        let priority = self.queues.get(&queue).map_or(0, |queue| queue.priority);
-        let Some(job) = self.jobs.get(&id.job) else {
-            return;
-        };
-        let (Some(step), Some(step_spec)) = (job.step(id), job.step_spec(id)) else {
-            return;
-        };
-        let advice = &step.advice;
-        let need = step_spec.held();
-        let limit = match step_spec.max_per_worker {
-            0 => u32::MAX,
-            limit => u32::from(limit),
-        };
-        let room = |key: WorkerKey| {
-            let worker = &self.workers[key];
-            need.count_in(worker.entry.capacity).min(limit)
-        };
-        let free = |key: WorkerKey| need.count_in(self.workers[key].free()).min(limit);
-        let renew_within = spec.cost(advice.tickets.len()) + TICKET_MARGIN * 2;
-        let known: Vec<WorkerKey> = eligible
-            .iter()
-            .copied()
-            .filter(|key| advice.tickets.iter().any(|t| t.worker == *key))
-            .collect();
-        let expiring = |key: &WorkerKey| {
-            let mut tickets = advice.tickets.iter();
-            tickets.any(|t| t.worker == *key && now + renew_within >= t.until)
-        };
-        let allowed_room: u32 = known
-            .iter()
-            .map(|key| free(*key))
-            .fold(0, u32::saturating_add);
-        let enough = if step_spec.gang { wanted } else { 1 };
-        let mut named: Vec<WorkerKey> = match keep || allowed_room >= enough {
-            true => known.iter().copied().filter(expiring).collect(),
-            false => Vec::new(),
-        };
-        if allowed_room < wanted {
-            let unknown = |key: &WorkerKey| !known.contains(key) && !advice.denied.contains(key);
-            let mut fresh: Vec<WorkerKey> = eligible.iter().copied().filter(unknown).collect();
-            fresh.sort_by_key(|key| std::cmp::Reverse(free(*key)));
-            let per_worker = fresh.first().map_or(1, |key| room(*key).max(1));
-            let missing = f64::from(wanted - allowed_room) / f64::from(per_worker);
-            let count = (missing * ROOM_FACTOR / share).ceil() as usize;
-            let first_call = advice.tickets.is_empty() && advice.denied.is_empty();
-            // Later calls only ask about workers that could take a task at once.
-            if !first_call {
-                fresh.retain(|key| free(*key) > 0);
-            }
-            named.extend(fresh.into_iter().take(count.max(MIN_NAMED)));
-        }
-        named.truncate(MAX_NAMED);
-        if named.is_empty() {
-            return;
-        }
-        let cost = spec.cost(named.len());
-        let request = AdviceRequest {
-            step: id,
-            workers: named,
-            cost,
-            priority,
-        };
-        if let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) {
-            step.advice.asked_at = Some(now);
-            step.advice.retry_at = None;
-        }
-        self.effects.push(CellEffect::Advise(request));
-    }
 }
--- a/crates/hs-cell/src/effect.rs
+++ b/crates/hs-cell/src/effect.rs
@@ -1,6 +1,7 @@
 //! What a cell asks its owner to do.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use crate::job_record::{JobOutcome, JobRecord};
 use crate::{JobId, StepId, TaskId, WorkerKey};
@@ -38,6 +39,8 @@
     pub cost: std::time::Duration,
     /// Priority of the queue; 0 comes first.
     pub priority: u8,
+    /// When the objective of the job ends.
+    pub objective_end: Instant,
 }
 
 /// Something to do outside the cell.
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -9,6 +9,7 @@
 //! Nothing here does I/O or reads a clock.
 
 mod advice;
+mod ask;
 mod cell;
 mod effect;
 mod ends;
--- a/crates/hs-cell/src/place.rs
+++ b/crates/hs-cell/src/place.rs
@@ -10,6 +10,7 @@
 use hs_wire::Resources;
 use smallvec::SmallVec;
 
+use crate::ask::AdviceNeed;
 use crate::cell::Cell;
 use crate::job::{Job, TaskState};
 use crate::job_spec::StepSpec;
@@ -125,7 +126,12 @@
             && in_reach
             && (room < wanted || job.step(id).is_some_and(|s| s.advice.tickets.is_empty()))
         {
-            self.ask_advice(id, advice, wanted, depth <= RENEW_DEPTH, now);
+            let need = AdviceNeed {
+                spec: advice,
+                wanted,
+                keep: depth <= RENEW_DEPTH,
+            };
+            self.ask_advice(key, need, now);
         }
         if candidates.is_empty() || (spec.gang && room < wanted) {
             if in_reach && spec.gang {
--- a/crates/hs-cell/tests/cell/patterns.rs
+++ b/crates/hs-cell/tests/cell/patterns.rs
@@ -138,3 +138,69 @@
     // Ten first calls, and renewals of three steps each two seconds at the most for ten seconds.
     assert!(calls <= 10 + 3 * 10, "{calls} calls for advice in 10 s");
 }
+
+/// Builds a gang that takes most of each of its workers.
+fn wide_gang(count: u16) -> StepSpec {
+    StepSpec {
+        gang: true,
+        ..step(count, 6000, 2000)
+    }
+}
+
+/// Pattern: the policy outside takes long for each call, whatever it is asked. The first call names enough
+/// workers for the whole gang, instead of a few at a time.
+#[test]
+fn a_long_decision_is_asked_about_many_workers_at_once() {
+    let queues = vec![advised_queue("plan", 1, Duration::from_millis(300))];
+    let mut world = World::warm(60, queues);
+    world.submit(id(1), job("plan", vec![wide_gang(5)]));
+    world.pump();
+    let named = world.advice_calls()[0].workers.len();
+    assert!(named >= 25, "the first call names {named} workers");
+}
+
+/// Pattern: a gang waits for room while single workers become free. It does not make a call for each.
+#[test]
+fn a_waiting_gang_does_not_ask_about_single_workers() {
+    let queues = vec![
+        advised_queue("plan", 1, Duration::from_millis(300)),
+        queue("recon", 0, 2),
+    ];
+    let mut world = World::warm(20, queues);
+    for number in 0..20 {
+        world.submit(id(100 + number), job("recon", vec![step(1, 8000, 60_000)]));
+    }
+    world.quiet_round(ROUND);
+    world.submit(id(1), job("plan", vec![wide_gang(6)]));
+    let mut calls = 0;
+    for turn in 0..40 {
+        if turn % 8 == 0 {
+            let (worker, run) = world.placed(id(100 + turn / 8))[0];
+            world.end(worker, run, RunEnd::Done);
+        }
+        world.pump();
+        calls += world.advice_calls().len();
+        world.quiet_round(ROUND);
+    }
+    // All workers at first, then at most one call a second about the few that are left.
+    assert!(calls <= 4, "{calls} calls for one gang in 2 s");
+}
+
+/// Pattern: more gangs wait for a call than processes can make. The job whose objective ends first is
+/// asked for first, however many workers its call names.
+#[test]
+fn calls_carry_the_end_of_the_objective() {
+    let queues = vec![advised_queue("plan", 1, Duration::from_millis(300))];
+    let mut world = World::warm(8, queues);
+    world.submit(id(1), job("plan", vec![step(2, 6000, 9000)]));
+    world.pump();
+    world.pass(ROUND);
+    world.submit(id(2), job("plan", vec![step(1, 6000, 300)]));
+    world.pump();
+    let ends: Vec<_> = world
+        .advice_calls()
+        .iter()
+        .map(|c| c.objective_end)
+        .collect();
+    assert!(ends[1] < ends[0], "the later job has less time");
+}
--- a/crates/hs-control/src/advisers.rs
+++ b/crates/hs-control/src/advisers.rs
@@ -108,9 +108,8 @@
         self.waiting
             .retain(|call| call.request.step != request.step);
         self.waiting.push(WaitingCall { request, workers });
-        // Short calls of urgent queues go first.
         self.waiting
-            .sort_by_key(|call| (call.request.priority, call.request.cost));
+            .sort_by_key(|call| (call.request.priority, call.request.objective_end));
         self.dispatch();
     }
 
