fix: ends of an ended job wait for its record before they are acknowledged

Cause: the first end that a worker lists of a gang ends its job; the ends of the other members came after that and were acknowledged at once, although the outcome was not in the store. Ruled out: members missing in the record (all are written in one row). Change: an end of a job whose outcome is not in the store is acknowledged after the row that holds it. Before: the new test panics in the oracle (a task starts after its acknowledged end).

--- a/crates/hs-cell/src/ends.rs
+++ b/crates/hs-cell/src/ends.rs
@@ -246,11 +246,14 @@
         }
         self.touch();
         let id = run.task.step;
-        if self
-            .jobs
-            .get(&id.job)
-            .is_none_or(|job| job.outcome.is_some())
-        {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        if job.outcome.is_some() {
+            // The outcome may be lost with this owner, and the next one has to see all ends then.
+            if !job.shown {
+                self.record_end(key, run, report.number);
+            }
             return;
         }
         self.note_checkpoint(run, &report.checkpoint);
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hs_cell::{JobOutcome, JobState, RunEnd};
+use hs_cell::{JobOutcome, JobState, RunEnd, StepSpec};
 
 use crate::fixture::{advised_queue, id, job, queue, step};
 use crate::world::World;
@@ -268,3 +268,35 @@
     world.quiet_round(ROUND);
     assert_eq!(world.cell.pending("check"), 0, "after the start");
 }
+
+/// Guards against a gang that runs again: the first end that a worker lists ends the job, and the ends of
+/// the other members were acknowledged before that was in the store.
+#[test]
+fn ends_of_a_gang_wait_for_the_record_of_its_job() {
+    let mut world = World::warm(3, vec![queue("plan", 1, 2)]);
+    let gang = StepSpec {
+        gang: true,
+        ..step(3, 6000, 500)
+    };
+    world.submit(id(1), job("plan", vec![gang]));
+    world.quiet_round(ROUND);
+    let (first, run) = world.placed(id(1))[0];
+    world.end(first, run, RunEnd::Done);
+    for _ in 0..2 {
+        for worker in 0..3 {
+            world.hold(worker);
+        }
+        world.pump();
+    }
+    // The owner is lost before it has written anything, and so is the worker that listed the first end.
+    world.restart(first);
+    world.lose_owner(false);
+    // The oracle panics if a task starts after an acknowledged end.
+    for _ in 0..240 {
+        world.quiet_round(ROUND);
+    }
+    assert_eq!(
+        world.state(id(1)),
+        Some(JobState::Ended(JobOutcome::Completed))
+    );
+}
