perf: records in segments where a batch exceeds a transaction; the claim is proved during a takeover

A takeover then read the state page by page for 2 s, in which it neither proved its claim nor answered beats, so that others took the cell again. Ruled out: the owner's processor (0.14 of 0.5 core), calls for advice. Change: hs_cell::RecordLog writes small batches as one item a job and the rest as one segment of up to 256 jobs; takeover.rs proves the claim each 200 ms, answers beats and keeps announcements while it reads; the state is read by 19 prefixes at once. owner.rs is split (members, commits, takeover). Tests: a model of the log (2,000 sequences; 5 of 5 mechanisms removed fail), the fuzz writes through it.

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -223,10 +223,18 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Takes the next changes to be written, at most `rows` of them.
-    pub fn take_batch(&mut self, rows: usize) -> CellBatch {
+    /// Records jobs anew, although nothing about them has changed.
+    pub fn record_again(&mut self, ids: &[JobId]) {
+        for id in ids {
+            self.mark_dirty(*id);
+        }
+    }
+
+    /// Takes the next changes to be written: those of at most so many jobs, or of jobs with so many tasks.
+    pub fn take_batch(&mut self, jobs: usize, tasks: usize) -> CellBatch {
         let mut batch = CellBatch::default();
-        while batch.rows.len() < rows {
+        let mut tasks_left = tasks;
+        while batch.rows.len() < jobs && tasks_left > 0 {
             let Some(id) = self.dirty.pop_front() else {
                 break;
             };
@@ -240,6 +248,7 @@
                 Some(outcome) => RecordRow::Finished(id, outcome),
                 None => RecordRow::Progress(id, self.record(id)),
             };
+            tasks_left = tasks_left.saturating_sub(row.tasks());
             batch.rows.push(row);
         }
         batch
--- a/crates/hs-cell/src/effect.rs
+++ b/crates/hs-cell/src/effect.rs
@@ -67,6 +67,16 @@
     Finished(JobId, JobOutcome),
 }
 
+impl RecordRow {
+    /// Returns the number of tasks that the row names, which determines its size.
+    pub fn tasks(&self) -> usize {
+        match self {
+            Self::Progress(_, record) => record.steps.iter().map(|step| step.tasks.len()).sum(),
+            Self::Finished(..) => 0,
+        }
+    }
+}
+
 /// Changes to be written in one transaction.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct CellBatch {
--- a/crates/hs-cell/src/ids.rs
+++ b/crates/hs-cell/src/ids.rs
@@ -45,7 +45,7 @@
 }
 
 impl IdError {
-    fn new(kind: &'static str, text: &str) -> Self {
+    pub(crate) fn new(kind: &'static str, text: &str) -> Self {
         let text = text.to_owned();
         Self { kind, text }
     }
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -22,6 +22,8 @@
 mod place;
 mod queue_spec;
 mod record;
+mod record_log;
+mod segment;
 mod worker;
 
 pub use advice::AdviceReply;
@@ -31,6 +33,8 @@
 pub use job_record::{JobOutcome, JobRecord, StepRecord, TaskPlace, TaskRecord, WorkerLife};
 pub use job_spec::{JobSchedule, JobSpec, MAX_STEPS, MAX_TASKS, SpecError, StepSpec};
 pub use queue_spec::{AdviceSpec, QueueSpec};
+pub use record_log::{LogWrites, RecordLog, StoredRecords};
+pub use segment::{RecordStamp, SegmentRow, SegmentState, StampedRecord};
 pub use worker::{
     EndReport, RunEnd, RunReport, StartRefusal, WorkerEntry, WorkerKey, WorkerReport,
 };
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod fixture;
 mod fuzz;
 mod patterns;
+mod record_log;
 mod records;
 mod regressions;
 mod world;
--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -7,8 +7,9 @@
 
 use hs_cell::{
     AdviceReply, Cell, CellBatch, CellEffect, CellOptions, EndReport, JobId, JobOutcome, JobRecord,
-    JobSpec, JobState, QueueSpec, RecordRow, RunEnd, RunReport, StartOrder, StartRefusal, TaskId,
-    TaskRun, WorkerKey, WorkerReport,
+    JobSpec, JobState, LogWrites, QueueSpec, RecordLog, RecordStamp, RunEnd, RunReport,
+    SegmentState, StartOrder, StartRefusal, StoredRecords, TaskId, TaskRun, WorkerKey,
+    WorkerReport,
 };
 use hs_wire::Resources;
 
@@ -47,11 +48,17 @@
     run: TaskRun,
 }
 
+/// Entries that a transaction takes for records; few, so that segments are used.
+const ENTRIES: usize = 5;
+
+/// Jobs whose records go into one transaction.
+const BATCH_JOBS: usize = 15;
+
 /// What the store holds.
 #[derive(Clone, Debug, Default)]
 pub struct FakeStore {
     pub jobs: BTreeMap<JobId, (Arc<JobSpec>, Option<JobOutcome>)>,
-    pub records: BTreeMap<JobId, JobRecord>,
+    pub records: StoredRecords,
     pub cancelled: BTreeSet<JobId>,
 }
 
@@ -66,7 +73,9 @@
     keys: Vec<Option<WorkerKey>>,
     granted: Vec<Option<Instant>>,
     queues: Vec<QueueSpec>,
-    pending: Option<CellBatch>,
+    log: RecordLog,
+    sequence: u64,
+    pending: Option<(CellBatch, LogWrites)>,
     late: Vec<LateStart>,
     acks: HashMap<WorkerKey, u64>,
     stops: Vec<(WorkerKey, TaskRun)>,
@@ -97,6 +106,8 @@
             keys: vec![None; workers],
             granted: vec![None; workers],
             queues,
+            log: RecordLog::default(),
+            sequence: 0,
             pending: None,
             late: Vec::new(),
             acks: HashMap::new(),
@@ -182,11 +193,22 @@
         }
         let store = self.store.clone();
         let now_ms = self.unix_ms();
+        let (log, mut states) = RecordLog::restore(store.records);
+        self.log = log;
         for (id, (spec, outcome)) in store.jobs {
-            match outcome {
-                Some(outcome) => self.cell.add_ended(id, outcome, self.now),
-                None => {
-                    let record = store.records.get(&id).cloned().unwrap_or_default();
+            match (outcome, states.remove(&id)) {
+                (Some(outcome), _) => {
+                    self.log.settle(id);
+                    self.cell.add_ended(id, outcome, self.now);
+                }
+                (None, Some(SegmentState::Ended(outcome))) => {
+                    self.cell.add_ended(id, outcome, self.now);
+                }
+                (None, state) => {
+                    let record = match state {
+                        Some(SegmentState::Progress(record)) => record,
+                        _ => JobRecord::default(),
+                    };
                     let cell = &mut self.cell;
                     cell.restore(id, spec, &record, lease_end, self.now, now_ms);
                 }
@@ -364,27 +386,32 @@
 
     /// Replaces the owner in the middle of a write, which may have been carried out.
     pub fn lose_owner(&mut self, written: bool) {
-        if written && let Some(batch) = self.pending.take() {
-            self.write_rows(&batch);
+        if written && let Some((_, writes)) = self.pending.take() {
+            self.write_items(&writes);
         }
         self.take_over();
     }
 
-    fn write_rows(&mut self, batch: &CellBatch) {
-        for row in &batch.rows {
-            match row {
-                RecordRow::Progress(id, record) => {
-                    // The record has to read back as it was written.
-                    let text = serde_json::to_string(record).expect("records serialise");
-                    let record = serde_json::from_str(&text).expect("records read back");
-                    self.store.records.insert(*id, record);
-                }
-                RecordRow::Finished(id, outcome) => {
-                    self.store.records.remove(id);
-                    let job = self.store.jobs.get_mut(id).expect("only stored jobs end");
-                    job.1 = Some(*outcome);
-                }
-            }
+    fn write_items(&mut self, writes: &LogWrites) {
+        // The items have to read back as they were written.
+        let stored = &mut self.store.records;
+        for (id, record) in &writes.records {
+            let record = read_back(record);
+            stored.records.insert(*id, record);
+        }
+        for id in &writes.dropped_records {
+            stored.records.remove(id);
+        }
+        if let Some((stamp, rows)) = &writes.segment {
+            let rows = read_back(rows);
+            stored.segments.insert(*stamp, rows);
+        }
+        for stamp in &writes.dropped_segments {
+            stored.segments.remove(stamp);
+        }
+        for (id, outcome) in &writes.outcomes {
+            let job = self.store.jobs.get_mut(id).expect("only stored jobs end");
+            job.1 = Some(*outcome);
         }
     }
 
@@ -446,20 +473,32 @@
 
     /// Begins a write of the cell's changes.
     pub fn begin_commit(&mut self) {
-        if self.pending.is_none() {
-            let batch = self.cell.take_batch(15);
-            if !batch.is_empty() {
-                self.pending = Some(batch);
-            }
+        if self.pending.is_some() {
+            return;
         }
+        let outdated = self.log.outdated(BATCH_JOBS);
+        self.cell.record_again(&outdated);
+        let batch = self.cell.take_batch(BATCH_JOBS, usize::MAX);
+        if batch.is_empty() && !self.log.has_leftovers() {
+            return;
+        }
+        self.sequence += 1;
+        let stamp = RecordStamp {
+            fence: self.fence,
+            sequence: self.sequence,
+        };
+        let writes = self.log.plan(stamp, &batch.rows, ENTRIES);
+        assert!(writes.entries() <= ENTRIES, "too many entries: {writes:?}");
+        self.pending = Some((batch, writes));
     }
 
     /// Carries the write out and confirms it.
     pub fn finish_commit(&mut self) {
-        let Some(batch) = self.pending.take() else {
+        let Some((batch, writes)) = self.pending.take() else {
             return;
         };
-        self.write_rows(&batch);
+        self.write_items(&writes);
+        self.log.committed(writes);
         self.cell.committed(batch, self.now);
         self.carry_out_effects();
     }
@@ -621,3 +660,9 @@
         });
     }
 }
+
+/// Returns a value as it reads back from its text.
+fn read_back<T: serde::Serialize + serde::de::DeserializeOwned>(value: &T) -> T {
+    let text = serde_json::to_string(value).expect("records serialise");
+    serde_json::from_str(&text).expect("records read back")
+}
--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -206,6 +206,7 @@
         match value.and_then(JobValue::parse) {
             Some(JobValue::Ended(outcome)) => StateAnswer::State(JobState::Ended(outcome)),
             Some(JobValue::Accepted(_)) => {
+                // A job whose progress stands in a segment is shown as queued until the owner answers.
                 match self.platform.read(&keys::run(id), READ_LIMIT).await {
                     Ok(Some(_)) => StateAnswer::State(JobState::Running),
                     Ok(None) => StateAnswer::State(JobState::Queued),
--- a/crates/hs-control/src/keys.rs
+++ b/crates/hs-control/src/keys.rs
@@ -1,6 +1,6 @@
 //! Keys in the store.
 
-use hs_cell::JobId;
+use hs_cell::{JobId, RecordStamp};
 
 /// The claim of the cell's owner.
 pub(crate) const OWNER: &str = "hs/owner";
@@ -12,11 +12,14 @@
 const JOB: &str = "hs/in/job/";
 
 /// Cancellations.
-const CANCEL: &str = "hs/in/cancel/";
+pub(crate) const CANCEL: &str = "hs/in/cancel/";
 
-/// Progress of unfinished jobs, written by the owner.
+/// Progress of unfinished jobs, each in an item of its own, written by the owner.
 pub(crate) const RUN: &str = "hs/run/";
 
+/// Progress of several jobs in an item, written by the owner.
+pub(crate) const SEGMENT: &str = "hs/seg/";
+
 /// Returns the key of an accepted job.
 pub(crate) fn job(id: JobId) -> String {
     format!("{JOB}{id}")
@@ -32,6 +35,18 @@
     format!("{RUN}{id}")
 }
 
+/// Returns the key of a segment.
+pub(crate) fn segment(stamp: RecordStamp) -> String {
+    format!("{SEGMENT}{stamp}")
+}
+
+/// Returns the prefixes that share the keys of accepted jobs among them.
+pub(crate) fn job_prefixes() -> impl Iterator<Item = String> {
+    "0123456789abcdef"
+        .chars()
+        .map(|digit| format!("{JOB}{digit}"))
+}
+
 /// A key under [`INTAKE`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum IntakeKey {
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod advisers;
 mod chain;
+mod commits;
 mod config;
 mod control;
 mod election;
@@ -22,6 +23,7 @@
 mod keys;
 mod lag;
 mod link;
+mod members;
 mod metrics;
 mod notify;
 mod owner;
@@ -32,6 +34,7 @@
 mod server;
 mod shared;
 mod store_health;
+mod takeover;
 
 pub use config::{ClusterConfig, QueueRoute};
 pub use control::{CancelReply, Control, StateAnswer, SubmitReply};
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{
-    Cell, CellBatch, CellEffect, CellOptions, JobId, JobSpec, JobState, RecordRow, WorkerKey,
+    Cell, CellBatch, CellEffect, CellOptions, JobId, JobSpec, JobState, LogWrites, RecordRow,
+    WorkerKey,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
@@ -14,23 +15,20 @@
 
 use crate::advisers::{AdviceEnd, AdviserPool};
 use crate::chain::{self, ChainError, ClaimChain};
+use crate::commits::{CommitPlanner, OwnerWrites};
 use crate::config::ClusterConfig;
 use crate::end_waiters::EndWaiters;
 use crate::feeds::{self, FeedEvent, StoredState};
 use crate::keys::{self, IntakeKey};
 use crate::lag::LagMeter;
 use crate::link::{AUTHORITY, LinkEvent, LinkHandle, LinkOrder};
+use crate::members::MemberTable;
 use crate::metrics::ControlMetrics;
 use crate::peers::PeerPool;
 use crate::port::{ListedWorker, Platform, StoreItem, WorkerChange, WorkerPeer};
 use crate::recover::JobValue;
 use crate::shared::{BeatAnswer, OwnerMessage};
-
-/// Entries of a transaction that are left for records; the claim takes two of 32.
-const BATCH_ENTRIES: usize = 30;
-
-/// Time without a change after which the claim is proved all the same.
-const PROOF_EVERY: Duration = Duration::from_millis(200);
+use crate::takeover::{self, ClaimKeeper, PROOF_EVERY};
 
 /// How often time is passed to the cell.
 const TICK: Duration = Duration::from_millis(40);
@@ -41,24 +39,9 @@
 /// How often the size of the cell is measured.
 const OBSERVE_EVERY: Duration = Duration::from_secs(1);
 
-/// Shortest time between two beats of a process.
-const MIN_BEAT_EVERY: Duration = Duration::from_millis(100);
-
-/// Longest time between two beats of a process.
-const MAX_BEAT_EVERY: Duration = Duration::from_millis(400);
-
-/// Added to the time between two beats for each process, which bounds the owner's work for beats.
-const BEAT_COST: Duration = Duration::from_millis(8);
-
-/// A process that has not sent a beat for so long is taken to be gone.
-const MEMBER_LIMIT: Duration = Duration::from_millis(1500);
-
 /// Events that may wait.
 const EVENT_QUEUE: usize = 1024;
 
-/// Records that are erased in one transaction.
-const ERASE_JOBS: usize = 9;
-
 /// Factor by which a time on a worker's clock, which may be 2 % slow, is extended.
 const CLOCK_FACTOR: f64 = 1.025;
 
@@ -96,7 +79,7 @@
 /// Events of the owner's helper tasks.
 #[derive(Debug)]
 enum OwnerEvent {
-    Committed(CommitEnd),
+    Committed(Box<CommitEnd>),
     Feed(FeedEvent),
 }
 
@@ -109,26 +92,24 @@
 #[derive(Debug)]
 struct CommitEnd {
     batch: CellBatch,
+    log: LogWrites,
     result: Result<(ClaimChain, Instant), ChainError>,
 }
 
 struct OwnerTask<P> {
     platform: P,
     cell: Cell,
-    chain: ClaimChain,
+    keeper: ClaimKeeper,
+    planner: CommitPlanner,
     committing: bool,
     committed_at: Instant,
-    proof: watch::Sender<Instant>,
-    proved_at: Instant,
-    owner_seen: Arc<watch::Sender<Option<Instant>>>,
     metrics: ControlMetrics,
     commit_began: Instant,
     observed_at: Instant,
     takeover_end: Instant,
     links: HashMap<WorkerKey, LinkHandle>,
     advisers: AdviserPool<P>,
-    members: HashMap<String, (Arc<str>, Instant)>,
-    cancelled_rows: Vec<JobId>,
+    members: MemberTable,
     end_waiters: EndWaiters,
     release: Option<oneshot::Sender<()>>,
     lag: LagMeter,
@@ -142,32 +123,36 @@
 pub(crate) async fn run<P: Platform>(parts: OwnerParts<P>) -> OwnerEnd {
     let platform = parts.platform.clone();
     let started = platform.now();
-    let state = match feeds::read_state(&platform).await {
-        Ok(state) => state,
-        Err(error) => return OwnerEnd::Unreadable(error.to_string()),
+    let mut keeper = ClaimKeeper {
+        chain: parts.chain,
+        proof: watch::channel(parts.proved_at).0,
+        proved_at: parts.proved_at,
+        owner_seen: parts.owner_seen,
     };
+    let mut requests = parts.requests;
+    let taken = match takeover::take(&platform, &mut keeper, &mut requests).await {
+        Ok(taken) => taken,
+        Err(end) => return end,
+    };
+    let read_at = platform.now();
     let (events, mut event_receiver) = mpsc::channel(EVENT_QUEUE);
     let (link_events, mut link_receiver) = mpsc::channel(EVENT_QUEUE);
     let (advice_ends, mut advice_receiver) = mpsc::channel(EVENT_QUEUE);
     let mut config = parts.config;
-    let mut requests = parts.requests;
-    let takeover_end = started + AUTHORITY.mul_f64(CLOCK_FACTOR) + LEASE_MARGIN;
     let mut owner = OwnerTask {
         advisers: AdviserPool::new(platform.clone(), parts.peers, advice_ends),
         cell: Cell::new(parts.options),
-        chain: parts.chain,
+        keeper,
+        planner: CommitPlanner::default(),
         committing: false,
         committed_at: started,
-        proof: watch::channel(parts.proved_at).0,
-        proved_at: parts.proved_at,
-        owner_seen: parts.owner_seen,
         metrics: parts.metrics,
         commit_began: started,
         observed_at: started,
-        takeover_end,
+        // Nothing was granted by an earlier owner after the claim was taken.
+        takeover_end: started + AUTHORITY.mul_f64(CLOCK_FACTOR) + LEASE_MARGIN,
         links: HashMap::new(),
-        members: HashMap::new(),
-        cancelled_rows: Vec::new(),
+        members: taken.members,
         end_waiters: EndWaiters::default(),
         release: None,
         lag: LagMeter::default(),
@@ -181,16 +166,21 @@
         owner.configure(config);
     }
     owner.metrics.took_over();
-    owner.restore(state);
+    owner.restore(taken.state);
+    owner.share_members();
+    for message in taken.announced {
+        owner.request(message);
+    }
     EventCode::CellTaken.log(format_args!(
-        "fence={} jobs={} runs={} workers={} read_ms={}",
-        owner.chain.claim.fence,
+        "fence={} jobs={} runs={} workers={} read_ms={} restore_ms={}",
+        owner.keeper.chain.claim.fence,
         owner.cell.unfinished(),
         owner.cell.holding(),
         owner.links.len(),
+        read_at.saturating_duration_since(started).as_millis(),
         platform
             .now()
-            .saturating_duration_since(started)
+            .saturating_duration_since(read_at)
             .as_millis(),
     ));
     let mut ticks = interval(TICK);
@@ -233,7 +223,7 @@
             self.list_worker(worker);
         }
         let revision = state.cell.intake_revision;
-        state
+        self.planner.log = state
             .cell
             .restore(&mut self.cell, &self.platform, self.takeover_end);
         let events = self.events.clone();
@@ -274,8 +264,8 @@
             self.platform.clone(),
             key,
             peer,
-            self.chain.claim.fence,
-            self.proof.subscribe(),
+            self.keeper.chain.claim.fence,
+            self.keeper.proof.subscribe(),
             self.metrics.clone(),
             self.link_events.clone(),
         );
@@ -284,7 +274,7 @@
 
     fn event(&mut self, event: OwnerEvent) {
         match event {
-            OwnerEvent::Committed(end) => self.committed(end),
+            OwnerEvent::Committed(end) => self.committed(*end),
             OwnerEvent::Feed(event) => self.feed(event),
         }
     }
@@ -351,7 +341,7 @@
     fn cancel(&mut self, id: JobId) {
         if self.cell.cancel(id) {
             EventCode::JobCancelled.log(format_args!("job={id}"));
-            self.cancelled_rows.push(id);
+            self.planner.note_cancelled(id);
         } else {
             log::debug!("cancellation of unknown job {id}");
         }
@@ -366,16 +356,13 @@
                 reply,
             } => {
                 let now = self.platform.now();
-                let known = self.members.insert(node.clone(), (address.into(), now));
-                if known.is_none() {
-                    EventCode::MemberJoined.log(format_args!("node={node}"));
+                if self.members.note_beat(node, address, now) {
                     self.share_members();
                 }
-                let members = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
                 let _ = reply.send(BeatAnswer {
-                    next_beat: (BEAT_COST * members).clamp(MIN_BEAT_EVERY, MAX_BEAT_EVERY),
-                    fence: self.chain.claim.fence,
-                    proof_age: now.saturating_duration_since(self.proved_at),
+                    next_beat: self.members.next_beat(),
+                    fence: self.keeper.chain.claim.fence,
+                    proof_age: now.saturating_duration_since(self.keeper.proved_at),
                 });
             }
             OwnerMessage::Offer {
@@ -409,12 +396,7 @@
     }
 
     fn share_members(&mut self) {
-        let addresses: Vec<Arc<str>> = self
-            .members
-            .values()
-            .map(|(address, _)| address.clone())
-            .collect();
-        self.advisers.set_members(&addresses);
+        self.advisers.set_members(&self.members.addresses());
     }
 
     fn link_event(&mut self, key: WorkerKey, event: LinkEvent) {
@@ -470,10 +452,7 @@
                 .observe_cell(unfinished, holding, cell.waiting_steps());
         }
         self.end_waiters.prune();
-        let before = self.members.len();
-        self.members
-            .retain(|_, (_, seen)| now.saturating_duration_since(*seen) < MEMBER_LIMIT);
-        if self.members.len() != before {
+        if self.members.prune(now) {
             self.share_members();
         }
     }
@@ -540,40 +519,32 @@
     }
 
     fn begin_commit(&mut self, now: Instant) {
-        let batch = self.cell.take_batch(BATCH_ENTRIES / ENTRIES_PER_END);
+        let next = self
+            .planner
+            .next(&mut self.cell, &self.keeper.chain.claim, now);
         // Without another process that could take the cell, a slow owner is better than none.
         let slow = self.lag.is_slow() && !self.members.is_empty();
-        let releasing = slow || (self.release.is_some() && batch.is_empty());
-        let mut writes = Vec::new();
-        let mut deletes = Vec::new();
-        for row in &batch.rows {
-            add_row(row, &mut writes, &mut deletes);
-        }
-        if batch.is_empty() {
-            for id in self.cell.take_erasable(now, ERASE_JOBS) {
-                deletes.extend([keys::job(id), keys::run(id), keys::cancel(id)]);
-            }
-            while deletes.len() < BATCH_ENTRIES
-                && let Some(id) = self.cancelled_rows.pop()
-            {
-                deletes.push(keys::cancel(id));
-            }
-        }
+        let releasing = slow || (self.release.is_some() && next.batch.is_empty());
         let due = now.saturating_duration_since(self.committed_at) >= PROOF_EVERY;
-        if writes.is_empty() && deletes.is_empty() && !due && !releasing {
+        if next.is_empty() && !due && !releasing {
             return;
         }
         self.committing = true;
         self.commit_began = now;
         let platform = self.platform.clone();
-        let chain = self.chain.clone();
+        let chain = self.keeper.chain.clone();
         let events = self.events.clone();
         self.helpers.spawn(async move {
+            let OwnerWrites {
+                batch,
+                log,
+                writes,
+                deletes,
+            } = next;
             let result = chain::append(&platform, &chain, writes, deletes, releasing).await;
+            let end = Box::new(CommitEnd { batch, log, result });
             // An owner task that has ended needs no result.
-            let _ = events
-                .send(OwnerEvent::Committed(CommitEnd { batch, result }))
-                .await;
+            let _ = events.send(OwnerEvent::Committed(end)).await;
         });
     }
 
@@ -586,10 +557,8 @@
                 self.committed_at = now;
                 self.metrics
                     .committed(now.saturating_duration_since(self.commit_began));
-                self.proved_at = proved_at;
-                self.proof.send_replace(proved_at);
-                self.owner_seen.send_replace(Some(now));
-                self.chain = chain;
+                self.keeper.proved(chain, proved_at, now);
+                self.planner.log.committed(end.log);
                 for row in &end.batch.rows {
                     if let RecordRow::Finished(id, outcome) = row {
                         EventCode::JobEnded.log(format_args!("job={id} outcome={outcome:?}"));
@@ -602,7 +571,7 @@
                         self.end_waiters.ended(id, state);
                     }
                 }
-                if self.chain.claim.released {
+                if self.keeper.chain.claim.released {
                     self.lost = Some(match self.release.take() {
                         Some(reply) => {
                             let _ = reply.send(());
@@ -616,21 +585,3 @@
         }
     }
 }
-
-/// Entries of a transaction that the end of a job takes.
-const ENTRIES_PER_END: usize = 2;
-
-fn add_row(row: &RecordRow, writes: &mut Vec<(String, Vec<u8>)>, deletes: &mut Vec<String>) {
-    let (key, value) = match row {
-        RecordRow::Progress(id, record) => (keys::run(*id), serde_json::to_vec(record)),
-        RecordRow::Finished(id, outcome) => {
-            deletes.push(keys::run(*id));
-            let value: JobValue = JobValue::Ended(*outcome);
-            (keys::job(*id), serde_json::to_vec(&value))
-        }
-    };
-    match value {
-        Ok(value) => writes.push((key, value)),
-        Err(error) => EventCode::RecordUnwritable.log(format_args!("key={key} cause=\"{error}\"")),
-    }
-}
--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -1,12 +1,14 @@
 //! Reads the state of a cell back from the store.
 
 use hs_event::EventCode;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{Cell, JobId, JobOutcome, JobRecord, JobSpec};
+use hs_cell::{
+    Cell, JobId, JobOutcome, JobRecord, JobSpec, RecordLog, SegmentState, StoredRecords,
+};
 use serde::{Deserialize, Serialize};
+use tokio::task::JoinSet;
 
 use crate::keys::{self, IntakeKey};
 use crate::port::{Platform, PortError, StoreItem, StorePort};
@@ -37,45 +39,43 @@
 pub(crate) struct StoredCell {
     jobs: Vec<(JobId, JobValue)>,
     cancelled: Vec<JobId>,
-    records: HashMap<JobId, JobRecord>,
+    records: StoredRecords,
     /// Revision from which changes of the intake have to be watched.
     pub intake_revision: u64,
 }
 
-/// Reads the state of the cell.
+/// Reads the state of the cell. No other owner can write to it, so that its parts are read at once.
 ///
 /// # Errors
 ///
 /// Returns the store's error if a page can't be read.
 pub(crate) async fn read_cell<S: StorePort>(store: &S) -> Result<StoredCell, PortError> {
     let mut cell = StoredCell::default();
-    // Progress first: a job that ends in between is then read as ended, not as never placed.
-    let (runs, _) = read_all(store, keys::RUN).await?;
-    for item in runs {
-        let id = item
-            .key
-            .strip_prefix(keys::RUN)
-            .and_then(|id| id.parse().ok());
-        let record = item.value.as_deref().map(serde_json::from_slice);
-        match (id, record) {
-            (Some(id), Some(Ok(record))) => {
-                cell.records.insert(id, record);
+    let mut prefixes = vec![keys::RUN.to_owned(), keys::SEGMENT.to_owned()];
+    prefixes.push(keys::CANCEL.to_owned());
+    prefixes.extend(keys::job_prefixes());
+    let mut reads = JoinSet::new();
+    for prefix in prefixes {
+        let store = store.clone();
+        reads.spawn(async move { read_all(&store, &prefix).await });
+    }
+    let mut revision = u64::MAX;
+    while let Some(read) = reads.join_next().await {
+        let (items, read_at) = read.unwrap_or_else(|error| {
+            Err(PortError::NoReply {
+                step: "state read",
+                peer: "store".to_owned(),
+                cause: error.to_string(),
+            })
+        })?;
+        revision = revision.min(read_at);
+        for item in items {
+            if !cell.add(&item) {
+                EventCode::RecordUnreadable.log(format_args!("key={}", item.key));
             }
-            _ => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
         }
     }
-    let (intake, revision) = read_all(store, keys::INTAKE).await?;
     cell.intake_revision = revision;
-    for item in intake {
-        match keys::parse_intake(&item.key) {
-            Some(IntakeKey::Job(id)) => match item.value.as_deref().and_then(JobValue::parse) {
-                Some(value) => cell.jobs.push((id, value)),
-                None => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
-            },
-            Some(IntakeKey::Cancel(id)) => cell.cancelled.push(id),
-            None => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
-        }
-    }
     Ok(cell)
 }
 
@@ -99,22 +99,73 @@
 }
 
 impl StoredCell {
-    /// Puts everything into a cell whose workers are known.
-    pub(crate) fn restore<P: Platform>(self, cell: &mut Cell, platform: &P, lease_end: Instant) {
+    /// Adds an item. Returns whether it is readable.
+    fn add(&mut self, item: &StoreItem) -> bool {
+        let value = item.value.as_deref().unwrap_or_default();
+        if let Some(id) = item.key.strip_prefix(keys::RUN) {
+            let record = serde_json::from_slice(value);
+            let (Ok(id), Ok(record)) = (id.parse(), record) else {
+                return false;
+            };
+            self.records.records.insert(id, record);
+            return true;
+        }
+        if let Some(stamp) = item.key.strip_prefix(keys::SEGMENT) {
+            let rows = serde_json::from_slice(value);
+            let (Ok(stamp), Ok(rows)) = (stamp.parse(), rows) else {
+                return false;
+            };
+            self.records.segments.insert(stamp, rows);
+            return true;
+        }
+        match keys::parse_intake(&item.key) {
+            Some(IntakeKey::Job(id)) => match JobValue::parse(value) {
+                Some(value) => self.jobs.push((id, value)),
+                None => return false,
+            },
+            Some(IntakeKey::Cancel(id)) => self.cancelled.push(id),
+            None => return false,
+        }
+        true
+    }
+
+    /// Puts everything into a cell whose workers are known. Returns where the records are.
+    pub(crate) fn restore<P: Platform>(
+        self,
+        cell: &mut Cell,
+        platform: &P,
+        lease_end: Instant,
+    ) -> RecordLog {
         let now = platform.now();
         let now_ms = platform.unix_ms();
-        let empty = JobRecord::default();
+        let (mut log, mut states) = RecordLog::restore(self.records);
         for (id, value) in self.jobs {
-            match value {
-                JobValue::Ended(outcome) => cell.add_ended(id, outcome, now),
-                JobValue::Accepted(spec) => {
-                    let record = self.records.get(&id).unwrap_or(&empty);
-                    cell.restore(id, Arc::new(spec), record, lease_end, now, now_ms);
+            let spec = match value {
+                JobValue::Ended(outcome) => {
+                    log.settle(id);
+                    states.remove(&id);
+                    cell.add_ended(id, outcome, now);
+                    continue;
                 }
-            }
+                JobValue::Accepted(spec) => Arc::new(spec),
+            };
+            let record = match states.remove(&id) {
+                Some(SegmentState::Ended(outcome)) => {
+                    cell.add_ended(id, outcome, now);
+                    continue;
+                }
+                Some(SegmentState::Progress(record)) => record,
+                None => JobRecord::default(),
+            };
+            cell.restore(id, spec, &record, lease_end, now, now_ms);
+        }
+        // Records of jobs whose items have been deleted.
+        for id in states.into_keys() {
+            log.settle(id);
         }
         for id in self.cancelled {
             cell.cancel(id);
         }
+        log
     }
 }
