perf: bounded reservations for gangs, room by checkpointed stops, calls for advice in parts, longer leases

Their calls for advice (6 names a second for each waiting gang) left none for other queues, which waited 20 s; a wide gang asked five times in a row, by which time its first tickets had ended. Small tasks were asked for on the emptiest workers. Change: reserve.rs chooses the workers on which a gang starts soonest, for two gangs of a priority, and stops runs of lower priority that save checkpoints and whose jobs have time to spare; a call is made in parts at several processes; tickets are renewed for room at hand or reserved; medium calls have processes of their own; single tasks are asked for on the fullest workers; order by latest start; a lease of 7.5 s outlives most cuts. Two regressions wait for the longer lease.

--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -101,14 +101,16 @@
 }
 
 impl Cell {
-    /// Takes the reply to a call for advice on the workers `named`, or `None` if the call failed.
+    /// Takes the reply to a part of a call for advice, on the workers `named`, or `None` if it failed.
     ///
-    /// A reply counts for the workers that its own call named, since a later call may be out already.
+    /// A reply counts for the workers that its own part named, since others are out. After the `last` part
+    /// the step may ask again.
     pub fn advice_settled(
         &mut self,
         step: StepId,
         named: &[Arc<str>],
         reply: Option<AdviceReply>,
+        last: bool,
         now: Instant,
     ) {
         let Some(job) = self.jobs.get_mut(&step.job) else {
@@ -119,8 +121,10 @@
             return;
         };
         let advice = &mut run.advice;
-        advice.asked_at = None;
-        advice.answered_at = Some(now);
+        if last {
+            advice.asked_at = None;
+            advice.answered_at = Some(now);
+        }
         let Some(reply) = reply else {
             advice.retry_at = Some(now + RETRY_PAUSE);
             return;
--- a/crates/hs-cell/src/ask.rs
+++ b/crates/hs-cell/src/ask.rs
@@ -14,14 +14,18 @@
 
 use crate::advice::TICKET_MARGIN;
 
-/// Most workers that one call may name.
-const MAX_NAMED: usize = 100;
+/// Most workers that are asked about at a time; the call is made in parts.
+const MAX_NAMED: usize = 200;
 
 /// Fewest workers that a first call names, and from which on a further call is worth its fixed time.
 const MIN_NAMED: usize = 8;
 
-/// Room asked for as a multiple of what the step takes, since some allowed workers are busy.
-const ROOM_FACTOR: f64 = 2.0;
+/// Expected room on allowed workers as a multiple of what the step takes, since others may take some of it
+/// meanwhile.
+const ROOM_FACTOR: f64 = 1.5;
+
+/// Room for which tickets are renewed, as a multiple of what the step takes.
+const SPARE_FACTOR: f64 = 1.5;
 
 /// Fixed time of a call from which on it names more workers than the step is expected to need, as a
 /// second call would cost more than the additional names.
@@ -40,8 +44,6 @@
     pub spec: AdviceSpec,
     /// Tasks of the step that wait.
     pub wanted: u32,
-    /// Whether tickets are renewed although the step would find no room now.
-    pub keep: bool,
 }
 
 /// Free room on a worker for tasks of a step.
@@ -68,10 +70,10 @@
         }
         let request = AdviceRequest {
             step: id,
-            cost: need.spec.cost(workers.len()),
+            spec: need.spec,
             workers,
             priority: order.priority,
-            objective_end: order.objective_end,
+            start_by: order.start_by,
         };
         if let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) {
             step.advice.asked_at = Some(now);
@@ -113,10 +115,7 @@
         };
         let allowed_room = free(&allowed);
         let enough = if spec.gang { need.wanted } else { 1 };
-        let mut named = Vec::new();
-        if need.keep || allowed_room >= enough {
-            named = self.tickets_to_renew(id, &allowed, need.spec, now);
-        }
+        let mut named = self.tickets_to_renew(id, &allowed, enough, need, now);
         if allowed_room < need.wanted {
             let first_call = allowed.is_empty() && advice.denied.is_empty();
             if !first_call && !spec.gang {
@@ -131,13 +130,13 @@
                 || expected >= f64::from(missing)
                 || advice.answered_at.is_none_or(old);
             if worth_a_call {
-                unknown.sort_by_key(|worker| std::cmp::Reverse(worker.free));
-                let per_worker = unknown.first().map_or(1, |worker| {
-                    held.count_in(self.workers[worker.key].entry.capacity)
-                        .clamp(1, limit)
-                });
-                let count = f64::from(missing) / f64::from(per_worker) * ROOM_FACTOR / share;
-                let count = (count.ceil() as usize).max(least_named(need.spec));
+                // Single tasks fill workers up, and gangs take those that are left empty.
+                match spec.gang {
+                    true => unknown.sort_by_key(|worker| std::cmp::Reverse(worker.free)),
+                    false => unknown.sort_by_key(|worker| (worker.free == 0, worker.free)),
+                }
+                let room = f64::from(missing) * ROOM_FACTOR / share;
+                let count = workers_for_room(&unknown, room).max(least_named(need.spec));
                 named.extend(unknown.iter().take(count).map(|worker| worker.key));
             }
         }
@@ -145,36 +144,72 @@
         named
     }
 
-    /// Returns the allowed workers whose tickets end soon. If there are any, those whose tickets are past
-    /// half of their time are renewed with them.
+    /// Returns the allowed workers whose tickets are to be renewed: those on which the step can start now,
+    /// or those that are reserved for it, if the ticket of one of them ends soon.
     fn tickets_to_renew(
         &self,
         id: StepId,
         allowed: &[AskedWorker],
-        spec: AdviceSpec,
+        enough: u32,
+        need: AdviceNeed,
         now: Instant,
     ) -> Vec<WorkerKey> {
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
         let Some(step) = step else {
             return Vec::new();
         };
+        let spec = need.spec;
+        let reservation = self.reservations.iter().find(|r| r.step == id);
+        let wanted: Vec<WorkerKey> = match reservation {
+            // A ticket has to be valid when the room is free, and not long before.
+            Some(kept) if kept.start_at > now + spec.valid / 2 => Vec::new(),
+            Some(kept) => kept.workers.clone(),
+            None => workers_with_room(allowed, enough, need.wanted),
+        };
         let ends_within = |key: WorkerKey, time: Duration| {
             let mut tickets = step.advice.tickets.iter();
             tickets.any(|ticket| ticket.worker == key && now + time >= ticket.until)
         };
-        let soon = spec.cost(allowed.len()) + TICKET_MARGIN * 2;
-        if !allowed.iter().any(|worker| ends_within(worker.key, soon)) {
+        let soon = spec.cost(wanted.len()) + TICKET_MARGIN * 2;
+        if !wanted.iter().any(|key| ends_within(*key, soon)) {
             return Vec::new();
         }
-        let old = |worker: &&AskedWorker| ends_within(worker.key, soon.max(spec.valid / 2));
-        allowed
-            .iter()
-            .filter(old)
-            .map(|worker| worker.key)
-            .collect()
+        let old = |key: &WorkerKey| ends_within(*key, soon.max(spec.valid / 2));
+        wanted.into_iter().filter(old).collect()
+    }
+}
+
+/// Returns workers with more free room than a step takes, since others may take some of it meanwhile; none
+/// if there is not `enough`.
+fn workers_with_room(allowed: &[AskedWorker], enough: u32, wanted: u32) -> Vec<WorkerKey> {
+    let mut free: Vec<AskedWorker> = allowed.iter().copied().filter(|w| w.free > 0).collect();
+    free.sort_by_key(|worker| std::cmp::Reverse(worker.free));
+    let target = (f64::from(wanted) * SPARE_FACTOR).ceil() as u32;
+    let mut room = 0u32;
+    let mut workers = Vec::new();
+    for worker in free {
+        if room >= target {
+            break;
+        }
+        room = room.saturating_add(worker.free);
+        workers.push(worker.key);
+    }
+    match room >= enough {
+        true => workers,
+        false => Vec::new(),
     }
 }
 
+/// Returns how many of the first workers have this much free room together.
+fn workers_for_room(workers: &[AskedWorker], room: f64) -> usize {
+    let mut sum = 0.0;
+    let enough = workers.iter().position(|worker| {
+        sum += f64::from(worker.free);
+        sum >= room
+    });
+    enough.map_or(workers.len(), |last| last + 1)
+}
+
 /// Returns the fewest workers that a call for unknown workers names.
 fn least_named(spec: AdviceSpec) -> usize {
     if spec.decide < LONG_DECISION || spec.per_worker.is_zero() {
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -12,6 +12,7 @@
 use crate::job_record::JobOutcome;
 use crate::job_spec::JobSpec;
 use crate::queue_spec::QueueSpec;
+use crate::reserve::Reservation;
 use crate::worker::{SlotPhase, Worker};
 use crate::{JobId, StepId, TaskRun, WorkerKey};
 
@@ -20,19 +21,33 @@
 pub struct CellOptions {
     /// How long the end of a job stays readable.
     pub status_for: Duration,
-    /// Longest time by the owner's clock that a worker keeps its runs after a renewal.
-    pub max_lease: Duration,
+    /// Lease that an owner asks workers for. Longer than most partitions, in which runs go on, and short
+    /// enough that the runs of a lost worker are started elsewhere.
+    pub lease: Duration,
 }
 
 impl Default for CellOptions {
     fn default() -> Self {
         Self {
             status_for: Duration::from_secs(120),
-            max_lease: Duration::from_millis(5100),
+            lease: Duration::from_millis(7500),
         }
     }
 }
 
+/// Share by which a worker's clock may be slow.
+const CLOCK_SHARE: f64 = 0.025;
+
+/// Time in which a worker ends runs after its lease.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
+
+impl CellOptions {
+    /// Returns the longest time by the owner's clock that a worker keeps its runs after a renewal.
+    pub fn max_lease(&self) -> Duration {
+        self.lease + self.lease.mul_f64(CLOCK_SHARE) + LEASE_MARGIN
+    }
+}
+
 /// How often runs are checked for progress.
 const STALL_CHECK_EVERY: Duration = Duration::from_millis(200);
 
@@ -68,6 +83,7 @@
     pub(crate) changed: bool,
     pub(crate) scheduled_at: Option<Instant>,
     pub(crate) pass_cost: Duration,
+    pub(crate) reservations: Vec<Reservation>,
     pub(crate) last_stall_check: Option<Instant>,
 }
 
@@ -88,6 +104,7 @@
             changed: false,
             scheduled_at: None,
             pass_cost: Duration::ZERO,
+            reservations: Vec::new(),
             last_stall_check: None,
         }
     }
--- a/crates/hs-cell/src/effect.rs
+++ b/crates/hs-cell/src/effect.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use crate::job_record::{JobOutcome, JobRecord};
+use crate::queue_spec::AdviceSpec;
 use crate::{JobId, StepId, TaskId, WorkerKey};
 
 /// One run of a task.
@@ -35,12 +36,12 @@
     pub step: StepId,
     /// Workers to ask about.
     pub workers: Vec<WorkerKey>,
-    /// Expected duration of the call.
-    pub cost: std::time::Duration,
+    /// What calls cost.
+    pub spec: AdviceSpec,
     /// Priority of the queue; 0 comes first.
     pub priority: u8,
-    /// When the objective of the job ends.
-    pub objective_end: Instant,
+    /// Latest start that meets the objective of the job.
+    pub start_by: Instant,
 }
 
 /// Something to do outside the cell.
--- a/crates/hs-cell/src/ends.rs
+++ b/crates/hs-cell/src/ends.rs
@@ -97,7 +97,7 @@
         worker.reported = true;
         if first {
             // From this list on no earlier owner can renew the lease.
-            worker.lease_end = worker.lease_end.min(now + self.options.max_lease);
+            worker.lease_end = worker.lease_end.min(now + self.options.max_lease());
         }
         for end in report.ended {
             self.apply_end(key, end, now);
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -23,6 +23,7 @@
 mod queue_spec;
 mod record;
 mod record_log;
+mod reserve;
 mod segment;
 mod worker;
 
--- a/crates/hs-cell/src/order.rs
+++ b/crates/hs-cell/src/order.rs
@@ -3,7 +3,7 @@
 //! Steps whose jobs can still meet their objective come first, then those that are late but still of
 //! use, then the rest. So that a crest costs the jobs that it has already delayed, instead of delaying
 //! each later job a little beyond its objective. Within a group the queue's priority decides, then the
-//! time at which the objective ends.
+//! latest start that meets the objective.
 
 use std::time::{Duration, Instant};
 
@@ -32,7 +32,8 @@
 pub(crate) struct OrderKey {
     pub timeliness: Timeliness,
     pub priority: u8,
-    pub objective_end: Instant,
+    /// Latest start that meets the objective.
+    pub start_by: Instant,
     pub step: StepId,
 }
 
@@ -72,7 +73,7 @@
         Some(OrderKey {
             timeliness: timeliness(occurrence.begun, objective, remaining, now),
             priority: queue.priority,
-            objective_end: occurrence.begun + objective,
+            start_by: occurrence.begun + objective - remaining,
             step: id,
         })
     }
--- a/crates/hs-cell/src/place.rs
+++ b/crates/hs-cell/src/place.rs
@@ -1,8 +1,7 @@
 //! Which tasks go to which workers.
 //!
 //! A scheduling pass takes the waiting steps in order. Tasks go where they leave the least room, so
-//! that wide tasks and gangs find empty workers. A gang that finds no room reserves the workers that
-//! suit it best against steps of lower priority, so that small tasks don't keep it out for good.
+//! that wide tasks and gangs find empty workers. A gang that finds no room reserves workers (`reserve`).
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,9 +21,6 @@
 /// those before them use it up.
 const QUEUE_DEPTH: u32 = 24;
 
-/// Steps of one queue up to this place keep their tickets valid while they wait for room.
-const RENEW_DEPTH: u32 = 3;
-
 /// Time after which a pass is made without any news, since tickets end and suspect workers come back.
 const PASS_EVERY: Duration = Duration::from_millis(100);
 
@@ -59,9 +55,7 @@
         }
         self.changed = false;
         self.scheduled_at = Some(now);
-        for worker in self.workers.values_mut() {
-            worker.reserved_by = None;
-        }
+        self.refresh_reservations(now);
         let ready = std::mem::take(&mut self.ready);
         let mut keys: Vec<OrderKey> = Vec::with_capacity(ready.len());
         for id in ready {
@@ -92,7 +86,7 @@
         }
     }
 
-    fn has_waiting(&self, id: StepId) -> bool {
+    pub(crate) fn has_waiting(&self, id: StepId) -> bool {
         let job = self.jobs.get(&id.job).filter(|job| job.outcome.is_none());
         let step = job.and_then(|job| job.step(id));
         step.is_some_and(|step| step.waiting().next().is_some())
@@ -129,13 +123,12 @@
             let need = AdviceNeed {
                 spec: advice,
                 wanted,
-                keep: depth <= RENEW_DEPTH,
             };
             self.ask_advice(key, need, now);
         }
         if candidates.is_empty() || (spec.gang && room < wanted) {
             if in_reach && spec.gang {
-                self.reserve(id, &spec, key.priority, wanted, now);
+                self.reserve(key, wanted, now);
             }
             return;
         }
@@ -222,7 +215,8 @@
             let Some(worker) = self.workers.get(key) else {
                 continue;
             };
-            if worker.reserved_by.is_some_and(|by| by < priority) {
+            let kept = |(by, step): (u8, StepId)| step != id && by <= priority;
+            if worker.reserved_by.is_some_and(kept) {
                 continue;
             }
             let mut fits = need.count_in(worker.free());
@@ -275,38 +269,6 @@
         }
     }
 
-    /// Keeps steps of lower priority off the workers that a gang can use soonest.
-    fn reserve(&mut self, id: StepId, spec: &StepSpec, priority: u8, wanted: u32, now: Instant) {
-        let Some((_, eligible)) = self.eligible(id, now) else {
-            return;
-        };
-        let Some(step) = self.jobs.get(&id.job).and_then(|job| job.step(id)) else {
-            return;
-        };
-        let need = spec.held();
-        let advised = !step.advice.tickets.is_empty();
-        let allowed = |key: &WorkerKey| {
-            !advised
-                || step
-                    .advice
-                    .tickets
-                    .iter()
-                    .any(|ticket| ticket.worker == *key)
-        };
-        let open = |key: &WorkerKey| self.workers[*key].reserved_by.is_none();
-        let mut keys: Vec<WorkerKey> = eligible.into_iter().filter(allowed).filter(open).collect();
-        keys.sort_by_key(|key| std::cmp::Reverse(need.count_in(self.workers[*key].free())));
-        let mut room = 0u32;
-        for key in keys {
-            if room >= wanted {
-                break;
-            }
-            let worker = &mut self.workers[key];
-            room = room.saturating_add(need.count_in(worker.entry.capacity));
-            worker.reserved_by = Some(priority);
-        }
-    }
-
     /// Returns the workers that could ever run a step, and its queue.
     pub(crate) fn eligible(&self, id: StepId, now: Instant) -> Option<(Arc<str>, Vec<WorkerKey>)> {
         let job = self.jobs.get(&id.job)?;
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -7,7 +7,7 @@
 use hs_wire::Resources;
 use slotmap::new_key_type;
 
-use crate::{TaskId, TaskRun};
+use crate::{StepId, TaskId, TaskRun};
 
 new_key_type! {
     /// Key of one life of a worker.
@@ -184,8 +184,8 @@
     pub last_failed: Option<TaskId>,
     pub suspect_until: Option<Instant>,
     pub suspect_for: Duration,
-    /// Room that a gang of a higher priority waits for, in this scheduling pass.
-    pub reserved_by: Option<u8>,
+    /// Priority and step of the gang for which the worker is kept.
+    pub reserved_by: Option<(u8, StepId)>,
 }
 
 impl Worker {
--- a/crates/hs-cell/tests/cell/patterns.rs
+++ b/crates/hs-cell/tests/cell/patterns.rs
@@ -190,10 +190,10 @@
     assert!(calls <= 4, "{calls} calls for one gang in 1.4 s");
 }
 
-/// Pattern: more gangs wait for a call than processes can make. The job whose objective ends first is
+/// Pattern: more gangs wait for a call than processes can make. The job that has to start first is
 /// asked for first, however many workers its call names.
 #[test]
-fn calls_carry_the_end_of_the_objective() {
+fn calls_carry_the_latest_start() {
     let queues = vec![advised_queue("plan", 1, Duration::from_millis(300))];
     let mut world = World::warm(8, queues);
     world.submit(id(1), job("plan", vec![step(2, 6000, 9000)]));
@@ -201,10 +201,127 @@
     world.pass(ROUND);
     world.submit(id(2), job("plan", vec![step(1, 6000, 300)]));
     world.pump();
-    let ends: Vec<_> = world
-        .advice_calls()
+    let starts: Vec<_> = world.advice_calls().iter().map(|c| c.start_by).collect();
+    assert!(starts[1] < starts[0], "the later job has less time");
+}
+
+/// Builds a long task that saves checkpoints.
+fn saving(count: u16) -> StepSpec {
+    StepSpec {
+        checkpoints: true,
+        ..step(count, 4000, 60_000)
+    }
+}
+
+/// Pattern: a gang waits for room on a few workers. Everybody else goes on working on the others.
+#[test]
+fn a_waiting_gang_leaves_other_workers_open() {
+    let mut world = World::warm(12, vec![queue("plan", 1, 2), queue("recon", 2, 2)]);
+    for number in 0..12 {
+        world.submit(id(100 + number), job("recon", vec![step(1, 5000, 60_000)]));
+        world.quiet_round(ROUND);
+    }
+    world.submit(id(1), job("plan", vec![wide_gang(2)]));
+    for number in 0..10 {
+        world.submit(id(200 + number), job("recon", vec![step(1, 3000, 60_000)]));
+    }
+    for _ in 0..6 {
+        world.quiet_round(ROUND);
+    }
+    let placed = (0..10).filter(|n| runs(&world, id(200 + n)) > 0).count();
+    assert!(
+        placed >= 9,
+        "{placed} of 10 tasks run beside the reservation"
+    );
+}
+
+struct PreemptionCase {
+    name: &'static str,
+    /// What runs on all workers when the gang comes.
+    running: StepSpec,
+    priority: u8,
+    starts: bool,
+}
+
+/// Pattern: long work of a lower priority fills the cluster when a gang arrives. Runs that lose nothing by
+/// a stop make room, and no others.
+#[test]
+fn runs_with_checkpoints_make_room_for_a_gang() {
+    let cases = [
+        PreemptionCase {
+            name: "checkpoints, lower priority",
+            running: saving(2),
+            priority: 2,
+            starts: true,
+        },
+        PreemptionCase {
+            name: "no checkpoints",
+            running: step(2, 4000, 60_000),
+            priority: 2,
+            starts: false,
+        },
+        PreemptionCase {
+            name: "same priority",
+            running: saving(2),
+            priority: 1,
+            starts: false,
+        },
+        PreemptionCase {
+            name: "a gang",
+            running: StepSpec {
+                gang: true,
+                ..saving(2)
+            },
+            priority: 2,
+            starts: false,
+        },
+    ];
+    for PreemptionCase {
+        name,
+        running,
+        priority,
+        starts,
+    } in cases
+    {
+        let mut world = World::warm(4, vec![queue("plan", 1, 2), queue("recon", priority, 2)]);
+        for number in 0..4 {
+            world.submit(id(100 + number), job("recon", vec![running.clone()]));
+            world.quiet_round(ROUND);
+        }
+        world.submit(id(1), job("plan", vec![wide_gang(2)]));
+        for _ in 0..8 {
+            world.quiet_round(ROUND);
+        }
+        let gang = runs(&world, id(1));
+        assert_eq!(gang, if starts { 2 } else { 0 }, "{name}");
+        let others: usize = (0..4).map(|n| runs(&world, id(100 + n))).sum();
+        assert_eq!(others, if starts { 4 } else { 8 }, "{name}");
+    }
+}
+
+/// Pattern: small advised tasks share workers with gangs. They are asked for on workers that already run
+/// something, so that the empty ones stay empty.
+#[test]
+fn single_tasks_are_asked_for_on_the_fullest_workers() {
+    let queues = vec![
+        advised_queue("check", 0, Duration::from_millis(10)),
+        queue("recon", 2, 2),
+    ];
+    let mut world = World::warm(40, queues);
+    world.submit(id(1), job("recon", vec![step(12, 5000, 60_000)]));
+    for _ in 0..3 {
+        world.quiet_round(ROUND);
+    }
+    let busy: Vec<usize> = world.placed(id(1)).into_iter().map(|(w, _)| w).collect();
+    world.submit(id(2), job("check", vec![step(2, 1000, 300)]));
+    world.pump();
+    let named = &world.advice_calls()[0].workers;
+    let ids: Vec<_> = named
         .iter()
-        .map(|c| c.objective_end)
+        .filter_map(|key| world.cell.worker_id(*key))
         .collect();
-    assert!(ends[1] < ends[0], "the later job has less time");
+    for id in ids {
+        let number: usize = id[1..].parse().expect("ids are numbers");
+        assert!(busy.contains(&number), "{id} is empty");
+    }
 }
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -9,6 +9,9 @@
 
 const ROUND: Duration = Duration::from_millis(50);
 
+/// Rounds in which the lease of a silent worker, of 7.5 s, is over.
+const LEASE_ROUNDS: usize = 180;
+
 /// Guards against a step that waits for good once its call for advice has failed and nothing else
 /// happens.
 #[test]
@@ -18,7 +21,7 @@
     world.submit(id(1), job("plan", vec![step(1, 1000, 500)]));
     world.pump();
     let call = world.advice_calls()[0].step;
-    world.cell.advice_settled(call, &[], None, world.now);
+    world.cell.advice_settled(call, &[], None, true, world.now);
     for _ in 0..10 {
         world.pass(ROUND);
         world.pump();
@@ -49,7 +52,7 @@
     world.quiet_round(ROUND);
     let (worker, first) = world.placed(id(1))[0];
     world.crash(worker);
-    for _ in 0..120 {
+    for _ in 0..LEASE_ROUNDS {
         world.quiet_round(ROUND);
     }
     let (other, second) = world.placed(id(1))[0];
@@ -214,7 +217,7 @@
     let (other, blocking) = world.placed(id(1))[1];
     world.workers[worker].reachable = false;
     world.end(worker, first, RunEnd::Done);
-    for _ in 0..120 {
+    for _ in 0..LEASE_ROUNDS {
         world.quiet_round(ROUND);
     }
     world.end(other, blocking, RunEnd::Done);
--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -16,7 +16,7 @@
 use crate::fixture::{WORKER_CPU, cpu, entry};
 
 /// Lease that the owner renews.
-pub const LEASE: Duration = Duration::from_millis(4500);
+pub const LEASE: Duration = Duration::from_millis(7500);
 
 /// How long a new owner waits for a worker that it can't reach.
 const AUTHORITY: Duration = Duration::from_secs(9);
@@ -71,6 +71,9 @@
     pub store: FakeStore,
     pub workers: Vec<FakeWorker>,
     keys: Vec<Option<WorkerKey>>,
+    /// Whether the last hold was answered: only then the next one renews the lease.
+    answered: Vec<bool>,
+    /// End of the lease that the last renewal asked for, which starts ask for too.
     granted: Vec<Option<Instant>>,
     queues: Vec<QueueSpec>,
     log: RecordLog,
@@ -104,6 +107,7 @@
             store: FakeStore::default(),
             workers: Vec::new(),
             keys: vec![None; workers],
+            answered: vec![false; workers],
             granted: vec![None; workers],
             queues,
             log: RecordLog::default(),
@@ -186,6 +190,7 @@
         let lease_end = self.now + AUTHORITY;
         for number in 0..self.workers.len() {
             self.keys[number] = None;
+            self.answered[number] = false;
             self.granted[number] = None;
             if self.workers[number].up {
                 self.list(number, lease_end);
@@ -245,6 +250,7 @@
         let worker = &mut self.workers[number];
         worker.up = true;
         worker.born_ms += 1000;
+        self.answered[number] = false;
         self.granted[number] = None;
         self.list(number, self.now);
     }
@@ -421,14 +427,15 @@
             return;
         };
         let now = self.now;
-        let renews = self.granted[number].is_some();
+        let renews = self.answered[number];
         if renews {
             let margin = LEASE.mul_f64(0.025);
             self.cell.lease_renewed(key, now + LEASE + margin);
+            self.granted[number] = Some(now + LEASE);
         }
         let worker = &mut self.workers[number];
         if !worker.up || !worker.reachable {
-            self.granted[number] = None;
+            self.answered[number] = false;
             self.cell.worker_silent(key);
             return;
         }
@@ -436,7 +443,7 @@
         if renews {
             worker.lease_end = worker.lease_end.max(Some(now + LEASE));
         }
-        self.granted[number] = Some(now + LEASE);
+        self.answered[number] = true;
         let acknowledged = self.acks.get(&key).copied().unwrap_or(0);
         let (taken, kept): (Vec<_>, Vec<_>) = worker
             .ended
@@ -592,7 +599,7 @@
                 valid: Duration::from_secs(2),
             };
             self.cell
-                .advice_settled(request.step, &named, Some(reply), self.now);
+                .advice_settled(request.step, &named, Some(reply), true, self.now);
         }
     }
 
--- a/crates/hs-control/src/advisers.rs
+++ b/crates/hs-control/src/advisers.rs
@@ -3,10 +3,12 @@
 //! The service handles one call at a time for each calling process. Long calls are kept away from some
 //! of the processes, so that the short calls of urgent queues don't wait behind them.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hs_cell::{AdviceReply, AdviceRequest, StepId, TaskId};
+use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
 use crate::message::AdviseRequest;
@@ -16,8 +18,9 @@
 /// Calls up to this duration are short, and may use any process.
 const SHORT_CALL: Duration = Duration::from_millis(25);
 
-/// Calls that take longer are long.
-const LONG_CALL: Duration = Duration::from_millis(150);
+/// Calls that take longer are long. Waiting gangs would otherwise hold up the calls of queues whose steps
+/// need a fraction of that time.
+const LONG_CALL: Duration = Duration::from_millis(300);
 
 /// One of this many processes takes no long calls.
 const NO_LONG_SHARE: usize = 3;
@@ -25,6 +28,15 @@
 /// Processes that take short calls only, if there are enough of them.
 const SHORT_ONLY: usize = 1;
 
+/// Most workers that one call may name.
+const MAX_NAMED: usize = 100;
+
+/// Share of the fixed time of a call that its names may take before it is made in parts.
+const NAMES_SHARE: f64 = 0.3;
+
+/// One of this many idle processes may take a part of the same call.
+const PART_SHARE: usize = 2;
+
 /// Fewest processes among which some are set aside for short calls.
 const MIN_SPLIT: usize = 3;
 
@@ -49,7 +61,20 @@
     workers: Vec<Arc<str>>,
 }
 
-/// The end of a call.
+impl WaitingCall {
+    /// Returns into how many parts the call is split. Each has the fixed time of a call, so that this is for
+    /// calls whose names take long, and where enough processes are idle.
+    fn parts(&self, idle: usize) -> usize {
+        let count = self.workers.len();
+        let spec = self.request.spec;
+        let names = spec.cost(count).saturating_sub(spec.decide);
+        let wanted = names.as_secs_f64() / (spec.decide.as_secs_f64() * NAMES_SHARE).max(0.001);
+        let useful = (wanted.ceil() as usize).min(idle / PART_SHARE).max(1);
+        useful.max(count.div_ceil(MAX_NAMED))
+    }
+}
+
+/// The end of a part of a call.
 #[derive(Debug)]
 pub(crate) struct AdviceEnd {
     pub step: StepId,
@@ -66,6 +91,8 @@
     peers: PeerPool,
     advisers: Vec<Adviser>,
     waiting: Vec<WaitingCall>,
+    /// Parts of calls that are out.
+    parts: HashMap<StepId, usize>,
     ends: mpsc::Sender<AdviceEnd>,
 }
 
@@ -80,6 +107,7 @@
             peers,
             advisers,
             waiting: Vec::new(),
+            parts: HashMap::new(),
             ends,
         }
     }
@@ -109,35 +137,55 @@
             .retain(|call| call.request.step != request.step);
         self.waiting.push(WaitingCall { request, workers });
         self.waiting
-            .sort_by_key(|call| (call.request.priority, call.request.objective_end));
+            .sort_by_key(|call| (call.request.priority, call.request.start_by));
         self.dispatch();
     }
 
-    /// Notes that a call has ended.
-    pub(crate) fn ended(&mut self, end: &AdviceEnd) {
+    /// Notes that a part of a call has ended. Returns whether it was the last one.
+    pub(crate) fn ended(&mut self, end: &AdviceEnd) -> bool {
         let same = |adviser: &&mut Adviser| adviser.address == end.address;
         if let Some(adviser) = self.advisers.iter_mut().find(same) {
             adviser.busy = false;
         }
+        let left = self.parts.get(&end.step).map_or(0, |parts| parts - 1);
+        match left {
+            0 => self.parts.remove(&end.step),
+            left => self.parts.insert(end.step, left),
+        };
         self.dispatch();
+        left == 0
     }
 
     fn dispatch(&mut self) {
         let mut index = 0;
         while index < self.waiting.len() {
-            let first = self.first_adviser(self.waiting[index].request.cost);
-            let mut advisers = self.advisers.iter().skip(first);
-            let free = advisers
-                .position(|adviser| !adviser.busy)
-                .map(|at| at + first);
-            match free {
-                Some(adviser) => {
-                    let call = self.waiting.remove(index);
-                    self.advisers[adviser].busy = true;
-                    let address = self.advisers[adviser].address.clone();
-                    self.send(call, address);
+            let call = &self.waiting[index];
+            let first = self.first_adviser(call.request.spec.cost(call.workers.len()));
+            let advisers = self.advisers.iter().enumerate().skip(first);
+            let idle = advisers.filter(|(_, adviser)| !adviser.busy);
+            let idle: SmallVec<[usize; 16]> = idle.map(|(at, _)| at).collect();
+            if idle.is_empty() {
+                index += 1;
+                continue;
+            }
+            let mut call = self.waiting.remove(index);
+            let parts = call.parts(idle.len());
+            let size = call.workers.len().div_ceil(parts).min(MAX_NAMED);
+            for adviser in idle {
+                if call.workers.is_empty() {
+                    break;
                 }
-                None => index += 1,
+                let rest = call.workers.split_off(size.min(call.workers.len()));
+                let workers = std::mem::replace(&mut call.workers, rest);
+                self.advisers[adviser].busy = true;
+                *self.parts.entry(call.request.step).or_default() += 1;
+                let address = self.advisers[adviser].address.clone();
+                self.send(&call.request, workers, address);
+            }
+            // What no idle process could take waits for the next one.
+            if !call.workers.is_empty() {
+                self.waiting.insert(index, call);
+                index += 1;
             }
         }
     }
@@ -154,21 +202,21 @@
         }
     }
 
-    fn send(&self, call: WaitingCall, address: Option<Arc<str>>) {
+    fn send(&self, request: &AdviceRequest, workers: Vec<Arc<str>>, address: Option<Arc<str>>) {
         let platform = self.platform.clone();
         let peers = self.peers.clone();
         let ends = self.ends.clone();
+        let step = request.step;
+        let limit = request.spec.cost(workers.len()) * CALL_FACTOR + CALL_SLACK;
         tokio::spawn(async move {
-            let step = call.request.step;
-            let limit = call.request.cost * CALL_FACTOR + CALL_SLACK;
             let reply = match &address {
-                None => advise_here(&platform, step, &call.workers, limit).await,
-                Some(peer) => advise_at(&peers, peer, step, &call.workers, limit).await,
+                None => advise_here(&platform, step, &workers, limit).await,
+                Some(peer) => advise_at(&peers, peer, step, &workers, limit).await,
             };
             let end = AdviceEnd {
                 step,
                 reply,
-                named: call.workers,
+                named: workers,
                 address,
             };
             // An owner task that has ended needs no advice.
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -12,10 +12,6 @@
 use crate::metrics::ControlMetrics;
 use crate::port::{HoldOrder, HoldReply, Platform, StartReply, StopReply, WorkerPeer};
 
-/// Lease that a renewal asks for. Long enough for a takeover, short enough that the tasks of a lost
-/// worker are soon started elsewhere.
-const LEASE: Duration = Duration::from_millis(4500);
-
 /// How long after the last proof of the owner's claim its leases may end. A new owner waits that long
 /// for a worker that it can't reach.
 pub(crate) const AUTHORITY: Duration = Duration::from_millis(9000);
@@ -71,6 +67,16 @@
     Stop(TaskRun),
 }
 
+/// Under what an owner gives orders.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkTerms {
+    pub fence: u64,
+    /// Lease that a renewal asks for.
+    pub lease: Duration,
+    /// A time at which the claim was certainly held.
+    pub proof: watch::Receiver<Instant>,
+}
+
 /// Sends orders to a link. The link ends when the handle is dropped.
 #[derive(Debug)]
 pub(crate) struct LinkHandle {
@@ -84,8 +90,7 @@
         platform: P,
         key: WorkerKey,
         peer: WorkerPeer,
-        fence: u64,
-        proof: watch::Receiver<Instant>,
+        terms: LinkTerms,
         metrics: ControlMetrics,
         events: mpsc::Sender<(WorkerKey, LinkEvent)>,
     ) -> Self {
@@ -95,8 +100,9 @@
             platform,
             key,
             peer,
-            fence,
-            proof,
+            fence: terms.fence,
+            lease: terms.lease,
+            proof: terms.proof,
             metrics,
             events,
             state: Arc::default(),
@@ -145,6 +151,8 @@
     key: WorkerKey,
     peer: WorkerPeer,
     fence: u64,
+    /// Lease that a renewal asks for.
+    lease: Duration,
     proof: watch::Receiver<Instant>,
     metrics: ControlMetrics,
     events: mpsc::Sender<(WorkerKey, LinkEvent)>,
@@ -177,7 +185,7 @@
     /// Returns the end of a lease by the owner's clock, or `None` if the claim is in doubt.
     fn lease_end(&self) -> Option<Instant> {
         let now = self.platform.now();
-        let end = (now + LEASE).min(*self.proof.borrow() + AUTHORITY);
+        let end = (now + self.lease).min(*self.proof.borrow() + AUTHORITY);
         (end >= now + MIN_LEASE).then_some(end)
     }
 
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -21,7 +21,7 @@
 use crate::feeds::{self, FeedEvent, StoredState};
 use crate::keys::{self, IntakeKey};
 use crate::lag::LagMeter;
-use crate::link::{AUTHORITY, LinkEvent, LinkHandle, LinkOrder};
+use crate::link::{AUTHORITY, LinkEvent, LinkHandle, LinkOrder, LinkTerms};
 use crate::members::MemberTable;
 use crate::metrics::ControlMetrics;
 use crate::peers::PeerPool;
@@ -106,6 +106,7 @@
     metrics: ControlMetrics,
     commit_began: Instant,
     observed_at: Instant,
+    lease: Duration,
     takeover_end: Instant,
     links: HashMap<WorkerKey, LinkHandle>,
     advisers: AdviserPool<P>,
@@ -142,6 +143,7 @@
     let mut owner = OwnerTask {
         advisers: AdviserPool::new(platform.clone(), parts.peers, advice_ends),
         cell: Cell::new(parts.options),
+        lease: parts.options.lease,
         keeper,
         planner: CommitPlanner::default(),
         committing: false,
@@ -264,8 +266,11 @@
             self.platform.clone(),
             key,
             peer,
-            self.keeper.chain.claim.fence,
-            self.keeper.proof.subscribe(),
+            LinkTerms {
+                fence: self.keeper.chain.claim.fence,
+                lease: self.lease,
+                proof: self.keeper.proof.subscribe(),
+            },
             self.metrics.clone(),
             self.link_events.clone(),
         );
@@ -429,7 +434,7 @@
     }
 
     fn advice(&mut self, end: AdviceEnd) {
-        self.advisers.ended(&end);
+        let last = self.advisers.ended(&end);
         let allowed = end.reply.as_ref().map(|reply| reply.allowed.len());
         EventCode::AdviceEnded.log(format_args!(
             "step={} named={} allowed={allowed:?}",
@@ -438,7 +443,7 @@
         ));
         let now = self.platform.now();
         self.cell
-            .advice_settled(end.step, &end.named, end.reply, now);
+            .advice_settled(end.step, &end.named, end.reply, last, now);
     }
 
     fn tick(&mut self) {
