fix: fail a job whose last failure is reported before the configuration

Cause: a process that restarts on the VM of the last owner takes the cell over at once, and can restore it before it has read the configuration. The maximum number of attempts was then taken as unlimited, so a task whose last allowed run was reported as failed waited again, and started once the configuration was there. A failure that such an owner recorded was not compared with the maximum by a later owner either. Ruled out by reading: ends acknowledged before their record, a record older than a segment, a failure counted as lost after a lease, repeated starts. Change: failures are counted in a module of their own and compared with the maximum when they are reported, when a job is restored and when a queue is configured. The fuzz replaces owners with and without a configuration, fails all runs of a worker, and runs whole rounds.

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -118,7 +118,12 @@
     /// for the jobs that still wait in them.
     pub fn configure(&mut self, queues: impl IntoIterator<Item = QueueSpec>) {
         for queue in queues {
-            self.queues.insert(queue.name.clone(), queue);
+            let name = queue.name.clone();
+            let max_attempts = queue.max_attempts;
+            let earlier = self.queues.insert(name.clone(), queue);
+            if earlier.is_none_or(|earlier| earlier.max_attempts != max_attempts) {
+                self.fail_exhausted_jobs(&name);
+            }
         }
         self.request_pass();
     }
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod advice;
 mod advice_request;
+mod attempts;
 mod cell;
 mod effect;
 mod ids;
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -103,6 +103,9 @@
         }
         let begun: Vec<u32> = job.occurrences.iter().map(|o| o.number).collect();
         self.jobs.insert(id, job);
+        if self.fail_if_exhausted(id) {
+            return;
+        }
         for number in begun {
             self.queue_runnable_steps(id, number);
         }
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -355,45 +355,12 @@
     }
 
     fn task_failed(&mut self, key: WorkerKey, run: TaskRun, number: u64) {
-        let id = run.task.step;
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        let Some(spec) = job.spec.clone() else {
-            return;
-        };
-        let Some(step_spec) = spec.steps.get(usize::from(id.step)) else {
-            return;
-        };
-        let queue = self.queues.get(&spec.queue);
-        let max_attempts = queue.map_or(u32::MAX, |queue| queue.max_attempts.max(1));
-        let Some(step) = job.step_mut(id) else {
-            return;
-        };
-        let index = usize::from(run.task.index);
-        if index >= step.tasks.len() {
-            return;
-        }
-        step.tasks[index].last_failed_on = Some(key);
-        let members = match step_spec.gang {
-            true => 0..step.tasks.len(),
-            false => index..index + 1,
-        };
-        // The members of a gang fail together, and an end may be reported again after a takeover.
-        for task in &mut step.tasks[members] {
-            if run.run > task.last_failed_run {
-                task.last_failed_run = run.run;
-                task.failures += 1;
-            }
-        }
-        let failures = step.tasks[index].failures;
+        let may_run_again = self.count_failure(key, run);
         self.record_end(key, run, number);
-        if failures >= max_attempts && !step_spec.long_running {
-            self.end_job(id.job, JobOutcome::Failed);
-            return;
+        if may_run_again {
+            self.requeue_task(key, run);
+            self.stop_incomplete_gang(run.task.step);
         }
-        self.requeue_task(key, run);
-        self.stop_incomplete_gang(id);
     }
 
     /// Stops the remaining members of a gang if one of them is no longer placed.
--- a/crates/hs-cell/tests/cell/fuzz.rs
+++ b/crates/hs-cell/tests/cell/fuzz.rs
@@ -43,7 +43,10 @@
     AnswerAdvice,
     BeginWrite,
     FinishWrite,
-    ReplaceOwner { is_applied: bool },
+    ReplaceOwner { is_applied: bool, has_config: bool },
+    ReadConfig,
+    FailRuns { worker: u8 },
+    Round { ms: u8 },
     DelayStarts { percent: u8 },
 }
 
@@ -51,7 +54,7 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let worker = u8::arbitrary(g) % WORKER_COUNT as u8;
         let nth = u8::arbitrary(g);
-        match u8::arbitrary(g) % 40 {
+        match u8::arbitrary(g) % 47 {
             0..=4 => Self::Submit { kind: nth },
             5 => Self::Cancel { nth },
             6..=13 => Self::RenewLease { worker },
@@ -73,7 +76,11 @@
             35..=37 => Self::FinishWrite,
             38 => Self::ReplaceOwner {
                 is_applied: bool::arbitrary(g),
+                has_config: bool::arbitrary(g),
             },
+            39 => Self::ReadConfig,
+            40 => Self::FailRuns { worker },
+            41..=45 => Self::Round { ms: nth },
             _ => Self::DelayStarts { percent: nth % 60 },
         }
     }
@@ -150,6 +157,7 @@
             world.restart(number);
         }
     }
+    world.read_config();
     world.finish_runs(FINAL_ROUNDS);
     for number in 0..jobs {
         let state = world.state(id(number));
@@ -196,7 +204,16 @@
         Command::AnswerAdvice => world.answer_advice(),
         Command::BeginWrite => world.begin_write(),
         Command::FinishWrite => world.finish_write(),
-        Command::ReplaceOwner { is_applied } => world.replace_owner(is_applied),
+        Command::ReplaceOwner {
+            is_applied,
+            has_config,
+        } => {
+            world.has_config = has_config;
+            world.replace_owner(is_applied);
+        }
+        Command::ReadConfig => world.read_config(),
+        Command::FailRuns { worker } => world.fail_runs(usize::from(worker)),
+        Command::Round { ms } => world.fault_free_round(Duration::from_millis(ms.into())),
         Command::DelayStarts { percent } => world.delayed_start_percent = percent.into(),
     }
 }
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -136,6 +136,57 @@
     );
 }
 
+/// Guards against a further start of a task whose last allowed run fails while the new owner does not know the
+/// configuration yet, and with it the maximum number of attempts.
+#[test]
+fn a_last_failure_reported_before_the_configuration_fails_the_job() {
+    struct Case {
+        name: &'static str,
+        /// Whether a second takeover comes between the report and the configuration.
+        is_replaced_again: bool,
+    }
+    let cases = [
+        Case {
+            name: "one takeover",
+            is_replaced_again: false,
+        },
+        Case {
+            name: "the failure is recorded, and a configured owner restores it",
+            is_replaced_again: true,
+        },
+    ];
+    for Case {
+        name,
+        is_replaced_again,
+    } in cases
+    {
+        let mut world = World::with_reports(2, vec![queue("check", 0, 2)]);
+        world.submit(id(1), job("check", vec![step(1, 1000, 500)]));
+        world.fault_free_round(ROUND_TIME);
+        for is_last in [false, true] {
+            let (worker, run) = world.placed(id(1))[0];
+            world.end(worker, run, RunEnd::Failed);
+            if is_last {
+                world.has_config = false;
+                world.take_over();
+            }
+            world.fault_free_round(ROUND_TIME);
+            world.fault_free_round(ROUND_TIME);
+        }
+        if is_replaced_again {
+            world.has_config = true;
+            world.take_over();
+        }
+        world.read_config();
+        for _ in 0..6 {
+            world.fault_free_round(ROUND_TIME);
+        }
+        let state = world.state(id(1));
+        assert_eq!(state, Some(JobState::Ended(JobOutcome::Failed)), "{name}");
+        assert_eq!(world.start_count, 2, "{name}");
+    }
+}
+
 /// Guards against a step that starts before all tasks of a step that it depends on are done.
 #[test]
 fn a_step_waits_for_all_tasks_of_its_dependencies() {
--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -84,6 +84,8 @@
     /// End of the lease requested by the last renewal, by worker number. Starts request the same one.
     requested_lease_ends: Vec<Option<Instant>>,
     queues: Vec<QueueSpec>,
+    /// Whether a new owner has the configuration before its first worker reports.
+    pub has_config: bool,
     log: RecordLog,
     sequence: u64,
     /// Write that is in progress.
@@ -123,6 +125,7 @@
             last_renewal_answered: vec![false; workers],
             requested_lease_ends: vec![None; workers],
             queues,
+            has_config: true,
             log: RecordLog::default(),
             sequence: 0,
             pending: None,
@@ -173,8 +176,14 @@
 
     /// Applies a configuration of queues.
     pub fn configure(&mut self, queues: Vec<QueueSpec>) {
-        self.cell.configure(queues.clone());
         self.queues = queues;
+        self.read_config();
+    }
+
+    /// Lets the owner read the configuration, as it does some time after its start.
+    pub fn read_config(&mut self) {
+        self.has_config = true;
+        self.cell.configure(self.queues.clone());
     }
 
     /// Stores a job and adds it to the cell.
@@ -199,7 +208,9 @@
         self.acks.clear();
         self.advice.clear();
         self.cell = Cell::new(CellOptions::default());
-        self.cell.configure(self.queues.clone());
+        if self.has_config {
+            self.cell.configure(self.queues.clone());
+        }
         let lease_end = self.now + TAKEOVER_LEASE;
         for number in 0..self.workers.len() {
             self.keys[number] = None;
@@ -409,6 +420,14 @@
         }
     }
 
+    /// Ends all runs of a worker as failed.
+    pub fn fail_runs(&mut self, number: usize) {
+        let runs: Vec<TaskRun> = self.workers[number].running.keys().copied().collect();
+        for run in runs {
+            self.end(number, run, RunEnd::Failed);
+        }
+    }
+
     /// Replaces the owner during a write, which the store has applied if `written`.
     pub fn replace_owner(&mut self, written: bool) {
         if written && let Some((_, writes)) = self.pending.take() {
