fix: count free capacity alike in placement, advice and reservations

Cause: advice requests counted the free resources of a worker without the tasks of the step that already run there, the limit of a worker on probation, its lease and reservations for other steps. The workers with tickets then seemed to have room, no others were named, and a failed task of a spread step waited although most workers were free. Reservations for gangs had the same fault: they took workers that accept no runs at the moment, so that the gang was planned for now and never placed. Ruled out: an advice request without an answer, which expires after 10 s and is sent again. Change: one module counts how many tasks of a step can be placed on a worker; placement, advice requests and reservations call it. A reservation only takes workers that accept runs.

--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -7,6 +7,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::capacity::StepDemand;
 use crate::cell::Cell;
 use crate::effect::{AdviceRequest, CellEffect};
 use crate::queue_spec::AdviceSpec;
@@ -46,6 +47,7 @@
     pub spec: AdviceSpec,
     /// Number of waiting tasks of the step.
     pub wanted: u32,
+    pub demand: StepDemand,
 }
 
 /// Number of further tasks of a step that fit on a worker.
@@ -95,17 +97,10 @@
             return Vec::new();
         };
         let advice = &step.advice;
-        let need_per_task = spec.allocated_resources();
-        let limit = match spec.max_per_worker {
-            0 => u32::MAX,
-            limit => u32::from(limit),
-        };
         let mut allowed = Vec::new();
         let mut unknown = Vec::new();
         for key in eligible {
-            let fits = need_per_task
-                .max_copies_in(self.workers[key].free())
-                .min(limit);
+            let fits = self.workers[key].placeable_tasks(&need.demand, now);
             let worker = FreeCapacity { key, fits };
             if advice.tickets.iter().any(|ticket| ticket.worker == key) {
                 allowed.push(worker);
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -11,6 +11,7 @@
 mod advice;
 mod advice_request;
 mod attempts;
+mod capacity;
 mod cell;
 mod effect;
 mod ids;
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 
 use crate::advice_request::AdviceNeed;
+use crate::capacity::StepDemand;
 use crate::cell::Cell;
 use crate::job::{Job, TaskState};
 use crate::job_spec::StepSpec;
@@ -114,7 +115,8 @@
             .as_ref()
             .and_then(|spec| self.queues.get(&spec.queue));
         let advice = queue.and_then(|queue| queue.advice);
-        let mut candidates = self.candidates(job, id, &spec, key.priority, advice.is_some(), now);
+        let demand = StepDemand::new(id, &spec, key.priority);
+        let mut candidates = self.candidates(job, &demand, &spec, advice.is_some(), now);
         let total_fits: u32 = candidates
             .iter()
             .map(|c| c.fits)
@@ -126,6 +128,7 @@
             let need = AdviceNeed {
                 spec: advice,
                 wanted,
+                demand,
             };
             self.request_advice(key, need, now);
         }
@@ -209,19 +212,17 @@
     fn candidates(
         &self,
         job: &Job,
-        id: StepId,
+        demand: &StepDemand,
         spec: &StepSpec,
-        priority: u8,
         needs_ticket: bool,
         now: Instant,
     ) -> Vec<Candidate> {
-        let Some(step) = job.step(id) else {
+        let Some(step) = job.step(demand.step) else {
             return Vec::new();
         };
         let Some(service) = self.service_of(job) else {
             return Vec::new();
         };
-        let need = spec.allocated_resources();
         let mut candidates = Vec::new();
         // If the queue uses advice, only the few workers with a valid ticket are candidates.
         let keys: SmallVec<[WorkerKey; 64]> = match needs_ticket {
@@ -232,32 +233,14 @@
             let Some(worker) = self.workers.get(key) else {
                 continue;
             };
-            let reserved_for_other = |(by, step): (u8, StepId)| step != id && by <= priority;
-            if worker.reserved_by.is_some_and(reserved_for_other) {
-                continue;
-            }
-            let mut fits = need.max_copies_in(worker.free());
-            if fits == 0 || worker.entry.service != service || !worker.accepts_runs(now) {
+            let fits = worker.placeable_tasks(demand, now);
+            if fits == 0 || worker.entry.service != service {
                 continue;
             }
             if !has_label(&worker.entry.labels, spec.requires.as_ref()) {
                 continue;
             }
-            if worker.is_quarantined_or_on_probation(now) {
-                fits = fits.min(1);
-            }
-            if spec.max_per_worker > 0 {
-                let here = worker
-                    .slots
-                    .keys()
-                    .filter(|run| run.task.step == id)
-                    .count() as u32;
-                fits = fits.min(u32::from(spec.max_per_worker).saturating_sub(here));
-            }
-            if fits == 0 {
-                continue;
-            }
-            let after = worker.free().saturating_sub(need);
+            let after = worker.free().saturating_sub(demand.need);
             let leftover = after.dominant_share(worker.entry.capacity) * 1000.0;
             candidates.push(Candidate {
                 key,
--- a/crates/hs-cell/src/reserve.rs
+++ b/crates/hs-cell/src/reserve.rs
@@ -10,6 +10,7 @@
 use hs_wire::Resources;
 use smallvec::SmallVec;
 
+use crate::capacity::StepDemand;
 use crate::cell::Cell;
 use crate::step_order::{OrderKey, Timeliness};
 use crate::worker::{Slot, SlotPhase};
@@ -152,19 +153,22 @@
         self.reservations.push(reservation);
     }
 
-    /// Returns the unreserved workers on which a step may run. If its queue uses advice, these are only the
+    /// Returns the unreserved workers that accept runs and on which a step may run. If its queue uses advice, these are only the
     /// workers with a ticket.
     fn allowed_workers(&self, id: StepId, now: Instant) -> Option<Vec<WorkerKey>> {
         let (queue, eligible) = self.eligible_workers(id, now)?;
         let advised = self.queues.get(&queue)?.advice.is_some();
         let step = self.jobs.get(&id.job)?.step(id)?;
         let tickets = &step.advice.tickets;
-        let unreserved = |key: &WorkerKey| self.workers[*key].reserved_by.is_none();
+        let usable = |key: &WorkerKey| {
+            let worker = &self.workers[*key];
+            worker.reserved_by.is_none() && worker.accepts_runs(now)
+        };
         let allowed = |key: &WorkerKey| !advised || tickets.iter().any(|t| t.worker == *key);
         Some(
             eligible
                 .into_iter()
-                .filter(unreserved)
+                .filter(usable)
                 .filter(allowed)
                 .collect(),
         )
@@ -181,22 +185,10 @@
     ) -> Option<StartPlan> {
         let id = order.step;
         let spec = self.jobs.get(&id.job)?.step_spec(id)?;
-        let need = spec.allocated_resources();
-        let limit = match spec.max_per_worker {
-            0 => u32::MAX,
-            limit => u32::from(limit),
-        };
+        let demand = StepDemand::new(id, spec, order.priority);
         let mut options = Vec::new();
         for key in allowed {
-            self.add_placement_options(
-                order,
-                *key,
-                need,
-                limit,
-                allow_preemption,
-                now,
-                &mut options,
-            );
+            self.add_placement_options(order, *key, &demand, allow_preemption, now, &mut options);
         }
         options.sort_by_key(|option| option.available_at);
         options.truncate(usize::try_from(wanted).ok()?);
@@ -210,18 +202,18 @@
         })
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one loop of `start_plan`")]
     fn add_placement_options(
         &self,
         order: OrderKey,
         key: WorkerKey,
-        need: Resources,
-        limit: u32,
+        demand: &StepDemand,
         allow_preemption: bool,
         now: Instant,
         options: &mut Vec<PlacementOption>,
     ) {
         let worker = &self.workers[key];
+        let need = demand.need;
+        let limit = worker.task_limit(demand, now);
         let mut free = worker.free();
         let mut fits = need.max_copies_in(free).min(limit);
         for _ in 0..fits {
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -12,6 +12,9 @@
 /// Number of rounds after which the lease of an unreachable worker, of 7.5 s, has expired.
 const LEASE_EXPIRY_ROUNDS: usize = 180;
 
+/// Number of rounds, of 3 s in all, within which a ready task has to start if workers have room for it.
+const RESTART_ROUNDS: usize = 60;
+
 /// Guards against a step that waits forever after its advice request has failed, because no other event
 /// triggers a retry.
 #[test]
@@ -370,3 +373,34 @@
         Some(JobState::Ended(JobOutcome::Completed))
     );
 }
+
+/// Guards against a task that waits although workers have room, because those with tickets already run as many
+/// tasks of its step as one worker may, and no advice is requested for others.
+#[test]
+fn a_failed_task_of_a_spread_step_starts_again_on_another_worker() {
+    let queues = vec![advised_queue("watch", 1, Duration::from_millis(10))];
+    let mut world = World::with_reports(60, queues);
+    let spread = StepSpec {
+        long_running: true,
+        max_per_worker: 1,
+        ..step(8, 1000, 300)
+    };
+    world.submit(id(1), job("watch", vec![spread]));
+    for _ in 0..10 {
+        world.fault_free_round(ROUND_TIME);
+    }
+    assert_eq!(world.placed(id(1)).len(), 8);
+    let (worker, run) = world.placed(id(1))[0];
+    world.crash(worker);
+    for _ in 0..LEASE_EXPIRY_ROUNDS {
+        world.fault_free_round(ROUND_TIME);
+    }
+    for _ in 0..RESTART_ROUNDS {
+        world.fault_free_round(ROUND_TIME);
+    }
+    assert!(
+        world.placed(id(1)).iter().any(|(_, r)| r.task == run.task),
+        "{:?} does not run again",
+        run.task
+    );
+}
