fix: start all members of a gang or none

Cause: the start of a gang member was dropped on its own if its ticket expired while the placement was written, or if its worker restarted before; the other members were started, held their resources and waited until the workers gave them up. A new owner that restored a gang of which some members were being stopped did not stop them again, so the gang waited for members that ran on. Ruled out: a ready step that no pass considers (the fuzz finds none). Change: all starts of a batch are checked before the first is sent, and a gang that lost a member is stopped as a whole in each of the three cases. Starts and stops are a module of their own.

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -7,14 +7,14 @@
 use slotmap::SlotMap;
 
 use crate::advice::AllowedShare;
-use crate::effect::{CellBatch, CellEffect, RecordRow, StartOrder};
-use crate::job::{Job, Occurrence, TaskState};
+use crate::effect::{CellBatch, CellEffect, RecordRow};
+use crate::job::{Job, Occurrence};
 use crate::job_record::JobOutcome;
 use crate::job_spec::JobSpec;
 use crate::queue_spec::QueueSpec;
 use crate::reserve::Reservation;
-use crate::worker::{SlotPhase, Worker};
-use crate::{JobId, StepId, TaskRun, WorkerKey};
+use crate::worker::Worker;
+use crate::{JobId, StepId, WorkerKey};
 
 /// Settings of a cell.
 #[derive(Clone, Copy, Debug)]
@@ -290,9 +290,7 @@
                 self.mark_outcome_stored(*id, now);
             }
         }
-        for (worker, run) in batch.starts {
-            self.send_start(worker, run, now);
-        }
+        self.send_starts(batch.starts, now);
         for (key, number) in batch.ends {
             let Some(worker) = self.workers.get_mut(key) else {
                 continue;
@@ -314,45 +312,6 @@
         }
     }
 
-    fn send_start(&mut self, key: WorkerKey, run: TaskRun, now: Instant) {
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        let Some(slot) = worker.slots.get_mut(&run) else {
-            return;
-        };
-        if slot.phase != SlotPhase::Recording {
-            return;
-        }
-        let id = run.task.step;
-        let job = self.jobs.get(&id.job);
-        let order = job.and_then(|job| {
-            let spec = job.spec.as_ref()?;
-            let step = job.step(id)?;
-            let task = step.tasks.get(usize::from(run.task.index))?;
-            let ticket = step.advice.ticket(key, now).cloned();
-            let needs_ticket = self.queues.get(&spec.queue)?.advice.is_some();
-            if needs_ticket && ticket.is_none() {
-                return None;
-            }
-            Some(StartOrder {
-                run,
-                input: spec.input.clone(),
-                checkpoint: task.checkpoint.clone(),
-                ticket,
-            })
-        });
-        match order {
-            Some(order) => {
-                slot.phase = SlotPhase::Sent;
-                slot.last_progress_at = now;
-                self.effects.push(CellEffect::Start(key, order));
-            }
-            // The ticket expired while the placement was being committed.
-            None => self.undo_placement(key, run),
-        }
-    }
-
     /// Ends a job and stops its runs.
     pub(crate) fn end_job(&mut self, id: JobId, outcome: JobOutcome) {
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -367,44 +326,6 @@
         self.request_pass();
     }
 
-    /// Stops a run, or undoes its placement if the start was not sent yet.
-    pub(crate) fn stop_run(&mut self, key: WorkerKey, run: TaskRun) {
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        let Some(slot) = worker.slots.get_mut(&run) else {
-            return;
-        };
-        match slot.phase {
-            SlotPhase::Recording => self.undo_placement(key, run),
-            SlotPhase::Stopping => {}
-            SlotPhase::Sent | SlotPhase::Running => {
-                slot.phase = SlotPhase::Stopping;
-                slot.visible_since = None;
-                self.effects.push(CellEffect::Stop(key, run));
-            }
-        }
-    }
-
-    /// Undoes a placement whose run is known not to exist, so that the task waits again.
-    pub(crate) fn undo_placement(&mut self, key: WorkerKey, run: TaskRun) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.release(run);
-        }
-        let id = run.task.step;
-        if let Some(job) = self.jobs.get_mut(&id.job) {
-            job.pending_starts.retain(|(_, pending)| *pending != run);
-            if let Some(step) = job.step_mut(id) {
-                let task = &mut step.tasks[usize::from(run.task.index)];
-                if task.run == run.run && task.state == TaskState::Placed(key) {
-                    task.state = TaskState::Waiting;
-                }
-            }
-        }
-        self.mark_dirty(id.job);
-        self.queue_step(id);
-    }
-
     fn begin_all_due_occurrences(&mut self, now: Instant, now_ms: u64) {
         while let Some((&(due_ms, id), ())) = self.due_occurrences.first_key_value() {
             if due_ms > now_ms {
--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use smallvec::SmallVec;
+
 use crate::cell::Cell;
 use crate::effect::CellEffect;
 use crate::job::TaskState;
 use crate::worker::{SlotPhase, Worker, WorkerEntry};
-use crate::{TaskRun, WorkerKey};
+use crate::{StepId, TaskRun, WorkerKey};
 
 impl Cell {
     /// Adds or updates a worker from its registry entry. Returns the key of the incarnation.
@@ -50,10 +52,12 @@
         let lease_end = self.workers[earlier].lease_end;
         let worker = &mut self.workers[key];
         worker.lease_end = worker.lease_end.max(lease_end);
+        let mut undone: SmallVec<[StepId; 4]> = SmallVec::new();
         for (run, mut slot) in slots {
             let phase = slot.phase;
             if phase == SlotPhase::Recording {
                 self.undo_placement(earlier, run);
+                undone.push(run.task.step);
                 continue;
             }
             slot.phase = SlotPhase::Running;
@@ -72,6 +76,9 @@
                 self.stop_run(key, run);
             }
         }
+        for step in undone {
+            self.stop_incomplete_gang(step);
+        }
     }
 
     /// Marks a worker as no longer listed by the registry. Its runs count as ended when its lease expires.
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -24,6 +24,7 @@
 mod record;
 mod record_log;
 mod reserve;
+mod run_orders;
 mod segment;
 mod step_order;
 mod worker;
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -109,6 +109,14 @@
         for number in begun {
             self.queue_runnable_steps(id, number);
         }
+        // The stops of an incomplete gang may have been lost with the earlier owner.
+        for step in &record.steps {
+            self.stop_incomplete_gang(StepId {
+                job: id,
+                occurrence: step.occurrence,
+                step: step.step,
+            });
+        }
         self.begin_due_occurrences(id, now, now_ms);
     }
 
--- /dev/null
+++ b/crates/hs-cell/src/run_orders.rs
@@ -0,0 +1,108 @@
+//! Orders to workers: starts, which are sent after their placements are recorded, and stops.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::cell::Cell;
+use crate::effect::{CellEffect, StartOrder};
+use crate::job::TaskState;
+use crate::worker::SlotPhase;
+use crate::{TaskRun, WorkerKey};
+
+impl Cell {
+    /// Sends the starts whose placements are recorded. Placements whose tickets have expired meanwhile are
+    /// undone; those of a gang are undone together, since no member can work without the others.
+    pub(crate) fn send_starts(&mut self, starts: Vec<(WorkerKey, TaskRun)>, now: Instant) {
+        for (key, run) in &starts {
+            if self.is_recording(*key, *run) && self.start_ticket(*key, *run, now).is_none() {
+                self.undo_placement(*key, *run);
+                self.stop_incomplete_gang(run.task.step);
+            }
+        }
+        for (key, run) in starts {
+            if self.is_recording(key, run) {
+                self.send_start(key, run, now);
+            }
+        }
+    }
+
+    fn is_recording(&self, key: WorkerKey, run: TaskRun) -> bool {
+        let worker = self.workers.get(key);
+        let slot = worker.and_then(|worker| worker.slots.get(&run));
+        slot.is_some_and(|slot| slot.phase == SlotPhase::Recording)
+    }
+
+    /// Returns the ticket that the start of a run carries, which is empty if the queue needs none. Returns
+    /// `None` if it needs one and there is no valid one.
+    fn start_ticket(&self, key: WorkerKey, run: TaskRun, now: Instant) -> Option<Option<Arc<str>>> {
+        let job = self.jobs.get(&run.task.job())?;
+        let queue = self.queues.get(&job.spec.as_ref()?.queue)?;
+        if queue.advice.is_none() {
+            return Some(None);
+        }
+        let step = job.step(run.task.step)?;
+        step.advice.ticket(key, now).cloned().map(Some)
+    }
+
+    fn send_start(&mut self, key: WorkerKey, run: TaskRun, now: Instant) {
+        let Some(order) = self.start_order(key, run, now) else {
+            return;
+        };
+        let worker = self.workers.get_mut(key);
+        if let Some(slot) = worker.and_then(|worker| worker.slots.get_mut(&run)) {
+            slot.phase = SlotPhase::Sent;
+            slot.last_progress_at = now;
+            self.effects.push(CellEffect::Start(key, order));
+        }
+    }
+
+    fn start_order(&self, key: WorkerKey, run: TaskRun, now: Instant) -> Option<StartOrder> {
+        let job = self.jobs.get(&run.task.job())?;
+        let step = job.step(run.task.step)?;
+        let task = step.tasks.get(usize::from(run.task.index))?;
+        Some(StartOrder {
+            run,
+            input: job.spec.as_ref()?.input.clone(),
+            checkpoint: task.checkpoint.clone(),
+            ticket: self.start_ticket(key, run, now)?,
+        })
+    }
+
+    /// Stops a run, or undoes its placement if the start was not sent yet.
+    pub(crate) fn stop_run(&mut self, key: WorkerKey, run: TaskRun) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let Some(slot) = worker.slots.get_mut(&run) else {
+            return;
+        };
+        match slot.phase {
+            SlotPhase::Recording => self.undo_placement(key, run),
+            SlotPhase::Stopping => {}
+            SlotPhase::Sent | SlotPhase::Running => {
+                slot.phase = SlotPhase::Stopping;
+                slot.visible_since = None;
+                self.effects.push(CellEffect::Stop(key, run));
+            }
+        }
+    }
+
+    /// Undoes a placement whose run is known not to exist, so that the task waits again.
+    pub(crate) fn undo_placement(&mut self, key: WorkerKey, run: TaskRun) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.release(run);
+        }
+        let id = run.task.step;
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.pending_starts.retain(|(_, pending)| *pending != run);
+            if let Some(step) = job.step_mut(id) {
+                let task = &mut step.tasks[usize::from(run.task.index)];
+                if task.run == run.run && task.state == TaskState::Placed(key) {
+                    task.state = TaskState::Waiting;
+                }
+            }
+        }
+        self.mark_dirty(id.job);
+        self.queue_step(id);
+    }
+}
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod fixture;
 mod fuzz;
 mod patterns;
+mod readiness;
 mod record_log;
 mod records;
 mod regressions;
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hs_cell::{JobOutcome, JobState, RunEnd, StepSpec};
+use hs_cell::{AdviceReply, JobOutcome, JobState, RunEnd, StepId, StepSpec};
 
 use crate::fixture::{advised_queue, id, job, queue, step};
 use crate::world::World;
@@ -404,3 +404,41 @@
         run.task
     );
 }
+
+/// Guards against a gang of which only some members start, because the tickets of the others expire while the
+/// placement is written. The lone members hold their resources and wait for the others in vain.
+#[test]
+fn a_gang_with_an_expired_ticket_starts_no_member() {
+    let queues = vec![advised_queue("plan", 1, Duration::from_millis(300))];
+    let mut world = World::with_reports(8, queues);
+    let gang = StepSpec {
+        gang: true,
+        ..step(3, 6000, 500)
+    };
+    world.submit(id(1), job("plan", vec![gang]));
+    world.advance_cell();
+    world.answer_advice();
+    world.advance_cell();
+    world.begin_write();
+    // The ticket of one member is renewed while the write takes longer than the others are valid.
+    let request = StepId {
+        job: id(1),
+        occurrence: 0,
+        step: 0,
+    };
+    world.pass_time(Duration::from_millis(1900));
+    let reply = AdviceReply {
+        allowed: vec![("w0".into(), "ticket".into())],
+        ticket_validity: Duration::from_secs(2),
+    };
+    let named = ["w0".into()];
+    world
+        .cell
+        .advice_settled(request, &named, Some(reply), true, world.now);
+    world.finish_write();
+    assert_eq!(world.start_count, 0, "a member starts without the others");
+    for _ in 0..10 {
+        world.fault_free_round(ROUND_TIME);
+    }
+    assert_eq!(world.placed(id(1)).len(), 3);
+}
