fix: never count long-running tasks as late

Cause: the order of waiting steps compares the age of a job with its objective, which is a fraction of a second for a long-running step. A task that failed later came after all jobs that could still be in time; with 24 of them waiting in its priority it could not even request advice. Ruled out: the limit of 24 steps itself, which bounds the work of a pass. Change: long-running steps count as on time, so their early start puts them first within their priority.

--- a/crates/hs-cell/src/step_order.rs
+++ b/crates/hs-cell/src/step_order.rs
@@ -4,6 +4,7 @@
 //! results are still useful, then the rest. A load peak therefore costs only the jobs that it has
 //! already delayed, instead of delaying every later job a little beyond its objective. Within a group
 //! the order is by the priority of the queue, then by the latest start that meets the objective.
+//! Long-running tasks never count as late, since every second in which they run is of use to their client.
 
 use std::time::{Duration, Instant};
 
@@ -70,8 +71,12 @@
         let critical_path = spec.critical_path();
         let objective = critical_path.mul_f64(queue.stretch.max(1.0)) + queue.target;
         let remaining = spec.critical_path_from(id.step);
+        let timeliness = match spec.steps.get(usize::from(id.step))?.long_running {
+            true => Timeliness::OnTime,
+            false => timeliness(occurrence.runnable_since, objective, remaining, now),
+        };
         Some(OrderKey {
-            timeliness: timeliness(occurrence.runnable_since, objective, remaining, now),
+            timeliness,
             priority: queue.priority,
             start_by: occurrence.runnable_since + objective - remaining,
             step: id,
--- a/crates/hs-cell/tests/cell/patterns.rs
+++ b/crates/hs-cell/tests/cell/patterns.rs
@@ -338,3 +338,34 @@
         assert!(busy.contains(&number), "{id} is empty");
     }
 }
+
+/// Pattern: a long-running task fails long after its job began, while many later jobs of its queue wait that no
+/// worker can run. It does not count as late, and so is not placed after all of them.
+#[test]
+fn a_long_running_task_that_failed_late_is_not_overtaken_by_waiting_jobs() {
+    let queues = vec![advised_queue("watch", 1, Duration::from_millis(10))];
+    let mut world = World::with_reports(12, queues);
+    let lasting = StepSpec {
+        long_running: true,
+        ..step(6, 5000, 300)
+    };
+    world.submit(id(1), job("watch", vec![lasting]));
+    for _ in 0..600 {
+        world.fault_free_round(ROUND_TIME);
+    }
+    assert_eq!(run_count(&world, id(1)), 6);
+    for number in 10..50 {
+        let impossible = StepSpec {
+            requires: Some("missing".into()),
+            ..step(1, 1000, 60_000)
+        };
+        world.submit(id(number), job("watch", vec![impossible]));
+    }
+    world.fault_free_round(ROUND_TIME);
+    let (worker, run) = world.placed(id(1))[0];
+    world.end(worker, run, RunEnd::Failed);
+    for _ in 0..60 {
+        world.fault_free_round(ROUND_TIME);
+    }
+    assert_eq!(run_count(&world, id(1)), 6);
+}
