feat: find workers by an index of free CPU

Each waiting step looked at all workers in each pass, and at all its tickets and refusals for each of them. Change: an index of the workers by free CPU, which advice requests and placement without advice read from the fitting end; tickets and refusals are sorted by worker; reservations look at the workers with tickets only; leases are checked each 20 ms instead of at each event.

--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -40,8 +40,9 @@
 /// Advice obtained for a step, and the state of its requests.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepAdvice {
+    /// Tickets, ordered by worker.
     pub tickets: Vec<Ticket>,
-    /// Workers that the advice service has not allowed.
+    /// Workers that the advice service has not allowed, in order.
     pub denied: Vec<WorkerKey>,
     /// Time of the request that is in flight.
     pub requested_at: Option<Instant>,
@@ -54,9 +55,19 @@
 impl StepAdvice {
     /// Returns the ticket for a worker, if it can still be used.
     pub(crate) fn ticket(&self, worker: WorkerKey, now: Instant) -> Option<&Arc<str>> {
-        let mut tickets = self.tickets.iter();
-        let ticket = tickets.find(|t| t.worker == worker && now + TICKET_MARGIN < t.until)?;
-        Some(&ticket.ticket)
+        let ticket = self.any_ticket(worker)?;
+        (now + TICKET_MARGIN < ticket.until).then_some(&ticket.ticket)
+    }
+
+    /// Returns the ticket for a worker, even if it has expired.
+    pub(crate) fn any_ticket(&self, worker: WorkerKey) -> Option<&Ticket> {
+        let position = self.tickets.binary_search_by_key(&worker, |t| t.worker);
+        position.ok().map(|position| &self.tickets[position])
+    }
+
+    /// Returns whether a reply has allowed or denied a worker.
+    pub(crate) fn is_known(&self, worker: WorkerKey) -> bool {
+        self.denied.binary_search(&worker).is_ok() || self.any_ticket(worker).is_some()
     }
 
     /// Returns the workers whose tickets can still be used.
@@ -139,17 +150,16 @@
             return;
         };
         let workers_by_id = &self.workers_by_id;
-        let named_keys: Vec<WorkerKey> = named
+        let mut named_keys: Vec<WorkerKey> = named
             .iter()
             .filter_map(|id| workers_by_id.get(id).copied())
             .collect();
-        advice.tickets.retain(|t| !named_keys.contains(&t.worker));
+        named_keys.sort_unstable();
+        let is_named = |key: &WorkerKey| named_keys.binary_search(key).is_ok();
+        advice.tickets.retain(|t| !is_named(&t.worker));
         let until = now + reply.ticket_validity;
         for (id, ticket) in reply.allowed {
-            if let Some(&worker) = workers_by_id
-                .get(&id)
-                .filter(|key| named_keys.contains(key))
-            {
+            if let Some(&worker) = workers_by_id.get(&id).filter(|key| is_named(key)) {
                 advice.tickets.push(Ticket {
                     worker,
                     ticket,
@@ -157,14 +167,16 @@
                 });
             }
         }
-        let tickets = &advice.tickets;
-        let allowed = |worker: &WorkerKey| tickets.iter().any(|t| t.worker == *worker);
-        let denied: Vec<_> = named_keys.iter().copied().filter(|w| !allowed(w)).collect();
+        advice.tickets.sort_unstable_by_key(|ticket| ticket.worker);
+        let is_denied = |key: &WorkerKey| advice.any_ticket(*key).is_none();
+        let denied: Vec<_> = named_keys.iter().copied().filter(is_denied).collect();
         if let Some(queue) = queue {
             let share = self.allowed_shares.entry(queue).or_default();
             share.record_reply(named_keys.len(), named_keys.len() - denied.len());
         }
         advice.denied.extend(denied);
+        advice.denied.sort_unstable();
+        advice.denied.dedup();
         self.request_pass();
     }
 }
--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -5,11 +5,13 @@
 //! further request is sent if many workers are unknown, that is, not named before, if the unknown ones are
 //! expected to suffice for the rest of the step, or if the last reply is [`SMALL_REQUEST_INTERVAL`] old.
 
+use std::ops::ControlFlow;
 use std::time::{Duration, Instant};
 
 use crate::capacity::StepDemand;
 use crate::cell::Cell;
 use crate::effect::{AdviceRequest, CellEffect};
+use crate::job::Job;
 use crate::queue_spec::AdviceSpec;
 use crate::step_order::OrderKey;
 use crate::{StepId, WorkerKey};
@@ -87,68 +89,99 @@
     }
 
     fn workers_to_name(&self, id: StepId, need: AdviceNeed, now: Instant) -> Vec<WorkerKey> {
-        let Some((queue, eligible)) = self.eligible_workers(id, now) else {
-            return Vec::new();
-        };
         let Some(job) = self.jobs.get(&id.job) else {
             return Vec::new();
         };
         let (Some(step), Some(spec)) = (job.step(id), job.step_spec(id)) else {
             return Vec::new();
         };
-        let advice = &step.advice;
-        let mut allowed = Vec::new();
-        let mut unknown = Vec::new();
-        for key in eligible {
-            let fits = self.workers[key].placeable_tasks(&need.demand, now);
-            let worker = FreeCapacity { key, fits };
-            if advice.tickets.iter().any(|ticket| ticket.worker == key) {
-                allowed.push(worker);
-            } else if !advice.denied.contains(&key) {
-                unknown.push(worker);
-            }
-        }
-        let total_fits = |workers: &[FreeCapacity]| -> u32 {
-            let fits = workers.iter().map(|worker| worker.fits);
-            fits.fold(0, u32::saturating_add)
+        let Some(eligibility) = self.eligibility(job, id) else {
+            return Vec::new();
         };
+        let admitted = |key: WorkerKey| {
+            let worker = self.workers.get(key)?;
+            eligibility.admits(worker, now).then(|| FreeCapacity {
+                key,
+                fits: worker.placeable_tasks(&need.demand, now),
+            })
+        };
+        let tickets = step.advice.tickets.iter();
+        let allowed: Vec<FreeCapacity> = tickets.filter_map(|t| admitted(t.worker)).collect();
         let allowed_fits = total_fits(&allowed);
         let enough = if spec.gang { need.wanted } else { 1 };
         let mut requested = self.tickets_to_renew(id, &allowed, enough, need, now);
         if allowed_fits < need.wanted {
-            let is_first_request = allowed.is_empty() && advice.denied.is_empty();
-            if !is_first_request && !spec.gang {
-                // The tasks are placed independently, so only workers with free capacity help.
-                unknown.retain(|worker| worker.fits > 0);
-            }
-            let share = self
-                .allowed_shares
-                .get(&queue)
-                .copied()
-                .unwrap_or_default()
-                .share();
             let missing = need.wanted - allowed_fits;
+            let unknown = self.unknown_workers_to_name(job, id, need, missing, &admitted);
+            let share = self.allowed_share(job);
             let expected = share * f64::from(total_fits(&unknown));
             let old = |at: Instant| now.saturating_duration_since(at) >= SMALL_REQUEST_INTERVAL;
             let is_worth_a_request = unknown.len() >= MIN_WORKERS_PER_REQUEST
                 || expected >= f64::from(missing)
-                || advice.answered_at.is_none_or(old);
+                || step.advice.answered_at.is_none_or(old);
             if is_worth_a_request {
-                // Single tasks fill up busy workers first, and leave the empty ones to gangs.
-                match spec.gang {
-                    true => unknown.sort_by_key(|worker| std::cmp::Reverse(worker.fits)),
-                    false => unknown.sort_by_key(|worker| (worker.fits == 0, worker.fits)),
-                }
-                let wanted_fits = f64::from(missing) * EXPECTED_CAPACITY_FACTOR / share;
-                let count = worker_count_for_fits(&unknown, wanted_fits)
-                    .max(min_workers_per_request(need.spec));
-                requested.extend(unknown.iter().take(count).map(|worker| worker.key));
+                requested.extend(unknown.iter().map(|worker| worker.key));
             }
         }
         requested.truncate(MAX_WORKERS_PER_REQUEST);
         requested
     }
 
+    /// Returns the workers to name that were not named before: enough of them that `missing` tasks are expected
+    /// to fit on the allowed ones.
+    fn unknown_workers_to_name(
+        &self,
+        job: &Job,
+        id: StepId,
+        need: AdviceNeed,
+        missing: u32,
+        admitted: &dyn Fn(WorkerKey) -> Option<FreeCapacity>,
+    ) -> Vec<FreeCapacity> {
+        let (Some(step), Some(spec)) = (job.step(id), job.step_spec(id)) else {
+            return Vec::new();
+        };
+        let advice = &step.advice;
+        let wanted_fits = f64::from(missing) * EXPECTED_CAPACITY_FACTOR / self.allowed_share(job);
+        let minimum = min_workers_per_request(need.spec);
+        let cpu_milli = need.demand.need.cpu_milli;
+        let mut chosen = Vec::new();
+        let mut fits = 0.0;
+        let mut choose = |worker: FreeCapacity| {
+            chosen.push(worker);
+            fits += f64::from(worker.fits);
+            let is_enough = fits >= wanted_fits && chosen.len() >= minimum;
+            match is_enough || chosen.len() >= MAX_WORKERS_PER_REQUEST {
+                true => ControlFlow::Break(()),
+                false => ControlFlow::Continue(()),
+            }
+        };
+        let unknown = |key: &WorkerKey| !advice.is_known(*key);
+        // Single tasks fill up busy workers first, and leave the empty ones to gangs.
+        let index = &self.free_index;
+        let with_room: &mut dyn Iterator<Item = WorkerKey> = match spec.gang {
+            true => &mut index.emptiest_first(cpu_milli),
+            false => &mut index.fullest_first(cpu_milli),
+        };
+        let with_room = with_room.filter(unknown).filter_map(admitted);
+        let flow = with_room.filter(|w| w.fits > 0).try_for_each(&mut choose);
+        // The tasks of a gang are placed together, and may wait for workers that are full now. Others are only
+        // named for single tasks if nothing is known yet.
+        let is_first_request = advice.tickets.is_empty() && advice.denied.is_empty();
+        if flow.is_continue() && (spec.gang || is_first_request) {
+            let all = index.emptiest_first(0).filter(unknown);
+            let full = all.filter_map(admitted).filter(|w| w.fits == 0);
+            // Both outcomes leave the chosen workers.
+            let _ = full.into_iter().try_for_each(&mut choose);
+        }
+        chosen
+    }
+
+    fn allowed_share(&self, job: &Job) -> f64 {
+        let queue = job.spec.as_ref().map(|spec| &spec.queue);
+        let share = queue.and_then(|queue| self.allowed_shares.get(queue));
+        share.copied().unwrap_or_default().share()
+    }
+
     /// Returns the allowed workers whose tickets have to be renewed: those on which the step can start now,
     /// or those that are reserved for it, if the ticket of one of them expires soon.
     fn tickets_to_renew(
@@ -174,8 +207,8 @@
             None => workers_with_free_capacity(allowed, enough, need.wanted),
         };
         let ends_within = |key: WorkerKey, time: Duration| {
-            let mut tickets = step.advice.tickets.iter();
-            tickets.any(|ticket| ticket.worker == key && now + time >= ticket.until)
+            let ticket = step.advice.any_ticket(key);
+            ticket.is_some_and(|ticket| now + time >= ticket.until)
         };
         let soon = spec.cost(wanted.len()) + TICKET_MARGIN * 2;
         if !wanted.iter().any(|key| ends_within(*key, soon)) {
@@ -212,14 +245,9 @@
     }
 }
 
-/// Returns how many workers from the front are needed so that `wanted_fits` tasks fit.
-fn worker_count_for_fits(workers: &[FreeCapacity], wanted_fits: f64) -> usize {
-    let mut sum = 0.0;
-    let enough = workers.iter().position(|worker| {
-        sum += f64::from(worker.fits);
-        sum >= wanted_fits
-    });
-    enough.map_or(workers.len(), |last| last + 1)
+fn total_fits(workers: &[FreeCapacity]) -> u32 {
+    let fits = workers.iter().map(|worker| worker.fits);
+    fits.fold(0, u32::saturating_add)
 }
 
 /// Returns the minimum number of unknown workers that a request names.
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -8,6 +8,7 @@
 
 use crate::advice::AllowedShare;
 use crate::effect::{CellBatch, CellEffect, RecordRow};
+use crate::free_index::FreeIndex;
 use crate::job::{Job, Occurrence};
 use crate::job_record::JobOutcome;
 use crate::job_spec::JobSpec;
@@ -48,6 +49,9 @@
     }
 }
 
+/// Interval at which leases are checked for their expiry. The runs of an expired one may restart that much later.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Interval at which runs are checked for progress.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -72,6 +76,7 @@
     pub(crate) queues: HashMap<Arc<str>, QueueSpec>,
     pub(crate) jobs: HashMap<JobId, Job>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
+    pub(crate) free_index: FreeIndex,
     /// Latest incarnation of each worker, by worker ID.
     pub(crate) workers_by_id: HashMap<Arc<str>, WorkerKey>,
     /// Share of workers that the advice service allows, by queue.
@@ -90,6 +95,7 @@
     pub(crate) pass_cost: Duration,
     pub(crate) reservations: Vec<Reservation>,
     pub(crate) last_stall_check: Option<Instant>,
+    pub(crate) last_lease_check: Option<Instant>,
 }
 
 impl Cell {
@@ -100,6 +106,7 @@
             queues: HashMap::new(),
             jobs: HashMap::new(),
             workers: SlotMap::with_key(),
+            free_index: FreeIndex::default(),
             workers_by_id: HashMap::new(),
             allowed_shares: HashMap::new(),
             ready_steps: Vec::new(),
@@ -111,6 +118,7 @@
             pass_cost: Duration::ZERO,
             reservations: Vec::new(),
             last_stall_check: None,
+            last_lease_check: None,
         }
     }
 
@@ -208,11 +216,12 @@
     /// Begins due occurrences, expires leases, stops stalled runs and places waiting tasks.
     pub fn advance(&mut self, now: Instant, now_ms: u64) {
         self.begin_all_due_occurrences(now, now_ms);
-        self.expire_leases(now);
-        if self
-            .last_stall_check
-            .is_none_or(|at| now >= at + STALL_CHECK_INTERVAL)
-        {
+        let is_due = |last: Option<Instant>, interval| last.is_none_or(|at| now >= at + interval);
+        if is_due(self.last_lease_check, LEASE_CHECK_INTERVAL) {
+            self.last_lease_check = Some(now);
+            self.expire_leases(now);
+        }
+        if is_due(self.last_stall_check, STALL_CHECK_INTERVAL) {
             self.last_stall_check = Some(now);
             self.stop_stalled_runs(now);
         }
--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -25,11 +25,13 @@
     ) -> WorkerKey {
         let mut earlier = None;
         if let Some(&key) = self.workers_by_id.get(&entry.id) {
-            let worker = &mut self.workers[key];
+            let worker = &self.workers[key];
             if worker.entry.started_ms == entry.started_ms {
                 if worker.entry != entry || !worker.listed {
-                    worker.entry = entry;
-                    worker.listed = true;
+                    self.change_worker(key, |worker| {
+                        worker.entry = entry;
+                        worker.listed = true;
+                    });
                     self.request_pass();
                 }
                 return key;
@@ -37,7 +39,7 @@
             earlier = Some(key);
         }
         let id = entry.id.clone();
-        let key = self.workers.insert(Worker::new(entry, lease_end));
+        let key = self.insert_worker(Worker::new(entry, lease_end));
         self.workers_by_id.insert(id, key);
         if let Some(earlier) = earlier {
             self.inherit_runs(earlier, key, now);
@@ -48,7 +50,8 @@
     }
 
     fn inherit_runs(&mut self, earlier: WorkerKey, key: WorkerKey, now: Instant) {
-        let slots = std::mem::take(&mut self.workers[earlier].slots);
+        let slots = self.change_worker(earlier, Worker::take_slots);
+        let slots = slots.unwrap_or_default();
         let lease_end = self.workers[earlier].lease_end;
         let worker = &mut self.workers[key];
         worker.lease_end = worker.lease_end.max(lease_end);
@@ -62,7 +65,7 @@
             }
             slot.phase = SlotPhase::Running;
             slot.visible_since = Some(now);
-            self.workers[key].allocate(run, slot);
+            self.allocate(key, run, slot);
             let step = self.jobs.get_mut(&run.task.job());
             let step = step.and_then(|job| job.step_mut(run.task.step));
             let task = step.and_then(|step| step.tasks.get_mut(usize::from(run.task.index)));
@@ -123,7 +126,7 @@
     }
 
     fn remove_worker(&mut self, key: WorkerKey) {
-        let Some(worker) = self.workers.remove(key) else {
+        let Some(worker) = self.take_worker(key) else {
             return;
         };
         if self.workers_by_id.get(&worker.entry.id) == Some(&key) {
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -14,6 +14,7 @@
 mod capacity;
 mod cell;
 mod effect;
+mod free_index;
 mod ids;
 mod incarnations;
 mod job;
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -16,7 +16,7 @@
 use crate::job::{Job, TaskState};
 use crate::job_spec::StepSpec;
 use crate::step_order::OrderKey;
-use crate::worker::{Slot, SlotPhase};
+use crate::worker::{Slot, SlotPhase, Worker};
 use crate::{StepId, TaskRun, WorkerKey};
 
 /// Number of steps of each priority that may request advice and reserve workers in a pass. Later steps in the
@@ -204,7 +204,7 @@
             last_progress_at: now,
             started_at: now,
         };
-        self.workers[key].allocate(run, slot);
+        self.allocate(key, run, slot);
         self.mark_dirty(id.job);
     }
 
@@ -223,11 +223,20 @@
         let Some(service) = self.service_of(job) else {
             return Vec::new();
         };
+        let mut failed_on: SmallVec<[WorkerKey; 8]> = step
+            .tasks
+            .iter()
+            .filter_map(|task| task.last_failed_on)
+            .collect();
+        failed_on.sort_unstable();
         let mut candidates = Vec::new();
         // If the queue uses advice, only the few workers with a valid ticket are candidates.
         let keys: SmallVec<[WorkerKey; 64]> = match needs_ticket {
             true => step.advice.valid_workers(now).collect(),
-            false => self.workers.keys().collect(),
+            false => self
+                .free_index
+                .fullest_first(demand.need.cpu_milli)
+                .collect(),
         };
         for key in keys {
             let Some(worker) = self.workers.get(key) else {
@@ -247,10 +256,7 @@
                 fits,
                 leftover_permille: leftover as u32,
                 in_preferred_rack: spec.affinity.is_none() || spec.affinity == worker.rack,
-                has_failed: step
-                    .tasks
-                    .iter()
-                    .any(|task| task.last_failed_on == Some(key)),
+                has_failed: failed_on.binary_search(&key).is_ok(),
             });
         }
         candidates
@@ -273,27 +279,14 @@
         }
     }
 
-    /// Returns the queue of a step, and the workers that could run it regardless of their current load.
-    pub(crate) fn eligible_workers(
-        &self,
-        id: StepId,
-        now: Instant,
-    ) -> Option<(Arc<str>, Vec<WorkerKey>)> {
-        let job = self.jobs.get(&id.job)?;
-        let service = self.service_of(job)?;
+    /// Returns the conditions that a worker has to meet to run a step.
+    pub(crate) fn eligibility<'a>(&self, job: &'a Job, id: StepId) -> Option<Eligibility<'a>> {
         let spec = job.step_spec(id)?;
-        let need = spec.allocated_resources();
-        let workers = self.workers.iter().filter(|(_, worker)| {
-            worker.entry.service == service
-                && worker.listed
-                && worker.reported
-                && !worker.entry.draining
-                && worker.quarantined_until.is_none_or(|until| now >= until)
-                && need.fits(worker.entry.capacity)
-                && has_label(&worker.entry.labels, spec.requires.as_ref())
-        });
-        let keys = workers.map(|(key, _)| key).collect();
-        Some((job.spec.as_ref()?.queue.clone(), keys))
+        Some(Eligibility {
+            service: self.service_of(job)?,
+            need: spec.allocated_resources(),
+            label: spec.requires.as_ref(),
+        })
     }
 
     fn service_of(&self, job: &Job) -> Option<Arc<str>> {
@@ -302,6 +295,26 @@
     }
 }
 
+/// Conditions that a worker has to meet to run a step, regardless of its current load.
+#[derive(Clone, Debug)]
+pub(crate) struct Eligibility<'a> {
+    service: Arc<str>,
+    need: Resources,
+    label: Option<&'a Arc<str>>,
+}
+
+impl Eligibility<'_> {
+    pub(crate) fn admits(&self, worker: &Worker, now: Instant) -> bool {
+        worker.listed
+            && worker.reported
+            && !worker.entry.draining
+            && worker.quarantined_until.is_none_or(|until| now >= until)
+            && worker.entry.service == self.service
+            && self.need.fits(worker.entry.capacity)
+            && has_label(&worker.entry.labels, self.label)
+    }
+}
+
 fn has_label(labels: &[Arc<str>], wanted: Option<&Arc<str>>) -> bool {
     wanted.is_none_or(|wanted| labels.contains(wanted))
 }
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -170,7 +170,7 @@
                     last_progress_at: now,
                     started_at: now,
                 };
-                self.workers[key].allocate(run, slot);
+                self.allocate(key, run, slot);
             }
         }
     }
@@ -192,7 +192,7 @@
         };
         let mut worker = Worker::new(entry, lease_end);
         worker.listed = false;
-        let key = self.workers.insert(worker);
+        let key = self.insert_worker(worker);
         self.workers_by_id.insert(id, key);
         key
     }
--- a/crates/hs-cell/src/reserve.rs
+++ b/crates/hs-cell/src/reserve.rs
@@ -78,10 +78,12 @@
     /// Drops reservations that have expired or whose steps no longer wait, and marks the workers of the
     /// remaining ones.
     pub(crate) fn refresh_reservations(&mut self, now: Instant) {
-        for worker in self.workers.values_mut() {
-            worker.reserved_by = None;
-        }
         let mut reservations = std::mem::take(&mut self.reservations);
+        for key in reservations.iter().flat_map(|r| &r.workers) {
+            if let Some(worker) = self.workers.get_mut(*key) {
+                worker.reserved_by = None;
+            }
+        }
         reservations.retain(|reservation| {
             let fresh = now.saturating_duration_since(reservation.made_at) < RESERVATION_TTL;
             fresh && self.has_waiting_tasks(reservation.step)
@@ -156,22 +158,23 @@
     /// Returns the unreserved workers that accept runs and on which a step may run. If its queue uses advice, these are only the
     /// workers with a ticket.
     fn allowed_workers(&self, id: StepId, now: Instant) -> Option<Vec<WorkerKey>> {
-        let (queue, eligible) = self.eligible_workers(id, now)?;
-        let advised = self.queues.get(&queue)?.advice.is_some();
-        let step = self.jobs.get(&id.job)?.step(id)?;
-        let tickets = &step.advice.tickets;
+        let job = self.jobs.get(&id.job)?;
+        let eligibility = self.eligibility(job, id)?;
+        let queue = self.queues.get(&job.spec.as_ref()?.queue)?;
         let usable = |key: &WorkerKey| {
-            let worker = &self.workers[*key];
-            worker.reserved_by.is_none() && worker.accepts_runs(now)
+            let Some(worker) = self.workers.get(*key) else {
+                return false;
+            };
+            let is_free = worker.reserved_by.is_none() && worker.accepts_runs(now);
+            is_free && eligibility.admits(worker, now)
         };
-        let allowed = |key: &WorkerKey| !advised || tickets.iter().any(|t| t.worker == *key);
-        Some(
-            eligible
-                .into_iter()
-                .filter(usable)
-                .filter(allowed)
-                .collect(),
-        )
+        Some(match queue.advice {
+            Some(_) => {
+                let tickets = job.step(id)?.advice.tickets.iter();
+                tickets.map(|t| t.worker).filter(usable).collect()
+            }
+            None => self.workers.keys().filter(usable).collect(),
+        })
     }
 
     /// Chooses the workers on which a gang can start soonest. Returns `None` if too few tasks fit.
--- a/crates/hs-cell/src/run_orders.rs
+++ b/crates/hs-cell/src/run_orders.rs
@@ -89,9 +89,7 @@
 
     /// Undoes a placement whose run is known not to exist, so that the task waits again.
     pub(crate) fn undo_placement(&mut self, key: WorkerKey, run: TaskRun) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.release(run);
-        }
+        self.release(key, run);
         let id = run.task.step;
         if let Some(job) = self.jobs.get_mut(&id.job) {
             job.pending_starts.retain(|(_, pending)| *pending != run);
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -245,6 +245,12 @@
         }
     }
 
+    /// Removes all runs.
+    pub(crate) fn take_slots(&mut self) -> HashMap<TaskRun, Slot> {
+        self.used = Resources::ZERO;
+        std::mem::take(&mut self.slots)
+    }
+
     pub(crate) fn release(&mut self, run: TaskRun) -> Option<Slot> {
         let slot = self.slots.remove(&run)?;
         self.used = self.used.saturating_sub(slot.need);
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -148,7 +148,7 @@
             last_progress_at: now,
             started_at: now,
         };
-        worker.allocate(run, slot);
+        self.allocate(key, run, slot);
         self.stop_run(key, run);
     }
 
@@ -206,8 +206,7 @@
 
     /// Releases the resources of a run that has ended without a result, and requeues its task.
     pub(crate) fn release_run(&mut self, key: WorkerKey, run: TaskRun) {
-        let worker = &mut self.workers[key];
-        worker.release(run);
+        self.release(key, run);
         self.requeue_task(key, run);
         self.stop_incomplete_gang(run.task.step);
         self.request_pass();
@@ -243,7 +242,8 @@
         }
         worker.last_seen_end = report.number;
         let run = report.run;
-        let was_allocated = worker.release(run).is_some();
+        let was_allocated = self.release(key, run).is_some();
+        let worker = &mut self.workers[key];
         match report.end {
             RunEnd::Done => worker.record_success(),
             RunEnd::Failed if was_allocated => worker.record_failure(run.task, now),
--- a/crates/hs-wire/src/resources.rs
+++ b/crates/hs-wire/src/resources.rs
@@ -55,6 +55,7 @@
     }
 
     /// Returns whether `self` is at most `available` in every dimension.
+    #[inline]
     pub fn fits(self, available: Self) -> bool {
         let pairs = self.dimensions().into_iter().zip(available.dimensions());
         pairs.into_iter().all(|(need, have)| need <= have)
@@ -87,6 +88,7 @@
 
     /// Returns how many copies of `self` fit into `available` at the same time, `u32::MAX` if
     /// `self` is zero.
+    #[inline]
     pub fn max_copies_in(self, available: Self) -> u32 {
         let pairs = self.dimensions().into_iter().zip(available.dimensions());
         let counts = pairs.filter_map(|(need, have)| have.checked_div(need));
