perf: write log lines in batches of 10 ms

Cause: the thread that writes the log woke up and wrote once for nearly each line; the owner of the large site writes 2,500 lines a second at its crest. Ruled out: losing lines, since the queue holds 4,096 and a full queue is counted as before. Change: the thread waits 10 ms after the first line of a batch.

--- a/crates/hornbeamshunt/src/log_pipe.rs
+++ b/crates/hornbeamshunt/src/log_pipe.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
+use std::time::Duration;
 
 /// Maximum number of lines that wait to be written.
 const MAX_QUEUED_LINES: usize = 4096;
@@ -15,6 +16,10 @@
 /// Maximum number of lines that one write adds to the first line of its batch.
 const MAX_BATCH_LINES: usize = 256;
 
+/// Time from the first line of a batch to its write. Lines that follow within it take no wake-up and no
+/// system call of their own. A process that is killed loses the lines of that time.
+const BATCH_DELAY: Duration = Duration::from_millis(10);
+
 /// Sending end of the queue, used as the output of the logger.
 #[derive(Debug)]
 pub(crate) struct LogPipe {
@@ -48,6 +53,7 @@
 
 fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut output: impl Write) {
     while let Ok(mut batch) = lines.recv() {
+        thread::sleep(BATCH_DELAY);
         for line in lines.try_iter().take(MAX_BATCH_LINES) {
             batch.extend_from_slice(&line);
         }
