fix: count an advice request as answered after its last part

Cause: the end of the first part of a request counted as the last while other workers of the request still waited for an idle process (one idle caller, over 100 workers). The step then sent its next request, which replaced the waiting rest, so workers were asked again and others not at all. Ruled out: parts in flight, which were counted. Figures: the new test of the queue fails without the condition (first part reported as last) and passes with it.

--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -9,6 +9,7 @@
 //! This crate performs no I/O and reads no clock.
 
 mod advice;
+mod advice_queue;
 mod advice_request;
 mod attempts;
 mod capacity;
@@ -32,6 +33,7 @@
 mod worker_events;
 
 pub use advice::AdviceReply;
+pub use advice_queue::{AdviceCaller, AdvicePart, AdviceQueue};
 pub use cell::{Cell, CellOptions, JobState};
 pub use effect::{AdviceRequest, CellBatch, CellEffect, RecordRow, StartOrder, TaskRun};
 pub use ids::{IdError, JobId, StepId, TaskId};
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the cell against a simulated environment with an oracle, and of its scheduling policies.
 
+mod advice_queue;
 mod fixture;
 mod fuzz;
 mod patterns;
