fix: restart tasks of a process that panic

Cause: a panic ends only its task, and nothing noticed it. A process without its election, its configuration watch or the lease renewals of a worker lived on and took connections; an owner whose transaction or feed had ended that way kept the cell without writing. Ruled out by reading: a panic from any known input (values of the store, workers, peers and callers are parsed into typed errors). Change: these tasks are started again after 0.5 s with the numbered event E8106; an owner whose background task panicked gives the cell up and takes it anew.

--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -71,7 +71,7 @@
 const REQUEST_QUEUE_CAPACITY: usize = 1024;
 
 /// State of the election task.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Election<P> {
     pub platform: P,
     pub context: NodeContext,
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -36,9 +36,11 @@
 mod server;
 mod shared;
 mod store_health;
+mod supervise;
 mod takeover;
 
 pub use config::{ClusterConfig, QueueRoute};
 pub use control::{CancelReply, Control, JobStateReply, SubmitReply};
 pub use metrics::ControlMetrics;
 pub use run::{ControlOptions, RunError, run};
+pub use supervise::restart_on_panic;
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -11,6 +11,7 @@
 
 use crate::metrics::ControlMetrics;
 use crate::port::{LeaseRenewal, Platform, RenewalReply, StartReply, StopReply, WorkerEndpoint};
+use crate::supervise::restart_on_panic;
 
 /// Upper bound of the time between the last confirmation of the owner's claim and the end of a lease that
 /// it grants. A new owner waits that long for a worker that it can't reach.
@@ -168,7 +169,10 @@
     ) {
         // Dropping the set aborts all tasks of the link.
         let mut tasks = JoinSet::new();
-        tasks.spawn(self.clone().renew_leases(cursor));
+        let link = self.clone();
+        tasks.spawn(restart_on_panic("lease renewal", move || {
+            link.clone().renew_leases(cursor.clone())
+        }));
         while let Some(order) = orders.recv().await {
             while tasks.try_join_next().is_some() {}
             match order {
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -462,6 +462,7 @@
     fn handle_tick(&mut self) {
         let now = self.platform.now();
         self.lag.record_tick(now, TICK_INTERVAL);
+        self.check_background_tasks();
         if now.saturating_duration_since(self.cell_measured_at) >= CELL_METRICS_INTERVAL {
             self.cell_measured_at = now;
             let cell = &self.cell;
@@ -475,6 +476,17 @@
         }
     }
 
+    /// Gives the cell up if one of the background tasks has panicked, since a transaction or the feeds would be
+    /// missing from then on.
+    fn check_background_tasks(&mut self) {
+        while let Some(result) = self.background_tasks.try_join_next() {
+            if let Err(error) = result {
+                EventCode::TaskPanicked.log(format_args!("task=\"owner\" cause=\"{error}\""));
+                self.end = Some(OwnerEnd::Lost(error.to_string()));
+            }
+        }
+    }
+
     /// Advances the cell to the current time, applies its effects, and begins the next transaction unless
     /// one is in flight.
     fn advance(&mut self) {
@@ -571,7 +583,6 @@
 
     fn finish_commit(&mut self, end: CommitEnd) {
         self.committing = false;
-        while self.background_tasks.try_join_next().is_some() {}
         match end.result {
             Ok((held, confirmed_at)) => {
                 let now = self.platform.now();
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -26,6 +26,7 @@
 use crate::server::PeerServer;
 use crate::shared::{NodeContext, Ownership};
 use crate::store_health::StoreHealth;
+use crate::supervise::restart_on_panic;
 
 /// Interval at which readiness is evaluated.
 const READINESS_INTERVAL: Duration = Duration::from_millis(150);
@@ -101,12 +102,18 @@
         notify: NotifyHandle::spawn(context.clone()),
         ready,
     };
-    tokio::spawn(config::follow(
-        platform.clone(),
-        store_health.clone(),
-        config_sender,
-    ));
-    tokio::spawn(probe_store(platform.clone(), store_health));
+    let (config_platform, config_health) = (platform.clone(), store_health.clone());
+    tokio::spawn(restart_on_panic("configuration", move || {
+        config::follow(
+            config_platform.clone(),
+            config_health.clone(),
+            config_sender.clone(),
+        )
+    }));
+    let probe_platform = platform.clone();
+    tokio::spawn(restart_on_panic("store probe", move || {
+        probe_store(probe_platform.clone(), store_health.clone())
+    }));
     let election = Election {
         platform: platform.clone(),
         context: context.clone(),
@@ -117,8 +124,15 @@
         takeover_delay: options.takeover_delay,
         stop: stop.clone(),
     };
-    tokio::spawn(election.run());
-    tokio::spawn(track_readiness(platform, context, ready_sender, stop));
+    tokio::spawn(restart_on_panic("election", move || election.clone().run()));
+    tokio::spawn(restart_on_panic("readiness", move || {
+        track_readiness(
+            platform.clone(),
+            context.clone(),
+            ready_sender.clone(),
+            stop.clone(),
+        )
+    }));
     tokio::spawn(serve_peers(control.clone(), listener));
     Ok(control)
 }
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -157,6 +157,8 @@
     RecordUnwritable = 8104, Error, "record not written";
     /// The listener for other processes stopped with an error.
     PeerListenerEnded = 8105, Error, "peer listener ended";
+    /// A task of the process panicked. It is started again.
+    TaskPanicked = 8106, Error, "task panicked";
 }
 
 impl EventCode {
