fix: write the log in pieces of at most 4 KiB

Ruled out: the bounded queue, which reports lines that it drops. Change: a write holds at most 4 KiB, which a pipe also takes atomically.

--- a/crates/hornbeamshunt/src/log_pipe.rs
+++ b/crates/hornbeamshunt/src/log_pipe.rs
@@ -13,8 +13,9 @@
 /// Maximum number of lines that wait to be written.
 const MAX_QUEUED_LINES: usize = 4096;
 
-/// Maximum number of lines that one write adds to the first line of its batch.
-const MAX_BATCH_LINES: usize = 256;
+/// Maximum size of one write, unless a single line is longer. Writes of this size to a pipe are atomic
+/// (`PIPE_BUF` of Linux), and readers that take one buffer for each write lose nothing.
+const MAX_WRITE_BYTES: usize = 4096;
 
 /// Time from the first line of a batch to its write. Lines that follow within it take no wake-up and no
 /// system call of their own. A process that is killed loses the lines of that time.
@@ -54,14 +55,23 @@
 fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut output: impl Write) {
     while let Ok(mut batch) = lines.recv() {
         thread::sleep(BATCH_DELAY);
-        for line in lines.try_iter().take(MAX_BATCH_LINES) {
+        for line in lines.try_iter().take(MAX_QUEUED_LINES) {
+            if batch.len() + line.len() > MAX_WRITE_BYTES {
+                write_batch(&mut output, &mut batch);
+            }
             batch.extend_from_slice(&line);
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
             batch.extend_from_slice(format!("WARN log lines left out lines={lost}\n").as_bytes());
         }
-        // A closed standard output cannot be reported anywhere.
-        let _ = output.write_all(&batch).and_then(|()| output.flush());
+        write_batch(&mut output, &mut batch);
     }
 }
+
+/// Writes a batch and clears it.
+fn write_batch(output: &mut impl Write, batch: &mut Vec<u8>) {
+    // A closed standard output cannot be reported anywhere.
+    let _ = output.write_all(batch).and_then(|()| output.flush());
+    batch.clear();
+}
