feat: log the owner's load, workers by state and the steps that wait longest

Cause: on the large deployment jobs are lost beside free workers, and no line says why a step is passed over, whether the owner is late, or how many workers accept runs. Change: E8061, E8062 and E8053 once a second, from a module that only reads the cell; no decision changes.

--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::cell::Cell;
+use crate::census::AdviceWait;
 use crate::{StepId, WorkerKey};
 
 /// Time after which an unanswered advice request counts as lost.
@@ -81,11 +82,19 @@
 
     /// Returns whether a request is in flight, or the retry delay of a failed one has not passed.
     pub(crate) fn is_blocked(&self, now: Instant) -> bool {
-        let is_in_flight = self
-            .requested_at
-            .is_some_and(|at| now < at + REQUEST_TIMEOUT);
-        let is_delayed = self.retry_at.is_some_and(|at| now < at);
-        is_in_flight || is_delayed
+        self.wait(now) != AdviceWait::Idle
+    }
+
+    /// Returns what the next request has to wait for.
+    pub(crate) fn wait(&self, now: Instant) -> AdviceWait {
+        let is_in_flight = |at| now < at + REQUEST_TIMEOUT;
+        if self.requested_at.is_some_and(is_in_flight) {
+            AdviceWait::InFlight
+        } else if self.retry_at.is_some_and(|at| now < at) {
+            AdviceWait::Delayed
+        } else {
+            AdviceWait::Idle
+        }
     }
 }
 
--- a/crates/hs-cell/src/capacity.rs
+++ b/crates/hs-cell/src/capacity.rs
@@ -8,6 +8,7 @@
 use hs_wire::Resources;
 
 use crate::StepId;
+use crate::cell::Cell;
 use crate::job_spec::StepSpec;
 use crate::worker::Worker;
 
@@ -37,6 +38,15 @@
     }
 }
 
+impl Cell {
+    /// Returns the demand of a step, or `None` if its queue is not configured.
+    pub(crate) fn step_demand(&self, id: StepId) -> Option<StepDemand> {
+        let job = self.jobs.get(&id.job)?;
+        let queue = self.queues.get(&job.spec.as_ref()?.queue)?;
+        Some(StepDemand::new(id, job.step_spec(id)?, queue.priority))
+    }
+}
+
 impl Worker {
     /// Returns how many further tasks of a step can be placed on the worker now. Tickets are not considered.
     pub(crate) fn placeable_tasks(&self, demand: &StepDemand, now: Instant) -> u32 {
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -25,6 +25,7 @@
 mod keys;
 mod lag;
 mod link;
+mod load;
 mod members;
 mod metrics;
 mod notify;
--- a/crates/hs-control/src/members.rs
+++ b/crates/hs-control/src/members.rs
@@ -60,6 +60,11 @@
         members.map(|member| member.address.clone()).collect()
     }
 
+    /// Returns the number of known processes.
+    pub(crate) fn len(&self) -> usize {
+        self.members.len()
+    }
+
     /// Returns whether no other process is known.
     pub(crate) fn is_empty(&self) -> bool {
         self.members.is_empty()
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -22,6 +22,7 @@
 use crate::keys::{self, IntakeKey};
 use crate::lag::LagMeter;
 use crate::link::{LeaseTerms, LinkEvent, LinkHandle, LinkOrder, MAX_LEASE_PAST_CONFIRMATION};
+use crate::load::LoadMeter;
 use crate::members::MemberTable;
 use crate::metrics::ControlMetrics;
 use crate::peers::PeerPool;
@@ -39,6 +40,9 @@
 /// Interval at which the gauges of the cell's size are updated.
 const CELL_METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of waiting steps that are described in the log in each [`CELL_METRICS_INTERVAL`].
+const MAX_LOGGED_WAITS: usize = 8;
+
 /// Maximum number of events of each kind that may wait for the owner task.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
 
@@ -120,6 +124,7 @@
     /// Where to confirm the release of the cell, once it has been requested.
     release: Option<oneshot::Sender<()>>,
     lag: LagMeter,
+    load: LoadMeter,
     events: mpsc::Sender<OwnerEvent>,
     link_events: mpsc::Sender<(WorkerKey, LinkEvent)>,
     background_tasks: JoinSet<()>,
@@ -168,6 +173,7 @@
         end_waiters: EndWaiters::default(),
         release: None,
         lag: LagMeter::default(),
+        load: LoadMeter::default(),
         events,
         link_events,
         background_tasks: JoinSet::new(),
@@ -422,9 +428,13 @@
         match event {
             LinkEvent::Renewing(lease_end) => self.cell.lease_renewed(key, lease_end),
             LinkEvent::Report(report, requested_at) => {
+                self.load.reports += 1;
                 self.cell.worker_reported(key, report, requested_at, now);
             }
-            LinkEvent::Unreachable => self.cell.worker_unreachable(key),
+            LinkEvent::Unreachable => {
+                self.load.unreachable_workers += 1;
+                self.cell.worker_unreachable(key);
+            }
             LinkEvent::Started(run) => self.cell.start_confirmed(key, run, now),
             LinkEvent::StartRefused(run, why) => {
                 EventCode::RunRefused.log(format_args!(
@@ -435,6 +445,7 @@
                 self.cell.start_refused(key, run, why, now);
             }
             LinkEvent::StartUnanswered(run) => {
+                self.load.unanswered_starts += 1;
                 EventCode::StartUnanswered.log(format_args!("task={} run={}", run.task, run.run));
                 self.cell.start_unanswered(key, run, now);
             }
@@ -447,6 +458,7 @@
     }
 
     fn handle_advice_end(&mut self, end: AdvicePartEnd) {
+        self.load.advice_ends += 1;
         let is_last_part = self.advice_dispatcher.part_ended(&end);
         let allowed = end.reply.as_ref().map(|reply| reply.allowed.len());
         EventCode::AdviceEnded.log(format_args!(
@@ -462,13 +474,11 @@
     fn handle_tick(&mut self) {
         let now = self.platform.now();
         self.lag.record_tick(now, TICK_INTERVAL);
+        self.load.record_tick(now);
         self.check_background_tasks();
         if now.saturating_duration_since(self.cell_measured_at) >= CELL_METRICS_INTERVAL {
             self.cell_measured_at = now;
-            let cell = &self.cell;
-            let (unfinished_jobs, allocated_runs) = (cell.unfinished_jobs(), cell.allocated_runs());
-            self.metrics
-                .record_cell_size(unfinished_jobs, allocated_runs, cell.waiting_steps());
+            self.report_load(now);
         }
         self.end_waiters.remove_closed();
         if self.members.remove_unreachable(now) {
@@ -476,6 +486,56 @@
         }
     }
 
+    /// Publishes the size of the cell and the load of this task, and describes the steps that wait longest.
+    fn report_load(&mut self, now: Instant) {
+        let cell = &self.cell;
+        let (unfinished_jobs, allocated_runs) = (cell.unfinished_jobs(), cell.allocated_runs());
+        let waiting_steps = cell.waiting_steps();
+        self.metrics
+            .record_cell_size(unfinished_jobs, allocated_runs, waiting_steps);
+        EventCode::OwnerLoad.log(format_args!(
+            "jobs={unfinished_jobs} runs={allocated_runs} waiting_steps={waiting_steps} \
+             mean_lag_ms={} members={} {}",
+            self.lag.mean_lag().as_millis(),
+            self.members.len(),
+            self.load.take(),
+        ));
+        let census = self.cell.worker_census(now);
+        EventCode::WorkerCensus.log(format_args!(
+            "accepting={} probation={} quarantined={} unreported={} lease_expired={} leaving={} \
+             free_cpu_milli={}",
+            census.accepting,
+            census.on_probation,
+            census.quarantined,
+            census.unreported,
+            census.lease_expired,
+            census.leaving,
+            census.free_cpu_milli,
+        ));
+        for wait in self.cell.longest_waits(MAX_LOGGED_WAITS, now) {
+            EventCode::StepWaiting.log(format_args!(
+                "step={} queue={} age_ms={} timeliness={} position={} waiting={} placed={} \
+                 cpu_milli={} advice={:?} denied={} allowed={} valid={} allowed_fits={} \
+                 valid_fits={} reserved={}",
+                wait.step,
+                wait.queue,
+                wait.age.as_millis(),
+                wait.timeliness,
+                wait.position,
+                wait.waiting,
+                wait.placed,
+                wait.cpu_milli,
+                wait.advice,
+                wait.denied,
+                wait.allowed,
+                wait.valid,
+                wait.allowed_fits,
+                wait.valid_fits,
+                wait.reserved,
+            ));
+        }
+    }
+
     /// Gives the cell up if one of the background tasks has panicked, since a transaction or the feeds would be
     /// missing from then on.
     fn check_background_tasks(&mut self) {
@@ -496,6 +556,7 @@
         if self.cell.last_pass_at() != last_pass_at {
             let cost = self.platform.now().saturating_duration_since(now);
             self.cell.record_pass_cost(cost);
+            self.load.record_pass(cost);
         }
         for effect in self.cell.take_effects() {
             self.apply_effect(effect);
@@ -515,6 +576,7 @@
                     run.task, run.run
                 ));
                 self.metrics.record_start();
+                self.load.starts += 1;
                 if let Some(wait) = self.cell.queue_wait(run.task.job(), self.platform.now()) {
                     self.metrics.record_start_wait(wait);
                 }
@@ -523,12 +585,14 @@
                 }
             }
             CellEffect::Stop(key, run) => {
+                self.load.stops += 1;
                 EventCode::StopSent.log(format_args!("task={} run={}", run.task, run.run));
                 if let Some(link) = self.links.get(&key) {
                     link.send(LinkOrder::Stop(run));
                 }
             }
             CellEffect::Advise(request) => {
+                self.load.advice_requests += 1;
                 EventCode::AdviceRequested.log(format_args!(
                     "step={} named={}",
                     request.step,
@@ -587,8 +651,9 @@
             Ok((held, confirmed_at)) => {
                 let now = self.platform.now();
                 self.last_commit_at = now;
-                self.metrics
-                    .record_commit(now.saturating_duration_since(self.commit_started_at));
+                let duration = now.saturating_duration_since(self.commit_started_at);
+                self.metrics.record_commit(duration);
+                self.load.record_commit(duration);
                 self.claim_tracker
                     .record_confirmation(held, confirmed_at, now);
                 self.planner.log.committed(end.log);
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -147,6 +147,12 @@
     AdviceEnded = 8051, Info, "advice answered";
     /// A step needs tickets, and an advice request for it is queued.
     AdviceRequested = 8052, Info, "advice wanted";
+    /// A step that is no longer on time waits.
+    StepWaiting = 8053, Info, "step waits";
+    /// Work of the owner task since the last such line.
+    OwnerLoad = 8061, Info, "owner load";
+    /// Numbers of workers by whether they accept runs.
+    WorkerCensus = 8062, Info, "workers by state";
     /// A worker lists a run whose name cannot be parsed.
     ForeignRun = 8101, Warn, "worker runs something unknown";
     /// A worker reports an end of an unknown kind.
