test: a backlog of wide gangs starts while workers have room

The bound is the users': no gang waits for 3 s while there is room for it twice over and less than half of the CPU is in use.

--- /dev/null
+++ b/crates/hs-cell/tests/cell/gang_backlog.rs
@@ -0,0 +1,101 @@
+//! Load patterns of wide gangs on many workers, with an advice service that allows a third of them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hs_cell::{AdviceSpec, JobId, JobSpec, QueueSpec, StepSpec};
+
+use crate::advised_load::{AdvisedLoad, LoadSize};
+use crate::fixture::{id, job, queue, step};
+
+/// Interval at which the waits of gangs are looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time for which a gang may wait although workers have room for it twice over.
+const MAX_WAIT_BESIDE_ROOM: Duration = Duration::from_secs(3);
+
+/// Share of the CPU in use above which a gang may wait longer.
+const MAX_IDLE_UTILIZATION: f64 = 0.5;
+
+/// Room, as a multiple of a gang's need, below which it may wait longer.
+const SPARE_FACTOR: u32 = 2;
+
+fn advised(name: &str, priority: u8, base_us: u64, worker_us: u64) -> QueueSpec {
+    QueueSpec {
+        advice: Some(AdviceSpec {
+            base_cost: Duration::from_micros(base_us),
+            cost_per_worker: Duration::from_micros(worker_us),
+            ticket_validity: Duration::from_millis(2500),
+        }),
+        target: Duration::from_secs(1),
+        ..queue(name, priority, 3)
+    }
+}
+
+/// Returns a gang of 14 to 62 tasks of 10 to 30 cores.
+fn wide_gang(number: u64) -> Arc<JobSpec> {
+    let count = 14 + (number * 13 % 49) as u16;
+    let cpu_milli = 10_000 + (number * 7919 % 20_000) as u32;
+    let gang = StepSpec {
+        gang: true,
+        ..step(count, cpu_milli, 4200)
+    };
+    job("plan", vec![gang])
+}
+
+/// Tracks for how long gangs have waited although there was room for them.
+#[derive(Default)]
+struct WaitOracle {
+    waiting_since: HashMap<JobId, Instant>,
+    longest: Duration,
+}
+
+impl WaitOracle {
+    fn look(&mut self, load: &AdvisedLoad) {
+        let waiting = match load.utilization() < MAX_IDLE_UTILIZATION {
+            true => load.unstarted_jobs(),
+            false => Vec::new(),
+        };
+        let has_room = |id: &JobId| load.room_for(*id) >= SPARE_FACTOR * load.width(*id);
+        let waiting: Vec<JobId> = waiting.into_iter().filter(has_room).collect();
+        self.waiting_since.retain(|id, _| waiting.contains(id));
+        for id in waiting {
+            let since = *self.waiting_since.entry(id).or_insert(load.now);
+            self.longest = self.longest.max(load.now - since);
+        }
+    }
+}
+
+fn run(load: &mut AdvisedLoad, oracle: &mut WaitOracle, time: Duration) {
+    let end = load.now + time;
+    while load.now < end {
+        load.run_for(LOOK_INTERVAL);
+        oracle.look(load);
+    }
+}
+
+/// Pattern: a load peak leaves more gangs than may request advice at a time, on a cluster that is mostly free.
+/// Each gang obtains tickets for all its tasks at once, instead of collecting some that expire before the
+/// others are valid, or for workers that other gangs take meanwhile.
+#[test]
+fn a_backlog_of_wide_gangs_starts_while_workers_have_room() {
+    let size = LoadSize {
+        workers: 1100,
+        advice_callers: 146,
+        allowed_percent: 35,
+    };
+    let mut load = AdvisedLoad::new(size, vec![advised("plan", 1, 507_000, 7150)]);
+    for number in 0..150 {
+        load.submit(id(number), wide_gang(number));
+    }
+    let mut oracle = WaitOracle::default();
+    run(&mut load, &mut oracle, Duration::from_secs(40));
+    assert_eq!(load.unstarted_jobs(), []);
+    assert!(load.is_done());
+    assert!(
+        oracle.longest <= MAX_WAIT_BESIDE_ROOM,
+        "a gang waited for {:?} beside free workers",
+        oracle.longest
+    );
+}
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the cell against a simulated environment with an oracle, and of its scheduling policies.
 
 mod advice_queue;
+mod advised_load;
 mod fixture;
 mod fuzz;
+mod gang_backlog;
 mod patterns;
 mod readiness;
 mod record_log;
