fix: reserve the workers of a gang while it renews its tickets

What callers saw: jobs with wide gangs that were accepted never ran (LOST), beside a cluster that was two thirds free. Cause: a ticket is valid for 2.5 s and a request takes 0.6 to 0.8 s. A gang asked for the workers that it still lacked, a few at a time, and renewed its earlier tickets only once enough workers were known; by the reply the earlier tickets had expired, or other steps had taken the workers, which nothing held. All gangs named the same workers, the emptiest ones, so that the tickets of one were worth little once another had started. With 24 gangs chasing each other, none behind them was considered. Change: once a gang fits on allowed workers, it reserves exactly these and renews all of their tickets with one request; the reservation lasts until the reply is used. It is made for whole gangs only, so no two wait for each other. A request for further workers also renews the tickets that would expire before its reply. Gangs name workers with equal room in an order that differs between them. Full workers are only named until twice the need is known. Why this works: from the request on, room and tickets can no longer be lost separately.

--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -4,20 +4,26 @@
 //! request in flight at a time. A first request therefore names enough workers for the whole step. A
 //! further request is sent if many workers are unknown, that is, not named before, if the unknown ones are
 //! expected to suffice for the rest of the step, or if the last reply is [`SMALL_REQUEST_INTERVAL`] old.
+//! Gangs that wait at the same time name different workers, since each would otherwise find that another one
+//! has taken the workers when the reply arrives.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::ControlFlow;
 use std::time::{Duration, Instant};
 
+use slotmap::Key;
+
+use crate::advice::TICKET_MARGIN;
 use crate::capacity::StepDemand;
 use crate::cell::Cell;
 use crate::effect::{AdviceRequest, CellEffect};
-use crate::job::Job;
+use crate::job::{Job, StepRun};
+use crate::placement::Eligibility;
 use crate::queue_spec::AdviceSpec;
+use crate::reserve::ReservationPurpose;
 use crate::step_order::OrderKey;
 use crate::{StepId, WorkerKey};
 
-use crate::advice::TICKET_MARGIN;
-
 /// Maximum number of workers that a request names in all its parts.
 const MAX_WORKERS_PER_REQUEST: usize = 200;
 
@@ -29,6 +35,10 @@
 /// other steps may take some of it meanwhile.
 const EXPECTED_CAPACITY_FACTOR: f64 = 1.5;
 
+/// Capacity of the allowed workers, as a multiple of what a gang needs, from which it names no further workers
+/// that are full now.
+const KNOWN_CAPACITY_FACTOR: u32 = 2;
+
 /// Free capacity for which tickets are renewed, as a multiple of what the step needs.
 const RENEWAL_CAPACITY_FACTOR: f64 = 1.5;
 
@@ -42,6 +52,9 @@
 /// Time after the last reply from which a waiting step may send a request for a few unknown workers.
 const SMALL_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Odd multiplier that mixes the key of a worker with the hash of a step (64-bit golden ratio).
+const SPREAD_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Demand that an advice request has to meet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AdviceNeed {
@@ -54,9 +67,9 @@
 
 /// Number of further tasks of a step that fit on a worker.
 #[derive(Clone, Copy, Debug)]
-struct FreeCapacity {
-    key: WorkerKey,
-    fits: u32,
+pub(crate) struct FreeCapacity {
+    pub key: WorkerKey,
+    pub fits: u32,
 }
 
 impl Cell {
@@ -70,7 +83,7 @@
         if step.is_none_or(|step| step.advice.is_blocked(now)) {
             return;
         }
-        let workers = self.workers_to_name(id, need, now);
+        let workers = self.workers_to_name(order, need, now);
         if workers.is_empty() {
             return;
         }
@@ -88,43 +101,97 @@
         self.effects.push(CellEffect::Advise(request));
     }
 
-    fn workers_to_name(&self, id: StepId, need: AdviceNeed, now: Instant) -> Vec<WorkerKey> {
+    fn workers_to_name(
+        &mut self,
+        order: OrderKey,
+        need: AdviceNeed,
+        now: Instant,
+    ) -> Vec<WorkerKey> {
+        let id = order.step;
+        let allowed = self.allowed_capacity(id, need, now);
+        let is_gang = self.is_gang(id);
+        let allowed_fits = total_fits(&allowed);
+        if is_gang && allowed_fits >= need.wanted {
+            return self.hold_for_tickets(order, need, &allowed, now);
+        }
+        let enough = if is_gang { need.wanted } else { 1 };
+        let mut requested = self.tickets_to_renew(id, &allowed, enough, need, now);
+        if allowed_fits < need.wanted {
+            let missing = need.wanted - allowed_fits;
+            let unknown = self.unknown_workers_worth_a_request(id, need, missing, now);
+            if is_gang && !unknown.is_empty() {
+                // All tickets have to be valid at once when the reply arrives.
+                let with_room = allowed.iter().filter(|worker| worker.fits > 0);
+                let with_room: Vec<WorkerKey> = with_room.map(|worker| worker.key).collect();
+                let cost = need.spec.cost(unknown.len() + with_room.len());
+                let renewed_until = now + cost + TICKET_MARGIN * 2;
+                requested = self.tickets_that_end_before(id, &with_room, renewed_until);
+            }
+            requested.extend(unknown);
+        }
+        requested.truncate(MAX_WORKERS_PER_REQUEST);
+        requested
+    }
+
+    fn is_gang(&self, id: StepId) -> bool {
+        let job = self.jobs.get(&id.job);
+        let spec = job.and_then(|job| job.step_spec(id));
+        spec.is_some_and(|spec| spec.gang)
+    }
+
+    /// Returns the workers with a ticket, whether or not it has expired, and the tasks that fit on them now.
+    fn allowed_capacity(&self, id: StepId, need: AdviceNeed, now: Instant) -> Vec<FreeCapacity> {
         let Some(job) = self.jobs.get(&id.job) else {
             return Vec::new();
         };
-        let (Some(step), Some(spec)) = (job.step(id), job.step_spec(id)) else {
+        let (Some(step), Some(eligibility)) = (job.step(id), self.eligibility(job, id)) else {
             return Vec::new();
         };
-        let Some(eligibility) = self.eligibility(job, id) else {
+        let tickets = step.advice.tickets.iter();
+        let capacity =
+            tickets.filter_map(|ticket| self.free_capacity(ticket.worker, &eligibility, need, now));
+        capacity.collect()
+    }
+
+    fn free_capacity(
+        &self,
+        key: WorkerKey,
+        eligibility: &Eligibility<'_>,
+        need: AdviceNeed,
+        now: Instant,
+    ) -> Option<FreeCapacity> {
+        let worker = self.workers.get(key)?;
+        eligibility.admits(worker, now).then(|| FreeCapacity {
+            key,
+            fits: worker.placeable_tasks(&need.demand, now),
+        })
+    }
+
+    /// Returns the unknown workers to name, or none if a request for them is not worth its time.
+    fn unknown_workers_worth_a_request(
+        &self,
+        id: StepId,
+        need: AdviceNeed,
+        missing: u32,
+        now: Instant,
+    ) -> Vec<WorkerKey> {
+        let Some(job) = self.jobs.get(&id.job) else {
             return Vec::new();
         };
-        let admitted = |key: WorkerKey| {
-            let worker = self.workers.get(key)?;
-            eligibility.admits(worker, now).then(|| FreeCapacity {
-                key,
-                fits: worker.placeable_tasks(&need.demand, now),
-            })
+        let Some(step) = job.step(id) else {
+            return Vec::new();
         };
-        let tickets = step.advice.tickets.iter();
-        let allowed: Vec<FreeCapacity> = tickets.filter_map(|t| admitted(t.worker)).collect();
-        let allowed_fits = total_fits(&allowed);
-        let enough = if spec.gang { need.wanted } else { 1 };
-        let mut requested = self.tickets_to_renew(id, &allowed, enough, need, now);
-        if allowed_fits < need.wanted {
-            let missing = need.wanted - allowed_fits;
-            let unknown = self.unknown_workers_to_name(job, id, need, missing, &admitted);
-            let share = self.allowed_share(job);
-            let expected = share * f64::from(total_fits(&unknown));
-            let old = |at: Instant| now.saturating_duration_since(at) >= SMALL_REQUEST_INTERVAL;
-            let is_worth_a_request = unknown.len() >= MIN_WORKERS_PER_REQUEST
-                || expected >= f64::from(missing)
-                || step.advice.answered_at.is_none_or(old);
-            if is_worth_a_request {
-                requested.extend(unknown.iter().map(|worker| worker.key));
-            }
+        let unknown = self.unknown_workers_to_name(job, id, need, missing, now);
+        let share = self.allowed_share(job);
+        let expected = share * f64::from(total_fits(&unknown));
+        let old = |at: Instant| now.saturating_duration_since(at) >= SMALL_REQUEST_INTERVAL;
+        let is_worth_a_request = unknown.len() >= MIN_WORKERS_PER_REQUEST
+            || expected >= f64::from(missing)
+            || step.advice.answered_at.is_none_or(old);
+        match is_worth_a_request {
+            true => unknown.iter().map(|worker| worker.key).collect(),
+            false => Vec::new(),
         }
-        requested.truncate(MAX_WORKERS_PER_REQUEST);
-        requested
     }
 
     /// Returns the workers to name that were not named before: enough of them that `missing` tasks are expected
@@ -135,12 +202,16 @@
         id: StepId,
         need: AdviceNeed,
         missing: u32,
-        admitted: &dyn Fn(WorkerKey) -> Option<FreeCapacity>,
+        now: Instant,
     ) -> Vec<FreeCapacity> {
         let (Some(step), Some(spec)) = (job.step(id), job.step_spec(id)) else {
             return Vec::new();
         };
+        let Some(eligibility) = self.eligibility(job, id) else {
+            return Vec::new();
+        };
         let advice = &step.advice;
+        let admitted = |key| self.free_capacity(key, &eligibility, need, now);
         let wanted_fits = f64::from(missing) * EXPECTED_CAPACITY_FACTOR / self.allowed_share(job);
         let minimum = min_workers_per_request(need.spec);
         let cpu_milli = need.demand.need.cpu_milli;
@@ -156,18 +227,30 @@
             }
         };
         let unknown = |key: &WorkerKey| !advice.is_known(*key);
-        // Single tasks fill up busy workers first, and leave the empty ones to gangs.
         let index = &self.free_index;
-        let with_room: &mut dyn Iterator<Item = WorkerKey> = match spec.gang {
-            true => &mut index.emptiest_first(cpu_milli),
-            false => &mut index.fullest_first(cpu_milli),
+        let flow = match spec.gang {
+            true => {
+                let with_room = index.emptiest_first(cpu_milli).filter(unknown);
+                let with_room = with_room.filter_map(admitted).filter(|w| w.fits > 0);
+                spread_over_workers(id, with_room.collect())
+                    .into_iter()
+                    .try_for_each(&mut choose)
+            }
+            // Single tasks fill up busy workers first, and leave the empty ones to gangs.
+            false => {
+                let with_room = index.fullest_first(cpu_milli).filter(unknown);
+                let mut with_room = with_room.filter_map(admitted).filter(|w| w.fits > 0);
+                with_room.try_for_each(&mut choose)
+            }
         };
-        let with_room = with_room.filter(unknown).filter_map(admitted);
-        let flow = with_room.filter(|w| w.fits > 0).try_for_each(&mut choose);
         // The tasks of a gang are placed together, and may wait for workers that are full now. Others are only
         // named for single tasks if nothing is known yet.
         let is_first_request = advice.tickets.is_empty() && advice.denied.is_empty();
-        if flow.is_continue() && (spec.gang || is_first_request) {
+        let names_full_workers = match spec.gang {
+            true => self.allowed_size(step, need) < need.wanted * KNOWN_CAPACITY_FACTOR,
+            false => is_first_request,
+        };
+        if flow.is_continue() && names_full_workers {
             let all = index.emptiest_first(0).filter(unknown);
             let full = all.filter_map(admitted).filter(|w| w.fits == 0);
             // Both outcomes leave the chosen workers.
@@ -176,6 +259,14 @@
         chosen
     }
 
+    /// Returns how many tasks of a step would fit on the allowed workers if they were empty.
+    fn allowed_size(&self, step: &StepRun, need: AdviceNeed) -> u32 {
+        let workers = step.advice.tickets.iter();
+        let workers = workers.filter_map(|ticket| self.workers.get(ticket.worker));
+        let sizes = workers.map(|worker| need.demand.need.max_copies_in(worker.entry.capacity));
+        sizes.fold(0, u32::saturating_add)
+    }
+
     fn allowed_share(&self, job: &Job) -> f64 {
         let queue = job.spec.as_ref().map(|spec| &spec.queue);
         let share = queue.and_then(|queue| self.allowed_shares.get(queue));
@@ -197,13 +288,14 @@
             return Vec::new();
         };
         let spec = need.spec;
-        let reservation = self.reservations.iter().find(|r| r.step == id);
-        let wanted: Vec<WorkerKey> = match reservation {
+        let planned = self.reservations.iter().find_map(|r| match r.purpose {
+            ReservationPurpose::Resources { start_at } if r.step == id => Some((start_at, r)),
+            _ => None,
+        });
+        let wanted: Vec<WorkerKey> = match planned {
             // A ticket has to be valid when the resources become free, but not long before.
-            Some(reservation) if reservation.start_at > now + spec.ticket_validity / 2 => {
-                Vec::new()
-            }
-            Some(reservation) => reservation.workers.clone(),
+            Some((start_at, _)) if start_at > now + spec.ticket_validity / 2 => Vec::new(),
+            Some((_, reservation)) => reservation.workers.clone(),
             None => workers_with_free_capacity(allowed, enough, need.wanted),
         };
         let ends_within = |key: WorkerKey, time: Duration| {
@@ -219,6 +311,22 @@
     }
 }
 
+/// Orders workers by the tasks that fit on them, those with the most first, and those with equally many in an
+/// order that differs between steps.
+fn spread_over_workers(id: StepId, mut workers: Vec<FreeCapacity>) -> Vec<FreeCapacity> {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    let seed = hasher.finish();
+    workers.sort_by_cached_key(|worker| {
+        let place = (worker.key.data().as_ffi() ^ seed).wrapping_mul(SPREAD_MULTIPLIER);
+        (
+            std::cmp::Reverse(worker.fits),
+            place.rotate_left(u64::BITS / 2),
+        )
+    });
+    workers
+}
+
 /// Returns the workers with the most free capacity, as many as fit [`RENEWAL_CAPACITY_FACTOR`] times the
 /// `wanted` tasks, since other steps may take some of it meanwhile. Returns none if fewer than `enough` tasks
 /// fit on all of them.
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -30,6 +30,7 @@
 mod run_orders;
 mod segment;
 mod step_order;
+mod ticket_hold;
 mod worker;
 mod worker_events;
 
--- a/crates/hs-cell/tests/cell/gang_backlog.rs
+++ b/crates/hs-cell/tests/cell/gang_backlog.rs
@@ -75,27 +75,87 @@
     }
 }
 
+/// A backlog of gangs, and the load beside it.
+struct BacklogCase {
+    name: &'static str,
+    gangs: u64,
+    /// Short jobs of a higher priority, each second.
+    checks_per_second: u64,
+    /// Wide steps of single tasks of a lower priority, each second.
+    recons_per_second: u64,
+}
+
+/// Number of the first short job; each second adds up to a thousand.
+const FIRST_CHECK: u64 = 10_000;
+
+/// Number of the first wide step of single tasks.
+const FIRST_RECON: u64 = 1_000_000;
+
+fn submit_beside(load: &mut AdvisedLoad, case: &BacklogCase, second: u64) {
+    for number in 0..case.checks_per_second {
+        let check = job("check", vec![step(4, 16_000, 540)]);
+        load.submit(id(FIRST_CHECK + second * 1000 + number), check);
+    }
+    for number in 0..case.recons_per_second {
+        let recon = job("recon", vec![step(32, 11_000, 2900)]);
+        load.submit(id(FIRST_RECON + second * 1000 + number), recon);
+    }
+}
+
 /// Pattern: a load peak leaves more gangs than may request advice at a time, on a cluster that is mostly free.
 /// Each gang obtains tickets for all its tasks at once, instead of collecting some that expire before the
-/// others are valid, or for workers that other gangs take meanwhile.
+/// others are valid, or for workers that other steps take meanwhile.
 #[test]
 fn a_backlog_of_wide_gangs_starts_while_workers_have_room() {
-    let size = LoadSize {
-        workers: 1100,
-        advice_callers: 146,
-        allowed_percent: 35,
-    };
-    let mut load = AdvisedLoad::new(size, vec![advised("plan", 1, 507_000, 7150)]);
-    for number in 0..150 {
-        load.submit(id(number), wide_gang(number));
+    let cases = [
+        BacklogCase {
+            name: "gangs alone",
+            gangs: 150,
+            checks_per_second: 0,
+            recons_per_second: 0,
+        },
+        BacklogCase {
+            name: "gangs beside short jobs and wide steps",
+            gangs: 100,
+            checks_per_second: 60,
+            recons_per_second: 10,
+        },
+    ];
+    for case in cases {
+        let size = LoadSize {
+            workers: 1100,
+            advice_callers: 146,
+            allowed_percent: 35,
+        };
+        let queues = vec![
+            advised("check", 0, 11_440, 169),
+            advised("plan", 1, 507_000, 7150),
+            advised("recon", 2, 182_000, 2600),
+        ];
+        let mut load = AdvisedLoad::new(size, queues);
+        for number in 0..case.gangs {
+            load.submit(id(number), wide_gang(number));
+        }
+        let mut oracle = WaitOracle::default();
+        let mut second = 0;
+        while load
+            .unstarted_jobs()
+            .iter()
+            .any(|job| *job < id(case.gangs))
+            && second < 40
+        {
+            submit_beside(&mut load, &case, second);
+            run(&mut load, &mut oracle, Duration::from_secs(1));
+            second += 1;
+        }
+        run(&mut load, &mut oracle, Duration::from_secs(10));
+        let name = case.name;
+        assert_eq!(load.unstarted_jobs(), [], "{name}");
+        assert!(load.is_done(), "{name}");
+        assert!(
+            oracle.longest <= MAX_WAIT_BESIDE_ROOM,
+            "{name}: a job waited for {:?} beside free workers",
+            oracle.longest
+        );
     }
-    let mut oracle = WaitOracle::default();
-    run(&mut load, &mut oracle, Duration::from_secs(40));
-    assert_eq!(load.unstarted_jobs(), []);
-    assert!(load.is_done());
-    assert!(
-        oracle.longest <= MAX_WAIT_BESIDE_ROOM,
-        "a gang waited for {:?} beside free workers",
-        oracle.longest
-    );
 }
