fix: let as many short jobs ask for advice as workers have room for

What callers saw: short checks were answered late or not at all on the large deployment (SHORT), most after an outage or on a VM whose processor time was short, beside a third of free CPU. Cause: two limits that bound the rate of short jobs by the duration of a call. Only the first 24 steps of a priority may ask for advice; when a request takes 150 to 200 ms on a busy owner, that is 120 to 160 steps a second, less than the 141 that arrive, so a backlog never drains and the owner stays busy with it. And all steps of a pass named the same workers, the fullest ones with room, so that most replies found them full. Ruled out: more active steps alone (the test still waits 11.9 s), and other workers alone (11.9 s as well); each removes one of two limits. Change: the number of active steps follows from the time that their requests take (12 s in all, at least 24) and from the free CPU; steps of single tasks leave out what the requests in flight before them are expected to use. Placement itself still fills the fullest workers. Test: fails before (a job waits for 11.9 s beside free workers, bound 3 s), passes after. 44 tests of hs-cell pass, the fuzz included.

--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -5,6 +5,7 @@
 
 use crate::cell::Cell;
 use crate::census::AdviceWait;
+use crate::expected_use::ExpectedUse;
 use crate::{StepId, WorkerKey};
 
 /// Time after which an unanswered advice request counts as lost.
@@ -47,6 +48,8 @@
     pub denied: Vec<WorkerKey>,
     /// Time of the request that is in flight.
     pub requested_at: Option<Instant>,
+    /// Capacity that the step is expected to use once that request is answered.
+    pub expected_uses: Vec<ExpectedUse>,
     /// Time at which the last request was completed.
     pub answered_at: Option<Instant>,
     /// Earliest time of the next request after a failed one.
--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -4,8 +4,9 @@
 //! request in flight at a time. A first request therefore names enough workers for the whole step. A
 //! further request is sent if many workers are unknown, that is, not named before, if the unknown ones are
 //! expected to suffice for the rest of the step, or if the last reply is [`SMALL_REQUEST_INTERVAL`] old.
-//! Gangs that wait at the same time name different workers, since each would otherwise find that another one
-//! has taken the workers when the reply arrives.
+//! Steps that wait at the same time name different workers, since each would otherwise find that another one has
+//! taken the workers when the reply arrives: gangs go through the workers in orders that differ, and steps of
+//! single tasks leave out what the requests in flight are expected to use.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::ops::ControlFlow;
@@ -17,6 +18,7 @@
 use crate::capacity::StepDemand;
 use crate::cell::Cell;
 use crate::effect::{AdviceRequest, CellEffect};
+use crate::expected_use::expected_uses;
 use crate::job::{Job, StepRun};
 use crate::placement::Eligibility;
 use crate::queue_spec::AdviceSpec;
@@ -87,6 +89,10 @@
         if workers.is_empty() {
             return;
         }
+        let expected_uses = match self.is_gang(id) {
+            true => Vec::new(),
+            false => expected_uses(&workers, need),
+        };
         let request = AdviceRequest {
             step: id,
             spec: need.spec,
@@ -97,7 +103,9 @@
         if let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) {
             step.advice.requested_at = Some(now);
             step.advice.retry_at = None;
+            step.advice.expected_uses = expected_uses;
         }
+        self.add_expected_uses(id, now);
         self.effects.push(CellEffect::Advise(request));
     }
 
@@ -161,9 +169,14 @@
         now: Instant,
     ) -> Option<FreeCapacity> {
         let worker = self.workers.get(key)?;
-        eligibility.admits(worker, now).then(|| FreeCapacity {
+        if !eligibility.admits(worker, now) {
+            return None;
+        }
+        let fits = worker.placeable_tasks(&need.demand, now);
+        let beside = self.tasks_beside_expected_use(key, worker, need);
+        Some(FreeCapacity {
             key,
-            fits: worker.placeable_tasks(&need.demand, now),
+            fits: fits.min(beside),
         })
     }
 
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use slotmap::SlotMap;
+use slotmap::{SecondaryMap, SlotMap};
 
 use crate::advice::AllowedShare;
 use crate::effect::{CellBatch, CellEffect, RecordRow};
@@ -102,6 +102,8 @@
     /// Minimum time from the last scheduling pass to the next one.
     pub(crate) pass_interval: Duration,
     pub(crate) reservations: Vec<Reservation>,
+    /// CPU that the earlier single-task steps of the current pass are expected to use, by worker.
+    pub(crate) expected_use: SecondaryMap<WorkerKey, u32>,
     pub(crate) last_stall_check: Option<Instant>,
     pub(crate) last_lease_check: Option<Instant>,
 }
@@ -125,6 +127,7 @@
             last_pass_at: None,
             pass_interval: Duration::ZERO,
             reservations: Vec::new(),
+            expected_use: SecondaryMap::new(),
             last_stall_check: None,
             last_lease_check: None,
         }
--- a/crates/hs-cell/src/free_index.rs
+++ b/crates/hs-cell/src/free_index.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FreeIndex {
     workers: BTreeSet<FreeEntry>,
+    /// Free CPU of all workers in thousandths of a core.
+    total_cpu_milli: u64,
 }
 
 /// Sort key of a worker in the index.
@@ -24,12 +26,21 @@
 }
 
 impl FreeIndex {
-    fn insert(&mut self, key: WorkerKey, worker: &Worker) {
-        self.workers.insert(entry_of(key, worker));
+    fn insert(&mut self, entry: FreeEntry) {
+        if self.workers.insert(entry) {
+            self.total_cpu_milli += u64::from(entry.cpu_milli);
+        }
+    }
+
+    fn remove(&mut self, entry: FreeEntry) {
+        if self.workers.remove(&entry) {
+            self.total_cpu_milli -= u64::from(entry.cpu_milli);
+        }
     }
 
-    fn remove(&mut self, key: WorkerKey, worker: &Worker) {
-        self.workers.remove(&entry_of(key, worker));
+    /// Returns the free CPU of all workers in thousandths of a core.
+    pub(crate) fn total_cpu_milli(&self) -> u64 {
+        self.total_cpu_milli
     }
 
     /// Returns the workers with at least this much free CPU, those with the least first.
@@ -63,13 +74,13 @@
 impl Cell {
     pub(crate) fn insert_worker(&mut self, worker: Worker) -> WorkerKey {
         let key = self.workers.insert(worker);
-        self.free_index.insert(key, &self.workers[key]);
+        self.free_index.insert(entry_of(key, &self.workers[key]));
         key
     }
 
     pub(crate) fn take_worker(&mut self, key: WorkerKey) -> Option<Worker> {
         let worker = self.workers.remove(key)?;
-        self.free_index.remove(key, &worker);
+        self.free_index.remove(entry_of(key, &worker));
         Some(worker)
     }
 
@@ -85,8 +96,8 @@
         let after = worker.free().cpu_milli;
         if before != after {
             let entry = |cpu_milli| FreeEntry { cpu_milli, key };
-            self.free_index.workers.remove(&entry(before));
-            self.free_index.workers.insert(entry(after));
+            self.free_index.remove(entry(before));
+            self.free_index.insert(entry(after));
         }
         Some(result)
     }
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! This crate performs no I/O and reads no clock.
 
+mod active_steps;
 mod advice;
 mod advice_queue;
 mod advice_request;
@@ -16,6 +17,7 @@
 mod cell;
 mod census;
 mod effect;
+mod expected_use;
 mod free_index;
 mod ids;
 mod incarnations;
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -10,6 +10,7 @@
 use hs_wire::Resources;
 use smallvec::SmallVec;
 
+use crate::active_steps::ActiveSteps;
 use crate::advice_request::AdviceNeed;
 use crate::capacity::StepDemand;
 use crate::cell::Cell;
@@ -19,10 +20,6 @@
 use crate::worker::{Slot, SlotPhase, Worker};
 use crate::{StepId, TaskRun, WorkerKey};
 
-/// Number of steps of each priority that may request advice and reserve workers in a pass. Later steps in the
-/// order may not, since those before them use up the capacity.
-const ACTIVE_STEPS_PER_PRIORITY: u32 = 24;
-
 /// Interval of passes that no event requests. They are needed because tickets expire and quarantines end.
 const IDLE_PASS_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -67,11 +64,10 @@
             }
         }
         keys.sort_unstable();
-        let mut depths: SmallVec<[u32; 8]> = SmallVec::from_elem(0, usize::from(u8::MAX) + 1);
+        self.expected_use.clear();
+        let mut active_steps = ActiveSteps::new(self.free_index.total_cpu_milli());
         for key in keys {
-            let depth = &mut depths[usize::from(key.priority)];
-            *depth += 1;
-            self.place_step(key, *depth, now);
+            self.place_step(key, &mut active_steps, now);
             match self.has_waiting_tasks(key.step) {
                 true => self.ready_steps.push(key.step),
                 false => self.dequeue_step(key.step),
@@ -92,9 +88,9 @@
         step.is_some_and(|step| step.waiting_tasks().next().is_some())
     }
 
-    fn place_step(&mut self, key: OrderKey, depth: u32, now: Instant) {
-        let is_active = depth <= ACTIVE_STEPS_PER_PRIORITY;
+    fn place_step(&mut self, key: OrderKey, active_steps: &mut ActiveSteps, now: Instant) {
         let id = key.step;
+        self.add_expected_uses(id, now);
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
@@ -112,6 +108,8 @@
             .and_then(|spec| self.queues.get(&spec.queue));
         let advice = queue.and_then(|queue| queue.advice);
         let demand = StepDemand::new(id, &spec, key.priority);
+        let cpu_milli = u64::from(wanted) * u64::from(demand.need.cpu_milli);
+        let is_active = active_steps.add(key.priority, cpu_milli, advice);
         let mut candidates = self.candidates(job, &demand, &spec, advice.is_some(), now);
         let total_fits: u32 = candidates
             .iter()
--- a/crates/hs-cell/tests/cell/advised_load.rs
+++ b/crates/hs-cell/tests/cell/advised_load.rs
@@ -15,12 +15,6 @@
 /// Simulated time between two calls of [`Cell::advance`].
 const TICK: Duration = Duration::from_millis(5);
 
-/// Time that a scheduling pass is assumed to take.
-const PASS_COST: Duration = Duration::from_millis(1);
-
-/// Time from the placement of tasks to the report of their starts: a store write and a call.
-const START_DELAY: Duration = Duration::from_millis(30);
-
 /// Interval at which a worker reports its progress.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -41,6 +35,30 @@
     pub advice_callers: usize,
     /// Share of workers that the advice service allows for a step, in percent.
     pub allowed_percent: u64,
+    pub owner: OwnerSpeed,
+}
+
+/// How fast the owner is.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnerSpeed {
+    /// Time that a scheduling pass takes.
+    pub pass: Duration,
+    /// Time that a call or a store write takes, beside the service of the other side.
+    pub call: Duration,
+}
+
+impl OwnerSpeed {
+    /// An owner with processor time to spare.
+    pub const IDLE: Self = Self {
+        pass: Duration::from_millis(1),
+        call: Duration::from_millis(15),
+    };
+
+    /// An owner whose calls wait for the processor.
+    pub const SATURATED: Self = Self {
+        pass: Duration::from_millis(8),
+        call: Duration::from_millis(100),
+    };
 }
 
 /// Something that happens at a simulated time.
@@ -100,7 +118,7 @@
             jobs: BTreeMap::new(),
         };
         load.cell.configure(queues);
-        load.cell.record_pass_cost(PASS_COST);
+        load.cell.record_pass_cost(size.owner.pass);
         for number in 0..size.workers {
             let key = load.cell.worker_listed(worker_entry(number), now, now);
             load.workers.insert(key, SimWorker::default());
@@ -163,17 +181,19 @@
         used as f64 / (f64::from(WORKER_CPU) * f64::from(self.size.workers))
     }
 
-    /// Returns how many tasks of the first step of a job fit on the workers that it may use.
-    pub fn room_for(&self, id: JobId) -> u32 {
+    /// Returns whether this many tasks of the first step of a job fit on the workers that it may use.
+    pub fn has_room_for(&self, id: JobId, tasks: u32) -> bool {
         let need = self.jobs[&id].spec.steps[0].need.cpu_milli;
         let step = first_step(id);
-        let allowed = self
-            .workers
-            .iter()
-            .filter(|(key, _)| self.is_allowed(step, **key));
-        allowed
-            .map(|(_, worker)| (WORKER_CPU - worker.used_milli) / need)
-            .sum()
+        let mut missing = tasks;
+        let mut with_room = self.workers.iter().filter_map(|(key, worker)| {
+            let fits = (WORKER_CPU - worker.used_milli) / need;
+            (fits > 0 && self.is_allowed(step, *key)).then_some(fits)
+        });
+        with_room.any(|fits| {
+            missing = missing.saturating_sub(fits);
+            missing == 0
+        })
     }
 
     fn is_allowed(&self, step: StepId, key: WorkerKey) -> bool {
@@ -196,7 +216,8 @@
         }
         self.cell.committed(batch, self.now);
         let starts = self.cell.take_effects();
-        self.schedule(START_DELAY, Event::Commit(starts));
+        // A store write, and then the calls to the workers.
+        self.schedule(self.size.owner.call * 2, Event::Commit(starts));
     }
 
     fn execute_effects(&mut self) {
@@ -221,7 +242,8 @@
 
     fn send_advice(&mut self) {
         for part in self.advice.take_parts() {
-            self.schedule(part.cost, Event::Advice(part));
+            let delay = part.cost + self.size.owner.call;
+            self.schedule(delay, Event::Advice(part));
         }
     }
 
--- a/crates/hs-cell/tests/cell/gang_backlog.rs
+++ b/crates/hs-cell/tests/cell/backlog.rs
@@ -1,12 +1,12 @@
-//! Load patterns of wide gangs on many workers, with an advice service that allows a third of them.
+//! Load patterns of backlogs on many workers, with an advice service that allows a part of them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hs_cell::{AdviceSpec, JobId, JobSpec, QueueSpec, StepSpec};
 
-use crate::advised_load::{AdvisedLoad, LoadSize};
+use crate::advised_load::{AdvisedLoad, LoadSize, OwnerSpeed};
 use crate::fixture::{id, job, queue, step};
 
 /// Interval at which the waits of gangs are looked at.
@@ -33,6 +33,14 @@
     }
 }
 
+fn queues() -> Vec<QueueSpec> {
+    vec![
+        advised("check", 0, 11_440, 169),
+        advised("plan", 1, 507_000, 7150),
+        advised("recon", 2, 182_000, 2600),
+    ]
+}
+
 /// Returns a gang of 14 to 62 tasks of 10 to 30 cores.
 fn wide_gang(number: u64) -> Arc<JobSpec> {
     let count = 14 + (number * 13 % 49) as u16;
@@ -57,8 +65,8 @@
             true => load.unstarted_jobs(),
             false => Vec::new(),
         };
-        let has_room = |id: &JobId| load.room_for(*id) >= SPARE_FACTOR * load.width(*id);
-        let waiting: Vec<JobId> = waiting.into_iter().filter(has_room).collect();
+        let has_room = |id: &JobId| load.has_room_for(*id, SPARE_FACTOR * load.width(*id));
+        let waiting: BTreeSet<JobId> = waiting.into_iter().filter(has_room).collect();
         self.waiting_since.retain(|id, _| waiting.contains(id));
         for id in waiting {
             let since = *self.waiting_since.entry(id).or_insert(load.now);
@@ -126,13 +134,9 @@
             workers: 1100,
             advice_callers: 146,
             allowed_percent: 35,
+            owner: OwnerSpeed::IDLE,
         };
-        let queues = vec![
-            advised("check", 0, 11_440, 169),
-            advised("plan", 1, 507_000, 7150),
-            advised("recon", 2, 182_000, 2600),
-        ];
-        let mut load = AdvisedLoad::new(size, queues);
+        let mut load = AdvisedLoad::new(size, queues());
         for number in 0..case.gangs {
             load.submit(id(number), wide_gang(number));
         }
@@ -159,3 +163,38 @@
         );
     }
 }
+
+/// Pattern: an outage leaves a thousand short jobs, and the owner is busy, so that each call takes 100 ms
+/// longer. As many jobs may request advice as the workers have room for, since a limit on them would bound
+/// their rate by the duration of a call.
+#[test]
+fn a_backlog_of_short_jobs_starts_while_workers_have_room() {
+    const BACKLOG: u64 = 1000;
+    const ARRIVALS_PER_SECOND: u64 = 140;
+    const SECONDS: u64 = 12;
+    let size = LoadSize {
+        workers: 1100,
+        advice_callers: 146,
+        allowed_percent: 70,
+        owner: OwnerSpeed::SATURATED,
+    };
+    let mut load = AdvisedLoad::new(size, queues());
+    for number in 0..BACKLOG {
+        load.submit(id(number), job("check", vec![step(4, 16_000, 540)]));
+    }
+    let mut oracle = WaitOracle::default();
+    for second in 0..SECONDS {
+        for number in 0..ARRIVALS_PER_SECOND {
+            let check = job("check", vec![step(4, 16_000, 540)]);
+            load.submit(id(FIRST_CHECK + second * 1000 + number), check);
+        }
+        run(&mut load, &mut oracle, Duration::from_secs(1));
+    }
+    assert!(
+        oracle.longest <= MAX_WAIT_BESIDE_ROOM,
+        "a job waited for {:?} beside free workers",
+        oracle.longest
+    );
+    run(&mut load, &mut oracle, MAX_WAIT_BESIDE_ROOM);
+    assert_eq!(load.unstarted_jobs(), []);
+}
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -2,9 +2,9 @@
 
 mod advice_queue;
 mod advised_load;
+mod backlog;
 mod fixture;
 mod fuzz;
-mod gang_backlog;
 mod patterns;
 mod readiness;
 mod record_log;
