perf: bound the work of steps that can't ask for advice

Cause: with up to 256 active steps a pass may go through all workers for each of them and find none to name, since the free ones are known or expected to be used; a step without a valid ticket that may not ask either was looked at in full.

--- a/crates/hs-cell/src/active_steps.rs
+++ b/crates/hs-cell/src/active_steps.rs
@@ -14,7 +14,7 @@
 const MIN_ACTIVE_STEPS: u64 = 24;
 
 /// Maximum number of active steps of a priority.
-const MAX_ACTIVE_STEPS: u64 = 512;
+const MAX_ACTIVE_STEPS: u64 = 256;
 
 /// Fixed time that the requests of the active steps of a priority may take in all.
 const ACTIVE_REQUEST_TIME: Duration = Duration::from_secs(12);
--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -52,7 +52,7 @@
     pub expected_uses: Vec<ExpectedUse>,
     /// Time at which the last request was completed.
     pub answered_at: Option<Instant>,
-    /// Earliest time of the next request after a failed one.
+    /// Earliest time of the next request, after one that failed or if there was no worker to name.
     pub retry_at: Option<Instant>,
 }
 
@@ -83,7 +83,7 @@
             .map(|ticket| ticket.worker)
     }
 
-    /// Returns whether a request is in flight, or the retry delay of a failed one has not passed.
+    /// Returns whether a request is in flight, or the next one is delayed.
     pub(crate) fn is_blocked(&self, now: Instant) -> bool {
         self.wait(now) != AdviceWait::Idle
     }
--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -54,6 +54,9 @@
 /// Time after the last reply from which a waiting step may send a request for a few unknown workers.
 const SMALL_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Delay after which a step that has found no worker to name looks for one again. Looking goes through all workers.
+const RESCAN_DELAY: Duration = Duration::from_millis(50);
+
 /// Odd multiplier that mixes the key of a worker with the hash of a step (64-bit golden ratio).
 const SPREAD_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -87,6 +90,7 @@
         }
         let workers = self.workers_to_name(order, need, now);
         if workers.is_empty() {
+            self.delay_advice(id, now + RESCAN_DELAY);
             return;
         }
         let expected_uses = match self.is_gang(id) {
@@ -109,6 +113,12 @@
         self.effects.push(CellEffect::Advise(request));
     }
 
+    fn delay_advice(&mut self, id: StepId, until: Instant) {
+        if let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) {
+            step.advice.retry_at = Some(until);
+        }
+    }
+
     fn workers_to_name(
         &mut self,
         order: OrderKey,
--- a/crates/hs-cell/src/census.rs
+++ b/crates/hs-cell/src/census.rs
@@ -38,7 +38,7 @@
     Idle,
     /// One waits for its answer.
     InFlight,
-    /// The last one failed, and the next one is delayed.
+    /// The next one is delayed, since the last one failed or there was no worker to name.
     Delayed,
 }
 
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -110,6 +110,10 @@
         let demand = StepDemand::new(id, &spec, key.priority);
         let cpu_milli = u64::from(wanted) * u64::from(demand.need.cpu_milli);
         let is_active = active_steps.add(key.priority, cpu_milli, advice);
+        let can_start = advice.is_none() || step.advice.valid_workers(now).next().is_some();
+        if !is_active && !can_start {
+            return;
+        }
         let mut candidates = self.candidates(job, &demand, &spec, advice.is_some(), now);
         let total_fits: u32 = candidates
             .iter()
