fix: leave the lateness of this process out of timeouts

What callers would see: work that is stopped, or a worker, a peer or the store that counts as silent, although the answer arrived in time. Cause: the timer of a call fires before the task of its connection has read the socket, if the process was paused or has too little processor time. Class of fault: the own lateness is taken for the silence of the other side. Ruled out: longer timeouts, since silent connections have to be found soon. It only gives up later, so no order is sent twice because of it: permissions are absolute times and are checked elsewhere.

--- a/crates/hs-control/src/peers.rs
+++ b/crates/hs-control/src/peers.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use hs_timer::timeout;
 use thiserror::Error;
-use tokio::time::timeout;
 use tonic::transport::{Channel, Endpoint};
 
 use crate::message::cell_client::CellClient;
@@ -71,7 +71,7 @@
         let status = match timeout(call_timeout, call(client)).await {
             Ok(Ok(response)) => return Ok(response.into_inner()),
             Ok(Err(status)) => status,
-            Err(_) => tonic::Status::deadline_exceeded("no answer in time"),
+            Err(error) => tonic::Status::deadline_exceeded(error.to_string()),
         };
         let peer = address.to_owned();
         if status.code() == tonic::Code::FailedPrecondition {
--- a/crates/hs-http/src/call.rs
+++ b/crates/hs-http/src/call.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hs_timer::timeout;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{CONTENT_TYPE, IF_NONE_MATCH};
 use hyper::{HeaderMap, Method, Request};
@@ -12,7 +13,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
-use tokio::time::timeout;
 
 /// Error of a call that got no reply.
 #[derive(Debug, Error)]
@@ -193,7 +193,7 @@
         self.send(operation, peer, request, call_timeout).await
     }
 
-    /// Sends a prepared request.
+    /// Sends a prepared request. The time in which this process is late does not count towards the timeout.
     ///
     /// # Errors
     ///
--- a/crates/hs-http/tests/call.rs
+++ b/crates/hs-http/tests/call.rs
@@ -129,3 +129,39 @@
         assert!(error.is_not_sent(), "{peer:?}: {error}");
     }
 }
+
+/// Starts a peer on a thread of its own that answers each request at once.
+fn prompt_peer() -> SocketAddr {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listen");
+    let address = listener.local_addr().expect("address");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buffer = [0; 4096];
+        while stream.read(&mut buffer).is_ok_and(|length| length > 0) {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+        }
+    });
+    address
+}
+
+/// Guards against a peer that counts as silent, and work that counts as possibly started, because this process
+/// was paused or too busy to read a reply that arrived in time.
+#[tokio::test]
+async fn a_reply_that_arrives_while_the_process_is_paused_is_read() {
+    const CALL_TIMEOUT: Duration = Duration::from_millis(100);
+    const PAUSE: Duration = Duration::from_millis(400);
+    let peer = prompt_peer().to_string();
+    let client = HttpClient::default();
+    for _ in 0..4 {
+        let call = client.post_json("task start", &peer, "/", &(), CALL_TIMEOUT);
+        let pause = async {
+            // The request is sent before the process stops, and read after it.
+            tokio::task::yield_now().await;
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            std::thread::sleep(PAUSE);
+        };
+        let (reply, ()) = tokio::join!(call, pause);
+        assert_eq!(reply.expect("the reply arrived in time").status, 200);
+    }
+}
