fix: restart tasks of an entry process that panic

A panic ended only its task, and the process went on without one of its duties: without the placer it placed nothing and refused durable work for good, a worker whose link had ended had no lease and no other owner, a partition counted as owned and answered no call, a record stayed open after its runner, and the manifest stayed as it was. Ruled out: ending the process, since one bad message would then end all of its duties.

What it held is acquired again: a link whose worker the placer does not know drops its lease and lists the running tasks under a raised fence; a partition is taken over like that of a dead owner, under a writer id that was never used; a runner that panicked is replaced by one that resolves the placed tasks. Calls to the store run in tasks of their own, so that a read or write that panics counts as failed or unknown.

--- a/crates/hs-node/src/ledger/candidate.rs
+++ b/crates/hs-node/src/ledger/candidate.rs
@@ -12,6 +12,7 @@
 use super::partition_task::{STORE_TIMEOUT, SeenRevision};
 use super::{PartitionMessage, PartitionTask};
 use crate::port::{Platform, StorePort, StoreValue};
+use crate::supervise::catch_panic;
 
 /// Interval between reads of the partition by a candidate.
 const CANDIDATE_READ_INTERVAL: Duration = Duration::from_secs(1);
@@ -46,7 +47,9 @@
         let number = self.number;
         let key = self.store_key();
         tokio::spawn(async move {
-            let found = shared.platform.store().get(&key, STORE_TIMEOUT).await;
+            let store = shared.platform.store().clone();
+            let read = async move { store.get(&key, STORE_TIMEOUT).await };
+            let found = catch_panic(&"store read", read).await;
             shared.ledger.send(number, PartitionMessage::Read { found });
         });
     }
@@ -114,12 +117,11 @@
     /// Takes the partition over from the given image. The ownership begins once the first write is
     /// committed.
     pub(super) fn take_over(&mut self, image: Option<PartitionImage>, revision: u64) {
-        self.takeover_count += 1;
         let settings = &self.shared.settings;
         let owner = LedgerOwner {
             id: settings.id.clone(),
             addr: settings.peer_address().to_string(),
-            writer: format!("{}.{}", self.shared.owner(), self.takeover_count),
+            writer: self.shared.next_writer(),
         };
         let partition = LedgerPartition::take_over(image, revision, owner, self.now());
         self.owned = Some(OwnedPartition {
--- a/crates/hs-node/src/ledger/follow.rs
+++ b/crates/hs-node/src/ledger/follow.rs
@@ -1,5 +1,6 @@
 //! Follows placed attempts from their start to their end.
 
+use std::panic::resume_unwind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,7 +41,11 @@
         }
         let mut to_retry = Vec::new();
         while let Some(next) = follows.join_next().await {
-            to_retry.extend(next.ok()??);
+            match next {
+                Ok(next) => to_retry.extend(next?),
+                Err(error) if error.is_panic() => resume_unwind(error.into_panic()),
+                Err(_) => return None,
+            }
         }
         to_retry.sort_by_key(|(task, _)| *task);
         Some(to_retry)
--- a/crates/hs-node/src/ledger/message.rs
+++ b/crates/hs-node/src/ledger/message.rs
@@ -75,8 +75,9 @@
     },
     /// The store value was read, by the owner after a lost reply or by a candidate.
     Read {
-        /// The value, `None` if the store has none, or why the read failed.
-        found: Result<Option<StoreValue>, PortError>,
+        /// The value, `None` if the store has none, or why the read failed. `None` outside if it
+        /// panicked.
+        found: Option<Result<Option<StoreValue>, PortError>>,
     },
     /// Applies a change that a runner makes to its tasks.
     Change {
@@ -90,6 +91,15 @@
         /// the change came too late.
         reply: oneshot::Sender<ChangeOutcome>,
     },
+    /// The runner of tasks has panicked. Those that are open get another runner.
+    RunnerPanicked {
+        /// Epoch of the ownership that the runner belonged to.
+        epoch: u64,
+        /// Key of the record.
+        record: RecordKey,
+        /// Indices of the tasks.
+        tasks: Vec<u32>,
+    },
     /// Releases the partition, because the process is shutting down.
     Release {
         /// Notified when the partition is released.
--- a/crates/hs-node/src/ledger/partition_task.rs
+++ b/crates/hs-node/src/ledger/partition_task.rs
@@ -12,6 +12,7 @@
 use super::{PARTITION_COUNT, PartitionMessage, PartitionStatus};
 use crate::port::{ClockPort, Platform, StorePort, StoreWrite};
 use crate::shared::NodeShared;
+use crate::supervise::{TaskInbox, catch_panic};
 
 /// Timeout of one store call. It is long enough not to mistake a slow store for one that is down.
 pub(super) const STORE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -29,14 +30,13 @@
 pub struct PartitionTask<P: Platform> {
     pub(super) shared: Arc<NodeShared<P>>,
     pub(super) number: u32,
-    receiver: mpsc::UnboundedReceiver<PartitionMessage>,
+    receiver: TaskInbox<mpsc::UnboundedReceiver<PartitionMessage>>,
     pub(super) owned: Option<OwnedPartition>,
     /// Peer address of the owner, if known.
     pub(super) owner: Option<String>,
     pub(super) last_seen: Option<SeenRevision>,
     pub(super) next_read: Instant,
     pub(super) is_reading: bool,
-    pub(super) takeover_count: u32,
     /// Set once the release of the partition is requested; notified when it is complete.
     pub(super) release_done: Option<oneshot::Sender<()>>,
 }
@@ -47,7 +47,7 @@
     pub fn new(
         shared: Arc<NodeShared<P>>,
         number: u32,
-        receiver: mpsc::UnboundedReceiver<PartitionMessage>,
+        receiver: TaskInbox<mpsc::UnboundedReceiver<PartitionMessage>>,
     ) -> Self {
         let next_read = shared.platform.clock().now();
         Self {
@@ -59,13 +59,14 @@
             last_seen: None,
             next_read,
             is_reading: false,
-            takeover_count: 0,
             release_done: None,
         }
     }
 
     /// Runs until every handle has been dropped or the partition is released.
     pub async fn run(mut self) {
+        // After a panic, the process takes the partition over again like that of a dead owner.
+        self.shared.ledger.set_owned(self.number, false);
         loop {
             let wake = self.next_wake();
             tokio::select! {
@@ -117,7 +118,7 @@
             PartitionMessage::Flushed { epoch, outcome } => self.flush_ended(epoch, outcome),
             PartitionMessage::Read { found } => {
                 self.is_reading = false;
-                if let Ok(found) = found {
+                if let Some(Ok(found)) = found {
                     self.handle_read(found);
                 }
             }
@@ -127,6 +128,11 @@
                 change,
                 reply,
             } => self.apply_change(epoch, record, change, reply),
+            PartitionMessage::RunnerPanicked {
+                epoch,
+                record,
+                tasks,
+            } => self.replace_runner(epoch, record, &tasks),
             PartitionMessage::Release { done } => {
                 self.release_done = Some(done);
                 if let Some(owned) = &mut self.owned {
@@ -215,15 +221,17 @@
         let number = self.number;
         let key = self.store_key();
         tokio::spawn(async move {
-            let store = shared.platform.store();
-            let outcome = match store
-                .put(&key, flush.if_revision, flush.body, STORE_TIMEOUT)
-                .await
-            {
-                Ok(StoreWrite::Written(revision)) => FlushOutcome::Written { revision },
-                Ok(StoreWrite::Conflict(_)) => FlushOutcome::Conflict,
-                Err(error) if error.had_no_effect() => FlushOutcome::NotSent,
-                Err(_) => FlushOutcome::Unknown,
+            let store = shared.platform.store().clone();
+            let write = async move {
+                store
+                    .put(&key, flush.if_revision, flush.body, STORE_TIMEOUT)
+                    .await
+            };
+            let outcome = match catch_panic(&"store write", write).await {
+                Some(Ok(StoreWrite::Written(revision))) => FlushOutcome::Written { revision },
+                Some(Ok(StoreWrite::Conflict(_))) => FlushOutcome::Conflict,
+                Some(Err(error)) if error.had_no_effect() => FlushOutcome::NotSent,
+                Some(Err(_)) | None => FlushOutcome::Unknown,
             };
             shared.metrics.record_store_write(match outcome {
                 FlushOutcome::Written { .. } => "written",
--- a/crates/hs-node/src/ledger/runner.rs
+++ b/crates/hs-node/src/ledger/runner.rs
@@ -167,6 +167,12 @@
                 {
                     sleep(REQUEUE_DELAY).await;
                 }
+                // The placer panicked and is started again. A refusal would be final for the key.
+                Err(NotRunReason::ShuttingDown)
+                    if self.shared.platform.clock().now() < deadline =>
+                {
+                    sleep(REQUEUE_DELAY).await;
+                }
                 result => return result,
             }
         }
--- a/crates/hs-node/src/ledger/runs.rs
+++ b/crates/hs-node/src/ledger/runs.rs
@@ -2,16 +2,18 @@
 
 use std::collections::BTreeMap;
 
-use hs_ledger::{RecordKey, TaskKey, TaskState};
+use hs_ledger::{OpenTask, RecordKey, TaskKey, TaskState};
 use hs_wire::WorkClass;
 use tokio::sync::{oneshot, watch};
+use tokio::time::sleep;
 
-use super::PartitionTask;
 use super::message::{ChangeOutcome, TaskChange};
 use super::owned::CommitWaiter;
 use super::runner::{RunPlan, TaskRunner};
 use super::runner_port::RunnerPort;
+use super::{PartitionMessage, PartitionTask};
 use crate::port::Platform;
+use crate::supervise::{RESTART_PAUSE, run_logged};
 
 impl<P: Platform> PartitionTask<P> {
     /// Resumes the open tasks of the previous owner.
@@ -21,7 +23,7 @@
         };
         let mut open: BTreeMap<RecordKey, Vec<(TaskKey, Option<String>)>> = BTreeMap::new();
         for task in owned.partition.open_tasks() {
-            let worker = (task.state == TaskState::Placed).then(|| task.worker.to_owned());
+            let worker = placed_worker(&task);
             open.entry(task.record)
                 .or_default()
                 .push((task.task, worker));
@@ -48,12 +50,13 @@
             return;
         };
         let (class, repeatable, admitted_ms) = (entry.class, entry.repeatable, entry.admitted_ms);
-        let (signal, cancelled) = watch::channel(entry.cancel);
         let named: Vec<_> = tasks
             .into_iter()
             .filter_map(|(task, worker)| Some((task, entry.task_id(task)?, worker)))
             .collect();
-        owned.cancel_signals.insert(record, signal);
+        // Replacing the signal would stop the other runners of the record.
+        let signals = owned.cancel_signals.entry(record);
+        let signal = signals.or_insert_with(|| watch::Sender::new(entry.cancel));
         let epoch = owned.partition.epoch();
         let is_gang =
             class == WorkClass::Gang && named.iter().all(|(_, _, worker)| worker.is_none());
@@ -62,6 +65,7 @@
             false => named.into_iter().map(|task| vec![task]).collect(),
         };
         for tasks in groups {
+            let indices: Vec<u32> = tasks.iter().map(|(task, ..)| task.task).collect();
             let plan = RunPlan {
                 submission: submission.clone(),
                 repeatable,
@@ -69,11 +73,38 @@
                 tasks,
             };
             let port = RunnerPort::new(self.shared.ledger.clone(), self.number, epoch, record);
-            let runner = TaskRunner::new(self.shared.clone(), port, plan, cancelled.clone());
-            tokio::spawn(runner.run());
+            let runner = TaskRunner::new(self.shared.clone(), port, plan, signal.subscribe());
+            let (ledger, number) = (self.shared.ledger.clone(), self.number);
+            tokio::spawn(async move {
+                if run_logged(&"runner of durable work", runner.run()).await {
+                    sleep(RESTART_PAUSE).await;
+                    let message = PartitionMessage::RunnerPanicked {
+                        epoch,
+                        record,
+                        tasks: indices,
+                    };
+                    ledger.send(number, message);
+                }
+            });
         }
     }
 
+    /// Starts another runner for those tasks of a runner that panicked which are still open. It
+    /// resolves the placed ones, like the runner of a new owner.
+    pub(super) fn replace_runner(&mut self, epoch: u64, record: RecordKey, tasks: &[u32]) {
+        let owned = self.owned.as_ref();
+        let Some(owned) = owned.filter(|owned| owned.partition.epoch() == epoch) else {
+            return;
+        };
+        let is_affected =
+            |open: &OpenTask<'_>| open.record == record && tasks.contains(&open.task.task);
+        let affected = owned.partition.open_tasks().filter(is_affected);
+        let affected = affected
+            .map(|open| (open.task, placed_worker(&open)))
+            .collect();
+        self.spawn_runners(record, affected);
+    }
+
     /// Applies a change made by a runner, and answers once it is committed.
     pub(super) fn apply_change(
         &mut self,
@@ -126,3 +157,8 @@
         owned.commit_waiters.entry(stamp).or_default().push(waiter);
     }
 }
+
+/// Returns the worker on which an open task was placed, or `None` if it is waiting.
+fn placed_worker(task: &OpenTask<'_>) -> Option<String> {
+    (task.state == TaskState::Placed).then(|| task.worker.to_owned())
+}
--- a/crates/hs-node/src/lib.rs
+++ b/crates/hs-node/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod run;
 pub mod service;
 pub mod shared;
+mod spawn;
+pub mod supervise;
 pub mod sync;
 pub mod work;
 
--- a/crates/hs-node/src/link/manager.rs
+++ b/crates/hs-node/src/link/manager.rs
@@ -11,6 +11,7 @@
 use super::{LinkCommand, LinkMessage, WorkerLink};
 use crate::port::Platform;
 use crate::shared::NodeShared;
+use crate::supervise::{TaskInbox, run_logged};
 
 /// Capacity of the channel to one link, in commands.
 const COMMAND_CHANNEL_CAPACITY: usize = 256;
@@ -20,6 +21,10 @@
 /// release most of them again.
 const STARTUP_DELAY: Duration = Duration::from_millis(600);
 
+/// Maximum time between two reconciliations. A link that has ended because of a panic is replaced
+/// within this time.
+const RECONCILE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A running link, with its worker and the draining flag that was last sent to it.
 struct LinkSlot {
     worker: VmEntry,
@@ -30,13 +35,16 @@
 /// Runs one link for each worker that this process is the preferred owner of.
 pub struct LinkManager<P: Platform> {
     shared: Arc<NodeShared<P>>,
-    receiver: mpsc::Receiver<LinkMessage>,
+    receiver: TaskInbox<mpsc::Receiver<LinkMessage>>,
     slots: HashMap<String, LinkSlot>,
 }
 
 impl<P: Platform> LinkManager<P> {
     /// Creates the manager with no links.
-    pub fn new(shared: Arc<NodeShared<P>>, receiver: mpsc::Receiver<LinkMessage>) -> Self {
+    pub fn new(
+        shared: Arc<NodeShared<P>>,
+        receiver: TaskInbox<mpsc::Receiver<LinkMessage>>,
+    ) -> Self {
         Self {
             shared,
             receiver,
@@ -66,6 +74,7 @@
                     }
                     None => return,
                 },
+                () = sleep(RECONCILE_INTERVAL) => self.reconcile(),
                 Ok(()) = members.changed() => self.reconcile(),
                 Ok(()) = vms.changed() => self.reconcile(),
                 Ok(()) = manifest.changed() => self.reconcile(),
@@ -112,6 +121,7 @@
     fn ensure_link(&mut self, worker: &VmEntry, draining: bool) {
         if let Some(slot) = self.slots.get_mut(&worker.id)
             && slot.worker.addr == worker.addr
+            && !slot.commands.is_closed()
         {
             let command = LinkCommand::Draining(draining);
             if slot.draining != draining && slot.commands.try_send(command).is_ok() {
@@ -128,7 +138,8 @@
             self.shared.placer.clone(),
             receiver,
         );
-        tokio::spawn(link.run());
+        let name = format!("link to worker {}", worker.id);
+        tokio::spawn(async move { run_logged(&name, link.run()).await });
         let slot = LinkSlot {
             worker: worker.clone(),
             draining,
--- a/crates/hs-node/src/link/worker_link.rs
+++ b/crates/hs-node/src/link/worker_link.rs
@@ -65,7 +65,8 @@
         }
     }
 
-    /// Runs until a command releases the lease or the manager has ended.
+    /// Runs until a command releases the lease or the manager has ended. In the latter case the
+    /// lease expires.
     pub async fn run(mut self) {
         let mut next_call = self.platform.clock().now();
         loop {
@@ -80,7 +81,7 @@
                         }
                         return;
                     }
-                    None => return,
+                    None => return self.drop_lease(),
                 },
                 () = sleep_until(next_call.into()) => next_call = self.acquire_or_renew().await,
             }
@@ -122,7 +123,12 @@
     }
 
     async fn renew(&mut self) -> bool {
-        let query = self.placer.due_query(&self.worker.id).await;
+        let Some(query) = self.placer.due_query(&self.worker.id).await else {
+            // The placer was started again and has forgotten the reservations. The acquisition
+            // lists the running tasks, and starts that are on their way are refused.
+            self.drop_lease();
+            return false;
+        };
         let requested_at = self.platform.clock().now();
         let request = self.request(query.raise_fence, false, query.tasks.clone());
         match self.call(&request).await {
--- a/crates/hs-node/src/member/task.rs
+++ b/crates/hs-node/src/member/task.rs
@@ -14,6 +14,7 @@
 use super::{MemberMessage, MemberSnapshot};
 use crate::port::{ClockPort, Platform};
 use crate::shared::NodeShared;
+use crate::supervise::TaskInbox;
 use crate::sync::SyncHandle;
 
 /// Interval between ticks of the membership state machine, a third of the heartbeat interval.
@@ -29,7 +30,7 @@
 /// Runs the membership state machine of this process and publishes its snapshots.
 pub struct MemberTask<P: Platform> {
     shared: Arc<NodeShared<P>>,
-    receiver: mpsc::Receiver<MemberMessage>,
+    receiver: TaskInbox<mpsc::Receiver<MemberMessage>>,
     snapshots: watch::Sender<Arc<MemberSnapshot>>,
     sync: SyncHandle,
     membership: Membership,
@@ -40,7 +41,7 @@
     /// Creates the task with no known peers.
     pub fn new(
         shared: Arc<NodeShared<P>>,
-        receiver: mpsc::Receiver<MemberMessage>,
+        receiver: TaskInbox<mpsc::Receiver<MemberMessage>>,
         snapshots: watch::Sender<Arc<MemberSnapshot>>,
         sync: SyncHandle,
         options: MemberOptions,
--- a/crates/hs-node/src/placer/handle.rs
+++ b/crates/hs-node/src/placer/handle.rs
@@ -52,12 +52,13 @@
         result.await.unwrap_or(false)
     }
 
-    /// Returns the reservations of a worker whose tasks are due to be queried.
-    pub async fn due_query(&self, name: &str) -> TaskQuery {
+    /// Returns the reservations of a worker whose tasks are due to be queried, or `None` if the
+    /// placer does not know the worker, as after it was started again.
+    pub async fn due_query(&self, name: &str) -> Option<TaskQuery> {
         let (reply, result) = oneshot::channel();
         let name = name.to_owned();
         self.send(PlacerMessage::DueQuery { name, reply });
-        result.await.unwrap_or_default()
+        result.await.ok().flatten()
     }
 
     /// Returns the tasks that hold capacity and whose id starts with `prefix`.
--- a/crates/hs-node/src/placer/message.rs
+++ b/crates/hs-node/src/placer/message.rs
@@ -101,8 +101,8 @@
     DueQuery {
         /// Name of the worker.
         name: String,
-        /// Receives the tasks to query.
-        reply: oneshot::Sender<TaskQuery>,
+        /// Receives the tasks to query, or `None` if there is no such worker.
+        reply: oneshot::Sender<Option<TaskQuery>>,
     },
     /// Reports what a worker answered to a query about tasks.
     QueryAnswered {
--- a/crates/hs-node/src/placer/reconcile.rs
+++ b/crates/hs-node/src/placer/reconcile.rs
@@ -26,13 +26,11 @@
 
 impl<Clock: ClockPort> PlacerTask<Clock> {
     /// Returns the query about the tasks on a worker that are due, and marks them as queried.
-    pub(super) fn due_query(&mut self, name: &str) -> TaskQuery {
+    /// Returns `None` if there is no such worker.
+    pub(super) fn due_query(&mut self, name: &str) -> Option<TaskQuery> {
         let now = self.clock.now();
         let mut query = TaskQuery::default();
-        let worker = self.worker_keys.get(name);
-        let Some(slot) = worker.and_then(|worker| self.slots.get_mut(worker)) else {
-            return query;
-        };
+        let slot = self.slots.get_mut(self.worker_keys.get(name)?)?;
         for (task, reservation) in &mut slot.tasks {
             let since_query = now.saturating_duration_since(
                 reservation.queried_at.unwrap_or(reservation.reserved_at),
@@ -46,7 +44,7 @@
                 reservation.is_unknown && reservation_age >= UNKNOWN_TASK_RELEASE_AGE;
             query.tasks.push(task.clone());
         }
-        query
+        Some(query)
     }
 
     /// Updates or releases the queried reservations according to the answer of the worker.
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -19,6 +19,7 @@
 };
 use crate::manifest::ManifestView;
 use crate::port::ClockPort;
+use crate::supervise::TaskInbox;
 
 /// Maximum number of messages handled before the decisions of the placement core are applied.
 const MAX_MESSAGES_PER_BATCH: usize = 256;
@@ -46,7 +47,7 @@
 /// Owns the placement core and the reservations on the workers leased by this process.
 pub struct PlacerTask<Clock> {
     pub(super) clock: Clock,
-    receiver: mpsc::UnboundedReceiver<PlacerMessage>,
+    receiver: TaskInbox<mpsc::UnboundedReceiver<PlacerMessage>>,
     pub(super) placer: Placer,
     pub(super) manifest: Option<Arc<ManifestView>>,
     member_count: u32,
@@ -66,7 +67,7 @@
 impl<Clock: ClockPort> PlacerTask<Clock> {
     /// Creates a placer task without workers and without a manifest. It handles the messages of
     /// `receiver`.
-    pub fn new(clock: Clock, receiver: mpsc::UnboundedReceiver<PlacerMessage>) -> Self {
+    pub fn new(clock: Clock, receiver: TaskInbox<mpsc::UnboundedReceiver<PlacerMessage>>) -> Self {
         let placer = Placer::new(PlacerPolicy::default(), clock.now());
         let retry_budget = RetryBudget::new(clock.now());
         let next_straggler_scan = clock.now();
@@ -88,6 +89,13 @@
         }
     }
 
+    /// Applies a manifest. `members` is the number of live entry processes in the data centre.
+    pub fn set_manifest(&mut self, view: Arc<ManifestView>, members: u32) {
+        self.manifest = Some(view);
+        self.member_count = members;
+        self.apply_policy();
+    }
+
     /// Runs until every handle has been dropped.
     pub async fn run(mut self) {
         loop {
@@ -141,11 +149,7 @@
                 fence_raised,
                 known,
             } => self.query_answered(&name, &queried, fence_raised, &known),
-            PlacerMessage::Manifest { view, members } => {
-                self.manifest = Some(view);
-                self.member_count = members;
-                self.apply_policy();
-            }
+            PlacerMessage::Manifest { view, members } => self.set_manifest(view, members),
             PlacerMessage::HeldTasks { prefix, reply } => {
                 let _ = reply.send(self.held_tasks(&prefix));
             }
--- a/crates/hs-node/src/run.rs
+++ b/crates/hs-node/src/run.rs
@@ -16,16 +16,16 @@
 use tokio::time::timeout;
 
 use crate::api::{CallerApi, ControlApi};
-use crate::ledger::{LedgerHandle, PartitionTask};
-use crate::link::{LinkHandle, LinkManager};
-use crate::member::{MemberHandle, MemberSnapshot, MemberTask};
+use crate::ledger::LedgerHandle;
+use crate::link::LinkHandle;
+use crate::member::{MemberHandle, MemberSnapshot};
 use crate::metrics::NodeMetrics;
 use crate::peer::{PeerPool, PeerServerTask};
-use crate::placer::{PlacerHandle, PlacerTask};
+use crate::placer::PlacerHandle;
 use crate::port::{ClockPort, HttpPlatform, Platform};
-use crate::service::ServiceReconciler;
 use crate::shared::NodeShared;
-use crate::sync::{SyncHandle, SyncTask};
+use crate::spawn::{TaskInputs, spawn_tasks};
+use crate::sync::SyncHandle;
 
 /// Timeout of each of these steps of the shutdown: releasing the partitions, announcing the
 /// shutdown to the peers, and releasing the leases. A store that is down must not delay the
@@ -131,6 +131,7 @@
         metrics,
         is_shutting_down: is_shutting_down.clone(),
         next_check: AtomicU64::new(0),
+        next_takeover: AtomicU64::new(1),
         next_seed: AtomicU64::new(0),
     });
     EventCode::ProcessStarted.log(format_args!(
@@ -140,32 +141,19 @@
         env!("CARGO_PKG_VERSION"),
         shared.settings.caller_listen,
     ));
-    tokio::spawn(PlacerTask::new(shared.platform.clock().clone(), placer_messages).run());
-    tokio::spawn(LinkManager::new(shared.clone(), link_messages).run());
-    tokio::spawn(
-        MemberTask::new(
-            shared.clone(),
-            member_messages,
-            snapshots,
-            sync.clone(),
-            options,
-        )
-        .run(),
-    );
-    tokio::spawn(
-        SyncTask::new(
-            shared.clone(),
-            sync,
-            sync_messages,
-            manifest_sender,
-            vms_sender,
-        )
-        .run(),
-    );
-    for (number, messages) in (0..).zip(partition_messages) {
-        tokio::spawn(PartitionTask::new(shared.clone(), number, messages).run());
-    }
-    tokio::spawn(ServiceReconciler::new(shared.clone()).run());
+    let inputs = TaskInputs {
+        placer_messages,
+        link_messages,
+        member_messages,
+        sync_messages,
+        partition_messages,
+        snapshots,
+        manifest_sender,
+        vms_sender,
+        sync,
+        options,
+    };
+    spawn_tasks(&shared, inputs);
     let (end_sender, is_ended) = watch::channel(false);
     let peer_server =
         tokio::spawn(PeerServerTask::new(shared.clone()).run(listeners.peer, is_ended.clone()));
--- a/crates/hs-node/src/shared.rs
+++ b/crates/hs-node/src/shared.rs
@@ -50,6 +50,8 @@
     pub is_shutting_down: watch::Receiver<bool>,
     /// Sequence number of the next check, for its id.
     pub next_check: AtomicU64,
+    /// Sequence number of the next takeover of a ledger partition, for its writer id.
+    pub next_takeover: AtomicU64,
     /// Next seed for the choice between equivalent peers.
     pub next_seed: AtomicU64,
 }
@@ -76,6 +78,13 @@
         ))
     }
 
+    /// Returns the writer id of the next takeover of a ledger partition. It differs from those of all
+    /// earlier ones, since a writer recognises its writes in the store by it.
+    pub fn next_writer(&self) -> String {
+        let number = self.next_takeover.fetch_add(1, Ordering::Relaxed);
+        format!("{}.{number}", self.owner())
+    }
+
     /// Returns a different seed on each call, so that choices between equivalent peers are spread.
     pub fn next_seed(&self) -> u64 {
         self.next_seed.fetch_add(1, Ordering::Relaxed)
--- a/crates/hs-node/src/sync/mod.rs
+++ b/crates/hs-node/src/sync/mod.rs
@@ -5,3 +5,4 @@
 
 pub use handle::{SyncHandle, SyncMessage};
 pub use task::SyncTask;
+pub(crate) use task::{read_manifest, read_vms};
--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -17,6 +17,7 @@
 use crate::placer::PlacerMessage;
 use crate::port::{Platform, StorePort, VmPort};
 use crate::shared::NodeShared;
+use crate::supervise::TaskInbox;
 
 /// Interval between reads of the VM list by the watcher, the process that reads the manifest and
 /// the VM list on behalf of its data centre.
@@ -39,7 +40,7 @@
 pub struct SyncTask<P: Platform> {
     shared: Arc<NodeShared<P>>,
     handle: SyncHandle,
-    receiver: mpsc::UnboundedReceiver<SyncMessage>,
+    receiver: TaskInbox<mpsc::UnboundedReceiver<SyncMessage>>,
     manifest_sender: watch::Sender<Option<Arc<ManifestView>>>,
     vms_sender: watch::Sender<Arc<VmList>>,
     state: ManifestState,
@@ -53,7 +54,7 @@
     pub fn new(
         shared: Arc<NodeShared<P>>,
         handle: SyncHandle,
-        receiver: mpsc::UnboundedReceiver<SyncMessage>,
+        receiver: TaskInbox<mpsc::UnboundedReceiver<SyncMessage>>,
         manifest_sender: watch::Sender<Option<Arc<ManifestView>>>,
         vms_sender: watch::Sender<Arc<VmList>>,
     ) -> Self {
@@ -71,8 +72,10 @@
 
     /// Runs until all handles are dropped.
     pub async fn run(mut self) {
-        tokio::spawn(read_manifest(self.shared.clone(), self.handle.clone()));
-        tokio::spawn(read_vms(self.shared.clone(), self.handle.clone()));
+        if let Some(view) = self.shared.view() {
+            // The task was started again. The manifest must not revert.
+            let _ = self.state.offer(view.revision(), &view.text);
+        }
         for seed in self.shared.settings.seeds.clone() {
             self.pull(seed.to_string());
         }
@@ -191,7 +194,7 @@
 
 /// Reads the manifest from the store: continuously while this process is the watcher, otherwise at
 /// the fallback interval.
-async fn read_manifest<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
+pub(crate) async fn read_manifest<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
     let store = shared.platform.store();
     let mut after = 0;
     loop {
@@ -210,7 +213,7 @@
 
 /// Reads the VM list: once a second while this process is the watcher, otherwise at the fallback
 /// interval.
-async fn read_vms<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
+pub(crate) async fn read_vms<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
     loop {
         let known = shared.vms.borrow().version;
         let result = shared.platform.vms().list(known, READ_TIMEOUT).await;
