fix: hold the capacity of a repeated reservation once

A holder that gets no reply to a reservation within 200 ms, for instance because it was paused, asks again under the same task id while the work waits. The second reservation replaced the first by its id, so that the capacity of the first was held for good: on the same worker without a trace, on another one with a query every 5 s that raised the fencing token. Ruled out: releasing the first reservation at the second request, which would free the capacity of a running task if the first request arrives late.

A task that holds capacity already gets the grant of its reservation again. A gang of which some tasks hold capacity is refused as busy, and the reconciliation releases what is unused.

New test a_repeated_reservation_holds_capacity_once: before, the second request got a grant on another worker; with the change both get the same, and a release frees the capacity.

--- a/crates/hs-node/src/placer/mod.rs
+++ b/crates/hs-node/src/placer/mod.rs
@@ -3,6 +3,7 @@
 
 mod grant;
 mod handle;
+mod held;
 mod message;
 mod reconcile;
 mod reservation;
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
+use super::held::grant_of;
 use super::{
     PlaceMode, PlaceRefusal, PlaceRequest, PlacerMessage, TaskGrant, TaskReservation, WorkerReport,
 };
@@ -175,6 +176,13 @@
                 return;
             }
         };
+        if request.mode != PlaceMode::Partial
+            && let Some(held) = self.held_result(&request.tasks)
+        {
+            // A reply that does not arrive releases nothing, because an earlier one may have.
+            let _ = reply.send(held);
+            return;
+        }
         match request.mode {
             PlaceMode::Immediate => match self.placer.place_now(work, now) {
                 Some(Decision::Place { work, workers, .. }) => {
@@ -214,7 +222,12 @@
         let now = self.clock.now();
         work.tasks = 1;
         let mut grants = Vec::new();
+        let mut placed = Vec::new();
         for task in &request.tasks {
+            if let Some(held) = self.held_grant(task) {
+                grants.push(held);
+                continue;
+            }
             let Some(Decision::Place { work, workers, .. }) =
                 self.placer.place_now(work.clone(), now)
             else {
@@ -222,14 +235,14 @@
             };
             let tasks = std::slice::from_ref(task);
             grants.extend(self.record_reservations(work, &workers, tasks, request, Duration::ZERO));
+            placed.push(task.clone());
         }
-        let granted = grants.len();
-        let result = match granted {
-            0 => Err(PlaceRefusal::Busy),
-            _ => Ok(grants),
+        let result = match grants.is_empty() {
+            true => Err(PlaceRefusal::Busy),
+            false => Ok(grants),
         };
         if reply.send(result).is_err() {
-            self.release_undelivered(&request.tasks[..granted]);
+            self.release_undelivered(&placed);
         }
     }
 
@@ -301,12 +314,7 @@
                 report.grant.fence,
                 waited.as_millis(),
             ));
-            grants.push(TaskGrant {
-                worker: report.name.clone(),
-                address: report.address.clone(),
-                fence: report.grant.fence,
-                incarnation: report.grant.incarnation,
-            });
+            grants.push(grant_of(report));
         }
         grants
     }
--- a/crates/hs-node/tests/faults/main.rs
+++ b/crates/hs-node/tests/faults/main.rs
@@ -4,4 +4,5 @@
 mod fake_peer;
 mod harness;
 mod panics;
+mod placer;
 mod platform;
