fix: refuse malformed reservations of peers

A reservation without task ids placed one task of which no reservation was recorded, so that nothing released its capacity; one such message for each free slot took a worker out of use. The same id twice did so for all but one, and more ids than a 16-bit count can hold were counted modulo 65,536. These requests are refused as malformed.

New test malformed_reservations_hold_no_capacity: before, a request without tasks was granted with an empty list.

--- a/crates/hs-node/src/placer/message.rs
+++ b/crates/hs-node/src/placer/message.rs
@@ -1,11 +1,12 @@
 //! Messages to the placer task.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Instant;
 
 use hs_core::TaskEnd;
 use hs_peer::message::HeldTask;
-use hs_wire::{LeaseGrant, TaskView, WorkId};
+use hs_wire::{LeaseGrant, NotRunReason, TaskView, WorkId};
 use tokio::sync::oneshot;
 
 use super::{PlaceRefusal, PlacerStatus, TaskGrant};
@@ -38,6 +39,18 @@
     pub mode: PlaceMode,
 }
 
+impl PlaceRequest {
+    /// Returns the number of tasks. Each needs an id of its own, by which it is released.
+    pub(super) fn task_count(&self) -> Result<u16, NotRunReason> {
+        let count = u16::try_from(self.tasks.len()).map_err(|_| NotRunReason::Malformed)?;
+        let distinct: HashSet<&WorkId> = self.tasks.iter().collect();
+        match count > 0 && distinct.len() == self.tasks.len() {
+            true => Ok(count),
+            false => Err(NotRunReason::Malformed),
+        }
+    }
+}
+
 /// State of a leased worker, reported when its lease is acquired or renewed or its draining flag
 /// changes.
 #[derive(Clone, Debug)]
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -248,6 +248,7 @@
 
     fn work_request(&self, request: &PlaceRequest, tag: u64) -> Result<WorkRequest, NotRunReason> {
         let view = self.manifest.as_ref().ok_or(NotRunReason::NotReady)?;
+        let tasks = request.task_count()?;
         let (number, entry) = view
             .workload(&request.workload)
             .ok_or(NotRunReason::UnknownWorkload)?;
@@ -257,7 +258,7 @@
             workload: number,
             band: WorkBand::of(entry.class, entry.urgent),
             resources: entry.resources,
-            tasks: request.tasks.len() as u16,
+            tasks,
             estimate: entry.estimate_ms.map(Duration::from_millis),
             deadline: request.deadline,
             tag,
--- a/crates/hs-node/tests/faults/placer.rs
+++ b/crates/hs-node/tests/faults/placer.rs
@@ -111,3 +111,25 @@
         assert_eq!(free_slots(&placer).await, 2 * SLOTS - 3, "{mode:?}");
     }
 }
+
+/// Guards against malformed reservations of a peer that take capacity which nothing releases.
+#[tokio::test]
+async fn malformed_reservations_hold_no_capacity() {
+    let too_many: Vec<String> = (0..70_000).map(|number| format!("t{number}")).collect();
+    let too_many: Vec<&str> = too_many.iter().map(String::as_str).collect();
+    let cases: [(&str, &[&str]); 3] = [
+        ("no task", &[]),
+        ("the same task twice", &["t", "t"]),
+        ("more tasks than an index can count", &too_many),
+    ];
+    for (name, tasks) in cases {
+        for mode in [PlaceMode::Immediate, PlaceMode::Partial, PlaceMode::Queued] {
+            let placer = start();
+            add_worker(&placer, "w0", Vec::new());
+            let result = place(&placer, mode, tasks).await;
+            let malformed = Err(PlaceRefusal::Refused(NotRunReason::Malformed));
+            assert_eq!(result, malformed, "{name} {mode:?}");
+            assert_eq!(free_slots(&placer).await, SLOTS, "{name} {mode:?}");
+        }
+    }
+}
