fix: release a reservation only on the worker that was asked

A process that holds an unused reservation of a task, and then takes over the worker on which another process started this task, has two reservations under one id. The answer of the first worker that it does not know the task released the reservation on the second, where the task runs, so that its capacity could be given away twice. The answer about a worker now releases the reservation on this worker only, and so does the removal of a worker.

New test an_answer_about_one_worker_keeps_the_reservation_on_another: before, the slot on the idle worker stayed reserved and that of the running task was free.

--- a/crates/hs-node/src/placer/held.rs
+++ b/crates/hs-node/src/placer/held.rs
@@ -1,5 +1,6 @@
-//! Reservations that are held already: their grants.
+//! Reservations that are held already: their grants, and their release.
 
+use hs_core::{TaskEnd, WorkerKey};
 use hs_wire::WorkId;
 
 use super::{PlaceRefusal, PlacerTask, TaskGrant, WorkerReport};
@@ -31,6 +32,20 @@
             _ => Some(Err(PlaceRefusal::Busy)),
         }
     }
+
+    /// Releases the reservation that a task holds on one worker. A reservation of the same task on
+    /// another worker stays.
+    pub(super) fn release_on(&mut self, worker: WorkerKey, task: &WorkId, end: TaskEnd) {
+        if self.task_workers.get(task) == Some(&worker) {
+            self.task_workers.remove(task);
+        }
+        let slot = self.slots.get_mut(&worker);
+        let Some(reservation) = slot.and_then(|slot| slot.tasks.remove(task)) else {
+            return;
+        };
+        self.placer
+            .finish(reservation.work, reservation.index, end, self.clock.now());
+    }
 }
 
 /// Returns the grant for a start on a worker.
--- a/crates/hs-node/src/placer/reconcile.rs
+++ b/crates/hs-node/src/placer/reconcile.rs
@@ -62,10 +62,10 @@
             let view = known.iter().find(|view| view.id == *task);
             match view.map(|view| view.phase) {
                 Some(TaskPhase::Running) => self.set_unknown(worker, task, false),
-                Some(TaskPhase::Done) => self.release(task, TaskEnd::Done),
-                Some(TaskPhase::Failed) => self.release(task, TaskEnd::Failed),
-                Some(TaskPhase::Stopped) => self.release(task, TaskEnd::Stopped),
-                None if fence_raised => self.release(task, TaskEnd::Refused),
+                Some(TaskPhase::Done) => self.release_on(worker, task, TaskEnd::Done),
+                Some(TaskPhase::Failed) => self.release_on(worker, task, TaskEnd::Failed),
+                Some(TaskPhase::Stopped) => self.release_on(worker, task, TaskEnd::Stopped),
+                None if fence_raised => self.release_on(worker, task, TaskEnd::Refused),
                 None => self.set_unknown(worker, task, true),
             }
         }
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -341,16 +341,10 @@
         }
     }
 
-    pub(super) fn release(&mut self, task: &WorkId, end: TaskEnd) {
-        let Some(worker) = self.task_workers.remove(task) else {
-            return;
-        };
-        let slot = self.slots.get_mut(&worker);
-        let Some(reservation) = slot.and_then(|slot| slot.tasks.remove(task)) else {
-            return;
-        };
-        self.placer
-            .finish(reservation.work, reservation.index, end, self.clock.now());
+    fn release(&mut self, task: &WorkId, end: TaskEnd) {
+        if let Some(worker) = self.task_workers.get(task).copied() {
+            self.release_on(worker, task, end);
+        }
     }
 
     fn update_opening_hours(&mut self) {
--- a/crates/hs-node/src/placer/workers.rs
+++ b/crates/hs-node/src/placer/workers.rs
@@ -105,7 +105,9 @@
             return;
         };
         for (task, reservation) in slot.tasks {
-            self.task_workers.remove(&task);
+            if self.task_workers.get(&task) == Some(&worker) {
+                self.task_workers.remove(&task);
+            }
             self.placer
                 .finish(reservation.work, reservation.index, TaskEnd::Stopped, now);
         }
--- a/crates/hs-node/tests/faults/placer.rs
+++ b/crates/hs-node/tests/faults/placer.rs
@@ -133,3 +133,25 @@
         }
     }
 }
+
+/// Guards against a running task whose capacity is released because another worker does not know
+/// it: a process whose reservation was never used takes over the worker that runs the task.
+#[tokio::test]
+async fn an_answer_about_one_worker_keeps_the_reservation_on_another() {
+    let placer = start();
+    add_worker(&placer, "w0", Vec::new());
+    place(&placer, PlaceMode::Immediate, &["t"])
+        .await
+        .expect("a grant");
+    add_worker(&placer, "w1", vec![view("t")]);
+    assert_eq!(free_slots(&placer).await, 2 * SLOTS - 2);
+    placer.send(PlacerMessage::QueryAnswered {
+        name: "w0".to_owned(),
+        queried: vec![WorkId("t".to_owned())],
+        fence_raised: true,
+        known: Vec::new(),
+    });
+    let status = placer.status().await;
+    let reserved: Vec<u32> = status.workers.iter().map(|it| it.reserved.slots).collect();
+    assert_eq!(reserved, [0, 1], "slots reserved on w0 and w1");
+}
