fix: adopt a task once that a worker lists twice

A lease reply that listed a running task twice allocated its capacity twice under one id, so that the second allocation was never released. The second listing is ignored.

--- a/crates/hs-node/src/placer/workers.rs
+++ b/crates/hs-node/src/placer/workers.rs
@@ -38,7 +38,13 @@
 
     /// Adds a reservation for a task that is already running on an added worker, so that its
     /// capacity counts as reserved.
+    ///
+    /// Does nothing if the worker lists the task twice.
     pub(super) fn adopt(&mut self, worker: WorkerKey, task: &TaskView, now: Instant) {
+        let slot = self.slots.get(&worker);
+        if slot.is_some_and(|slot| slot.tasks.contains_key(&task.id)) {
+            return;
+        }
         let named = self.placer.customer(&task.customer);
         let Some(customer) = named.or_else(|| self.placer.customer(FORMER_CUSTOMER)) else {
             return;
--- a/crates/hs-node/tests/faults/placer.rs
+++ b/crates/hs-node/tests/faults/placer.rs
@@ -155,3 +155,13 @@
     let reserved: Vec<u32> = status.workers.iter().map(|it| it.reserved.slots).collect();
     assert_eq!(reserved, [0, 1], "slots reserved on w0 and w1");
 }
+
+/// Guards against capacity that nothing releases because a worker listed a running task twice.
+#[tokio::test]
+async fn a_task_listed_twice_holds_capacity_once() {
+    let placer = start();
+    add_worker(&placer, "w0", vec![view("t"), view("t")]);
+    assert_eq!(free_slots(&placer).await, SLOTS - 1);
+    placer.release(WorkId("t".to_owned()), TaskEnd::Done);
+    assert_eq!(free_slots(&placer).await, SLOTS);
+}
