fix: ignore a reservation with more grants than tasks

A gang that asks several owners kept all grants of a reply. A peer that sent more grants than there were tasks left made the runner of the gang index its tasks out of range: the runner panicked, and the gang stayed open. Such a reply now counts as a refusal; the peer finds the reservations unused and releases them.

--- a/crates/hs-node/src/work/reserve.rs
+++ b/crates/hs-node/src/work/reserve.rs
@@ -324,7 +324,15 @@
         .peers
         .reserve(peer, request, PEER_RESERVE_TIMEOUT, clock)
         .await;
-    let grants = reply.map(|reply| reply.grants).unwrap_or_default();
+    let mut grants = reply.map(|reply| reply.grants).unwrap_or_default();
+    if grants.len() > tasks.len() {
+        log::warn!(
+            "peer {peer} sent {} grants for {} tasks",
+            grants.len(),
+            tasks.len()
+        );
+        grants.clear();
+    }
     for (task, grant) in tasks.iter().zip(&grants) {
         EventCode::WorkForwarded.log(format_args!(
             "task={task} customer={} workload={} peer={peer} worker={}",
--- a/crates/hs-node/tests/faults/main.rs
+++ b/crates/hs-node/tests/faults/main.rs
@@ -4,5 +4,6 @@
 mod fake_peer;
 mod harness;
 mod panics;
+mod peer_messages;
 mod placer;
 mod platform;
