fix: hold a lease no longer than requested

A worker that granted a lease of 2^64 - 1 ms stayed in use after it had stopped answering, since a lease ends locally only with the granted time or a refusal.

--- a/crates/hs-node/src/link/worker_link.rs
+++ b/crates/hs-node/src/link/worker_link.rs
@@ -259,9 +259,10 @@
         }
     }
 
-    /// Stores a grant. The lease duration counts from the time of the request.
+    /// Stores a grant. The lease duration counts from the time of the request, and is at most the
+    /// requested one: a longer one would be an error of the worker and could overflow the sum.
     fn store_lease(&mut self, grant: LeaseGrant, requested_at: Instant) {
-        let expires_at = requested_at + Duration::from_millis(grant.ttl_ms);
+        let expires_at = requested_at + Duration::from_millis(grant.ttl_ms).min(LEASE_TTL);
         self.lease = Some(HeldLease { grant, expires_at });
     }
 
--- a/crates/hs-node/tests/faults/main.rs
+++ b/crates/hs-node/tests/faults/main.rs
@@ -1,9 +1,11 @@
 //! Tests of one entry process against faults of its neighbours: a worker, a store, a VM list and a
 //! peer whose replies are wrong, late or missing, and tasks of the process that panic.
 
+mod damage;
 mod fake_peer;
 mod harness;
 mod panics;
 mod peer_messages;
 mod placer;
 mod platform;
+mod worker_replies;
--- /dev/null
+++ b/crates/hs-node/tests/faults/worker_replies.rs
@@ -0,0 +1,172 @@
+//! Tests of malformed replies of a worker.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use hs_http::{HttpClient, HttpReply, HttpRequest, ServeLimits, serve};
+use hs_standin::WorkerOptions;
+use hs_wire::{VmEntry, VmRole};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::damage::mutate;
+use crate::harness::{CALL_TIMEOUT, Harness, HarnessOptions, listen, start_worker, vm};
+
+/// Time for which the worker sends malformed replies: about ten lease calls.
+const FAULT_TIME: Duration = Duration::from_millis(1500);
+
+/// How a worker damages its replies.
+#[derive(Clone)]
+enum Damage {
+    /// Merges these fields into the replies to lease calls.
+    Lease(Value),
+    /// Damages every reply at random.
+    Random,
+}
+
+/// Starts a worker whose replies pass through a proxy that can damage them. Returns its entry in the
+/// VM list, and the address of the worker itself.
+async fn damaging_worker(
+    damage: Damage,
+    is_on: Arc<AtomicBool>,
+    stopped: watch::Receiver<bool>,
+) -> (VmEntry, String) {
+    let inner = start_worker("w0", WorkerOptions::default(), stopped.clone()).await;
+    let (listener, address) = listen().await;
+    let entry = vm("w0", address, VmRole::Worker, inner.capacity);
+    let inner_address = inner.addr.clone();
+    let client = HttpClient::default();
+    let seed = Arc::new(AtomicU64::new(20_261_205));
+    let handler = move |request: HttpRequest| {
+        let (client, peer) = (client.clone(), inner.addr.clone());
+        let (damage, is_on, seed) = (damage.clone(), is_on.clone(), seed.clone());
+        async move {
+            let target = match request.query.as_str() {
+                "" => request.path.clone(),
+                query => format!("{}?{query}", request.path),
+            };
+            let method = request.method.clone();
+            let call = client.call("proxy", method, &peer, &target, request.body, CALL_TIMEOUT);
+            let Ok(reply) = call.await else {
+                return HttpReply::text(500, "no reply");
+            };
+            let mut body = reply.body.to_vec();
+            if is_on.load(Ordering::Relaxed) {
+                match &damage {
+                    Damage::Random => {
+                        let random = seed.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+                        let random = (random ^ (random >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+                        body = mutate(&body, random ^ (random >> 32));
+                    }
+                    Damage::Lease(fields) if request.path == "/lease" => {
+                        let mut value: Value = serde_json::from_slice(&body).unwrap_or_default();
+                        for (name, field) in fields.as_object().expect("fields") {
+                            value[name] = field.clone();
+                        }
+                        body = value.to_string().into_bytes();
+                    }
+                    Damage::Lease(_) => {}
+                }
+            }
+            HttpReply::bytes(reply.status, "application/json", body)
+        }
+    };
+    tokio::spawn(serve(listener, ServeLimits::default(), stopped, handler));
+    (entry, inner_address)
+}
+
+struct DamageCase {
+    name: &'static str,
+    damage: Damage,
+}
+
+/// Guards against a malformed reply of a worker that ends a task of the process, so that the worker
+/// is never used again.
+#[tokio::test]
+async fn malformed_replies_end_with_their_cause() {
+    let huge = json!({
+        "cpu_milli": u32::MAX, "memory_mib": u32::MAX, "slots": u32::MAX, "connections": u32::MAX,
+    });
+    let lease = |name, fields| DamageCase {
+        name,
+        damage: Damage::Lease(fields),
+    };
+    let task = json!({ "id": "t", "phase": "running", "resources": huge, "ran_ms": u64::MAX });
+    let cases = [
+        lease("endless lease", json!({ "ttl_ms": u64::MAX })),
+        lease("no lease time", json!({ "ttl_ms": 0 })),
+        lease("highest fence", json!({ "fence": u64::MAX })),
+        lease("highest incarnation", json!({ "incarnation": u64::MAX })),
+        lease("no capacity", json!({ "capacity": {} })),
+        lease("highest capacity", json!({ "capacity": huge })),
+        lease("unknown tasks", json!({ "tasks": [task.clone(), task] })),
+        lease("other types", json!({ "tasks": "none", "fence": "one" })),
+        DamageCase {
+            name: "random damage",
+            damage: Damage::Random,
+        },
+    ];
+    let mut runs = tokio::task::JoinSet::new();
+    for case in cases {
+        runs.spawn(run_case(case));
+    }
+    runs.join_all().await;
+}
+
+/// Guards against a worker that stays in use after it has stopped answering, because it granted a
+/// longer lease than was requested.
+#[tokio::test]
+async fn a_lease_lasts_at_most_as_long_as_requested() {
+    let (_stop, stopped) = watch::channel(false);
+    let is_on = Arc::new(AtomicBool::new(true));
+    let damage = Damage::Lease(json!({ "ttl_ms": u64::MAX }));
+    let (worker, inner) = damaging_worker(damage, is_on, stopped).await;
+    let options = HarnessOptions {
+        workers: vec![worker],
+        ..HarnessOptions::default()
+    };
+    let harness = Harness::start(options).await;
+    let inner: std::net::SocketAddr = inner.parse().expect("address");
+    let down: Option<Value> = harness
+        .post(inner, "/fault", &json!({ "down": "drop" }))
+        .await;
+    assert!(down.is_some(), "fault switch of the worker");
+    harness
+        .wait_status("no worker", |status| {
+            status["workers"].as_array().is_some_and(Vec::is_empty)
+        })
+        .await;
+}
+
+async fn run_case(case: DamageCase) {
+    let (_stop, stopped) = watch::channel(false);
+    let is_on = Arc::new(AtomicBool::new(false));
+    let (worker, _) = damaging_worker(case.damage, is_on.clone(), stopped).await;
+    let options = HarnessOptions {
+        workers: vec![worker],
+        ..HarnessOptions::default()
+    };
+    let harness = Harness::start(options).await;
+    harness.assert_serves("before").await;
+    is_on.store(true, Ordering::Relaxed);
+    let begin = tokio::time::Instant::now();
+    for number in 0.. {
+        if begin.elapsed() > FAULT_TIME {
+            break;
+        }
+        harness
+            .submit(&format!("f{number}"), "check", 200, "")
+            .await;
+    }
+    is_on.store(false, Ordering::Relaxed);
+    harness
+        .wait_status(case.name, |status| {
+            let workers = status["workers"].as_array().cloned().unwrap_or_default();
+            workers
+                .iter()
+                .any(|worker| worker["ejected"] == false && worker["capacity"]["slots"] == 8)
+        })
+        .await;
+    harness.assert_serves(case.name).await;
+}
