fix: correct the capacity of a worker after a wrong lease reply

The placer takes the capacity of a worker from the reply to the acquisition of its lease only. One reply without capacity put the worker out of use for as long as its lease was renewed. A renewal that shows another capacity now ends the lease, and the next acquisition takes the capacity with a complete list of the running tasks.

The sum of the fencing token and a raise no longer overflows, which ended the link in a build with overflow checks.

New tests: a_wrong_capacity_is_corrected (without the change the capacity was still zero after 15 s) and the_highest_fencing_token_can_be_raised (without the change the link panicked).

--- a/crates/hs-node/src/link/worker_link.rs
+++ b/crates/hs-node/src/link/worker_link.rs
@@ -177,7 +177,7 @@
         let expected_fence = self
             .lease
             .as_ref()
-            .map(|lease| lease.grant.fence + u64::from(fence_raised));
+            .and_then(|lease| lease.grant.fence.checked_add(u64::from(fence_raised)));
         if expected_fence != Some(grant.fence) {
             // Another owner held the lease in the meantime. The placer of this process does not
             // account for the tasks that the other owner started.
@@ -188,6 +188,17 @@
             self.drop_lease();
             return;
         }
+        if self
+            .lease
+            .as_ref()
+            .is_some_and(|lease| lease.grant.capacity != grant.capacity)
+        {
+            // The placer takes a capacity only with a complete list of the tasks. Without this, one
+            // wrong reply to the acquisition would apply until the lease is lost.
+            EventCode::LeaseLost.log(format_args!("worker={} cause=capacity", self.worker.id));
+            self.drop_lease();
+            return;
+        }
         if self
             .lease
             .as_ref()
--- a/crates/hs-node/tests/faults/worker_replies.rs
+++ b/crates/hs-node/tests/faults/worker_replies.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use hs_http::{HttpClient, HttpReply, HttpRequest, ServeLimits, serve};
+use hs_peer::message::ResolveRequest;
 use hs_standin::WorkerOptions;
 use hs_wire::{VmEntry, VmRole};
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
 use crate::damage::mutate;
+use crate::fake_peer::connect;
 use crate::harness::{CALL_TIMEOUT, Harness, HarnessOptions, listen, start_worker, vm};
 
 /// Time for which the worker sends malformed replies: about ten lease calls.
@@ -139,6 +141,50 @@
         .await;
 }
 
+/// Guards against a worker that stays out of use because one reply to the acquisition of its lease
+/// had a wrong capacity.
+#[tokio::test]
+async fn a_wrong_capacity_is_corrected() {
+    let (_stop, stopped) = watch::channel(false);
+    let is_on = Arc::new(AtomicBool::new(true));
+    let damage = Damage::Lease(json!({ "capacity": {} }));
+    let (worker, _) = damaging_worker(damage, is_on.clone(), stopped).await;
+    let options = HarnessOptions {
+        workers: vec![worker],
+        ..HarnessOptions::default()
+    };
+    let harness = Harness::start(options).await;
+    let status = harness.status().await;
+    assert_eq!(status["workers"][0]["capacity"]["slots"], 0, "{status}");
+    is_on.store(false, Ordering::Relaxed);
+    harness
+        .wait_status("the capacity", |status| {
+            status["workers"][0]["capacity"]["slots"] == 8
+        })
+        .await;
+    harness.assert_serves("afterwards").await;
+}
+
+/// Guards against a fencing token that overflows when it is raised, which ends the link to the worker.
+#[tokio::test]
+async fn the_highest_fencing_token_can_be_raised() {
+    let (_stop, stopped) = watch::channel(false);
+    let is_on = Arc::new(AtomicBool::new(true));
+    let damage = Damage::Lease(json!({ "fence": u64::MAX }));
+    let (worker, _) = damaging_worker(damage, is_on, stopped).await;
+    let options = HarnessOptions {
+        workers: vec![worker],
+        ..HarnessOptions::default()
+    };
+    let harness = Harness::start(options).await;
+    let request = ResolveRequest {
+        worker: "w0".to_owned(),
+        task_id: "t".to_owned(),
+    };
+    let reply = connect(harness.peer).resolve(request).await;
+    assert!(reply.expect("a reply").into_inner().owned);
+}
+
 async fn run_case(case: DamageCase) {
     let (_stop, stopped) = watch::channel(false);
     let is_on = Arc::new(AtomicBool::new(false));
