fix: treat an answer about another task as unreadable

Only the reply to a start was checked for the id of its task. A worker or peer that answered a query with another task would have decided the outcome of the wrong one. Replies to queries, of workers and of the owners of workers, are checked as well. New test an_answer_about_another_task_is_unreadable: without the change the outcome of the other task was returned.

--- a/crates/hs-node/src/ledger/resolve.rs
+++ b/crates/hs-node/src/ledger/resolve.rs
@@ -119,8 +119,8 @@
         }
         let task = match reply.found {
             true => match serde_json::from_str::<TaskView>(&reply.task_json) {
-                Ok(task) => Some(task),
-                Err(_) => continue,
+                Ok(task) if task.id == *id => Some(task),
+                Ok(_) | Err(_) => continue,
             },
             false => None,
         };
--- a/crates/hs-node/src/port/worker.rs
+++ b/crates/hs-node/src/port/worker.rs
@@ -34,6 +34,21 @@
     }
 }
 
+/// Parses a reply about one task. A reply about another task is unreadable.
+fn parse_task(
+    operation: &'static str,
+    address: &str,
+    id: &WorkId,
+    reply: &CallReply,
+) -> Result<TaskView, PortError> {
+    let task = parse::<StartReply>(operation, address, reply)?.task;
+    if task.id == *id {
+        return Ok(task);
+    }
+    let cause = format!("asked for task {id}, got task {}", task.id);
+    Err(PortError::unreadable(operation, address, cause))
+}
+
 impl WorkerPort for HttpWorkers {
     async fn lease(
         &self,
@@ -60,12 +75,7 @@
             .client
             .post_json(operation, address, "/start", request, call_timeout)
             .await?;
-        let task = parse::<StartReply>(operation, address, &reply)?.task;
-        if task.id != request.id {
-            let cause = format!("asked for task {}, got task {}", request.id, task.id);
-            return Err(PortError::unreadable(operation, address, cause));
-        }
-        Ok(task)
+        parse_task(operation, address, &request.id, &reply)
     }
 
     async fn task(
@@ -83,7 +93,7 @@
             .await?;
         match reply.status {
             404 => Ok(None),
-            _ => parse::<StartReply>(operation, address, &reply).map(|reply| Some(reply.task)),
+            _ => parse_task(operation, address, id, &reply).map(Some),
         }
     }
 
--- a/crates/hs-node/tests/faults/worker_replies.rs
+++ b/crates/hs-node/tests/faults/worker_replies.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use hs_http::{HttpClient, HttpReply, HttpRequest, ServeLimits, serve};
+use hs_node::WorkerPort;
+use hs_node::port::HttpWorkers;
 use hs_peer::message::ResolveRequest;
 use hs_standin::WorkerOptions;
-use hs_wire::{VmEntry, VmRole};
+use hs_wire::{VmEntry, VmRole, WorkId};
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
@@ -185,6 +187,28 @@
     assert!(reply.expect("a reply").into_inner().owned);
 }
 
+/// Guards against the outcome of one task that is taken for that of another, because a worker
+/// answers a query with the wrong task.
+#[tokio::test]
+async fn an_answer_about_another_task_is_unreadable() {
+    let (_stop, stopped) = watch::channel(false);
+    let (listener, address) = listen().await;
+    let task = json!({ "id": "other", "phase": "done", "resources": {} });
+    let body = json!({ "task": task });
+    let handler = move |_: HttpRequest| {
+        let body = body.clone();
+        async move { HttpReply::json(200, &body) }
+    };
+    tokio::spawn(serve(listener, ServeLimits::default(), stopped, handler));
+    let workers = HttpWorkers::new(HttpClient::default());
+    let (address, wait) = (address.to_string(), Duration::ZERO);
+    for (id, is_own) in [("t", false), ("other", true)] {
+        let id = WorkId(id.to_owned());
+        let answer = workers.task(&address, &id, wait, CALL_TIMEOUT).await;
+        assert_eq!(answer.is_ok(), is_own, "{id}: {answer:?}");
+    }
+}
+
 async fn run_case(case: DamageCase) {
     let (_stop, stopped) = watch::channel(false);
     let is_on = Arc::new(AtomicBool::new(false));
