fix: ignore a VM list without entry VMs

The membership already ignored such a list as certainly wrong, since each process runs on an entry VM. The links did not: an empty list made a process release the leases of all workers, whose durable tasks stop 30 s later, and count them as gone after 35 s. The list is now refused where it arrives, with one log line for each version.

New test a_list_without_entry_vms_changes_nothing: before, the process owned no worker 3 s after an empty list.

--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -8,7 +8,7 @@
 use hs_event::EventCode;
 use hs_peer::message::{PullReply, PullRequest};
 use hs_peer::{ManifestState, OfferOutcome};
-use hs_wire::VmList;
+use hs_wire::{VmList, VmRole};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
@@ -45,6 +45,8 @@
     vms_sender: watch::Sender<Arc<VmList>>,
     state: ManifestState,
     pending_pulls: HashSet<String>,
+    /// Version of the last VM list that was not applied because it names no entry VM.
+    rejected_vm_list: Option<u64>,
     /// Manifest revision and number of local members that were last sent to the placer.
     sent_to_placer: Option<(u64, u32)>,
 }
@@ -65,6 +67,7 @@
             manifest_sender,
             vms_sender,
             state: ManifestState::default(),
+            rejected_vm_list: None,
             pending_pulls: HashSet::new(),
             sent_to_placer: None,
         }
@@ -181,9 +184,17 @@
             .send(PlacerMessage::Manifest { view, members });
     }
 
-    fn apply_vm_list(&self, list: VmList) {
-        if list.version > self.vms_sender.borrow().version {
+    /// Applies a VM list if it is newer. A list without any entry VM is certainly wrong, because
+    /// this process runs on an entry VM. Without its workers, the process would release their
+    /// leases, and their tasks would be stopped and started elsewhere.
+    fn apply_vm_list(&mut self, list: VmList) {
+        if list.version <= self.vms_sender.borrow().version {
+            return;
+        }
+        if list.vms.iter().any(|vm| vm.role == VmRole::Entry) {
             let _ = self.vms_sender.send(Arc::new(list));
+        } else if self.rejected_vm_list.replace(list.version) != Some(list.version) {
+            log::warn!("VM list {} names no entry VM and is ignored", list.version);
         }
     }
 }
--- a/crates/hs-node/tests/faults/main.rs
+++ b/crates/hs-node/tests/faults/main.rs
@@ -8,4 +8,5 @@
 mod peer_messages;
 mod placer;
 mod platform;
+mod startup;
 mod worker_replies;
--- /dev/null
+++ b/crates/hs-node/tests/faults/startup.rs
@@ -0,0 +1,38 @@
+//! Tests of what a process uses right after its start, and of a VM list that is wrong.
+
+use std::time::Duration;
+
+use hs_wire::VmEntry;
+
+use crate::harness::{Harness, HarnessOptions};
+
+/// Time in which the process reads a changed VM list, once a second, and acts on it.
+const VM_LIST_TIME: Duration = Duration::from_secs(3);
+
+/// Guards against a VM list without any process, which is certainly wrong, that makes the process
+/// release every worker, so that the running work is stopped and started elsewhere.
+#[tokio::test]
+async fn a_list_without_entry_vms_changes_nothing() {
+    let cases: [(&str, fn(&VmEntry) -> bool); 2] = [
+        ("empty", |_| false),
+        ("other VMs only", |entry| entry.id == "w1"),
+    ];
+    for (name, keeps) in cases {
+        let harness = Harness::start(HarnessOptions::default()).await;
+        let mut other = harness.vms[0].clone();
+        other.id = "w1".to_owned();
+        other.addr = "127.0.0.1:1".to_owned();
+        let all = harness.vms.iter().cloned().chain([other]);
+        harness.put_vms(all.filter(keeps).collect()).await;
+        tokio::time::sleep(VM_LIST_TIME).await;
+        let status = harness.status().await;
+        assert_eq!(status["workers"][0]["name"], "w0", "{name}: {status}");
+        harness.assert_serves(name).await;
+        // A later, complete list is still applied.
+        let version = status["vm_list_version"].as_u64();
+        harness.put_vms(harness.vms.clone()).await;
+        harness
+            .wait_status(name, |status| status["vm_list_version"].as_u64() > version)
+            .await;
+    }
+}
