fix: treat workers as draining until there is a manifest

A process that starts acquires leases before it has a manifest. When the manifest arrives, the placer learns of it at once, and a link of a worker that the manifest drains only after the call in which it may be, up to 0.4 s later: in that time a restarted process placed work on a worker that was drained long before. Until there is a manifest, nothing can be placed anyway, so every worker counts as draining; the links are told which ones are not.

New test a_worker_drained_before_the_start_gets_no_work: before, a check ran on the drained worker.

--- a/crates/hs-node/src/link/manager.rs
+++ b/crates/hs-node/src/link/manager.rs
@@ -93,9 +93,10 @@
             if !is_worker || !members.is_preferred_owner(&worker.id) {
                 continue;
             }
+            // Until there is a manifest, every worker may be drained by it.
             let is_marked_draining = view
                 .as_ref()
-                .is_some_and(|view| view.manifest.draining.contains(&worker.id));
+                .is_none_or(|view| view.manifest.draining.contains(&worker.id));
             let draining = is_marked_draining || worker.state == VmState::Leaving;
             wanted.insert(worker.id.clone());
             self.ensure_link(worker, draining);
--- a/crates/hs-node/tests/faults/startup.rs
+++ b/crates/hs-node/tests/faults/startup.rs
@@ -2,13 +2,44 @@
 
 use std::time::Duration;
 
-use hs_wire::VmEntry;
+use hs_wire::{Outcome, VmEntry};
 
-use crate::harness::{Harness, HarnessOptions};
+use crate::harness::{Harness, HarnessOptions, MANIFEST};
+use crate::platform::Switches;
 
 /// Time in which the process reads a changed VM list, once a second, and acts on it.
 const VM_LIST_TIME: Duration = Duration::from_secs(3);
 
+/// Guards against a restarted process that places work on a worker that the manifest drains: it took
+/// the lease before it had the manifest, and the link learns of the manifest after the placer.
+#[tokio::test]
+async fn a_worker_drained_before_the_start_gets_no_work() {
+    let options = HarnessOptions {
+        manifest: String::new(),
+        ..HarnessOptions::default()
+    };
+    let harness = Harness::launch(options, Switches::new()).await;
+    harness.switches.hold_leases_after(1);
+    harness
+        .wait_status("ownership of the worker", |status| {
+            let workers = status["workers"].as_array();
+            workers.is_some_and(|workers| !workers.is_empty())
+        })
+        .await;
+    // The link now waits for the reply to its first renewal, as with a slow worker.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let drained = MANIFEST.replace("\"revision\": 1", "\"revision\": 1, \"draining\": [\"w0\"]");
+    harness.put_manifest(&drained, 0).await;
+    harness
+        .wait_status("the manifest", |status| status["manifest_revision"] == 1)
+        .await;
+    let reply = harness.submit("k", "check", 300, "").await;
+    harness.switches.deliver_leases();
+    assert_eq!(reply.outcome, Outcome::NotRun, "{reply:?}");
+    let log = harness.worker_log(&harness.vms[0].addr).await;
+    assert!(log.0.is_empty(), "{log:?}");
+}
+
 /// Guards against a VM list without any process, which is certainly wrong, that makes the process
 /// release every worker, so that the running work is stopped and started elsewhere.
 #[tokio::test]
