fix: prefer the store to a peer for the first manifest

A process that starts used the first manifest that it got. The pull from a seed takes less than a read of the store, so a peer that lagged behind put an old manifest in force, with customers, workloads and drains that operators had changed since, until the store answered. The design says that a process queries both before it becomes ready.

Until the store has answered or failed, and each seed as well, manifests of peers are only collected; the newest is used then.

New tests: an_old_manifest_of_a_peer_does_not_precede_the_store (before: the old one was in force) and a_manifest_of_a_peer_takes_effect_without_the_store (within 3 s, passes before and after).

--- a/crates/hs-node/src/sync/handle.rs
+++ b/crates/hs-node/src/sync/handle.rs
@@ -23,6 +23,8 @@
     },
     /// The manifest was read from the store.
     ManifestRead(StoreValue),
+    /// The store has no manifest or did not answer.
+    ManifestMissing,
     /// The VM list was read from the platform.
     VmListRead(VmList),
 }
--- a/crates/hs-node/src/sync/mod.rs
+++ b/crates/hs-node/src/sync/mod.rs
@@ -1,6 +1,7 @@
 //! Synchronization of the manifest and the VM list with the platform and with peers.
 
 mod handle;
+mod startup;
 mod task;
 
 pub use handle::{SyncHandle, SyncMessage};
--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
+use super::startup::{PeerManifest, StartupReads};
 use super::{SyncHandle, SyncMessage};
 use crate::manifest::{MANIFEST_KEY, ManifestView};
 use crate::placer::PlacerMessage;
@@ -44,6 +45,7 @@
     manifest_sender: watch::Sender<Option<Arc<ManifestView>>>,
     vms_sender: watch::Sender<Arc<VmList>>,
     state: ManifestState,
+    startup: StartupReads,
     pending_pulls: HashSet<String>,
     /// Version of the last VM list that was not applied because it names no entry VM.
     rejected_vm_list: Option<u64>,
@@ -67,6 +69,7 @@
             manifest_sender,
             vms_sender,
             state: ManifestState::default(),
+            startup: StartupReads::default(),
             rejected_vm_list: None,
             pending_pulls: HashSet::new(),
             sent_to_placer: None,
@@ -78,6 +81,9 @@
         if let Some(view) = self.shared.view() {
             // The task was started again. The manifest must not revert.
             let _ = self.state.offer(view.revision(), &view.text);
+        } else {
+            let seeds = self.shared.settings.seeds.iter();
+            self.startup = StartupReads::new(seeds.map(ToString::to_string));
         }
         for seed in self.shared.settings.seeds.clone() {
             self.pull(seed.to_string());
@@ -105,11 +111,21 @@
                 if let Some(reply) = reply {
                     self.apply_pull(&peer, reply);
                 }
+                self.startup.seed_ended(&peer);
+                self.use_best_of_peers();
+            }
+            SyncMessage::ManifestRead(value) => {
+                match String::from_utf8(value.body) {
+                    Ok(text) => self.offer_manifest("store", text),
+                    Err(error) => log_rejected("store", &error),
+                }
+                self.startup.store_ended();
+                self.use_best_of_peers();
+            }
+            SyncMessage::ManifestMissing => {
+                self.startup.store_ended();
+                self.use_best_of_peers();
             }
-            SyncMessage::ManifestRead(value) => match String::from_utf8(value.body) {
-                Ok(text) => self.offer_manifest("store", text),
-                Err(error) => log_rejected("store", &error),
-            },
             SyncMessage::VmListRead(list) => self.apply_vm_list(list),
         }
     }
@@ -138,7 +154,27 @@
             }
         }
         if !reply.manifest_json.is_empty() {
-            self.offer_manifest(peer, reply.manifest_json);
+            self.offer_manifest_of_peer(peer, reply.manifest_json);
+        }
+    }
+
+    /// Applies the manifest of a peer if it is newer. During the reads at the start it is kept until
+    /// they have ended.
+    fn offer_manifest_of_peer(&mut self, peer: &str, text: String) {
+        match parse_manifest(&text) {
+            Ok(manifest) if self.startup.is_pending() => self.startup.keep(PeerManifest {
+                peer: peer.to_owned(),
+                revision: manifest.revision,
+                text,
+            }),
+            Ok(_) | Err(_) => self.offer_manifest(peer, text),
+        }
+    }
+
+    /// Applies the newest manifest of the peers once the reads at the start have ended.
+    fn use_best_of_peers(&mut self) {
+        if let Some(best) = self.startup.take_best() {
+            self.offer_manifest(&best.peer, best.text);
         }
     }
 
@@ -155,6 +191,7 @@
                 let view = Arc::new(ManifestView::new(manifest, text));
                 EventCode::ManifestApplied.log(format_args!("revision={revision} source={source}"));
                 let _ = self.manifest_sender.send(Some(view));
+                self.startup.end();
                 self.update_placer();
             }
             OfferOutcome::Conflict => {
@@ -214,9 +251,13 @@
             after => store.watch(MANIFEST_KEY, after, WATCH_WAIT).await,
         };
         let succeeded = result.is_ok();
-        if let Ok(Some(value)) = result {
-            after = value.revision;
-            handle.send(SyncMessage::ManifestRead(value));
+        match result {
+            Ok(Some(value)) => {
+                after = value.revision;
+                handle.send(SyncMessage::ManifestRead(value));
+            }
+            Ok(None) if after > 0 => {}
+            Ok(None) | Err(_) => handle.send(SyncMessage::ManifestMissing),
         }
         wait_for_next_read(&shared, succeeded && after > 0).await;
     }
--- a/crates/hs-node/tests/faults/startup.rs
+++ b/crates/hs-node/tests/faults/startup.rs
@@ -1,15 +1,83 @@
 //! Tests of what a process uses right after its start, and of a VM list that is wrong.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use hs_peer::message::PullReply;
 use hs_wire::{Outcome, VmEntry};
 
-use crate::harness::{Harness, HarnessOptions, MANIFEST};
+use crate::fake_peer::{FakePeer, PeerReplies};
+use crate::harness::{Harness, HarnessOptions, MANIFEST, STATE_LIMIT, listen};
 use crate::platform::Switches;
 
 /// Time in which the process reads a changed VM list, once a second, and acts on it.
 const VM_LIST_TIME: Duration = Duration::from_secs(3);
 
+fn manifest(revision: u64) -> String {
+    MANIFEST.replace("\"revision\": 1", &format!("\"revision\": {revision}"))
+}
+
+fn old_manifest_of_a_peer() -> PeerReplies {
+    let pull = PullReply {
+        manifest_revision: 1,
+        manifest_json: manifest(1),
+        ..PullReply::default()
+    };
+    PeerReplies {
+        pull: Some(pull),
+        ..PeerReplies::default()
+    }
+}
+
+/// Guards against a restarted process that uses the old manifest of a peer, for instance with a
+/// customer that was removed since, while the store has a newer one.
+#[tokio::test]
+async fn an_old_manifest_of_a_peer_does_not_precede_the_store() {
+    let peer = FakePeer::start(listen().await.0, old_manifest_of_a_peer());
+    let options = HarnessOptions {
+        manifest: manifest(2),
+        seeds: vec![peer.address],
+        store_delay_ms: 400,
+        ..HarnessOptions::default()
+    };
+    let harness = Harness::launch(options, Switches::new()).await;
+    let begin = Instant::now();
+    loop {
+        let status = harness.status().await;
+        match status["manifest_revision"].as_u64() {
+            Some(2) => return,
+            None | Some(0) => {}
+            Some(_) => panic!("the old manifest is in force: {status}"),
+        }
+        assert!(begin.elapsed() < STATE_LIMIT, "{status}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against a process that waits for a store which does not answer although a peer has a
+/// manifest.
+#[tokio::test]
+async fn a_manifest_of_a_peer_takes_effect_without_the_store() {
+    let peer = FakePeer::start(listen().await.0, old_manifest_of_a_peer());
+    let options = HarnessOptions {
+        manifest: String::new(),
+        seeds: vec![peer.address],
+        store_delay_ms: 60_000,
+        ..HarnessOptions::default()
+    };
+    let begin = Instant::now();
+    let harness = Harness::launch(options, Switches::new()).await;
+    harness
+        .wait_status("the manifest of the peer", |status| {
+            status["manifest_revision"] == 1 && status["ready"] == true
+        })
+        .await;
+    assert!(
+        begin.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        begin.elapsed()
+    );
+}
+
 /// Guards against a restarted process that places work on a worker that the manifest drains: it took
 /// the lease before it had the manifest, and the link learns of the manifest after the placer.
 #[tokio::test]
