fix: count a replica once that two owners of its worker list

While a worker changes hands, its old and its new owner both list its tasks for a moment; a paused old owner does so until it notices that its lease is lost. The reconciler took the second listing for a second replica and stopped it: the only one there was. Tasks are now compared by id, with the fencing token of the newer owner.

--- a/crates/hs-node/src/service/reconciler.rs
+++ b/crates/hs-node/src/service/reconciler.rs
@@ -139,7 +139,7 @@
         while let Some(list) = lists.join_next().await {
             held.extend(list.ok()?.ok()?.tasks);
         }
-        Some(held)
+        Some(without_former_owners(held))
     }
 
     async fn reconcile_service(
@@ -256,6 +256,14 @@
     }
 }
 
+/// Returns the tasks, each once. While a worker changes hands, its old and its new owner list its
+/// tasks; the higher fencing token is the current one.
+fn without_former_owners(mut held: Vec<HeldTask>) -> Vec<HeldTask> {
+    held.sort_by(|left, right| (&left.task_id, right.fence).cmp(&(&right.task_id, left.fence)));
+    held.dedup_by(|later, first| later.task_id == first.task_id);
+    held
+}
+
 async fn start_replica<P: Platform>(
     shared: &Arc<NodeShared<P>>,
     entry: &WorkloadEntry,
--- a/crates/hs-node/tests/faults/main.rs
+++ b/crates/hs-node/tests/faults/main.rs
@@ -8,5 +8,6 @@
 mod peer_messages;
 mod placer;
 mod platform;
+mod service;
 mod startup;
 mod worker_replies;
