fix: count a replica as missing only while it is compared

A replica that was missing at one comparison was started at the next one, 4 s later or more, even if the process could not compare in between, because it was paused, a peer did not reply, or another process owned the service. Another process may have started the replica in that time, so that it ran twice. The time for which a replica is missing now starts again after a gap of 4 s, which is shorter than another process needs to start it, and with a new ownership of the service. Lists that are older than 1.2 s when the last one arrives are not used, since the process was paused.

New test time_without_a_comparison_does_not_count_as_missing: before, a replica was started after a peer had not replied for 5 s and then listed none for 2 s.

--- a/crates/hs-node/src/service/reconciler.rs
+++ b/crates/hs-node/src/service/reconciler.rs
@@ -27,6 +27,15 @@
 /// owner, which takes up to 3 s, no process lists the replica.
 const MISSING_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum age of the lists of replicas. It is exceeded only if this process was paused while it
+/// waited for them, since the calls take at most [`CALL_TIMEOUT`].
+const MAX_LIST_AGE: Duration = Duration::from_millis(1200);
+
+/// Maximum time between two comparisons over which a replica still counts as missing. Another
+/// process that considers this one dead needs longer to start the replica: 1.2 s until it owns the
+/// service, and then [`MISSING_TIMEOUT`].
+const MAX_COMPARISON_GAP: Duration = MISSING_TIMEOUT;
+
 /// Maximum time that a start waits for capacity before it fails and is retried.
 const CAPACITY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -60,6 +69,8 @@
 pub struct ServiceReconciler<P: Platform> {
     shared: Arc<NodeShared<P>>,
     replicas: HashMap<(String, u16), ReplicaState>,
+    /// Time of the last comparison for which all peers replied.
+    last_comparison: Option<Instant>,
     start_count: u64,
 }
 
@@ -69,6 +80,7 @@
         Self {
             shared,
             replicas: HashMap::new(),
+            last_comparison: None,
             start_count: 0,
         }
     }
@@ -96,9 +108,17 @@
             return;
         }
         // Without the lists of all peers, a running replica could be considered missing.
+        let listed_at = self.shared.platform.clock().now();
         let Some(tasks) = self.held_tasks(&members.local_peers()).await else {
             return;
         };
+        let now = self.shared.platform.clock().now();
+        if now.saturating_duration_since(listed_at) > MAX_LIST_AGE {
+            return;
+        }
+        self.forget_missing_after_gap(now);
+        // Another process compares the other services, and starts what they miss.
+        self.replicas.retain(|(service, _), _| is_owner(service));
         let mut running: BTreeMap<String, BTreeMap<u16, Vec<HeldTask>>> = BTreeMap::new();
         for task in tasks {
             if let Some(id) = ReplicaId::parse(&task.task_id) {
@@ -121,6 +141,19 @@
         }
     }
 
+    /// Forgets since when replicas are missing if the last comparison is too long ago. In between,
+    /// this process was paused or could not list the replicas, and another process may have started
+    /// them.
+    fn forget_missing_after_gap(&mut self, now: Instant) {
+        let last = self.last_comparison.replace(now);
+        if last.is_some_and(|last| now.saturating_duration_since(last) <= MAX_COMPARISON_GAP) {
+            return;
+        }
+        for state in self.replicas.values_mut() {
+            state.missing_since = None;
+        }
+    }
+
     /// Lists the tasks of replicas on the workers of this process and of all peers in the data
     /// centre. Returns `None` if a peer does not reply.
     async fn held_tasks(&self, peers: &[String]) -> Option<Vec<HeldTask>> {
--- a/crates/hs-node/tests/faults/service.rs
+++ b/crates/hs-node/tests/faults/service.rs
@@ -14,6 +14,16 @@
 /// Time in which a service is compared several times, once a second.
 const SEVERAL_COMPARISONS: Duration = Duration::from_millis(3500);
 
+/// Time in which a service is compared at least once, and at most twice.
+const ONE_COMPARISON: Duration = Duration::from_millis(1300);
+
+/// Time without any comparison that succeeds, longer than the time for which a replica has to be
+/// missing.
+const BLIND_TIME: Duration = Duration::from_millis(5000);
+
+/// Time after the blind time that is shorter than the time for which a replica has to be missing.
+const AFTERWARDS: Duration = Duration::from_millis(2200);
+
 struct ServiceTest {
     harness: Harness,
     peer: FakePeer,
@@ -87,3 +97,35 @@
     tokio::time::sleep(SEVERAL_COMPARISONS).await;
     assert_eq!(test.phases().await, [TaskPhase::Running]);
 }
+
+/// Guards against a second replica that is started because one was missing before a time in which
+/// the process could not compare, such as a pause, a silent peer or another owner of the service.
+#[tokio::test]
+async fn time_without_a_comparison_does_not_count_as_missing() {
+    let held = HeldTask {
+        task_id: String::new(),
+        worker: "w".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        fence: 1,
+        draining: false,
+    };
+    let service = name_owned_by_e0("svc", |name| format!("{}{name}", ReplicaId::PREFIX));
+    let held = HeldTask {
+        task_id: format!("{}{service}:0:1", ReplicaId::PREFIX),
+        ..held
+    };
+    let listed = PeerReplies {
+        tasks: Some(vec![held.clone()]),
+        ..PeerReplies::default()
+    };
+    let test = ServiceTest::start(listed).await;
+    assert_eq!(test.service, service);
+    test.peer.set(|replies| replies.tasks = Some(Vec::new()));
+    tokio::time::sleep(ONE_COMPARISON).await;
+    test.peer.set(|replies| replies.tasks = None);
+    tokio::time::sleep(BLIND_TIME).await;
+    test.peer.set(|replies| replies.tasks = Some(Vec::new()));
+    tokio::time::sleep(AFTERWARDS).await;
+    test.peer.set(|replies| replies.tasks = Some(vec![held]));
+    assert_eq!(test.phases().await, [], "starts of the replica");
+}
