fix: repeat a failing task query with a delay

If the owner of a worker reports a task as running and the runner's own query of the worker fails at once, the runner asked the owner again without a delay. Each question raises the fencing token of the worker, so that all starts under an earlier token were refused. The rounds are now 20 ms apart at first and up to 2 s later.

--- a/crates/hs-node/src/ledger/follow.rs
+++ b/crates/hs-node/src/ledger/follow.rs
@@ -13,7 +13,7 @@
 use super::message::{ChangeOutcome, TaskChange};
 use super::placed::{PlacedTask, StartOutcome};
 use super::resolve::{AttemptStatus, query_worker_owner, resolve_attempt};
-use super::runner::{MIN_RETRY_DELAY, TaskRunner};
+use super::runner::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, TaskRunner};
 use super::starts::{START_STOP_TIMEOUT, TASK_END_WAIT};
 use crate::port::{Platform, WorkerPort};
 use crate::work::HeldGrants;
@@ -121,6 +121,7 @@
         &self,
         placed: &PlacedTask,
     ) -> Option<Option<(TaskKey, WorkId)>> {
+        let mut delay = MIN_RETRY_DELAY;
         loop {
             match resolve_attempt(&self.shared, &placed.worker, &placed.id).await {
                 AttemptStatus::Known {
@@ -152,6 +153,9 @@
                     return Some(None);
                 }
             }
+            // Each query raises the fencing token, so that starts in flight are refused.
+            sleep(delay).await;
+            delay = (delay * 2).min(MAX_RETRY_DELAY);
         }
     }
 
--- a/crates/hs-node/src/ledger/runner.rs
+++ b/crates/hs-node/src/ledger/runner.rs
@@ -22,7 +22,7 @@
 pub(super) const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Maximum delay before another attempt.
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
+pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// Delay before work that may wait is queued again, after the queue was full or the quota was
 /// exhausted.
--- /dev/null
+++ b/crates/hs-node/tests/faults/follow.rs
@@ -0,0 +1,22 @@
+//! Tests of durable tasks whose worker does not answer as expected.
+
+use std::sync::atomic::Ordering;
+
+use hs_wire::Outcome;
+
+use crate::harness::{Harness, HarnessOptions};
+
+/// Guards against a flood of lease calls that raise the fencing token, and with it refuse the starts
+/// of all other work, while a worker reports a task as running and does not answer queries about it.
+#[tokio::test]
+async fn a_failing_task_query_is_repeated_with_a_delay() {
+    let harness = Harness::start(HarnessOptions::default()).await;
+    let switches = harness.switches.clone();
+    switches.hides_start_replies.store(true, Ordering::Relaxed);
+    switches.fails_task_queries.store(true, Ordering::Relaxed);
+    let before = switches.raised_fences.load(Ordering::Relaxed);
+    let reply = harness.submit("k", "order", 8000, "sleep=3000").await;
+    let raised = switches.raised_fences.load(Ordering::Relaxed) - before;
+    assert_eq!(reply.outcome, Outcome::Done, "{reply:?}");
+    assert!(raised <= 15, "{raised} lease calls raised the token in 3 s");
+}
--- a/crates/hs-node/tests/faults/main.rs
+++ b/crates/hs-node/tests/faults/main.rs
@@ -3,6 +3,7 @@
 
 mod damage;
 mod fake_peer;
+mod follow;
 mod harness;
 mod panics;
 mod peer_messages;
