fix: release a resolved task with its own end

A task whose start got no reply released its reservation as stopped, however it had ended. A worker that failed all of its tasks and lost the replies to their starts was never ejected, and run times of such tasks were not recorded. The reservation is released with the end that the worker reports.

New test failures_that_the_owner_reports_eject_the_worker: before, the worker was not ejected after 8 failures.

--- a/crates/hs-node/src/ledger/follow.rs
+++ b/crates/hs-node/src/ledger/follow.rs
@@ -25,6 +25,14 @@
 /// the meantime.
 const MAX_STOP_ATTEMPTS: u32 = 5;
 
+/// How an attempt ended whose worker gave no definite answer at first.
+pub(super) struct Resolution {
+    /// Next attempt if one has to be made; `None` if the runner must stop.
+    pub(super) next: Option<Option<(TaskKey, WorkId)>>,
+    /// End of the reservation of the attempt.
+    pub(super) end: TaskEnd,
+}
+
 impl<P: Platform> TaskRunner<P> {
     /// Follows the tasks concurrently, and returns those that have to be attempted again.
     pub(super) async fn follow_all(
@@ -108,19 +116,16 @@
                 self.report_worker_result(placed, &view).await
             }
             None => {
-                let next = self.await_resolution(placed).await;
-                held.release(index, TaskEnd::Stopped);
-                next
+                let resolution = self.await_resolution(placed).await;
+                held.release(index, resolution.end);
+                resolution.next
             }
         }
     }
 
     /// Determines the outcome of a task whose worker gave no definite answer, and follows the task
     /// to its end if it still runs.
-    pub(super) async fn await_resolution(
-        &self,
-        placed: &PlacedTask,
-    ) -> Option<Option<(TaskKey, WorkId)>> {
+    pub(super) async fn await_resolution(&self, placed: &PlacedTask) -> Resolution {
         let mut delay = MIN_RETRY_DELAY;
         loop {
             match resolve_attempt(&self.shared, &placed.worker, &placed.id).await {
@@ -137,20 +142,20 @@
                         fence,
                     };
                     if let Some(view) = self.await_end(&found, task).await {
-                        return self.report_worker_result(&found, &view).await;
+                        let next = self.report_worker_result(&found, &view).await;
+                        let end = task_end(view.phase);
+                        return Resolution { next, end };
                     }
                 }
                 AttemptStatus::Absent => {
-                    let change = TaskChange::Absent { task: placed.task };
-                    return next_attempt(self.port.commit_change(change).await?);
-                }
-                AttemptStatus::Lost if self.plan.repeatable => {
-                    return self.report_retry(placed.task, RetryCause::Stopped).await;
+                    let next = self.report_absent(placed.task).await;
+                    let end = TaskEnd::Stopped;
+                    return Resolution { next, end };
                 }
                 AttemptStatus::Lost => {
-                    self.report_end(placed.task, TaskState::Unknown, String::new(), None)
-                        .await?;
-                    return Some(None);
+                    let next = self.report_lost(placed.task).await;
+                    let end = TaskEnd::Stopped;
+                    return Resolution { next, end };
                 }
             }
             // Each query raises the fencing token, so that starts in flight are refused.
@@ -229,6 +234,24 @@
         Some(None)
     }
 
+    /// Records that the worker does not know an attempt. Returns the next attempt if one has to be
+    /// made.
+    async fn report_absent(&self, task: TaskKey) -> Option<Option<(TaskKey, WorkId)>> {
+        let change = TaskChange::Absent { task };
+        next_attempt(self.port.commit_change(change).await?)
+    }
+
+    /// Records that the worker of an attempt restarted or no longer exists. Returns the next attempt
+    /// if one has to be made.
+    async fn report_lost(&self, task: TaskKey) -> Option<Option<(TaskKey, WorkId)>> {
+        if self.plan.repeatable {
+            return self.report_retry(task, RetryCause::Stopped).await;
+        }
+        self.report_end(task, TaskState::Unknown, String::new(), None)
+            .await?;
+        Some(None)
+    }
+
     /// Records that an attempt ended without a result. Returns the next attempt if one has to be
     /// made.
     pub(super) async fn report_retry(
--- a/crates/hs-node/src/ledger/runner.rs
+++ b/crates/hs-node/src/ledger/runner.rs
@@ -91,7 +91,7 @@
                         address: None,
                         fence: 0,
                     };
-                    waiting.extend(self.await_resolution(&placed).await?);
+                    waiting.extend(self.await_resolution(&placed).await.next?);
                 }
             }
         }
--- a/crates/hs-node/tests/faults/follow.rs
+++ b/crates/hs-node/tests/faults/follow.rs
@@ -20,3 +20,23 @@
     assert_eq!(reply.outcome, Outcome::Done, "{reply:?}");
     assert!(raised <= 15, "{raised} lease calls raised the token in 3 s");
 }
+
+/// Guards against a worker that fails everything and stays in use because the replies to the starts
+/// are lost: the end of a task counts however it became known.
+#[tokio::test]
+async fn failures_that_the_owner_reports_eject_the_worker() {
+    let harness = Harness::start(HarnessOptions::default()).await;
+    harness
+        .switches
+        .hides_start_replies
+        .store(true, Ordering::Relaxed);
+    for number in 0..8 {
+        let key = format!("k{number}");
+        let reply = harness.submit(&key, "order", 8000, "fail").await;
+        assert_eq!(reply.outcome, Outcome::Failed, "{reply:?}");
+        if harness.status().await["workers"][0]["ejected"] == true {
+            return;
+        }
+    }
+    panic!("not ejected: {}", harness.status().await);
+}
