fix: end a stop when the worker does not know the task

A stop that a worker refused was repeated up to five times, each time after a question that raises the fencing token, even if the answer was that the task is absent or its worker restarted. Such a task does not run and can no longer start, so the stop ends.

New test a_stop_ends_when_the_worker_does_not_know_the_task: without the change 15 stop requests for a gang of three tasks, with it 3.

--- a/crates/hs-node/src/ledger/follow.rs
+++ b/crates/hs-node/src/ledger/follow.rs
@@ -209,7 +209,9 @@
             }
             match query_worker_owner(&self.shared, &placed.worker, &placed.id).await {
                 Some(AttemptStatus::Known { fence: current, .. }) => fence = current,
-                Some(AttemptStatus::Absent | AttemptStatus::Lost) | None => {}
+                // The task does not run and can no longer start under the token of its placement.
+                Some(AttemptStatus::Absent | AttemptStatus::Lost) => return,
+                None => {}
             }
         }
     }
--- a/crates/hs-node/tests/faults/follow.rs
+++ b/crates/hs-node/tests/faults/follow.rs
@@ -1,8 +1,10 @@
 //! Tests of durable tasks whose worker does not answer as expected.
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-use hs_wire::Outcome;
+use hs_wire::{Outcome, WorkReply};
+use serde_json::Value;
 
 use crate::harness::{Harness, HarnessOptions};
 
@@ -40,3 +42,27 @@
     }
     panic!("not ejected: {}", harness.status().await);
 }
+
+/// Guards against repeated stops, each with a raised fencing token, of a task that the worker no
+/// longer knows.
+#[tokio::test]
+async fn a_stop_ends_when_the_worker_does_not_know_the_task() {
+    let harness = Harness::start(HarnessOptions::default()).await;
+    let worker = harness.vms[0].addr.clone();
+    let submit = harness.submit("k", "gang", 6000, "sleep=1500");
+    let cancel = async {
+        while harness.running(&worker).await < 3 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        harness
+            .switches
+            .forgets_tasks
+            .store(true, Ordering::Relaxed);
+        let path = "/v1/work/acme/k/cancel";
+        let reply: Option<WorkReply> = harness.post(harness.caller, path, &Value::Null).await;
+        assert!(reply.is_some(), "the cancellation is answered");
+    };
+    tokio::join!(submit, cancel);
+    let stops = harness.switches.stops.load(Ordering::Relaxed);
+    assert_eq!(stops, 3, "stop requests for three tasks");
+}
