fix: log the end of the peer listener

An error of the listener for peers was dropped, so that a process that no peer could reach any more said nothing. Not reproduced by a test: the transport retries failed accepts itself.

--- a/crates/hs-node/src/run.rs
+++ b/crates/hs-node/src/run.rs
@@ -155,8 +155,12 @@
     };
     spawn_tasks(&shared, inputs);
     let (end_sender, is_ended) = watch::channel(false);
-    let peer_server =
-        tokio::spawn(PeerServerTask::new(shared.clone()).run(listeners.peer, is_ended.clone()));
+    let peer_server = PeerServerTask::new(shared.clone()).run(listeners.peer, is_ended.clone());
+    let peer_server = tokio::spawn(async move {
+        if let Err(error) = peer_server.await {
+            EventCode::PeerListenerEnded.log(format_args!("cause={error}"));
+        }
+    });
     let limits = serve_limits(shared.settings.limits);
     let caller = Arc::new(CallerApi::new(shared.clone()));
     let callers = tokio::spawn(serve(
