fix: refuse a ledger value whose counters are at their end

A value with an epoch, sequence number, salt or attempt at the maximum of its type was decoded, and the takeover overflowed it: a panic in a build with overflow checks, and otherwise an epoch that starts again at zero. Such a value, which no owner has written, is refused like one that cannot be parsed.

--- a/crates/hs-ledger/src/error.rs
+++ b/crates/hs-ledger/src/error.rs
@@ -18,6 +18,14 @@
         /// Limit of the store in bytes.
         limit: usize,
     },
+    /// A counter is so high that the next values could overflow it.
+    #[error("{counter} {value} of the ledger value is out of range")]
+    CounterRange {
+        /// Name of the counter.
+        counter: &'static str,
+        /// Value of the counter.
+        value: u64,
+    },
 }
 
 /// Error of a change that the state of the record or its partition does not allow. The record is
--- a/crates/hs-ledger/src/image.rs
+++ b/crates/hs-ledger/src/image.rs
@@ -5,6 +5,9 @@
 use crate::task::is_false;
 use crate::{ImageError, LedgerRecord, OwnerAddress};
 
+/// Maximum of the counters of a record, half of their range.
+const MAX_SMALL_COUNTER: u64 = u32::MAX as u64 / 2;
+
 /// Store value of a partition, which is encoded as JSON.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PartitionImage {
@@ -31,7 +34,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the value is not a partition or is larger than the store allows.
+    /// Returns an error if the value is not a partition, is larger than the store allows, or has a
+    /// counter that is about to overflow.
     pub fn decode(body: &[u8]) -> Result<Self, ImageError> {
         if body.len() > Self::MAX_BYTES {
             return Err(ImageError::TooLarge {
@@ -39,7 +43,23 @@
                 limit: Self::MAX_BYTES,
             });
         }
-        Ok(serde_json::from_slice(body)?)
+        let image: Self = serde_json::from_slice(body)?;
+        image.check_counters()?;
+        Ok(image)
+    }
+
+    /// Checks the counters that an owner raises. No partition reaches half of their range, so a
+    /// higher value was not written by an owner.
+    fn check_counters(&self) -> Result<(), ImageError> {
+        check_counter("epoch", self.epoch, u64::MAX / 2)?;
+        check_counter("sequence number", self.seq, u64::MAX / 2)?;
+        for record in &self.records {
+            check_counter("salt", record.salt.into(), MAX_SMALL_COUNTER)?;
+            for task in &record.tasks {
+                check_counter("attempt", task.attempt.into(), MAX_SMALL_COUNTER)?;
+            }
+        }
+        Ok(())
     }
 
     /// Encodes the store value.
@@ -58,3 +78,10 @@
         Ok(body)
     }
 }
+
+fn check_counter(counter: &'static str, value: u64, max: u64) -> Result<(), ImageError> {
+    match value <= max {
+        true => Ok(()),
+        false => Err(ImageError::CounterRange { counter, value }),
+    }
+}
--- a/crates/hs-ledger/tests/ledger/main.rs
+++ b/crates/hs-ledger/tests/ledger/main.rs
@@ -5,6 +5,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
+mod damage;
 mod fixture;
 mod linear;
 mod process;
