test: check the answers of checks that are done under faults

The test dropped every check that was done before it compared the replies with the logs of the workers, since a check may run again after a lost answer. So nothing checked that a check got its own answer under faults. Such checks are now compared with their own rule: the answer is that of the key, and at least one start of it is done. At least one check has to be done.

--- a/crates/hornbeamshunt/tests/promises/cluster/audit.rs
+++ b/crates/hornbeamshunt/tests/promises/cluster/audit.rs
@@ -30,6 +30,31 @@
             .map(|reply| reply.outcome)
     }
 
+    /// Checks that each answer of done work is that of its own key.
+    fn assert_own_answers(&self) {
+        let key = &self.work.key;
+        let done = self.replies.iter();
+        for reply in done.filter(|reply| reply.outcome == Outcome::Done) {
+            let own = vec![key.clone(); self.tasks];
+            assert_eq!(reply.results, own, "own answer of {key}");
+        }
+    }
+
+    /// Checks the replies to a check that is done. Unlike durable work, a repeatable check may have
+    /// run again after a lost answer, so that more starts than tasks may be done.
+    ///
+    /// # Panics
+    ///
+    /// Panics if fewer starts than tasks are done, or if the caller got the answer of another.
+    pub fn assert_done_check(&self, logs: &[WorkerLog]) {
+        let starts = logs.iter().flat_map(|log| &log.0);
+        let done = starts
+            .filter(|start| start.payload == self.work.payload && start.phase == TaskPhase::Done);
+        let done = done.count();
+        assert!(done >= self.tasks, "{done} starts are done: {self:?}");
+        self.assert_own_answers();
+    }
+
     /// Checks the replies against the workers' logs.
     ///
     /// # Panics
@@ -61,14 +86,8 @@
             }
             _ => {}
         }
+        self.assert_own_answers();
         for reply in &self.replies {
-            if reply.outcome == Outcome::Done {
-                assert_eq!(
-                    reply.results,
-                    vec![key.clone(); self.tasks],
-                    "own answer of {key}"
-                );
-            }
             let is_final = !matches!(reply.outcome, Outcome::Accepted | Outcome::Unknown);
             assert!(
                 !is_final || Some(reply.outcome) == outcome,
--- a/crates/hornbeamshunt/tests/promises/faults.rs
+++ b/crates/hornbeamshunt/tests/promises/faults.rs
@@ -116,7 +116,7 @@
         }
     }
     let audits = calls.join_all().await;
-    let mut checks = checks.join_all().await;
+    let checks = checks.join_all().await;
     platform.assert_consistent(&audits).await;
     for audit in &audits {
         let outcome = audit.outcome();
@@ -136,10 +136,14 @@
         "{}: only {done} of 90 pieces of durable work are done",
         case.name
     );
-    // Checks are not idempotent by key, so a check may run again after a lost answer. Only its answer
-    // matters.
-    checks.retain(|audit| audit.outcome() != Some(Outcome::Done));
-    platform.assert_consistent(&checks).await;
+    let is_done = |audit: &KeyAudit| audit.outcome() == Some(Outcome::Done);
+    let (done, others): (Vec<_>, Vec<_>) = checks.into_iter().partition(is_done);
+    assert!(!done.is_empty(), "{}: no check is done", case.name);
+    let logs = platform.logs().await;
+    for audit in &done {
+        audit.assert_done_check(&logs);
+    }
+    platform.assert_consistent(&others).await;
 }
 
 macro_rules! fault_tests {
