test: kill the owner of the service instead of the first process

The test killed process 0 without knowing whether it owned the service. It now kills the process that stopped the surplus replicas, which only the owner does, and requires that the next owner starts another replica.

--- a/crates/hornbeamshunt/tests/promises/service.rs
+++ b/crates/hornbeamshunt/tests/promises/service.rs
@@ -36,6 +36,20 @@
     counts
 }
 
+/// Returns the index of the process that owns the service: the only one that stops surplus replicas.
+fn service_owner(nodes: &[EntryNode]) -> usize {
+    let stopped = |node: &EntryNode| node.log().matches("E7002").count();
+    let owners: Vec<usize> = (0..nodes.len())
+        .filter(|index| stopped(&nodes[*index]) > 0)
+        .collect();
+    assert_eq!(
+        owners.len(),
+        1,
+        "processes that stopped replicas: {owners:?}"
+    );
+    owners[0]
+}
+
 /// Waits until exactly one start of each replica runs.
 async fn wait_for(platform: &TestPlatform, replicas: u16, limit: Duration) {
     let wanted: BTreeMap<String, usize> =
@@ -58,7 +72,8 @@
         assert!(publish(&platform, &manifest(4)).status.success());
         wait_for(&platform, 4, limit).await;
         let before = platform.logs().await;
-        nodes[0].kill();
+        let owner = service_owner(&nodes);
+        nodes[owner].kill();
         // Longer than the takeover of the workers and of the service together, in which no replica
         // may be duplicated.
         tokio::time::sleep(Duration::from_secs(9)).await;
@@ -71,6 +86,9 @@
             started(&before),
             "a running replica was replaced"
         );
+        assert!(publish(&platform, &manifest(5)).status.success());
+        wait_for(&platform, 5, limit).await;
+        let after = platform.logs().await;
         let busy = after
             .iter()
             .position(|log| log.0.iter().any(|start| start.phase == TaskPhase::Running));
@@ -86,7 +104,7 @@
             is_empty.then_some(())
         })
         .await;
-        wait_for(&platform, 4, limit).await;
+        wait_for(&platform, 5, limit).await;
         platform.assert_within_capacity().await;
     });
 }
