test: keep the tasks of workers that answer slowly

A worker that answers every call after 0.7 s loses its lease, since a lease call may take 0.4 s. New test slow_workers: the tasks of such workers are not started again within 6 s, and end done once the workers are fast again.

--- a/crates/hornbeamshunt/tests/promises/single_run.rs
+++ b/crates/hornbeamshunt/tests/promises/single_run.rs
@@ -4,11 +4,12 @@
 
 use hs_standin::WorkerOptions;
 use hs_wire::Outcome;
+use serde_json::json;
 use tokio::time::sleep;
 
 use crate::cluster::{
-    Caller, EntryNode, FaultyLink, KeyAudit, TestPlatform, eventually, partition_owner, run_test,
-    submission, submit_until_final, worker_owner,
+    Caller, EntryNode, FaultyLink, KeyAudit, TestPlatform, eventually, owned_workers,
+    partition_owner, run_test, submission, submit_until_final, worker_owner,
 };
 
 pub(crate) const MANIFEST: &str = r#"{
@@ -128,3 +129,36 @@
     /// Guards against a new ledger owner that treats the task of an unreachable worker as lost.
     all_faults_combined: true, true, true;
 }
+
+/// Guards against tasks that are started again or given up because their workers answer every call
+/// too late for a while: later than the timeout of a lease call, so that all leases are lost.
+#[test]
+fn slow_workers() {
+    run_test(async {
+        let mut platform = TestPlatform::start(3, WorkerOptions::default()).await;
+        let nodes = EntryNode::start_all(&mut platform, 2, MANIFEST).await;
+        let audit = audit("k", "sleep=8000");
+        let caller = Caller::default();
+        caller.submit(nodes[0].caller, &audit.work).await;
+        wait_running(&platform, "k").await;
+        for worker in &platform.workers {
+            worker.set_faults(json!({ "delay_ms": 700 })).await;
+        }
+        sleep(Duration::from_secs(6)).await;
+        let mut owned = 0;
+        for node in &nodes {
+            owned += owned_workers(&node.status().await.expect("status")).len();
+        }
+        assert_eq!(owned, 0, "the workers are too slow to be leased");
+        for worker in &platform.workers {
+            worker.set_faults(json!({})).await;
+        }
+        let entries = vec![nodes[1].caller];
+        let audit = submit_until_final(caller, entries, 0, audit, FINAL_OUTCOME_LIMIT).await;
+        assert_eq!(audit.outcome(), Some(Outcome::Done), "{audit:?}");
+        let audits = std::slice::from_ref(&audit);
+        platform.assert_consistent(audits).await;
+        let starts = platform.starts_of("k").await;
+        assert_eq!(starts.len(), TASKS, "{starts:?}");
+    });
+}
