docs: show explanations that the code sends

The examples of the caller's interface had explanations that no process sends, such as "task 3 failed", and revisions and retry hints that differ from those of the code. They show the texts of the code now, and a new test looks each of them up in the sources; it fails on the old page.

--- a/crates/hornbeamshunt/tests/documents.rs
+++ b/crates/hornbeamshunt/tests/documents.rs
@@ -146,6 +146,55 @@
     assert_eq!(shown, expected, "one example for each outcome and reason");
 }
 
+/// Returns the text of all source files of the entry process and of its listeners.
+fn sources() -> String {
+    let mut text = String::new();
+    let mut directories = vec![
+        root().join("crates/hs-node/src"),
+        root().join("crates/hs-http/src"),
+    ];
+    while let Some(directory) = directories.pop() {
+        for entry in fs::read_dir(&directory).expect("directory") {
+            let path = entry.expect("entry").path();
+            match path.is_dir() {
+                true => directories.push(path),
+                false => text += &fs::read_to_string(&path).expect("source"),
+            }
+        }
+    }
+    text
+}
+
+/// Guards against examples whose explanation no process ever sends.
+#[test]
+fn explanations_in_examples_are_those_of_the_code() {
+    /// Messages whose text is formatted or comes from a library, with their text in the code.
+    const FORMATTED: [(&str, &str); 4] = [
+        ("need 1 to 128 bytes", "need 1 to {MAX_NAME_BYTES} bytes"),
+        ("no such path: /v2/work", "no such path: {}"),
+        ("exceeds 262144 bytes", "exceeds {} bytes"),
+        (
+            "connection closed before message completed",
+            "\"body_unreadable\", error.to_string()",
+        ),
+    ];
+    let sources = sources();
+    for (label, body) in examples(&read("docs/api.md")) {
+        let body: serde_json::Value = serde_json::from_str(&body).expect(&label);
+        for name in ["detail", "message"] {
+            let Some(text) = body[name].as_str() else {
+                continue;
+            };
+            let text = FORMATTED
+                .iter()
+                .fold(text.to_owned(), |text, (shown, code)| {
+                    text.replace(shown, code)
+                });
+            assert!(sources.contains(&text), "{label}: no source of {text:?}");
+        }
+    }
+}
+
 /// Returns the names that a deserialiser lists in its error about an empty name.
 fn names(error: &str) -> impl Iterator<Item = String> {
     let quoted = error.split('`').skip(1).step_by(2);
