--- a/crates/hs-core/src/band_queue.rs
+++ b/crates/hs-core/src/band_queue.rs
@@ -2,99 +2,17 @@
 
 use std::cmp::Reverse;
 use std::collections::binary_heap::PeekMut;
-use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use hs_wire::Resources;
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 
 use crate::customer_account::CustomerAccount;
+use crate::shape_queue::{LaneKey, ShapeKey, ShapeQueue};
 use crate::work_record::{WorkRecord, WorkStage};
+use crate::work_shape::WorkShape;
 use crate::{CustomerKey, WorkBand, WorkKey, WorkRequest};
 
-new_key_type! {
-    /// Key of a lane: the queued work of one customer and one shape.
-    pub(crate) struct LaneKey;
-
-    /// Key of a shape with queued work.
-    pub(crate) struct ShapeKey;
-}
-
-/// Resource demand and task count, which decide whether work fits. Within one band, either all work
-/// of a shape fits or none of it.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub(crate) struct WorkShape {
-    /// Resources of each task.
-    pub(crate) need: Resources,
-    /// Number of tasks.
-    pub(crate) tasks: u16,
-}
-
-impl WorkShape {
-    /// Returns the shape of a request.
-    pub(crate) fn of(request: &WorkRequest) -> Self {
-        Self {
-            need: request.resources,
-            tasks: request.tasks.max(1),
-        }
-    }
-
-    /// Returns the resources of all tasks together.
-    pub(crate) fn total(self) -> Resources {
-        self.need.saturating_mul(u32::from(self.tasks))
-    }
-}
-
-/// The lanes of one shape.
-#[derive(Debug)]
-struct ShapeQueue {
-    shape: WorkShape,
-    /// Whether no workers were found for this shape. Cleared when a worker frees capacity into
-    /// which a task of the shape may fit.
-    blocked: bool,
-    /// Placement count at the time when the first work item of the shape was blocked.
-    blocked_at_placement: Option<u64>,
-    /// Number of lanes, including parked ones.
-    lane_count: usize,
-    /// Lanes ordered by start tag and sequence number of their first item. Both only grow, so an
-    /// outdated entry sorts too early and is corrected when it reaches the top.
-    lane_heap: BinaryHeap<Reverse<(u64, u64, LaneKey)>>,
-    /// Start tag and sequence number of the shape's entry in [`BandQueue::ready`].
-    ready_entry: Option<(u64, u64)>,
-}
-
-impl ShapeQueue {
-    /// Inserts the shape into `ready`, unless it is blocked or its entry is already at or before
-    /// `order`.
-    fn insert_ready(
-        &mut self,
-        shape: ShapeKey,
-        order: (u64, u64),
-        ready: &mut BTreeSet<(u64, u64, ShapeKey)>,
-    ) {
-        if self.blocked || self.ready_entry.is_some_and(|entry| entry <= order) {
-            return;
-        }
-        self.remove_ready(shape, ready);
-        ready.insert((order.0, order.1, shape));
-        self.ready_entry = Some(order);
-    }
-
-    /// Removes the shape's entry from `ready`.
-    fn remove_ready(&mut self, shape: ShapeKey, ready: &mut BTreeSet<(u64, u64, ShapeKey)>) {
-        if let Some((tag, sequence)) = self.ready_entry.take() {
-            ready.remove(&(tag, sequence, shape));
-        }
-    }
-
-    /// Marks the shape as possibly fitting and returns it to `ready`.
-    fn unblock(&mut self, shape: ShapeKey, ready: &mut BTreeSet<(u64, u64, ShapeKey)>) {
-        self.blocked = false;
-        if let Some(Reverse((tag, sequence, _))) = self.lane_heap.peek() {
-            self.insert_ready(shape, (*tag, *sequence), ready);
-        }
-    }
-}
-
 /// Queued work of one customer and one shape, in order of submission.
 #[derive(Debug)]
 struct CustomerLane {
@@ -168,16 +86,10 @@
         }
         account.queued[band] += 1;
         let shape = WorkShape::of(request);
-        let shape_key = *self.shape_keys.entry(shape).or_insert_with(|| {
-            self.shapes.insert(ShapeQueue {
-                shape,
-                blocked: false,
-                blocked_at_placement: None,
-                lane_count: 0,
-                lane_heap: BinaryHeap::new(),
-                ready_entry: None,
-            })
-        });
+        let shape_key = *self
+            .shape_keys
+            .entry(shape)
+            .or_insert_with(|| self.shapes.insert(ShapeQueue::new(shape)));
         let customer = request.customer;
         let lane_key = *self
             .lane_keys
--- a/crates/hs-core/src/customer_account.rs
+++ b/crates/hs-core/src/customer_account.rs
@@ -3,7 +3,7 @@
 use hs_wire::Resources;
 use smallvec::SmallVec;
 
-use crate::band_queue::LaneKey;
+use crate::shape_queue::LaneKey;
 use crate::{CustomerPolicy, WorkBand};
 
 /// Limits, usage and fair-queuing state of one customer. Arrays are indexed by band.
--- a/crates/hs-core/src/decide.rs
+++ b/crates/hs-core/src/decide.rs
@@ -5,8 +5,9 @@
 use hs_wire::NotRunReason;
 use smallvec::SmallVec;
 
-use crate::band_queue::{QueuedItem, WorkShape};
+use crate::band_queue::QueuedItem;
 use crate::work_record::{WorkRecord, WorkStage};
+use crate::work_shape::WorkShape;
 use crate::{Decision, Placer, PolicyMode, WorkBand, WorkKey, WorkRequest, WorkerKey};
 
 /// The worker of each task, by task index.
--- a/crates/hs-core/src/reservation.rs
+++ b/crates/hs-core/src/reservation.rs
@@ -4,8 +4,9 @@
 
 use smallvec::SmallVec;
 
-use crate::band_queue::{QueuedItem, WorkShape};
+use crate::band_queue::QueuedItem;
 use crate::decide::TaskWorkers;
+use crate::work_shape::WorkShape;
 use crate::{Decision, Placer, WorkBand, WorkKey, WorkRequest, WorkerKey};
 
 /// Interval between searches for blocked work that needs a reservation.
--- a/crates/hs-core/src/submit.rs
+++ b/crates/hs-core/src/submit.rs
@@ -5,8 +5,8 @@
 use hs_wire::NotRunReason;
 use smallvec::SmallVec;
 
-use crate::band_queue::WorkShape;
 use crate::work_record::{WorkRecord, WorkStage};
+use crate::work_shape::WorkShape;
 use crate::{
     CancelOutcome, Decision, Placer, PolicyMode, TaskEnd, WorkBand, WorkKey, WorkRequest, WorkerKey,
 };
--- a/crates/hs-core/src/work_record.rs
+++ b/crates/hs-core/src/work_record.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use crate::band_queue::LaneKey;
+use crate::shape_queue::LaneKey;
 use crate::{WorkRequest, WorkerKey};
 
 /// A queued or running work item.
