refactor: merge the copies of the end of a reservation

The runner of durable work, the check path and the reconciliation each translated the phase of a task into the end of its reservation. One function of the placer does so now. The releases of the placer are in one file, and a request with one task needs no set to find duplicate ids. No behaviour changes.

--- a/crates/hs-node/src/ledger/follow.rs
+++ b/crates/hs-node/src/ledger/follow.rs
@@ -15,6 +15,7 @@
 use super::resolve::{AttemptStatus, query_worker_owner, resolve_attempt};
 use super::runner::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, TaskRunner};
 use super::starts::{START_STOP_TIMEOUT, TASK_END_WAIT};
+use crate::placer::task_end;
 use crate::port::{Platform, WorkerPort};
 use crate::work::HeldGrants;
 
@@ -292,11 +293,3 @@
         ChangeOutcome::NoNextAttempt => Some(None),
     }
 }
-
-fn task_end(phase: TaskPhase) -> TaskEnd {
-    match phase {
-        TaskPhase::Done => TaskEnd::Done,
-        TaskPhase::Failed => TaskEnd::Failed,
-        TaskPhase::Stopped | TaskPhase::Running => TaskEnd::Stopped,
-    }
-}
--- a/crates/hs-node/src/placer/held.rs
+++ b/crates/hs-node/src/placer/held.rs
@@ -33,6 +33,20 @@
         }
     }
 
+    /// Releases tasks whose grants did not reach the caller. Nothing was sent to their workers.
+    pub(super) fn release_undelivered(&mut self, tasks: &[WorkId]) {
+        for task in tasks {
+            self.release(task, TaskEnd::Stopped);
+        }
+    }
+
+    /// Releases the reservation that a task holds.
+    pub(super) fn release(&mut self, task: &WorkId, end: TaskEnd) {
+        if let Some(worker) = self.task_workers.get(task).copied() {
+            self.release_on(worker, task, end);
+        }
+    }
+
     /// Releases the reservation that a task holds on one worker. A reservation of the same task on
     /// another worker stays.
     pub(super) fn release_on(&mut self, worker: WorkerKey, task: &WorkId, end: TaskEnd) {
--- a/crates/hs-node/src/placer/message.rs
+++ b/crates/hs-node/src/placer/message.rs
@@ -42,13 +42,17 @@
 impl PlaceRequest {
     /// Returns the number of tasks. Each needs an id of its own, by which it is released.
     pub(super) fn task_count(&self) -> Result<u16, NotRunReason> {
-        let count = u16::try_from(self.tasks.len()).map_err(|_| NotRunReason::Malformed)?;
-        let distinct: HashSet<&WorkId> = self.tasks.iter().collect();
-        match count > 0 && distinct.len() == self.tasks.len() {
-            true => Ok(count),
-            false => Err(NotRunReason::Malformed),
+        match u16::try_from(self.tasks.len()) {
+            Ok(1) => Ok(1),
+            Ok(count @ 2..) if self.has_distinct_tasks() => Ok(count),
+            Ok(_) | Err(_) => Err(NotRunReason::Malformed),
         }
     }
+
+    fn has_distinct_tasks(&self) -> bool {
+        let distinct: HashSet<&WorkId> = self.tasks.iter().collect();
+        distinct.len() == self.tasks.len()
+    }
 }
 
 /// State of a leased worker, reported when its lease is acquired or renewed or its draining flag
--- a/crates/hs-node/src/placer/mod.rs
+++ b/crates/hs-node/src/placer/mod.rs
@@ -15,5 +15,6 @@
 pub use handle::PlacerHandle;
 pub use message::{PlaceMode, PlaceRequest, PlacerMessage, WorkerReport};
 pub use reservation::TaskReservation;
+pub(crate) use reservation::task_end;
 pub use status::{PlacerStatus, WorkerStatus};
 pub use task::PlacerTask;
--- a/crates/hs-node/src/placer/reconcile.rs
+++ b/crates/hs-node/src/placer/reconcile.rs
@@ -7,7 +7,7 @@
 use hs_wire::{TaskPhase, TaskView, WorkId};
 
 use super::message::TaskQuery;
-use super::{PlacerTask, TaskReservation};
+use super::{PlacerTask, TaskReservation, task_end};
 use crate::port::ClockPort;
 
 /// Age at which the task of a reservation is first queried, and interval between queries about it.
@@ -62,9 +62,7 @@
             let view = known.iter().find(|view| view.id == *task);
             match view.map(|view| view.phase) {
                 Some(TaskPhase::Running) => self.set_unknown(worker, task, false),
-                Some(TaskPhase::Done) => self.release_on(worker, task, TaskEnd::Done),
-                Some(TaskPhase::Failed) => self.release_on(worker, task, TaskEnd::Failed),
-                Some(TaskPhase::Stopped) => self.release_on(worker, task, TaskEnd::Stopped),
+                Some(phase) => self.release_on(worker, task, task_end(phase)),
                 None if fence_raised => self.release_on(worker, task, TaskEnd::Refused),
                 None => self.set_unknown(worker, task, true),
             }
--- a/crates/hs-node/src/placer/reservation.rs
+++ b/crates/hs-node/src/placer/reservation.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use hs_core::WorkKey;
+use hs_core::{TaskEnd, WorkKey};
+use hs_wire::TaskPhase;
 
 /// Capacity that one task holds on a worker leased by this process.
 #[derive(Clone, Copy, Debug)]
@@ -18,3 +19,12 @@
     /// Whether the worker did not know the task at the last query.
     pub is_unknown: bool,
 }
+
+/// Returns the end of the reservation of a task that its worker reports in a phase.
+pub(crate) fn task_end(phase: TaskPhase) -> TaskEnd {
+    match phase {
+        TaskPhase::Done => TaskEnd::Done,
+        TaskPhase::Failed => TaskEnd::Failed,
+        TaskPhase::Stopped | TaskPhase::Running => TaskEnd::Stopped,
+    }
+}
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use hs_core::{
-    CancelOutcome, CustomerPolicy, Decision, Placer, PlacerPolicy, TaskEnd, WorkBand, WorkKey,
-    WorkRequest, WorkerKey,
+    CancelOutcome, CustomerPolicy, Decision, Placer, PlacerPolicy, WorkBand, WorkKey, WorkRequest,
+    WorkerKey,
 };
 use hs_event::EventCode;
 use hs_peer::RetryBudget;
@@ -320,13 +320,6 @@
         grants
     }
 
-    /// Releases tasks whose grants did not reach the caller. Nothing was sent to their workers.
-    fn release_undelivered(&mut self, tasks: &[WorkId]) {
-        for task in tasks {
-            self.release(task, TaskEnd::Stopped);
-        }
-    }
-
     fn cancel_queued(&mut self, task: &WorkId) {
         let Some(tag) = self.queue_tags.remove(task) else {
             return;
@@ -341,12 +334,6 @@
         }
     }
 
-    fn release(&mut self, task: &WorkId, end: TaskEnd) {
-        if let Some(worker) = self.task_workers.get(task).copied() {
-            self.release_on(worker, task, end);
-        }
-    }
-
     fn update_opening_hours(&mut self) {
         let minute_of_day = (self.clock.wall_ms() / 60_000 % 1440) as u16;
         if minute_of_day != self.minute_of_day {
--- a/crates/hs-node/src/work/check.rs
+++ b/crates/hs-node/src/work/check.rs
@@ -12,7 +12,7 @@
 
 use super::reserve::deadline_of;
 use super::{ReserveSpec, reserve};
-use crate::placer::TaskGrant;
+use crate::placer::{TaskGrant, task_end};
 use crate::port::{ClockPort, Platform, PortError, WorkerPort};
 use crate::shared::NodeShared;
 
@@ -149,11 +149,3 @@
         reply
     }
 }
-
-fn task_end(phase: TaskPhase) -> TaskEnd {
-    match phase {
-        TaskPhase::Done => TaskEnd::Done,
-        TaskPhase::Failed => TaskEnd::Failed,
-        TaskPhase::Stopped | TaskPhase::Running => TaskEnd::Stopped,
-    }
-}
--- a/crates/hs-node/tests/faults/startup.rs
+++ b/crates/hs-node/tests/faults/startup.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hs_peer::message::PullReply;
-use hs_wire::{Outcome, VmEntry};
+use hs_wire::Outcome;
 
 use crate::fake_peer::{FakePeer, PeerReplies};
 use crate::harness::{Harness, HarnessOptions, MANIFEST, STATE_LIMIT, listen};
@@ -112,17 +112,17 @@
 /// release every worker, so that the running work is stopped and started elsewhere.
 #[tokio::test]
 async fn a_list_without_entry_vms_changes_nothing() {
-    let cases: [(&str, fn(&VmEntry) -> bool); 2] = [
-        ("empty", |_| false),
-        ("other VMs only", |entry| entry.id == "w1"),
-    ];
-    for (name, keeps) in cases {
+    /// Ids of the VMs in the list.
+    struct ListCase(&'static str, &'static [&'static str]);
+    let cases = [ListCase("empty", &[]), ListCase("other VMs only", &["w1"])];
+    for ListCase(name, ids) in cases {
         let harness = Harness::start(HarnessOptions::default()).await;
         let mut other = harness.vms[0].clone();
         other.id = "w1".to_owned();
         other.addr = "127.0.0.1:1".to_owned();
         let all = harness.vms.iter().cloned().chain([other]);
-        harness.put_vms(all.filter(keeps).collect()).await;
+        let listed = all.filter(|entry| ids.contains(&entry.id.as_str()));
+        harness.put_vms(listed.collect()).await;
         tokio::time::sleep(VM_LIST_TIME).await;
         let status = harness.status().await;
         assert_eq!(status["workers"][0]["name"], "w0", "{name}: {status}");
