fix: start no work whose deadline has passed meanwhile

The deadline decided whether work was placed, and nothing looked at it again. An order whose placement took long to reach the store, as after an outage, started whenever the record was there; a check started on a grant that arrived late; and both did so after a pause of the process between the grant and the start. The interface says that work which has not started at its deadline is refused with deadline_passed.

The deadline is compared once more right before the start is sent. Durable work whose placement is recorded by then goes back to waiting and is refused, which is true since no start was sent.

--- a/crates/hs-node/src/ledger/runner.rs
+++ b/crates/hs-node/src/ledger/runner.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hs_core::TaskEnd;
-use hs_ledger::{TaskKey, TaskState};
+use hs_ledger::{RetryCause, TaskKey, TaskState};
 use hs_wire::{NotRunReason, Resources, Submission, WorkClass, WorkId};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -112,6 +112,7 @@
         self: &Arc<Self>,
         waiting: Vec<(TaskKey, WorkId)>,
     ) -> Option<Vec<(TaskKey, WorkId)>> {
+        let deadline = self.deadline();
         let held = match self.reserve(&waiting).await {
             Ok(held) => held,
             Err(reason) => {
@@ -140,6 +141,11 @@
             held.release_all(TaskEnd::Stopped);
             return None;
         }
+        if self.shared.platform.clock().now() >= deadline {
+            // The record took long to reach the store, or this process was paused.
+            held.release_all(TaskEnd::Stopped);
+            return self.refuse_unstarted(&placed).await;
+        }
         let starts = self.start_all(&placed).await;
         match placed.len() {
             1 => self.follow_all(placed, starts, held).await,
@@ -147,6 +153,20 @@
         }
     }
 
+    /// Ends placed tasks whose starts were not sent, because their deadline has passed. `None` means
+    /// that the runner must stop.
+    async fn refuse_unstarted(&self, placed: &[PlacedTask]) -> Option<Vec<(TaskKey, WorkId)>> {
+        for placed in placed {
+            let next = self.report_retry(placed.task, RetryCause::NotRun).await?;
+            if let Some((task, _)) = next {
+                let reason = Some(NotRunReason::DeadlinePassed);
+                self.report_end(task, TaskState::NotRun, String::new(), reason)
+                    .await?;
+            }
+        }
+        Some(Vec::new())
+    }
+
     /// Reserves capacity for the tasks. Batch and gang work is queued again until its deadline if
     /// the queue is full or the quota is exhausted.
     async fn reserve(&self, waiting: &[(TaskKey, WorkId)]) -> Result<HeldGrants<P>, NotRunReason> {
--- a/crates/hs-node/src/work/check.rs
+++ b/crates/hs-node/src/work/check.rs
@@ -56,6 +56,11 @@
                 return self.refused_reply(NotRunReason::WorkerRefused, may_have_run);
             };
             let started_at = self.shared.platform.clock().now();
+            if started_at >= start_deadline {
+                // The grant arrived late, or this process was paused.
+                held.release(0, TaskEnd::Stopped);
+                return self.refused_reply(NotRunReason::DeadlinePassed, may_have_run);
+            }
             let waited = started_at.saturating_duration_since(self.arrived_at);
             let (did_not_run, error) = match self.start(&spec, grant, reply_deadline).await {
                 Ok(task) => match task.phase {
--- a/crates/hs-node/tests/faults/fake_peer.rs
+++ b/crates/hs-node/tests/faults/fake_peer.rs
@@ -27,6 +27,8 @@
 /// Replies of a fake peer. `None` is an error.
 #[derive(Clone, Debug, Default)]
 pub struct PeerReplies {
+    /// Delay of the replies to reservations.
+    pub delay: Duration,
     pub tasks: Option<Vec<HeldTask>>,
     pub reserve: Option<ReserveReply>,
     pub resolve: Option<ResolveReply>,
@@ -140,6 +142,8 @@
     }
 
     async fn reserve(&self, _: Request<ReserveRequest>) -> Result<Response<ReserveReply>, Status> {
+        let delay = self.reply(|replies| Some(replies.delay))?.into_inner();
+        tokio::time::sleep(delay).await;
         self.reply(|replies| replies.reserve.clone())
     }
 
--- a/crates/hs-node/tests/faults/main.rs
+++ b/crates/hs-node/tests/faults/main.rs
@@ -2,6 +2,7 @@
 //! peer whose replies are wrong, late or missing, and tasks of the process that panic.
 
 mod damage;
+mod deadline;
 mod fake_peer;
 mod follow;
 mod harness;
--- a/crates/hs-node/tests/faults/peer_messages.rs
+++ b/crates/hs-node/tests/faults/peer_messages.rs
@@ -172,6 +172,7 @@
         incarnation: u64::MAX,
     };
     let replies = PeerReplies {
+        delay: std::time::Duration::ZERO,
         tasks: Some(vec![HeldTask::default(); 3]),
         reserve: Some(ReserveReply {
             grants: vec![grant; 7],
