fix: start repeatable work again after its deadline

A repeatable task whose worker stopped it, restarted or left the VM list is attempted again. If its deadline had passed meanwhile, the placer refused the attempt, and the work ended as failed although a long batch task normally runs past the deadline, which is one for its start; only the free capacity of a peer saved it. An attempt that follows one that has run has no deadline.

New test stopped_work_starts_again_after_its_deadline: before, the outcome was failed; with the change the second start is done.

--- a/crates/hs-node/src/ledger/follow.rs
+++ b/crates/hs-node/src/ledger/follow.rs
@@ -2,6 +2,7 @@
 
 use std::panic::resume_unwind;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hs_core::TaskEnd;
@@ -262,6 +263,9 @@
         task: TaskKey,
         cause: RetryCause,
     ) -> Option<Option<(TaskKey, WorkId)>> {
+        if cause == RetryCause::Stopped {
+            self.has_run.store(true, Ordering::Relaxed);
+        }
         next_attempt(
             self.port
                 .commit_change(TaskChange::Retry { task, cause })
--- a/crates/hs-node/src/ledger/runner.rs
+++ b/crates/hs-node/src/ledger/runner.rs
@@ -1,6 +1,7 @@
 //! Runner of the tasks of one durable record.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use hs_core::TaskEnd;
@@ -33,6 +34,8 @@
     pub(super) submission: Submission,
     /// Whether a stopped task may be attempted again.
     pub(super) repeatable: bool,
+    /// Whether an attempt at one of the tasks has run and was stopped.
+    pub(super) has_run: bool,
     /// Time of the admission, in milliseconds since the Unix epoch.
     pub(super) admitted_ms: u64,
     /// The attempts. Those with a worker were placed by a previous owner of the partition.
@@ -45,6 +48,8 @@
     pub(super) port: RunnerPort,
     pub(super) plan: RunPlan,
     pub(super) cancelled: watch::Receiver<bool>,
+    /// Whether an attempt has run and was stopped.
+    pub(super) has_run: AtomicBool,
 }
 
 impl<P: Platform> TaskRunner<P> {
@@ -57,8 +62,9 @@
         Self {
             shared,
             port,
-            plan,
             cancelled,
+            has_run: AtomicBool::new(plan.has_run),
+            plan,
         }
     }
 
@@ -206,9 +212,13 @@
         Ok((entry.resources, entry.class))
     }
 
-    /// Returns the deadline of the work, counted from its admission.
+    /// Returns the deadline of the next start, counted from the admission. Work that has run in time
+    /// and was stopped has none: the deadline is one for the first start.
     fn deadline(&self) -> Instant {
         let clock = self.shared.platform.clock();
+        if self.has_run.load(Ordering::Relaxed) {
+            return deadline_of(clock, clock.now(), u64::MAX);
+        }
         let age = clock.wall_ms().saturating_sub(self.plan.admitted_ms);
         let remaining = self.plan.submission.deadline_ms.saturating_sub(age);
         deadline_of(clock, clock.now(), remaining)
--- a/crates/hs-node/src/ledger/runs.rs
+++ b/crates/hs-node/src/ledger/runs.rs
@@ -50,6 +50,8 @@
             return;
         };
         let (class, repeatable, admitted_ms) = (entry.class, entry.repeatable, entry.admitted_ms);
+        let has_run: Vec<bool> = entry.tasks.iter().map(|task| task.has_run).collect();
+        let has_run = |task: u32| has_run.get(task as usize).copied().unwrap_or(false);
         let named: Vec<_> = tasks
             .into_iter()
             .filter_map(|(task, worker)| Some((task, entry.task_id(task)?, worker)))
@@ -69,6 +71,7 @@
             let plan = RunPlan {
                 submission: submission.clone(),
                 repeatable,
+                has_run: indices.iter().any(|index| has_run(*index)),
                 admitted_ms,
                 tasks,
             };
--- a/crates/hs-node/tests/faults/deadline.rs
+++ b/crates/hs-node/tests/faults/deadline.rs
@@ -1,10 +1,11 @@
 //! Tests of starts that are delayed past the deadline of their work.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hs_peer::message::{Grant, ReserveReply};
 use hs_standin::WorkerOptions;
-use hs_wire::{NotRunReason, Outcome, Resources};
+use hs_wire::{NotRunReason, Outcome, Resources, TaskPhase};
 use serde_json::{Value, json};
 
 use crate::fake_peer::{FakePeer, PeerReplies};
@@ -89,3 +90,38 @@
     assert_eq!(reply.outcome, Outcome::NotRun, "{reply:?}");
     assert_eq!(reply.reason, Some(NotRunReason::DeadlinePassed));
 }
+
+/// Guards against repeatable work that is given up because its worker stopped it after the deadline:
+/// the deadline is one for the first start.
+#[tokio::test]
+async fn stopped_work_starts_again_after_its_deadline() {
+    let harness = Harness::start(HarnessOptions::default()).await;
+    let worker = harness.vms[0].addr.clone();
+    let first = harness.submit("k", "batch", 500, "sleep=3000").await;
+    assert_eq!(first.outcome, Outcome::Accepted, "{first:?}");
+    let status = harness.status().await;
+    let log = harness.worker_log(&worker).await;
+    let stop = json!({
+        "id": log.0[0].id, "fence": status["workers"][0]["fence"], "mode": "stop",
+    });
+    let address: SocketAddr = worker.parse().expect("address");
+    let stopped: Option<Value> = harness.post(address, "/stop", &stop).await;
+    assert!(stopped.is_some(), "the worker stops the task");
+    let begin = Instant::now();
+    let reply = loop {
+        let reply = harness.submit("k", "batch", 500, "sleep=3000").await;
+        if !matches!(reply.outcome, Outcome::Accepted | Outcome::Unknown) {
+            break reply;
+        }
+        assert!(begin.elapsed() < STATE_LIMIT, "{reply:?}");
+    };
+    assert_eq!(reply.outcome, Outcome::Done, "{reply:?}");
+    let phases: Vec<TaskPhase> = harness
+        .worker_log(&worker)
+        .await
+        .0
+        .iter()
+        .map(|start| start.phase)
+        .collect();
+    assert_eq!(phases, [TaskPhase::Stopped, TaskPhase::Done]);
+}
--- a/crates/hs-node/tests/faults/harness.rs
+++ b/crates/hs-node/tests/faults/harness.rs
@@ -33,6 +33,7 @@
     "workloads": [
         { "name": "check", "class": "check", "resources": { "connections": 1 } },
         { "name": "order", "class": "order", "resources": { "slots": 1 } },
+        { "name": "batch", "class": "batch", "resources": { "slots": 1 } },
         { "name": "gang", "class": "gang", "tasks": 3, "resources": { "slots": 1 } }
     ]
 }"#;
