fix: accept a lower incarnation of a peer after 30 s

The incarnation of a process is its start time. A process that once started with a clock in the future, or one heartbeat with a wrong incarnation, excluded this process for good: its later heartbeats have a lower incarnation and were ignored until every peer was restarted. The rule is there against delayed heartbeats of an earlier start, which are far younger. It now ends 30 s after the last heartbeat of the higher incarnation counted as lost.

The random test models the rule.

--- a/crates/hs-peer/src/member.rs
+++ b/crates/hs-peer/src/member.rs
@@ -1,12 +1,17 @@
 //! Internal state of a member.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hs_wire::Resources;
 
 use crate::message::HeartbeatRequest;
 use crate::rendezvous;
 
+/// Time after the loss of a member in which heartbeats of its lower incarnations are ignored. It is far
+/// longer than a heartbeat can be delayed. Without an end, a process that once started with a clock in
+/// the future would be excluded until all of its peers restart.
+const INCARNATION_MEMORY: Duration = Duration::from_secs(30);
+
 /// Entry of a member in the VM list.
 #[derive(Clone, Debug)]
 pub(crate) struct MemberListing {
@@ -38,7 +43,7 @@
     pub(crate) state: MemberState,
     /// When a live member counts as lost unless another heartbeat arrives.
     pub(crate) deadline: Instant,
-    /// Highest incarnation received in a heartbeat; zero before the first heartbeat.
+    /// Incarnation of the last heartbeat that was accepted; zero before the first one.
     pub(crate) incarnation: u64,
     pub(crate) free: Resources,
     pub(crate) queued: u32,
@@ -85,6 +90,11 @@
         }
     }
 
+    /// Returns whether no heartbeat has arrived for so long that the incarnation no longer matters.
+    pub(crate) fn is_forgotten(&self, now: Instant) -> bool {
+        !self.is_live() && now.saturating_duration_since(self.deadline) >= INCARNATION_MEMORY
+    }
+
     pub(crate) fn is_live(&self) -> bool {
         self.state == MemberState::Live
     }
--- a/crates/hs-peer/src/membership.rs
+++ b/crates/hs-peer/src/membership.rs
@@ -137,7 +137,8 @@
     ///
     /// Ignores a heartbeat that
     ///
-    /// - has a lower incarnation than an earlier heartbeat with the same id,
+    /// - has a lower incarnation than an earlier heartbeat with the same id, of which the last one
+    ///   is less than 30 s older than the liveness timeout,
     /// - has the id of this process,
     /// - has no id or no address,
     /// - comes from a peer that is not in the VM list, unless the sender's list is newer or there
@@ -154,10 +155,10 @@
             return events;
         };
         let member = &self.members[key];
-        if heartbeat.incarnation < member.incarnation {
+        if heartbeat.incarnation < member.incarnation && !member.is_forgotten(now) {
             return events;
         }
-        let is_restarted = heartbeat.incarnation > member.incarnation;
+        let is_restarted = heartbeat.incarnation != member.incarnation;
         if is_restarted && member.is_live() {
             events.push(self.mark_lost(key, LossReason::Restarted));
         }
--- a/crates/hs-peer/tests/peer/membership.rs
+++ b/crates/hs-peer/tests/peer/membership.rs
@@ -43,7 +43,7 @@
 /// `l4ab` is a VM list of version 4 with `a` and `b`.
 struct StepCase(&'static str, &'static str, &'static str);
 
-const CASES: [StepCase; 15] = [
+const CASES: [StepCase; 17] = [
     StepCase("a1 1200", "+a -aT", "loss is late"),
     StepCase("a1 1100 a1 1100", "+a", "loss is early"),
     StepCase("a1 1300 900 a1 a1 1300", "+a -aT +a -aT", "peer flaps"),
@@ -79,6 +79,16 @@
         "+a -aU",
         "old incarnation restores a lost peer",
     ),
+    StepCase(
+        "a9 1300 29000 a1 2000 a1 900",
+        "+a -aT +a",
+        "clock that was set back excludes a restarted peer",
+    ),
+    StepCase(
+        "a9 a9! 32000 a1 900",
+        "+a -aL +a",
+        "clock that was set back excludes a peer that left",
+    ),
 ];
 
 fn parse(step: &'static str) -> Step {
@@ -165,7 +175,9 @@
         match step {
             Heartbeat(id, incarnation, ..) => {
                 let is_listed = listed.is_none_or(|(_, ids)| ids.contains(&id));
-                if is_listed && incarnation >= peers[id].1 {
+                let (last_deadline, highest) = peers[id];
+                let is_forgotten = now >= last_deadline + ms(30_000);
+                if is_listed && (incarnation >= highest || is_forgotten) {
                     peers.insert(id, (deadline, incarnation));
                 }
             }
