fix: stop a cancelled order before the reply to its start

The start of a single task waits up to 10 s for the end of the task, and a cancellation was looked at only afterwards. So the cancellation of an order of up to 10 s was recorded and had no effect: the order ended as done. A cancellation that arrives while the reply is awaited now stops the task; the start then returns with the stopped task, or is refused if it had not arrived yet.

--- a/crates/hs-node/src/ledger/starts.rs
+++ b/crates/hs-node/src/ledger/starts.rs
@@ -17,6 +17,8 @@
 
 impl<P: Platform> TaskRunner<P> {
     /// Sends the start requests of all attempts concurrently, and returns their outcomes in order.
+    /// Stops the tasks if the work is cancelled meanwhile, since a reply may wait for the end of its
+    /// task.
     pub(super) async fn start_all(&self, placed: &[PlacedTask]) -> Vec<StartOutcome> {
         let mut starts = JoinSet::new();
         for (index, task) in placed.iter().enumerate() {
@@ -35,12 +37,25 @@
         }
         let mut outcomes: Vec<StartOutcome> =
             placed.iter().map(|_| StartOutcome::Unknown).collect();
-        while let Some(joined) = starts.join_next().await {
-            if let Ok((index, result)) = joined {
-                outcomes[index] = StartOutcome::from_result(&placed[index], result);
+        let mut cancelled = self.cancelled.clone();
+        let mut is_stopping = false;
+        loop {
+            tokio::select! {
+                joined = starts.join_next() => match joined {
+                    Some(Ok((index, result))) => {
+                        outcomes[index] = StartOutcome::from_result(&placed[index], result);
+                    }
+                    Some(Err(_)) => {}
+                    None => return outcomes,
+                },
+                Ok(()) = cancelled.changed(), if !is_stopping => {
+                    is_stopping = true;
+                    for task in placed {
+                        self.stop(task).await;
+                    }
+                }
             }
         }
-        outcomes
     }
 
     pub(super) fn start_request(&self, placed: &PlacedTask, wait_for_end: bool) -> StartRequest {
--- a/crates/hs-node/tests/faults/follow.rs
+++ b/crates/hs-node/tests/faults/follow.rs
@@ -1,7 +1,7 @@
 //! Tests of durable tasks whose worker does not answer as expected.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hs_wire::{Outcome, WorkReply};
 use serde_json::Value;
@@ -66,3 +66,27 @@
     let stops = harness.switches.stops.load(Ordering::Relaxed);
     assert_eq!(stops, 3, "stop requests for three tasks");
 }
+
+/// Guards against a cancelled task that goes on until the reply to its start, which waits for its end.
+#[tokio::test]
+async fn a_cancellation_stops_a_running_order_at_once() {
+    let harness = Harness::start(HarnessOptions::default()).await;
+    let worker = harness.vms[0].addr.clone();
+    let submit = harness.submit("k", "order", 20_000, "sleep=8000");
+    let cancel = async {
+        while harness.running(&worker).await == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let path = "/v1/work/acme/k/cancel";
+        let reply: Option<WorkReply> = harness.post(harness.caller, path, &Value::Null).await;
+        assert!(reply.is_some(), "the cancellation is answered");
+        Instant::now()
+    };
+    let (reply, cancelled_at) = tokio::join!(submit, cancel);
+    let elapsed = cancelled_at.elapsed();
+    assert_eq!(reply.outcome, Outcome::Cancelled, "{reply:?}");
+    assert!(
+        elapsed < Duration::from_secs(2),
+        "cancelled after {elapsed:?}"
+    );
+}
