fix: pause between queries about a running task

A worker that answers a query at once instead of at the end of the task was asked again without a pause. Queries about a running task are now 20 ms apart. New test queries_of_a_running_task_are_apart: before, 6,569 queries about three tasks in 2 s; with the change at most 300.

--- a/crates/hs-node/src/ledger/follow.rs
+++ b/crates/hs-node/src/ledger/follow.rs
@@ -23,6 +23,9 @@
 /// Time that a worker's reply may take beyond the requested wait.
 const REPLY_MARGIN: Duration = Duration::from_secs(1);
 
+/// Pause between two queries about a running task, each of which waits for its end.
+const MIN_QUERY_PAUSE: Duration = Duration::from_millis(20);
+
 /// Maximum number of attempts to stop a task. Each may fail because the fencing token was raised in
 /// the meantime.
 const MAX_STOP_ATTEMPTS: u32 = 5;
@@ -186,7 +189,13 @@
                     .workers()
                     .task(&address, &placed.id, TASK_END_WAIT, call_timeout);
             tokio::select! {
-                result = request => view = result.ok().flatten()?,
+                result = request => {
+                    view = result.ok().flatten()?;
+                    if view.phase == TaskPhase::Running {
+                        // A worker may answer at once instead of at the end of the task.
+                        sleep(MIN_QUERY_PAUSE).await;
+                    }
+                }
                 Ok(()) = cancelled.changed(), if !is_stopping => {}
             }
         }
--- a/crates/hs-node/tests/faults/follow.rs
+++ b/crates/hs-node/tests/faults/follow.rs
@@ -23,6 +23,21 @@
     assert!(raised <= 15, "{raised} lease calls raised the token in 3 s");
 }
 
+/// Guards against a flood of queries to a worker that answers them at once instead of at the end of
+/// the task.
+#[tokio::test]
+async fn queries_of_a_running_task_are_apart() {
+    let harness = Harness::start(HarnessOptions::default()).await;
+    harness
+        .switches
+        .ignores_waits
+        .store(true, Ordering::Relaxed);
+    let reply = harness.submit("k", "gang", 8000, "sleep=2000").await;
+    let queries = harness.switches.task_queries.load(Ordering::Relaxed);
+    assert_eq!(reply.outcome, Outcome::Done, "{reply:?}");
+    assert!(queries <= 300, "{queries} queries about three tasks in 2 s");
+}
+
 /// Guards against a worker that fails everything and stays in use because the replies to the starts
 /// are lost: the end of a task counts however it became known.
 #[tokio::test]
--- a/crates/hs-node/tests/faults/platform.rs
+++ b/crates/hs-node/tests/faults/platform.rs
@@ -22,6 +22,10 @@
     pub hides_start_replies: AtomicBool,
     /// Whether queries about one task fail at once.
     pub fails_task_queries: AtomicBool,
+    /// Whether queries about one task are answered at once instead of at its end.
+    pub ignores_waits: AtomicBool,
+    /// Number of queries about one task.
+    pub task_queries: AtomicUsize,
     /// Whether stop requests fail and lease replies list no tasks.
     pub forgets_tasks: AtomicBool,
     /// Lease calls take a permit each.
@@ -39,6 +43,8 @@
             panic_in: Mutex::new(None),
             hides_start_replies: AtomicBool::new(false),
             fails_task_queries: AtomicBool::new(false),
+            ignores_waits: AtomicBool::new(false),
+            task_queries: AtomicUsize::new(0),
             forgets_tasks: AtomicBool::new(false),
             lease_permits: Semaphore::new(Semaphore::MAX_PERMITS >> 1),
             raised_fences: AtomicUsize::new(0),
@@ -242,6 +248,11 @@
         call_timeout: Duration,
     ) -> impl Future<Output = Result<Option<TaskView>, PortError>> + Send {
         self.1.panic_if_due();
+        self.1.task_queries.fetch_add(1, Ordering::Relaxed);
+        let wait = match self.1.ignores_waits.load(Ordering::Relaxed) {
+            true => Duration::ZERO,
+            false => wait,
+        };
         async move {
             match self.1.fails_task_queries.load(Ordering::Relaxed) {
                 true => Err(unreadable("task query", address)),
