fix: pause after a watch of the store that ends at once

A store that ends a watch at once instead of after its wait was asked again without a pause, with calls that all users of the store share.

--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -16,7 +16,7 @@
 use super::{SyncHandle, SyncMessage};
 use crate::manifest::{MANIFEST_KEY, ManifestView};
 use crate::placer::PlacerMessage;
-use crate::port::{Platform, StorePort, VmPort};
+use crate::port::{ClockPort, Platform, StorePort, VmPort};
 use crate::shared::NodeShared;
 use crate::supervise::TaskInbox;
 
@@ -244,13 +244,18 @@
 /// the fallback interval.
 pub(crate) async fn read_manifest<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
     let store = shared.platform.store();
+    let clock = shared.platform.clock();
     let mut after = 0;
     loop {
+        let begun_at = clock.now();
         let result = match after {
             0 => store.get(MANIFEST_KEY, READ_TIMEOUT).await,
             after => store.watch(MANIFEST_KEY, after, WATCH_WAIT).await,
         };
-        let succeeded = result.is_ok();
+        let elapsed = clock.now().saturating_duration_since(begun_at);
+        let is_new = matches!(&result, Ok(Some(value)) if value.revision != after);
+        // A store may end a watch at once instead of after its wait.
+        let succeeded = result.is_ok() && (is_new || elapsed >= RETRY_DELAY);
         match result {
             Ok(Some(value)) => {
                 after = value.revision;
--- a/crates/hs-node/tests/faults/platform.rs
+++ b/crates/hs-node/tests/faults/platform.rs
@@ -24,6 +24,10 @@
     pub fails_task_queries: AtomicBool,
     /// Whether queries about one task are answered at once instead of at its end.
     pub ignores_waits: AtomicBool,
+    /// Whether watches of the store end at once instead of after their wait.
+    pub ends_watches: AtomicBool,
+    /// Number of watches of the store.
+    pub watches: AtomicUsize,
     /// Number of queries about one task.
     pub task_queries: AtomicUsize,
     /// Whether stop requests fail and lease replies list no tasks.
@@ -44,6 +48,8 @@
             hides_start_replies: AtomicBool::new(false),
             fails_task_queries: AtomicBool::new(false),
             ignores_waits: AtomicBool::new(false),
+            ends_watches: AtomicBool::new(false),
+            watches: AtomicUsize::new(0),
             task_queries: AtomicUsize::new(0),
             forgets_tasks: AtomicBool::new(false),
             lease_permits: Semaphore::new(Semaphore::MAX_PERMITS >> 1),
@@ -184,7 +190,16 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Option<StoreValue>, PortError>> + Send {
         self.1.panic_if_due();
-        self.0.watch(key, after, wait)
+        self.1.watches.fetch_add(1, Ordering::Relaxed);
+        async move {
+            match self.1.ends_watches.load(Ordering::Relaxed) {
+                true => {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                    Ok(None)
+                }
+                false => self.0.watch(key, after, wait).await,
+            }
+        }
     }
 }
 
--- a/crates/hs-node/tests/faults/startup.rs
+++ b/crates/hs-node/tests/faults/startup.rs
@@ -1,5 +1,6 @@
 //! Tests of what a process uses right after its start, and of a VM list that is wrong.
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use hs_peer::message::PullReply;
@@ -135,3 +136,27 @@
             .await;
     }
 }
+
+/// Guards against a flood of calls to a store whose watches end at once, which takes the calls that
+/// all users of the store share.
+#[tokio::test]
+async fn watches_that_end_at_once_are_apart() {
+    let switches = Switches::new();
+    switches.ends_watches.store(true, Ordering::Relaxed);
+    let harness = Harness::launch(HarnessOptions::default(), switches).await;
+    harness.wait_until_owned().await;
+    let before = harness.switches.watches.load(Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let watches = harness.switches.watches.load(Ordering::Relaxed) - before;
+    assert!(watches <= 10, "{watches} watches in 2 s");
+    harness
+        .switches
+        .ends_watches
+        .store(false, Ordering::Relaxed);
+    harness.put_manifest(&manifest(2), 1).await;
+    harness
+        .wait_status("the next manifest", |status| {
+            status["manifest_revision"] == 2
+        })
+        .await;
+}
