fix: prefer the platform to a peer for the first VM list

A process that starts used the VM list of the first seed that answered. A peer that lagged behind showed workers that had left or were leaving as live, until the platform answered.

New test an_old_vm_list_of_a_peer_does_not_precede_the_platform: before, the old list was in force while the platform took 0.4 s; with the change it is used only if the platform does not answer.

--- a/crates/hs-node/src/sync/handle.rs
+++ b/crates/hs-node/src/sync/handle.rs
@@ -27,6 +27,8 @@
     ManifestMissing,
     /// The VM list was read from the platform.
     VmListRead(VmList),
+    /// The platform has no VM list that is newer, or did not answer.
+    VmListMissing,
 }
 
 /// Sends messages to the sync task.
--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -47,6 +47,10 @@
     state: ManifestState,
     startup: StartupReads,
     pending_pulls: HashSet<String>,
+    /// Newest VM list of a peer, kept while the first read from the platform has neither ended nor
+    /// failed: a peer may show a VM that has left or is leaving as live.
+    kept_vm_list: Option<VmList>,
+    is_vm_list_pending: bool,
     /// Version of the last VM list that was not applied because it names no entry VM.
     rejected_vm_list: Option<u64>,
     /// Manifest revision and number of local members that were last sent to the placer.
@@ -62,6 +66,7 @@
         manifest_sender: watch::Sender<Option<Arc<ManifestView>>>,
         vms_sender: watch::Sender<Arc<VmList>>,
     ) -> Self {
+        let is_vm_list_pending = vms_sender.borrow().version == 0;
         Self {
             shared,
             handle,
@@ -70,6 +75,8 @@
             vms_sender,
             state: ManifestState::default(),
             startup: StartupReads::default(),
+            kept_vm_list: None,
+            is_vm_list_pending,
             rejected_vm_list: None,
             pending_pulls: HashSet::new(),
             sent_to_placer: None,
@@ -126,7 +133,11 @@
                 self.startup.store_ended();
                 self.use_best_of_peers();
             }
-            SyncMessage::VmListRead(list) => self.apply_vm_list(list),
+            SyncMessage::VmListRead(list) => {
+                self.apply_vm_list(list);
+                self.end_first_vm_list_read();
+            }
+            SyncMessage::VmListMissing => self.end_first_vm_list_read(),
         }
     }
 
@@ -149,7 +160,7 @@
     fn apply_pull(&mut self, peer: &str, reply: PullReply) {
         if !reply.vm_list_json.is_empty() {
             match serde_json::from_str(&reply.vm_list_json) {
-                Ok(list) => self.apply_vm_list(list),
+                Ok(list) => self.offer_vm_list_of_peer(list),
                 Err(error) => log::warn!("cannot parse the VM list of peer {peer}: {error}"),
             }
         }
@@ -221,6 +232,24 @@
             .send(PlacerMessage::Manifest { view, members });
     }
 
+    /// Applies the VM list of a peer if it is newer. During the first read from the platform it is
+    /// kept until that has ended.
+    fn offer_vm_list_of_peer(&mut self, list: VmList) {
+        let kept = self.kept_vm_list.as_ref().map_or(0, |kept| kept.version);
+        if !self.is_vm_list_pending {
+            self.apply_vm_list(list);
+        } else if list.version > kept {
+            self.kept_vm_list = Some(list);
+        }
+    }
+
+    fn end_first_vm_list_read(&mut self) {
+        self.is_vm_list_pending = false;
+        if let Some(list) = self.kept_vm_list.take() {
+            self.apply_vm_list(list);
+        }
+    }
+
     /// Applies a VM list if it is newer. A list without any entry VM is certainly wrong, because
     /// this process runs on an entry VM. Without its workers, the process would release their
     /// leases, and their tasks would be stopped and started elsewhere.
@@ -275,9 +304,10 @@
         let known = shared.vms.borrow().version;
         let result = shared.platform.vms().list(known, READ_TIMEOUT).await;
         let succeeded = result.is_ok();
-        if let Ok(Some(list)) = result {
-            handle.send(SyncMessage::VmListRead(list));
-        }
+        handle.send(match result {
+            Ok(Some(list)) => SyncMessage::VmListRead(list),
+            Ok(None) | Err(_) => SyncMessage::VmListMissing,
+        });
         if succeeded {
             sleep(VM_LIST_INTERVAL).await;
         }
--- a/crates/hs-node/tests/faults/harness.rs
+++ b/crates/hs-node/tests/faults/harness.rs
@@ -50,6 +50,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Delay of the store, in milliseconds.
     pub store_delay_ms: u64,
+    /// Delay of the VM list, in milliseconds. With a delay, the list has version 2.
+    pub vm_list_delay_ms: u64,
     /// Peer listener of the process; `None` for a new one.
     pub peer_listener: Option<TcpListener>,
 }
@@ -62,6 +64,7 @@
             peers: Vec::new(),
             seeds: Vec::new(),
             store_delay_ms: 0,
+            vm_list_delay_ms: 0,
             peer_listener: None,
         }
     }
@@ -152,6 +155,12 @@
         let delay = serde_json::json!({ "delay_ms": options.store_delay_ms });
         let set: Option<Value> = harness.post(store, "/fault", &delay).await;
         assert!(set.is_some(), "fault switch of the store");
+        if options.vm_list_delay_ms > 0 {
+            harness.put_vms(harness.vms.clone()).await;
+            let delay = serde_json::json!({ "delay_ms": options.vm_list_delay_ms });
+            let set: Option<Value> = harness.post(vm_list, "/fault", &delay).await;
+            assert!(set.is_some(), "fault switch of the VM list");
+        }
         let platform = HttpPlatform::new(store, vm_list);
         let platform = FaultPlatform::new(platform, &harness.switches);
         tokio::spawn(run_with(settings, platform, listeners, stopped));
--- a/crates/hs-node/tests/faults/startup.rs
+++ b/crates/hs-node/tests/faults/startup.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use hs_peer::message::PullReply;
-use hs_wire::Outcome;
+use hs_wire::{Outcome, Resources, VmList, VmRole};
 
 use crate::fake_peer::{FakePeer, PeerReplies};
-use crate::harness::{Harness, HarnessOptions, MANIFEST, STATE_LIMIT, listen};
+use crate::harness::{Harness, HarnessOptions, MANIFEST, STATE_LIMIT, listen, vm};
 use crate::platform::Switches;
 
 /// Time in which the process reads a changed VM list, once a second, and acts on it.
@@ -79,6 +79,42 @@
     );
 }
 
+/// Guards against a restarted process that uses the old VM list of a peer, for instance with a worker
+/// that is leaving since, while the platform has a newer one.
+#[tokio::test]
+async fn an_old_vm_list_of_a_peer_does_not_precede_the_platform() {
+    let (listener, address) = listen().await;
+    let old = VmList {
+        version: 1,
+        vms: vec![vm("e0", address, VmRole::Entry, Resources::ZERO)],
+    };
+    let pull = PullReply {
+        vm_list_version: 1,
+        vm_list_json: serde_json::to_string(&old).expect("VM list"),
+        ..PullReply::default()
+    };
+    let replies = PeerReplies {
+        pull: Some(pull),
+        ..PeerReplies::default()
+    };
+    let peer = FakePeer::start(listen().await.0, replies);
+    for (delay_ms, first) in [(400, 2), (60_000, 1)] {
+        let options = HarnessOptions {
+            seeds: vec![peer.address],
+            vm_list_delay_ms: delay_ms,
+            ..HarnessOptions::default()
+        };
+        let harness = Harness::launch(options, Switches::new()).await;
+        let status = harness
+            .wait_status("a VM list", |status| {
+                status["vm_list_version"].as_u64().is_some_and(|it| it > 0)
+            })
+            .await;
+        assert_eq!(status["vm_list_version"], first, "delay of {delay_ms} ms");
+    }
+    drop(listener);
+}
+
 /// Guards against a restarted process that places work on a worker that the manifest drains: it took
 /// the lease before it had the manifest, and the link learns of the manifest after the placer.
 #[tokio::test]
