docs: say that a lost partition is answered as not owned

A call that was admitted gets the same answer as one that was not handled if the partition is lost before its outcome is committed. That is correct, since the caller repeats it under its key, but the comment said that it was not handled.

--- a/crates/hs-node/src/ledger/message.rs
+++ b/crates/hs-node/src/ledger/message.rs
@@ -40,7 +40,8 @@
     Reply(WorkReply),
     /// The partition has no record of the key.
     NoRecord,
-    /// This process does not own the partition and did not handle the call.
+    /// This process does not own the partition, or lost it before it could answer. The call can be
+    /// repeated at the owner, since calls are idempotent by key.
     NotOwned {
         /// Peer address of the owner, if known.
         owner: Option<String>,
