refactor: merge the copies of the calls to an owner

The local and the forwarded call of durable work each built the same call for the owner of the partition, with the same shorter wait. One function builds it now. The link compares a grant with the held one in one place. No behaviour changes.

--- a/crates/hs-node/src/link/worker_link.rs
+++ b/crates/hs-node/src/link/worker_link.rs
@@ -174,10 +174,10 @@
         fence_raised: bool,
     ) {
         let known: Vec<TaskView> = std::mem::take(&mut grant.tasks);
-        let expected_fence = self
-            .lease
-            .as_ref()
-            .and_then(|lease| lease.grant.fence.checked_add(u64::from(fence_raised)));
+        let held = self.lease.as_ref().map(|lease| &lease.grant);
+        let expected_fence = held.and_then(|held| held.fence.checked_add(u64::from(fence_raised)));
+        let is_resized = held.is_some_and(|held| held.capacity != grant.capacity);
+        let is_restarted = held.is_some_and(|held| held.incarnation != grant.incarnation);
         if expected_fence != Some(grant.fence) {
             // Another owner held the lease in the meantime. The placer of this process does not
             // account for the tasks that the other owner started.
@@ -188,22 +188,14 @@
             self.drop_lease();
             return;
         }
-        if self
-            .lease
-            .as_ref()
-            .is_some_and(|lease| lease.grant.capacity != grant.capacity)
-        {
+        if is_resized {
             // The placer takes a capacity only with a complete list of the tasks. Without this, one
             // wrong reply to the acquisition would apply until the lease is lost.
             EventCode::LeaseLost.log(format_args!("worker={} cause=capacity", self.worker.id));
             self.drop_lease();
             return;
         }
-        if self
-            .lease
-            .as_ref()
-            .is_some_and(|lease| lease.grant.incarnation != grant.incarnation)
-        {
+        if is_restarted {
             // The worker has restarted: it runs no tasks, and the tasks that ran on it are lost.
             let report = self.report(grant.clone());
             self.placer.send(PlacerMessage::WorkerAdded { report });
--- a/crates/hs-node/src/work/durable.rs
+++ b/crates/hs-node/src/work/durable.rs
@@ -193,14 +193,7 @@
     expires_at_ms: u64,
     remaining: Duration,
 ) -> OwnerAnswer {
-    let call = match call.clone() {
-        DurableCall::Submit(submission) => LedgerCall::Submit {
-            submission: with_wait(submission, remaining),
-            expires_at_ms,
-        },
-        DurableCall::Query { customer, key } => LedgerCall::Query { customer, key },
-        DurableCall::Cancel { customer, key } => LedgerCall::Cancel { customer, key },
-    };
+    let call = ledger_call(call, expires_at_ms, remaining);
     match shared.ledger.call(partition, call).await {
         LedgerAnswer::Reply(reply) => OwnerAnswer::Reply(reply),
         LedgerAnswer::NoRecord => OwnerAnswer::NoRecord,
@@ -217,15 +210,13 @@
     peer: &str,
 ) -> OwnerAnswer {
     let name = |customer, key| WorkName { customer, key };
-    let call = match call.clone() {
-        DurableCall::Submit(submission) => {
-            match serde_json::to_string(&with_wait(submission, remaining)) {
-                Ok(json) => Call::SubmissionJson(json),
-                Err(_) => return OwnerAnswer::NotOwner(None),
-            }
-        }
-        DurableCall::Query { customer, key } => Call::Query(name(customer, key)),
-        DurableCall::Cancel { customer, key } => Call::Cancel(name(customer, key)),
+    let call = match ledger_call(call, expires_at_ms, remaining) {
+        LedgerCall::Submit { submission, .. } => match serde_json::to_string(&submission) {
+            Ok(json) => Call::SubmissionJson(json),
+            Err(_) => return OwnerAnswer::NotOwner(None),
+        },
+        LedgerCall::Query { customer, key } => Call::Query(name(customer, key)),
+        LedgerCall::Cancel { customer, key } => Call::Cancel(name(customer, key)),
     };
     let request = ForwardRequest {
         partition,
@@ -250,9 +241,18 @@
     }
 }
 
-/// Returns the submission with a wait that is [`REPLY_MARGIN`] shorter than `remaining`, so that
-/// the answer of the owner arrives in time.
-fn with_wait(mut submission: Submission, remaining: Duration) -> Submission {
-    submission.wait_ms = Some(remaining.saturating_sub(REPLY_MARGIN).as_millis() as u64);
-    submission
+/// Returns the call for the owner of the partition. The wait of a submission is [`REPLY_MARGIN`]
+/// shorter than `remaining`, so that the answer of the owner arrives in time.
+fn ledger_call(call: &DurableCall, expires_at_ms: u64, remaining: Duration) -> LedgerCall {
+    match call.clone() {
+        DurableCall::Submit(mut submission) => {
+            submission.wait_ms = Some(remaining.saturating_sub(REPLY_MARGIN).as_millis() as u64);
+            LedgerCall::Submit {
+                submission,
+                expires_at_ms,
+            }
+        }
+        DurableCall::Query { customer, key } => LedgerCall::Query { customer, key },
+        DurableCall::Cancel { customer, key } => LedgerCall::Cancel { customer, key },
+    }
 }
