fix: take a reply without incarnation for no restart

The incarnation in a lease reply may be left out and is zero then. A reply without it, and without the task asked about, counted as the restart of the worker: a repeatable task that ran was started again on the same worker, once for each such reply, and the placer forgot the reservations of the worker. An answer without an incarnation no longer decides the outcome of an attempt, and after any change of the incarnation the link takes the lease again with a list of the tasks.

New test a_reply_without_incarnation_is_no_restart: before, seven starts of one task; with the change one.

--- a/crates/hs-node/src/ledger/resolve.rs
+++ b/crates/hs-node/src/ledger/resolve.rs
@@ -100,7 +100,7 @@
     id: &WorkId,
 ) -> Option<AttemptStatus> {
     if let Some(resolved) = shared.links.resolve(&worker.name, id).await {
-        return Some(status_of(worker, resolved));
+        return status_of(worker, resolved);
     }
     let request = ResolveRequest {
         worker: worker.name.clone(),
@@ -130,20 +130,23 @@
             fence: reply.fence,
             task,
         };
-        return Some(status_of(worker, resolved));
+        return status_of(worker, resolved);
     }
     None
 }
 
-fn status_of(worker: &PlacedWorker, resolved: ResolvedTask) -> AttemptStatus {
+/// Returns what an answer of the worker says about an attempt. An answer without an incarnation,
+/// which is zero, does not say that the worker has restarted.
+fn status_of(worker: &PlacedWorker, resolved: ResolvedTask) -> Option<AttemptStatus> {
     match resolved.task {
-        Some(task) => AttemptStatus::Known {
+        Some(task) => Some(AttemptStatus::Known {
             address: resolved.address,
             fence: resolved.fence,
             task,
-        },
-        None if worker.incarnation == resolved.incarnation => AttemptStatus::Absent,
-        None => AttemptStatus::Lost,
+        }),
+        None if worker.incarnation == resolved.incarnation => Some(AttemptStatus::Absent),
+        None if resolved.incarnation == 0 => None,
+        None => Some(AttemptStatus::Lost),
     }
 }
 
--- a/crates/hs-node/src/link/worker_link.rs
+++ b/crates/hs-node/src/link/worker_link.rs
@@ -188,29 +188,24 @@
             self.drop_lease();
             return;
         }
-        if is_resized {
-            // The placer takes a capacity only with a complete list of the tasks. Without this, one
-            // wrong reply to the acquisition would apply until the lease is lost.
-            EventCode::LeaseLost.log(format_args!("worker={} cause=capacity", self.worker.id));
+        if is_resized || is_restarted {
+            // The placer takes a capacity and the running tasks only from an acquisition, which lists
+            // all tasks. So a wrong reply applies only until the next one.
+            let cause = if is_resized { "capacity" } else { "restart" };
+            EventCode::LeaseLost.log(format_args!("worker={} cause={cause}", self.worker.id));
             self.drop_lease();
             return;
         }
-        if is_restarted {
-            // The worker has restarted: it runs no tasks, and the tasks that ran on it are lost.
-            let report = self.report(grant.clone());
-            self.placer.send(PlacerMessage::WorkerAdded { report });
-        } else {
-            let report = self.report(grant.clone());
-            self.placer.send(PlacerMessage::WorkerUpdated { report });
-            if !queried.is_empty() {
-                let name = self.worker.id.clone();
-                self.placer.send(PlacerMessage::QueryAnswered {
-                    name,
-                    queried,
-                    fence_raised,
-                    known,
-                });
-            }
+        let report = self.report(grant.clone());
+        self.placer.send(PlacerMessage::WorkerUpdated { report });
+        if !queried.is_empty() {
+            let name = self.worker.id.clone();
+            self.placer.send(PlacerMessage::QueryAnswered {
+                name,
+                queried,
+                fence_raised,
+                known,
+            });
         }
         self.store_lease(grant, requested_at);
     }
--- a/crates/hs-node/src/placer/message.rs
+++ b/crates/hs-node/src/placer/message.rs
@@ -98,7 +98,7 @@
         /// Receives whether the start is allowed.
         reply: oneshot::Sender<bool>,
     },
-    /// Adds a worker whose lease was acquired or that has restarted. Its grant lists the running
+    /// Adds a worker whose lease was acquired, or replaces it. Its grant lists the running
     /// tasks.
     WorkerAdded {
         /// State of the worker.
--- a/crates/hs-node/tests/faults/worker_replies.rs
+++ b/crates/hs-node/tests/faults/worker_replies.rs
@@ -9,7 +9,7 @@
 use hs_node::port::HttpWorkers;
 use hs_peer::message::ResolveRequest;
 use hs_standin::WorkerOptions;
-use hs_wire::{VmEntry, VmRole, WorkId};
+use hs_wire::{Outcome, VmEntry, VmRole, WorkId};
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
@@ -25,6 +25,8 @@
 enum Damage {
     /// Merges these fields into the replies to lease calls.
     Lease(Value),
+    /// Removes the incarnation and the tasks from the replies to lease calls.
+    OptionalFields,
     /// Damages every reply at random.
     Random,
 }
@@ -70,7 +72,14 @@
                         }
                         body = value.to_string().into_bytes();
                     }
-                    Damage::Lease(_) => {}
+                    Damage::OptionalFields if request.path == "/lease" => {
+                        let mut value: Value = serde_json::from_slice(&body).unwrap_or_default();
+                        if let Some(fields) = value.as_object_mut() {
+                            fields.retain(|name, _| name != "incarnation" && name != "tasks");
+                        }
+                        body = value.to_string().into_bytes();
+                    }
+                    Damage::Lease(_) | Damage::OptionalFields => {}
                 }
             }
             HttpReply::bytes(reply.status, "application/json", body)
@@ -187,6 +196,41 @@
     assert!(reply.expect("a reply").into_inner().owned);
 }
 
+/// Guards against a running task that is started again because a lease reply lacked the incarnation,
+/// as if the worker had restarted.
+#[tokio::test]
+async fn a_reply_without_incarnation_is_no_restart() {
+    let (_stop, stopped) = watch::channel(false);
+    let is_on = Arc::new(AtomicBool::new(false));
+    let (worker, inner) = damaging_worker(Damage::OptionalFields, is_on.clone(), stopped).await;
+    let options = HarnessOptions {
+        workers: vec![worker],
+        ..HarnessOptions::default()
+    };
+    let harness = Harness::start(options).await;
+    harness
+        .switches
+        .hides_start_replies
+        .store(true, Ordering::Relaxed);
+    harness
+        .switches
+        .fails_task_queries
+        .store(true, Ordering::Relaxed);
+    let submit = harness.submit("k", "batch", 9000, "sleep=3000");
+    let damage = async {
+        while harness.running(&inner).await == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        is_on.store(true, Ordering::Relaxed);
+        tokio::time::sleep(FAULT_TIME).await;
+        is_on.store(false, Ordering::Relaxed);
+    };
+    let (reply, ()) = tokio::join!(submit, damage);
+    assert_eq!(reply.outcome, Outcome::Done, "{reply:?}");
+    let log = harness.worker_log(&inner).await;
+    assert_eq!(log.0.len(), 1, "{log:?}");
+}
+
 /// Guards against the outcome of one task that is taken for that of another, because a worker
 /// answers a query with the wrong task.
 #[tokio::test]
