--- a/crates/hs-node/src/ledger/follow.rs
+++ b/crates/hs-node/src/ledger/follow.rs
@@ -1,6 +1,8 @@
 //! Follows placed attempts from their start to their end.
 
+use std::panic::resume_unwind;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hs_core::TaskEnd;
@@ -12,18 +14,30 @@
 use super::message::{ChangeOutcome, TaskChange};
 use super::placed::{PlacedTask, StartOutcome};
 use super::resolve::{AttemptStatus, query_worker_owner, resolve_attempt};
-use super::runner::{MIN_RETRY_DELAY, TaskRunner};
+use super::runner::{MAX_RETRY_DELAY, MIN_RETRY_DELAY, TaskRunner};
 use super::starts::{START_STOP_TIMEOUT, TASK_END_WAIT};
+use crate::placer::task_end;
 use crate::port::{Platform, WorkerPort};
 use crate::work::HeldGrants;
 
 /// Time that a worker's reply may take beyond the requested wait.
 const REPLY_MARGIN: Duration = Duration::from_secs(1);
 
+/// Pause between two queries about a running task, each of which waits for its end.
+const MIN_QUERY_PAUSE: Duration = Duration::from_millis(20);
+
 /// Maximum number of attempts to stop a task. Each may fail because the fencing token was raised in
 /// the meantime.
 const MAX_STOP_ATTEMPTS: u32 = 5;
 
+/// How an attempt ended whose worker gave no definite answer at first.
+pub(super) struct Resolution {
+    /// Next attempt if one has to be made; `None` if the runner must stop.
+    pub(super) next: Option<Option<(TaskKey, WorkId)>>,
+    /// End of the reservation of the attempt.
+    pub(super) end: TaskEnd,
+}
+
 impl<P: Platform> TaskRunner<P> {
     /// Follows the tasks concurrently, and returns those that have to be attempted again.
     pub(super) async fn follow_all(
@@ -40,7 +54,11 @@
         }
         let mut to_retry = Vec::new();
         while let Some(next) = follows.join_next().await {
-            to_retry.extend(next.ok()??);
+            match next {
+                Ok(next) => to_retry.extend(next?),
+                Err(error) if error.is_panic() => resume_unwind(error.into_panic()),
+                Err(_) => return None,
+            }
         }
         to_retry.sort_by_key(|(task, _)| *task);
         Some(to_retry)
@@ -103,19 +121,17 @@
                 self.report_worker_result(placed, &view).await
             }
             None => {
-                let next = self.await_resolution(placed).await;
-                held.release(index, TaskEnd::Stopped);
-                next
+                let resolution = self.await_resolution(placed).await;
+                held.release(index, resolution.end);
+                resolution.next
             }
         }
     }
 
     /// Determines the outcome of a task whose worker gave no definite answer, and follows the task
     /// to its end if it still runs.
-    pub(super) async fn await_resolution(
-        &self,
-        placed: &PlacedTask,
-    ) -> Option<Option<(TaskKey, WorkId)>> {
+    pub(super) async fn await_resolution(&self, placed: &PlacedTask) -> Resolution {
+        let mut delay = MIN_RETRY_DELAY;
         loop {
             match resolve_attempt(&self.shared, &placed.worker, &placed.id).await {
                 AttemptStatus::Known {
@@ -131,22 +147,25 @@
                         fence,
                     };
                     if let Some(view) = self.await_end(&found, task).await {
-                        return self.report_worker_result(&found, &view).await;
+                        let next = self.report_worker_result(&found, &view).await;
+                        let end = task_end(view.phase);
+                        return Resolution { next, end };
                     }
                 }
                 AttemptStatus::Absent => {
-                    let change = TaskChange::Absent { task: placed.task };
-                    return next_attempt(self.port.commit_change(change).await?);
-                }
-                AttemptStatus::Lost if self.plan.repeatable => {
-                    return self.report_retry(placed.task, RetryCause::Stopped).await;
+                    let next = self.report_absent(placed.task).await;
+                    let end = TaskEnd::Stopped;
+                    return Resolution { next, end };
                 }
                 AttemptStatus::Lost => {
-                    self.report_end(placed.task, TaskState::Unknown, String::new(), None)
-                        .await?;
-                    return Some(None);
+                    let next = self.report_lost(placed.task).await;
+                    let end = TaskEnd::Stopped;
+                    return Resolution { next, end };
                 }
             }
+            // Each query raises the fencing token, so that starts in flight are refused.
+            sleep(delay).await;
+            delay = (delay * 2).min(MAX_RETRY_DELAY);
         }
     }
 
@@ -170,7 +189,13 @@
                     .workers()
                     .task(&address, &placed.id, TASK_END_WAIT, call_timeout);
             tokio::select! {
-                result = request => view = result.ok().flatten()?,
+                result = request => {
+                    view = result.ok().flatten()?;
+                    if view.phase == TaskPhase::Running {
+                        // A worker may answer at once instead of at the end of the task.
+                        sleep(MIN_QUERY_PAUSE).await;
+                    }
+                }
                 Ok(()) = cancelled.changed(), if !is_stopping => {}
             }
         }
@@ -195,7 +220,9 @@
             }
             match query_worker_owner(&self.shared, &placed.worker, &placed.id).await {
                 Some(AttemptStatus::Known { fence: current, .. }) => fence = current,
-                Some(AttemptStatus::Absent | AttemptStatus::Lost) | None => {}
+                // The task does not run and can no longer start under the token of its placement.
+                Some(AttemptStatus::Absent | AttemptStatus::Lost) => return,
+                None => {}
             }
         }
     }
@@ -220,6 +247,24 @@
         Some(None)
     }
 
+    /// Records that the worker does not know an attempt. Returns the next attempt if one has to be
+    /// made.
+    async fn report_absent(&self, task: TaskKey) -> Option<Option<(TaskKey, WorkId)>> {
+        let change = TaskChange::Absent { task };
+        next_attempt(self.port.commit_change(change).await?)
+    }
+
+    /// Records that the worker of an attempt restarted or no longer exists. Returns the next attempt
+    /// if one has to be made.
+    async fn report_lost(&self, task: TaskKey) -> Option<Option<(TaskKey, WorkId)>> {
+        if self.plan.repeatable {
+            return self.report_retry(task, RetryCause::Stopped).await;
+        }
+        self.report_end(task, TaskState::Unknown, String::new(), None)
+            .await?;
+        Some(None)
+    }
+
     /// Records that an attempt ended without a result. Returns the next attempt if one has to be
     /// made.
     pub(super) async fn report_retry(
@@ -227,6 +272,9 @@
         task: TaskKey,
         cause: RetryCause,
     ) -> Option<Option<(TaskKey, WorkId)>> {
+        if cause == RetryCause::Stopped {
+            self.has_run.store(true, Ordering::Relaxed);
+        }
         next_attempt(
             self.port
                 .commit_change(TaskChange::Retry { task, cause })
@@ -258,11 +306,3 @@
         ChangeOutcome::NoNextAttempt => Some(None),
     }
 }
-
-fn task_end(phase: TaskPhase) -> TaskEnd {
-    match phase {
-        TaskPhase::Done => TaskEnd::Done,
-        TaskPhase::Failed => TaskEnd::Failed,
-        TaskPhase::Stopped | TaskPhase::Running => TaskEnd::Stopped,
-    }
-}
--- a/crates/hs-node/src/ledger/runner.rs
+++ b/crates/hs-node/src/ledger/runner.rs
@@ -1,10 +1,11 @@
 //! Runner of the tasks of one durable record.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use hs_core::TaskEnd;
-use hs_ledger::{TaskKey, TaskState};
+use hs_ledger::{RetryCause, TaskKey, TaskState};
 use hs_wire::{NotRunReason, Resources, Submission, WorkClass, WorkId};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -22,7 +23,7 @@
 pub(super) const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Maximum delay before another attempt.
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
+pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// Delay before work that may wait is queued again, after the queue was full or the quota was
 /// exhausted.
@@ -33,6 +34,8 @@
     pub(super) submission: Submission,
     /// Whether a stopped task may be attempted again.
     pub(super) repeatable: bool,
+    /// Whether an attempt at one of the tasks has run and was stopped.
+    pub(super) has_run: bool,
     /// Time of the admission, in milliseconds since the Unix epoch.
     pub(super) admitted_ms: u64,
     /// The attempts. Those with a worker were placed by a previous owner of the partition.
@@ -45,6 +48,8 @@
     pub(super) port: RunnerPort,
     pub(super) plan: RunPlan,
     pub(super) cancelled: watch::Receiver<bool>,
+    /// Whether an attempt has run and was stopped.
+    pub(super) has_run: AtomicBool,
 }
 
 impl<P: Platform> TaskRunner<P> {
@@ -57,8 +62,9 @@
         Self {
             shared,
             port,
-            plan,
             cancelled,
+            has_run: AtomicBool::new(plan.has_run),
+            plan,
         }
     }
 
@@ -91,7 +97,7 @@
                         address: None,
                         fence: 0,
                     };
-                    waiting.extend(self.await_resolution(&placed).await?);
+                    waiting.extend(self.await_resolution(&placed).await.next?);
                 }
             }
         }
@@ -112,6 +118,7 @@
         self: &Arc<Self>,
         waiting: Vec<(TaskKey, WorkId)>,
     ) -> Option<Vec<(TaskKey, WorkId)>> {
+        let deadline = self.deadline();
         let held = match self.reserve(&waiting).await {
             Ok(held) => held,
             Err(reason) => {
@@ -140,6 +147,11 @@
             held.release_all(TaskEnd::Stopped);
             return None;
         }
+        if self.shared.platform.clock().now() >= deadline {
+            // The record took long to reach the store, or this process was paused.
+            held.release_all(TaskEnd::Stopped);
+            return self.refuse_unstarted(&placed).await;
+        }
         let starts = self.start_all(&placed).await;
         match placed.len() {
             1 => self.follow_all(placed, starts, held).await,
@@ -147,6 +159,20 @@
         }
     }
 
+    /// Ends placed tasks whose starts were not sent, because their deadline has passed. `None` means
+    /// that the runner must stop.
+    async fn refuse_unstarted(&self, placed: &[PlacedTask]) -> Option<Vec<(TaskKey, WorkId)>> {
+        for placed in placed {
+            let next = self.report_retry(placed.task, RetryCause::NotRun).await?;
+            if let Some((task, _)) = next {
+                let reason = Some(NotRunReason::DeadlinePassed);
+                self.report_end(task, TaskState::NotRun, String::new(), reason)
+                    .await?;
+            }
+        }
+        Some(Vec::new())
+    }
+
     /// Reserves capacity for the tasks. Batch and gang work is queued again until its deadline if
     /// the queue is full or the quota is exhausted.
     async fn reserve(&self, waiting: &[(TaskKey, WorkId)]) -> Result<HeldGrants<P>, NotRunReason> {
@@ -167,6 +193,12 @@
                 {
                     sleep(REQUEUE_DELAY).await;
                 }
+                // The placer panicked and is started again. A refusal would be final for the key.
+                Err(NotRunReason::ShuttingDown)
+                    if self.shared.platform.clock().now() < deadline =>
+                {
+                    sleep(REQUEUE_DELAY).await;
+                }
                 result => return result,
             }
         }
@@ -180,9 +212,13 @@
         Ok((entry.resources, entry.class))
     }
 
-    /// Returns the deadline of the work, counted from its admission.
+    /// Returns the deadline of the next start, counted from the admission. Work that has run in time
+    /// and was stopped has none: the deadline is one for the first start.
     fn deadline(&self) -> Instant {
         let clock = self.shared.platform.clock();
+        if self.has_run.load(Ordering::Relaxed) {
+            return deadline_of(clock, clock.now(), u64::MAX);
+        }
         let age = clock.wall_ms().saturating_sub(self.plan.admitted_ms);
         let remaining = self.plan.submission.deadline_ms.saturating_sub(age);
         deadline_of(clock, clock.now(), remaining)
--- a/crates/hs-node/src/link/worker_link.rs
+++ b/crates/hs-node/src/link/worker_link.rs
@@ -65,7 +65,8 @@
         }
     }
 
-    /// Runs until a command releases the lease or the manager has ended.
+    /// Runs until a command releases the lease or the manager has ended. In the latter case the
+    /// lease expires.
     pub async fn run(mut self) {
         let mut next_call = self.platform.clock().now();
         loop {
@@ -80,7 +81,7 @@
                         }
                         return;
                     }
-                    None => return,
+                    None => return self.drop_lease(),
                 },
                 () = sleep_until(next_call.into()) => next_call = self.acquire_or_renew().await,
             }
@@ -122,7 +123,12 @@
     }
 
     async fn renew(&mut self) -> bool {
-        let query = self.placer.due_query(&self.worker.id).await;
+        let Some(query) = self.placer.due_query(&self.worker.id).await else {
+            // The placer was started again and has forgotten the reservations. The acquisition
+            // lists the running tasks, and starts that are on their way are refused.
+            self.drop_lease();
+            return false;
+        };
         let requested_at = self.platform.clock().now();
         let request = self.request(query.raise_fence, false, query.tasks.clone());
         match self.call(&request).await {
@@ -168,10 +174,10 @@
         fence_raised: bool,
     ) {
         let known: Vec<TaskView> = std::mem::take(&mut grant.tasks);
-        let expected_fence = self
-            .lease
-            .as_ref()
-            .map(|lease| lease.grant.fence + u64::from(fence_raised));
+        let held = self.lease.as_ref().map(|lease| &lease.grant);
+        let expected_fence = held.and_then(|held| held.fence.checked_add(u64::from(fence_raised)));
+        let is_resized = held.is_some_and(|held| held.capacity != grant.capacity);
+        let is_restarted = held.is_some_and(|held| held.incarnation != grant.incarnation);
         if expected_fence != Some(grant.fence) {
             // Another owner held the lease in the meantime. The placer of this process does not
             // account for the tasks that the other owner started.
@@ -182,26 +188,24 @@
             self.drop_lease();
             return;
         }
-        if self
-            .lease
-            .as_ref()
-            .is_some_and(|lease| lease.grant.incarnation != grant.incarnation)
-        {
-            // The worker has restarted: it runs no tasks, and the tasks that ran on it are lost.
-            let report = self.report(grant.clone());
-            self.placer.send(PlacerMessage::WorkerAdded { report });
-        } else {
-            let report = self.report(grant.clone());
-            self.placer.send(PlacerMessage::WorkerUpdated { report });
-            if !queried.is_empty() {
-                let name = self.worker.id.clone();
-                self.placer.send(PlacerMessage::QueryAnswered {
-                    name,
-                    queried,
-                    fence_raised,
-                    known,
-                });
-            }
+        if is_resized || is_restarted {
+            // The placer takes a capacity and the running tasks only from an acquisition, which lists
+            // all tasks. So a wrong reply applies only until the next one.
+            let cause = if is_resized { "capacity" } else { "restart" };
+            EventCode::LeaseLost.log(format_args!("worker={} cause={cause}", self.worker.id));
+            self.drop_lease();
+            return;
+        }
+        let report = self.report(grant.clone());
+        self.placer.send(PlacerMessage::WorkerUpdated { report });
+        if !queried.is_empty() {
+            let name = self.worker.id.clone();
+            self.placer.send(PlacerMessage::QueryAnswered {
+                name,
+                queried,
+                fence_raised,
+                known,
+            });
         }
         self.store_lease(grant, requested_at);
     }
@@ -253,9 +257,10 @@
         }
     }
 
-    /// Stores a grant. The lease duration counts from the time of the request.
+    /// Stores a grant. The lease duration counts from the time of the request, and is at most the
+    /// requested one: a longer one would be an error of the worker and could overflow the sum.
     fn store_lease(&mut self, grant: LeaseGrant, requested_at: Instant) {
-        let expires_at = requested_at + Duration::from_millis(grant.ttl_ms);
+        let expires_at = requested_at + Duration::from_millis(grant.ttl_ms).min(LEASE_TTL);
         self.lease = Some(HeldLease { grant, expires_at });
     }
 
--- a/crates/hs-node/src/placer/message.rs
+++ b/crates/hs-node/src/placer/message.rs
@@ -1,11 +1,12 @@
 //! Messages to the placer task.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Instant;
 
 use hs_core::TaskEnd;
 use hs_peer::message::HeldTask;
-use hs_wire::{LeaseGrant, TaskView, WorkId};
+use hs_wire::{LeaseGrant, NotRunReason, TaskView, WorkId};
 use tokio::sync::oneshot;
 
 use super::{PlaceRefusal, PlacerStatus, TaskGrant};
@@ -38,6 +39,22 @@
     pub mode: PlaceMode,
 }
 
+impl PlaceRequest {
+    /// Returns the number of tasks. Each needs an id of its own, by which it is released.
+    pub(super) fn task_count(&self) -> Result<u16, NotRunReason> {
+        match u16::try_from(self.tasks.len()) {
+            Ok(1) => Ok(1),
+            Ok(count @ 2..) if self.has_distinct_tasks() => Ok(count),
+            Ok(_) | Err(_) => Err(NotRunReason::Malformed),
+        }
+    }
+
+    fn has_distinct_tasks(&self) -> bool {
+        let distinct: HashSet<&WorkId> = self.tasks.iter().collect();
+        distinct.len() == self.tasks.len()
+    }
+}
+
 /// State of a leased worker, reported when its lease is acquired or renewed or its draining flag
 /// changes.
 #[derive(Clone, Debug)]
@@ -81,7 +98,7 @@
         /// Receives whether the start is allowed.
         reply: oneshot::Sender<bool>,
     },
-    /// Adds a worker whose lease was acquired or that has restarted. Its grant lists the running
+    /// Adds a worker whose lease was acquired, or replaces it. Its grant lists the running
     /// tasks.
     WorkerAdded {
         /// State of the worker.
@@ -101,8 +118,8 @@
     DueQuery {
         /// Name of the worker.
         name: String,
-        /// Receives the tasks to query.
-        reply: oneshot::Sender<TaskQuery>,
+        /// Receives the tasks to query, or `None` if there is no such worker.
+        reply: oneshot::Sender<Option<TaskQuery>>,
     },
     /// Reports what a worker answered to a query about tasks.
     QueryAnswered {
--- a/crates/hs-node/src/placer/task.rs
+++ b/crates/hs-node/src/placer/task.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use hs_core::{
-    CancelOutcome, CustomerPolicy, Decision, Placer, PlacerPolicy, TaskEnd, WorkBand, WorkKey,
-    WorkRequest, WorkerKey,
+    CancelOutcome, CustomerPolicy, Decision, Placer, PlacerPolicy, WorkBand, WorkKey, WorkRequest,
+    WorkerKey,
 };
 use hs_event::EventCode;
 use hs_peer::RetryBudget;
@@ -14,11 +14,13 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
+use super::held::grant_of;
 use super::{
     PlaceMode, PlaceRefusal, PlaceRequest, PlacerMessage, TaskGrant, TaskReservation, WorkerReport,
 };
 use crate::manifest::ManifestView;
 use crate::port::ClockPort;
+use crate::supervise::TaskInbox;
 
 /// Maximum number of messages handled before the decisions of the placement core are applied.
 const MAX_MESSAGES_PER_BATCH: usize = 256;
@@ -46,7 +48,7 @@
 /// Owns the placement core and the reservations on the workers leased by this process.
 pub struct PlacerTask<Clock> {
     pub(super) clock: Clock,
-    receiver: mpsc::UnboundedReceiver<PlacerMessage>,
+    receiver: TaskInbox<mpsc::UnboundedReceiver<PlacerMessage>>,
     pub(super) placer: Placer,
     pub(super) manifest: Option<Arc<ManifestView>>,
     member_count: u32,
@@ -66,7 +68,7 @@
 impl<Clock: ClockPort> PlacerTask<Clock> {
     /// Creates a placer task without workers and without a manifest. It handles the messages of
     /// `receiver`.
-    pub fn new(clock: Clock, receiver: mpsc::UnboundedReceiver<PlacerMessage>) -> Self {
+    pub fn new(clock: Clock, receiver: TaskInbox<mpsc::UnboundedReceiver<PlacerMessage>>) -> Self {
         let placer = Placer::new(PlacerPolicy::default(), clock.now());
         let retry_budget = RetryBudget::new(clock.now());
         let next_straggler_scan = clock.now();
@@ -88,6 +90,13 @@
         }
     }
 
+    /// Applies a manifest. `members` is the number of live entry processes in the data centre.
+    pub fn set_manifest(&mut self, view: Arc<ManifestView>, members: u32) {
+        self.manifest = Some(view);
+        self.member_count = members;
+        self.apply_policy();
+    }
+
     /// Runs until every handle has been dropped.
     pub async fn run(mut self) {
         loop {
@@ -141,11 +150,7 @@
                 fence_raised,
                 known,
             } => self.query_answered(&name, &queried, fence_raised, &known),
-            PlacerMessage::Manifest { view, members } => {
-                self.manifest = Some(view);
-                self.member_count = members;
-                self.apply_policy();
-            }
+            PlacerMessage::Manifest { view, members } => self.set_manifest(view, members),
             PlacerMessage::HeldTasks { prefix, reply } => {
                 let _ = reply.send(self.held_tasks(&prefix));
             }
@@ -171,6 +176,13 @@
                 return;
             }
         };
+        if request.mode != PlaceMode::Partial
+            && let Some(held) = self.held_result(&request.tasks)
+        {
+            // A reply that does not arrive releases nothing, because an earlier one may have.
+            let _ = reply.send(held);
+            return;
+        }
         match request.mode {
             PlaceMode::Immediate => match self.placer.place_now(work, now) {
                 Some(Decision::Place { work, workers, .. }) => {
@@ -210,7 +222,12 @@
         let now = self.clock.now();
         work.tasks = 1;
         let mut grants = Vec::new();
+        let mut placed = Vec::new();
         for task in &request.tasks {
+            if let Some(held) = self.held_grant(task) {
+                grants.push(held);
+                continue;
+            }
             let Some(Decision::Place { work, workers, .. }) =
                 self.placer.place_now(work.clone(), now)
             else {
@@ -218,19 +235,20 @@
             };
             let tasks = std::slice::from_ref(task);
             grants.extend(self.record_reservations(work, &workers, tasks, request, Duration::ZERO));
+            placed.push(task.clone());
         }
-        let granted = grants.len();
-        let result = match granted {
-            0 => Err(PlaceRefusal::Busy),
-            _ => Ok(grants),
+        let result = match grants.is_empty() {
+            true => Err(PlaceRefusal::Busy),
+            false => Ok(grants),
         };
         if reply.send(result).is_err() {
-            self.release_undelivered(&request.tasks[..granted]);
+            self.release_undelivered(&placed);
         }
     }
 
     fn work_request(&self, request: &PlaceRequest, tag: u64) -> Result<WorkRequest, NotRunReason> {
         let view = self.manifest.as_ref().ok_or(NotRunReason::NotReady)?;
+        let tasks = request.task_count()?;
         let (number, entry) = view
             .workload(&request.workload)
             .ok_or(NotRunReason::UnknownWorkload)?;
@@ -240,7 +258,7 @@
             workload: number,
             band: WorkBand::of(entry.class, entry.urgent),
             resources: entry.resources,
-            tasks: request.tasks.len() as u16,
+            tasks,
             estimate: entry.estimate_ms.map(Duration::from_millis),
             deadline: request.deadline,
             tag,
@@ -297,23 +315,11 @@
                 report.grant.fence,
                 waited.as_millis(),
             ));
-            grants.push(TaskGrant {
-                worker: report.name.clone(),
-                address: report.address.clone(),
-                fence: report.grant.fence,
-                incarnation: report.grant.incarnation,
-            });
+            grants.push(grant_of(report));
         }
         grants
     }
 
-    /// Releases tasks whose grants did not reach the caller. Nothing was sent to their workers.
-    fn release_undelivered(&mut self, tasks: &[WorkId]) {
-        for task in tasks {
-            self.release(task, TaskEnd::Stopped);
-        }
-    }
-
     fn cancel_queued(&mut self, task: &WorkId) {
         let Some(tag) = self.queue_tags.remove(task) else {
             return;
@@ -328,18 +334,6 @@
         }
     }
 
-    pub(super) fn release(&mut self, task: &WorkId, end: TaskEnd) {
-        let Some(worker) = self.task_workers.remove(task) else {
-            return;
-        };
-        let slot = self.slots.get_mut(&worker);
-        let Some(reservation) = slot.and_then(|slot| slot.tasks.remove(task)) else {
-            return;
-        };
-        self.placer
-            .finish(reservation.work, reservation.index, end, self.clock.now());
-    }
-
     fn update_opening_hours(&mut self) {
         let minute_of_day = (self.clock.wall_ms() / 60_000 % 1440) as u16;
         if minute_of_day != self.minute_of_day {
--- a/crates/hs-node/src/sync/handle.rs
+++ b/crates/hs-node/src/sync/handle.rs
@@ -23,8 +23,12 @@
     },
     /// The manifest was read from the store.
     ManifestRead(StoreValue),
+    /// The store has no manifest or did not answer.
+    ManifestMissing,
     /// The VM list was read from the platform.
     VmListRead(VmList),
+    /// The platform has no VM list that is newer, or did not answer.
+    VmListMissing,
 }
 
 /// Sends messages to the sync task.
--- a/crates/hs-node/src/sync/mod.rs
+++ b/crates/hs-node/src/sync/mod.rs
@@ -1,7 +1,9 @@
 //! Synchronization of the manifest and the VM list with the platform and with peers.
 
 mod handle;
+mod startup;
 mod task;
 
 pub use handle::{SyncHandle, SyncMessage};
 pub use task::SyncTask;
+pub(crate) use task::{read_manifest, read_vms};
--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -8,15 +8,17 @@
 use hs_event::EventCode;
 use hs_peer::message::{PullReply, PullRequest};
 use hs_peer::{ManifestState, OfferOutcome};
-use hs_wire::VmList;
+use hs_wire::{VmList, VmRole};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
+use super::startup::{PeerManifest, StartupReads};
 use super::{SyncHandle, SyncMessage};
 use crate::manifest::{MANIFEST_KEY, ManifestView};
 use crate::placer::PlacerMessage;
-use crate::port::{Platform, StorePort, VmPort};
+use crate::port::{ClockPort, Platform, StorePort, VmPort};
 use crate::shared::NodeShared;
+use crate::supervise::TaskInbox;
 
 /// Interval between reads of the VM list by the watcher, the process that reads the manifest and
 /// the VM list on behalf of its data centre.
@@ -39,11 +41,18 @@
 pub struct SyncTask<P: Platform> {
     shared: Arc<NodeShared<P>>,
     handle: SyncHandle,
-    receiver: mpsc::UnboundedReceiver<SyncMessage>,
+    receiver: TaskInbox<mpsc::UnboundedReceiver<SyncMessage>>,
     manifest_sender: watch::Sender<Option<Arc<ManifestView>>>,
     vms_sender: watch::Sender<Arc<VmList>>,
     state: ManifestState,
+    startup: StartupReads,
     pending_pulls: HashSet<String>,
+    /// Newest VM list of a peer, kept while the first read from the platform has neither ended nor
+    /// failed: a peer may show a VM that has left or is leaving as live.
+    kept_vm_list: Option<VmList>,
+    is_vm_list_pending: bool,
+    /// Version of the last VM list that was not applied because it names no entry VM.
+    rejected_vm_list: Option<u64>,
     /// Manifest revision and number of local members that were last sent to the placer.
     sent_to_placer: Option<(u64, u32)>,
 }
@@ -53,10 +62,11 @@
     pub fn new(
         shared: Arc<NodeShared<P>>,
         handle: SyncHandle,
-        receiver: mpsc::UnboundedReceiver<SyncMessage>,
+        receiver: TaskInbox<mpsc::UnboundedReceiver<SyncMessage>>,
         manifest_sender: watch::Sender<Option<Arc<ManifestView>>>,
         vms_sender: watch::Sender<Arc<VmList>>,
     ) -> Self {
+        let is_vm_list_pending = vms_sender.borrow().version == 0;
         Self {
             shared,
             handle,
@@ -64,6 +74,10 @@
             manifest_sender,
             vms_sender,
             state: ManifestState::default(),
+            startup: StartupReads::default(),
+            kept_vm_list: None,
+            is_vm_list_pending,
+            rejected_vm_list: None,
             pending_pulls: HashSet::new(),
             sent_to_placer: None,
         }
@@ -71,8 +85,13 @@
 
     /// Runs until all handles are dropped.
     pub async fn run(mut self) {
-        tokio::spawn(read_manifest(self.shared.clone(), self.handle.clone()));
-        tokio::spawn(read_vms(self.shared.clone(), self.handle.clone()));
+        if let Some(view) = self.shared.view() {
+            // The task was started again. The manifest must not revert.
+            let _ = self.state.offer(view.revision(), &view.text);
+        } else {
+            let seeds = self.shared.settings.seeds.iter();
+            self.startup = StartupReads::new(seeds.map(ToString::to_string));
+        }
         for seed in self.shared.settings.seeds.clone() {
             self.pull(seed.to_string());
         }
@@ -99,12 +118,26 @@
                 if let Some(reply) = reply {
                     self.apply_pull(&peer, reply);
                 }
+                self.startup.seed_ended(&peer);
+                self.use_best_of_peers();
+            }
+            SyncMessage::ManifestRead(value) => {
+                match String::from_utf8(value.body) {
+                    Ok(text) => self.offer_manifest("store", text),
+                    Err(error) => log_rejected("store", &error),
+                }
+                self.startup.store_ended();
+                self.use_best_of_peers();
             }
-            SyncMessage::ManifestRead(value) => match String::from_utf8(value.body) {
-                Ok(text) => self.offer_manifest("store", text),
-                Err(error) => log_rejected("store", &error),
-            },
-            SyncMessage::VmListRead(list) => self.apply_vm_list(list),
+            SyncMessage::ManifestMissing => {
+                self.startup.store_ended();
+                self.use_best_of_peers();
+            }
+            SyncMessage::VmListRead(list) => {
+                self.apply_vm_list(list);
+                self.end_first_vm_list_read();
+            }
+            SyncMessage::VmListMissing => self.end_first_vm_list_read(),
         }
     }
 
@@ -127,12 +160,32 @@
     fn apply_pull(&mut self, peer: &str, reply: PullReply) {
         if !reply.vm_list_json.is_empty() {
             match serde_json::from_str(&reply.vm_list_json) {
-                Ok(list) => self.apply_vm_list(list),
+                Ok(list) => self.offer_vm_list_of_peer(list),
                 Err(error) => log::warn!("cannot parse the VM list of peer {peer}: {error}"),
             }
         }
         if !reply.manifest_json.is_empty() {
-            self.offer_manifest(peer, reply.manifest_json);
+            self.offer_manifest_of_peer(peer, reply.manifest_json);
+        }
+    }
+
+    /// Applies the manifest of a peer if it is newer. During the reads at the start it is kept until
+    /// they have ended.
+    fn offer_manifest_of_peer(&mut self, peer: &str, text: String) {
+        match parse_manifest(&text) {
+            Ok(manifest) if self.startup.is_pending() => self.startup.keep(PeerManifest {
+                peer: peer.to_owned(),
+                revision: manifest.revision,
+                text,
+            }),
+            Ok(_) | Err(_) => self.offer_manifest(peer, text),
+        }
+    }
+
+    /// Applies the newest manifest of the peers once the reads at the start have ended.
+    fn use_best_of_peers(&mut self) {
+        if let Some(best) = self.startup.take_best() {
+            self.offer_manifest(&best.peer, best.text);
         }
     }
 
@@ -149,6 +202,7 @@
                 let view = Arc::new(ManifestView::new(manifest, text));
                 EventCode::ManifestApplied.log(format_args!("revision={revision} source={source}"));
                 let _ = self.manifest_sender.send(Some(view));
+                self.startup.end();
                 self.update_placer();
             }
             OfferOutcome::Conflict => {
@@ -178,9 +232,35 @@
             .send(PlacerMessage::Manifest { view, members });
     }
 
-    fn apply_vm_list(&self, list: VmList) {
-        if list.version > self.vms_sender.borrow().version {
+    /// Applies the VM list of a peer if it is newer. During the first read from the platform it is
+    /// kept until that has ended.
+    fn offer_vm_list_of_peer(&mut self, list: VmList) {
+        let kept = self.kept_vm_list.as_ref().map_or(0, |kept| kept.version);
+        if !self.is_vm_list_pending {
+            self.apply_vm_list(list);
+        } else if list.version > kept {
+            self.kept_vm_list = Some(list);
+        }
+    }
+
+    fn end_first_vm_list_read(&mut self) {
+        self.is_vm_list_pending = false;
+        if let Some(list) = self.kept_vm_list.take() {
+            self.apply_vm_list(list);
+        }
+    }
+
+    /// Applies a VM list if it is newer. A list without any entry VM is certainly wrong, because
+    /// this process runs on an entry VM. Without its workers, the process would release their
+    /// leases, and their tasks would be stopped and started elsewhere.
+    fn apply_vm_list(&mut self, list: VmList) {
+        if list.version <= self.vms_sender.borrow().version {
+            return;
+        }
+        if list.vms.iter().any(|vm| vm.role == VmRole::Entry) {
             let _ = self.vms_sender.send(Arc::new(list));
+        } else if self.rejected_vm_list.replace(list.version) != Some(list.version) {
+            log::warn!("VM list {} names no entry VM and is ignored", list.version);
         }
     }
 }
@@ -191,18 +271,27 @@
 
 /// Reads the manifest from the store: continuously while this process is the watcher, otherwise at
 /// the fallback interval.
-async fn read_manifest<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
+pub(crate) async fn read_manifest<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
     let store = shared.platform.store();
+    let clock = shared.platform.clock();
     let mut after = 0;
     loop {
+        let begun_at = clock.now();
         let result = match after {
             0 => store.get(MANIFEST_KEY, READ_TIMEOUT).await,
             after => store.watch(MANIFEST_KEY, after, WATCH_WAIT).await,
         };
-        let succeeded = result.is_ok();
-        if let Ok(Some(value)) = result {
-            after = value.revision;
-            handle.send(SyncMessage::ManifestRead(value));
+        let elapsed = clock.now().saturating_duration_since(begun_at);
+        let is_new = matches!(&result, Ok(Some(value)) if value.revision != after);
+        // A store may end a watch at once instead of after its wait.
+        let succeeded = result.is_ok() && (is_new || elapsed >= RETRY_DELAY);
+        match result {
+            Ok(Some(value)) => {
+                after = value.revision;
+                handle.send(SyncMessage::ManifestRead(value));
+            }
+            Ok(None) if after > 0 => {}
+            Ok(None) | Err(_) => handle.send(SyncMessage::ManifestMissing),
         }
         wait_for_next_read(&shared, succeeded && after > 0).await;
     }
@@ -210,14 +299,15 @@
 
 /// Reads the VM list: once a second while this process is the watcher, otherwise at the fallback
 /// interval.
-async fn read_vms<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
+pub(crate) async fn read_vms<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
     loop {
         let known = shared.vms.borrow().version;
         let result = shared.platform.vms().list(known, READ_TIMEOUT).await;
         let succeeded = result.is_ok();
-        if let Ok(Some(list)) = result {
-            handle.send(SyncMessage::VmListRead(list));
-        }
+        handle.send(match result {
+            Ok(Some(list)) => SyncMessage::VmListRead(list),
+            Ok(None) | Err(_) => SyncMessage::VmListMissing,
+        });
         if succeeded {
             sleep(VM_LIST_INTERVAL).await;
         }
--- a/crates/hs-node/src/work/check.rs
+++ b/crates/hs-node/src/work/check.rs
@@ -12,7 +12,7 @@
 
 use super::reserve::deadline_of;
 use super::{ReserveSpec, reserve};
-use crate::placer::TaskGrant;
+use crate::placer::{TaskGrant, task_end};
 use crate::port::{ClockPort, Platform, PortError, WorkerPort};
 use crate::shared::NodeShared;
 
@@ -56,6 +56,11 @@
                 return self.refused_reply(NotRunReason::WorkerRefused, may_have_run);
             };
             let started_at = self.shared.platform.clock().now();
+            if started_at >= start_deadline {
+                // The grant arrived late, or this process was paused.
+                held.release(0, TaskEnd::Stopped);
+                return self.refused_reply(NotRunReason::DeadlinePassed, may_have_run);
+            }
             let waited = started_at.saturating_duration_since(self.arrived_at);
             let (did_not_run, error) = match self.start(&spec, grant, reply_deadline).await {
                 Ok(task) => match task.phase {
@@ -149,11 +154,3 @@
         reply
     }
 }
-
-fn task_end(phase: TaskPhase) -> TaskEnd {
-    match phase {
-        TaskPhase::Done => TaskEnd::Done,
-        TaskPhase::Failed => TaskEnd::Failed,
-        TaskPhase::Stopped | TaskPhase::Running => TaskEnd::Stopped,
-    }
-}
