fix: name further workers for very wide gangs, and hold none while tickets are awaited

What callers would see: a gang that needs more than some 200 workers never starts (LOST). Cause: put renewals before unknown workers in a request and cut it at 200, so a gang with 200 allowed workers renewed for ever and learnt of no further one. Change: only the unknown workers of a request are bounded; the reservation for tickets goes, and reservations are as before. What stays: gangs name workers in orders that differ, and a request for further workers renews the tickets that end before its reply.

--- a/crates/hs-cell/src/active_steps.rs
+++ b/crates/hs-cell/src/active_steps.rs
@@ -6,8 +6,6 @@
 
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
 use crate::queue_spec::AdviceSpec;
 
 /// Minimum number of active steps of a priority.
@@ -16,7 +14,7 @@
 /// Maximum number of active steps of a priority.
 const MAX_ACTIVE_STEPS: u64 = 256;
 
-/// Fixed time that the requests of the active steps of a priority may take in all.
+/// Configured fixed time that the requests of the active steps of a priority may take in all.
 const ACTIVE_REQUEST_TIME: Duration = Duration::from_secs(12);
 
 /// Demand of the active steps of a priority, as a multiple of the free CPU, from which only the minimum number of
@@ -27,7 +25,7 @@
 #[derive(Debug)]
 pub(crate) struct ActiveSteps {
     free_cpu_milli: u64,
-    by_priority: SmallVec<[PriorityDemand; 8]>,
+    by_priority: Vec<PriorityDemand>,
 }
 
 /// Waiting steps of a priority that come first in the order.
@@ -42,7 +40,7 @@
     pub(crate) fn new(free_cpu_milli: u64) -> Self {
         Self {
             free_cpu_milli,
-            by_priority: SmallVec::from_elem(PriorityDemand::default(), usize::from(u8::MAX) + 1),
+            by_priority: vec![PriorityDemand::default(); usize::from(u8::MAX) + 1],
         }
     }
 
--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -22,12 +22,11 @@
 use crate::job::{Job, StepRun};
 use crate::placement::Eligibility;
 use crate::queue_spec::AdviceSpec;
-use crate::reserve::ReservationPurpose;
 use crate::step_order::OrderKey;
 use crate::{StepId, WorkerKey};
 
-/// Maximum number of workers that a request names in all its parts.
-const MAX_WORKERS_PER_REQUEST: usize = 200;
+/// Maximum number of unknown workers that a request names in all its parts.
+const MAX_UNKNOWN_WORKERS: usize = 200;
 
 /// Minimum number of unknown workers that a request names, if there are that many. As many unknown workers
 /// also justify a further request.
@@ -72,9 +71,9 @@
 
 /// Number of further tasks of a step that fit on a worker.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct FreeCapacity {
-    pub key: WorkerKey,
-    pub fits: u32,
+struct FreeCapacity {
+    key: WorkerKey,
+    fits: u32,
 }
 
 impl Cell {
@@ -88,7 +87,7 @@
         if step.is_none_or(|step| step.advice.is_blocked(now)) {
             return;
         }
-        let workers = self.workers_to_name(order, need, now);
+        let workers = self.workers_to_name(id, need, now);
         if workers.is_empty() {
             self.delay_advice(id, now + RESCAN_DELAY);
             return;
@@ -119,19 +118,10 @@
         }
     }
 
-    fn workers_to_name(
-        &mut self,
-        order: OrderKey,
-        need: AdviceNeed,
-        now: Instant,
-    ) -> Vec<WorkerKey> {
-        let id = order.step;
+    fn workers_to_name(&self, id: StepId, need: AdviceNeed, now: Instant) -> Vec<WorkerKey> {
         let allowed = self.allowed_capacity(id, need, now);
         let is_gang = self.is_gang(id);
         let allowed_fits = total_fits(&allowed);
-        if is_gang && allowed_fits >= need.wanted {
-            return self.hold_for_tickets(order, need, &allowed, now);
-        }
         let enough = if is_gang { need.wanted } else { 1 };
         let mut requested = self.tickets_to_renew(id, &allowed, enough, need, now);
         if allowed_fits < need.wanted {
@@ -139,18 +129,34 @@
             let unknown = self.unknown_workers_worth_a_request(id, need, missing, now);
             if is_gang && !unknown.is_empty() {
                 // All tickets have to be valid at once when the reply arrives.
-                let with_room = allowed.iter().filter(|worker| worker.fits > 0);
-                let with_room: Vec<WorkerKey> = with_room.map(|worker| worker.key).collect();
-                let cost = need.spec.cost(unknown.len() + with_room.len());
+                let cost = need.spec.cost(unknown.len() + allowed.len());
                 let renewed_until = now + cost + TICKET_MARGIN * 2;
-                requested = self.tickets_that_end_before(id, &with_room, renewed_until);
+                requested = self.tickets_that_end_before(id, &allowed, renewed_until);
             }
             requested.extend(unknown);
         }
-        requested.truncate(MAX_WORKERS_PER_REQUEST);
         requested
     }
 
+    /// Returns the workers with room for the step whose tickets are not valid until `time`.
+    fn tickets_that_end_before(
+        &self,
+        id: StepId,
+        allowed: &[FreeCapacity],
+        time: Instant,
+    ) -> Vec<WorkerKey> {
+        let Some(step) = self.jobs.get(&id.job).and_then(|job| job.step(id)) else {
+            return Vec::new();
+        };
+        let with_room = allowed.iter().filter(|worker| worker.fits > 0);
+        let ends_before = |key: &WorkerKey| {
+            let ticket = step.advice.any_ticket(*key);
+            ticket.is_none_or(|ticket| ticket.until < time)
+        };
+        let keys = with_room.map(|worker| worker.key);
+        keys.filter(ends_before).collect()
+    }
+
     fn is_gang(&self, id: StepId) -> bool {
         let job = self.jobs.get(&id.job);
         let spec = job.and_then(|job| job.step_spec(id));
@@ -244,7 +250,7 @@
             chosen.push(worker);
             fits += f64::from(worker.fits);
             let is_enough = fits >= wanted_fits && chosen.len() >= minimum;
-            match is_enough || chosen.len() >= MAX_WORKERS_PER_REQUEST {
+            match is_enough || chosen.len() >= MAX_UNKNOWN_WORKERS {
                 true => ControlFlow::Break(()),
                 false => ControlFlow::Continue(()),
             }
@@ -311,14 +317,13 @@
             return Vec::new();
         };
         let spec = need.spec;
-        let planned = self.reservations.iter().find_map(|r| match r.purpose {
-            ReservationPurpose::Resources { start_at } if r.step == id => Some((start_at, r)),
-            _ => None,
-        });
-        let wanted: Vec<WorkerKey> = match planned {
+        let reservation = self.reservations.iter().find(|r| r.step == id);
+        let wanted: Vec<WorkerKey> = match reservation {
             // A ticket has to be valid when the resources become free, but not long before.
-            Some((start_at, _)) if start_at > now + spec.ticket_validity / 2 => Vec::new(),
-            Some((_, reservation)) => reservation.workers.clone(),
+            Some(reservation) if reservation.start_at > now + spec.ticket_validity / 2 => {
+                Vec::new()
+            }
+            Some(reservation) => reservation.workers.clone(),
             None => workers_with_free_capacity(allowed, enough, need.wanted),
         };
         let ends_within = |key: WorkerKey, time: Duration| {
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -32,7 +32,6 @@
 mod run_orders;
 mod segment;
 mod step_order;
-mod ticket_hold;
 mod worker;
 mod worker_events;
 
--- a/crates/hs-cell/src/reserve.rs
+++ b/crates/hs-cell/src/reserve.rs
@@ -3,8 +3,7 @@
 //! A gang needs resources for all its tasks at once, and would starve while small tasks take whatever
 //! becomes free. The first waiting gangs therefore reserve the workers on which they can start soonest:
 //! those with free resources, those whose runs end soon, or those where runs of lower priority can be
-//! preempted without losing their work. A gang that fits now and only lacks tickets reserves its workers until
-//! the tickets arrive (see the `ticket_hold` module). All other workers remain available to every step.
+//! preempted without losing their work. All other workers remain available to every step.
 
 use std::time::{Duration, Instant};
 
@@ -23,7 +22,7 @@
 /// At most the number of workers divided by this may be reserved. A single reservation may exceed that.
 const RESERVABLE_WORKERS_DIVISOR: usize = 4;
 
-/// Time after which a reservation for free resources expires, so that the workers are chosen again.
+/// Time after which a reservation expires, so that the workers are chosen again.
 const RESERVATION_TTL: Duration = Duration::from_millis(100);
 
 /// Time from a stop until the resources are free: the stop takes up to 200 ms, and then the worker has to
@@ -43,18 +42,9 @@
     pub step: StepId,
     pub priority: u8,
     pub workers: Vec<WorkerKey>,
-    /// Time at which the reservation expires.
-    pub until: Instant,
-    pub purpose: ReservationPurpose,
-}
-
-/// What a gang that has reserved workers waits for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ReservationPurpose {
-    /// The gang waits for free resources, and is expected to start at this time.
-    Resources { start_at: Instant },
-    /// The gang fits, and waits for tickets.
-    Tickets,
+    pub made_at: Instant,
+    /// Time at which the gang is expected to start.
+    pub start_at: Instant,
 }
 
 /// Possible placement of one more task of the gang on a worker.
@@ -95,11 +85,8 @@
             }
         }
         reservations.retain(|reservation| {
-            let is_needed = match reservation.purpose {
-                ReservationPurpose::Resources { .. } => true,
-                ReservationPurpose::Tickets => self.awaits_advice(reservation.step, now),
-            };
-            now < reservation.until && is_needed && self.has_waiting_tasks(reservation.step)
+            let fresh = now.saturating_duration_since(reservation.made_at) < RESERVATION_TTL;
+            fresh && self.has_waiting_tasks(reservation.step)
         });
         for reservation in &reservations {
             self.mark_reserved(reservation);
@@ -107,7 +94,7 @@
         self.reservations = reservations;
     }
 
-    pub(crate) fn mark_reserved(&mut self, reservation: &Reservation) {
+    fn mark_reserved(&mut self, reservation: &Reservation) {
         for key in &reservation.workers {
             if let Some(worker) = self.workers.get_mut(*key) {
                 worker.reserved_by = Some((reservation.priority, reservation.step));
@@ -119,9 +106,7 @@
     pub(crate) fn reserve(&mut self, order: OrderKey, wanted: u32, now: Instant) {
         let id = order.step;
         let already_reserved = self.reservations.iter().any(|r| r.step == id);
-        let same_priority = |r: &&Reservation| {
-            r.priority == order.priority && r.purpose != ReservationPurpose::Tickets
-        };
+        let same_priority = |r: &&Reservation| r.priority == order.priority;
         let count = self.reservations.iter().filter(same_priority).count();
         let limit = match order.timeliness {
             Timeliness::OnTime | Timeliness::Late => MAX_RESERVATIONS_PER_PRIORITY,
@@ -148,7 +133,7 @@
         let mut workers: Vec<WorkerKey> = plan.placements.iter().map(|p| p.key).collect();
         workers.sort_unstable();
         workers.dedup();
-        let reserved = self.reserved_workers();
+        let reserved: usize = self.reservations.iter().map(|r| r.workers.len()).sum();
         if reserved + workers.len() > (self.workers.len() / RESERVABLE_WORKERS_DIVISOR).max(1)
             && reserved > 0
         {
@@ -163,20 +148,13 @@
             step: id,
             priority: order.priority,
             workers,
-            until: now + RESERVATION_TTL,
-            purpose: ReservationPurpose::Resources {
-                start_at: plan.start_at,
-            },
+            made_at: now,
+            start_at: plan.start_at,
         };
         self.mark_reserved(&reservation);
         self.reservations.push(reservation);
     }
 
-    /// Returns the number of reserved workers.
-    pub(crate) fn reserved_workers(&self) -> usize {
-        self.reservations.iter().map(|r| r.workers.len()).sum()
-    }
-
     /// Returns the unreserved workers that accept runs and on which a step may run. If its queue uses advice, these are only the
     /// workers with a ticket.
     fn allowed_workers(&self, id: StepId, now: Instant) -> Option<Vec<WorkerKey>> {
--- a/crates/hs-cell/tests/cell/backlog.rs
+++ b/crates/hs-cell/tests/cell/backlog.rs
@@ -198,3 +198,24 @@
     run(&mut load, &mut oracle, MAX_WAIT_BESIDE_ROOM);
     assert_eq!(load.unstarted_jobs(), []);
 }
+
+/// Guards against a gang that never starts because its requests only renew tickets, and never name further workers.
+#[test]
+fn very_wide_gangs_start() {
+    for width in [150, 210, 260, 300] {
+        let size = LoadSize {
+            workers: 1100,
+            advice_callers: 146,
+            allowed_percent: 35,
+            owner: OwnerSpeed::IDLE,
+        };
+        let mut load = AdvisedLoad::new(size, queues());
+        let gang = StepSpec {
+            gang: true,
+            ..step(width, 60_000, 4200)
+        };
+        load.submit(id(1), job("plan", vec![gang]));
+        load.run_for(Duration::from_secs(8));
+        assert_eq!(load.unstarted_jobs(), [], "{width} tasks");
+    }
+}
