perf: the tasks of a worker link share the link

Cause: each start cloned the link: eleven instruments, two watch handles, the client and two addresses, about 50 atomic operations and a large task. Ruled out: one task for all orders of a link, since a start must not wait behind an unanswered one. Change: the tasks hold one `Arc` of the link.

--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -98,7 +98,7 @@
     ) -> Self {
         let (orders, order_receiver) = mpsc::unbounded_channel();
         let (acknowledged, cursor) = watch::channel(0);
-        let link = WorkerLink {
+        let link = Arc::new(WorkerLink {
             platform,
             key,
             peer,
@@ -107,8 +107,8 @@
             confirmation: terms.confirmation,
             metrics,
             events,
-            state: Arc::default(),
-        };
+            state: Mutex::default(),
+        });
         tokio::spawn(link.run(order_receiver, cursor));
         Self {
             orders,
@@ -147,7 +147,8 @@
     lease_end: Option<Instant>,
 }
 
-#[derive(Clone, Debug)]
+/// What the tasks of a link share.
+#[derive(Debug)]
 struct WorkerLink<P> {
     platform: P,
     key: WorkerKey,
@@ -158,12 +159,12 @@
     confirmation: watch::Receiver<Instant>,
     metrics: ControlMetrics,
     events: mpsc::Sender<(WorkerKey, LinkEvent)>,
-    state: Arc<Mutex<LinkState>>,
+    state: Mutex<LinkState>,
 }
 
 impl<P: Platform> WorkerLink<P> {
     async fn run(
-        self,
+        self: Arc<Self>,
         mut orders: mpsc::UnboundedReceiver<LinkOrder>,
         cursor: watch::Receiver<u64>,
     ) {
@@ -220,7 +221,7 @@
         is_useful.then(|| self.to_worker_clock_ms(end)).flatten()
     }
 
-    async fn renew_leases(self, mut cursor: watch::Receiver<u64>) {
+    async fn renew_leases(self: Arc<Self>, mut cursor: watch::Receiver<u64>) {
         let mut last_seen_end = 0;
         // After an unanswered call, the next one only requests the worker's report: a renewal that arrives
         // late would keep runs going that the owner considers ended.
@@ -302,7 +303,7 @@
 
     /// Sends a start until the worker answers, with a bounded number of attempts. Repeating it is safe,
     /// because a worker starts a run only once.
-    async fn send_start(self, order: StartOrder) {
+    async fn send_start(self: Arc<Self>, order: StartOrder) {
         let run = order.run;
         let mut in_doubt = false;
         for _ in 0..MAX_START_ATTEMPTS {
@@ -343,7 +344,7 @@
     }
 
     /// Sends a stop until the worker answers.
-    async fn send_stop(self, run: TaskRun) {
+    async fn send_stop(self: Arc<Self>, run: TaskRun) {
         loop {
             match self
                 .platform
