perf: peers are served without a router

Ruled out: nothing else was tried for these calls. Change: the listener hands HTTP/2 connections to the service directly, with the settings that the server used.

--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -29,6 +29,7 @@
 mod metrics;
 mod notify;
 mod owner;
+mod peer_listener;
 mod peers;
 pub mod port;
 mod recover;
--- /dev/null
+++ b/crates/hs-control/src/peer_listener.rs
@@ -0,0 +1,68 @@
+//! Listener for the other processes of the cell.
+//!
+//! The process serves one gRPC service, so its connections hand requests to it without a router and its
+//! layers, which take about a tenth of the processor time of a call.
+
+use std::io;
+
+use hs_event::EventCode;
+use hyper::server::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::control::Control;
+use crate::message::cell_server::CellServer;
+use crate::port::Platform;
+use crate::server::PeerServer;
+
+type PeerService<P> = TowerToHyperService<CellServer<PeerServer<P>>>;
+
+/// Accepts and serves connections until the listener fails.
+pub(crate) async fn serve<P: Platform>(control: Control<P>, listener: TcpListener) {
+    let service = TowerToHyperService::new(CellServer::new(PeerServer { control }));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_connection(stream, service.clone()));
+            }
+            Err(error) if concerns_one_connection(&error) => {
+                log::debug!("failed to accept a connection: {error}");
+            }
+            Err(error) => {
+                EventCode::PeerListenerEnded.log(format_args!("cause=\"{error}\""));
+                return;
+            }
+        }
+    }
+}
+
+/// Returns whether an error of the listener concerns only the connection that was to be accepted.
+fn concerns_one_connection(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::BrokenPipe
+            | io::ErrorKind::Interrupted
+            | io::ErrorKind::WouldBlock
+            | io::ErrorKind::TimedOut
+    )
+}
+
+async fn serve_connection<P: Platform>(stream: TcpStream, service: PeerService<P>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("failed to set up a connection: {error}");
+    }
+    let mut builder = http2::Builder::new(TokioExecutor::new());
+    // All calls of a process use one connection.
+    builder
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(None);
+    if let Err(error) = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .await
+    {
+        log::debug!("connection of a peer ended: {error}");
+    }
+}
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -10,20 +10,17 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
-use tokio_stream::wrappers::TcpListenerStream;
-use tonic::transport::Server;
 
 use crate::config;
 use crate::control::Control;
 use crate::election::Election;
 use crate::intake::IntakeHandle;
 use crate::keys;
-use crate::message::cell_server::CellServer;
 use crate::metrics::ControlMetrics;
 use crate::notify::NotifyHandle;
+use crate::peer_listener;
 use crate::peers::PeerPool;
 use crate::port::Platform;
-use crate::server::PeerServer;
 use crate::shared::{NodeContext, Ownership};
 use crate::store_health::StoreHealth;
 use crate::supervise::restart_on_panic;
@@ -133,22 +130,10 @@
             stop.clone(),
         )
     }));
-    tokio::spawn(serve_peers(control.clone(), listener));
+    tokio::spawn(peer_listener::serve(control.clone(), listener));
     Ok(control)
 }
 
-async fn serve_peers<P: Platform>(control: Control<P>, listener: TcpListener) {
-    let service = CellServer::new(PeerServer { control });
-    let incoming = TcpListenerStream::new(listener);
-    let served = Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service)
-        .serve_with_incoming(incoming);
-    if let Err(error) = served.await {
-        EventCode::PeerListenerEnded.log(format_args!("cause=\"{error}\""));
-    }
-}
-
 /// Probes the store while it is down, so that its recovery is noticed soon.
 async fn probe_store<P: Platform>(platform: P, health: StoreHealth) {
     loop {
