perf: expired jobs are searched for ten times a second at most

Cause: each event of an owner with nothing to write searched all jobs for those whose state is no longer kept; with 1,100 workers that is over a thousand searches a second, whose cost grows with the number of ended jobs. Change: the next search waits 100 ms unless the last one found as many as a transaction takes, so that deletion keeps up with any rate.

--- a/crates/hs-control/src/commits.rs
+++ b/crates/hs-control/src/commits.rs
@@ -1,5 +1,7 @@
 //! Plans the contents of the owner's transactions, which are written to the store one at a time.
 
+use std::time::{Duration, Instant};
+
 use hs_event::EventCode;
 
 use hs_cell::{Cell, CellBatch, JobId, LogWrites, RecordLog, RecordStamp};
@@ -24,6 +26,11 @@
 /// Maximum number of expired jobs that are deleted in one transaction; each takes two entries.
 const MAX_DELETED_JOBS: usize = 10;
 
+/// Interval at which the jobs are searched for expired ones, unless the last search found more than a
+/// transaction takes. A search visits all jobs whose state is kept, and without a limit each event of an
+/// idle cell would cause one.
+const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Contents of a transaction of the owner, except for the claim.
 #[derive(Debug, Default)]
 pub(crate) struct OwnerWrites {
@@ -45,6 +52,8 @@
 pub(crate) struct CommitPlanner {
     pub log: RecordLog,
     cancelled: Vec<JobId>,
+    /// Time before which the jobs are not searched for expired ones.
+    next_expiry_check: Option<Instant>,
 }
 
 impl CommitPlanner {
@@ -60,7 +69,7 @@
         &mut self,
         cell: &mut Cell,
         claim: &ClaimValue,
-        now: std::time::Instant,
+        now: Instant,
     ) -> OwnerWrites {
         let stamp = RecordStamp {
             fence: claim.fence,
@@ -81,18 +90,19 @@
         planned
     }
 
-    fn delete_expired(
-        &mut self,
-        planned: &mut OwnerWrites,
-        cell: &mut Cell,
-        now: std::time::Instant,
-    ) {
+    fn delete_expired(&mut self, planned: &mut OwnerWrites, cell: &mut Cell, now: Instant) {
         let free_entries =
             |planned: &OwnerWrites| MAX_TXN_ENTRIES - planned.writes.len() - planned.deletes.len();
-        let jobs = MAX_DELETED_JOBS.min(free_entries(planned) / 2);
-        for id in cell.take_expired_jobs(now, jobs) {
-            self.log.forget_job(id);
-            planned.deletes.extend([keys::job(id), keys::cancel(id)]);
+        if self.next_expiry_check.is_none_or(|at| now >= at) {
+            let limit = MAX_DELETED_JOBS.min(free_entries(planned) / 2);
+            let expired = cell.take_expired_jobs(now, limit);
+            if expired.len() < limit {
+                self.next_expiry_check = Some(now + EXPIRY_CHECK_INTERVAL);
+            }
+            for id in expired {
+                self.log.forget_job(id);
+                planned.deletes.extend([keys::job(id), keys::cancel(id)]);
+            }
         }
         while free_entries(planned) > 0
             && let Some(id) = self.cancelled.pop()
