fix: place no run on a worker before its lease is renewed

A new incarnation of a worker inherits the end of the lease of the earlier one. It was used from its first report on, although no renewal had been sent to it: the link refuses such a start for want of a lease, which counts as an unhealthy worker, so the worker was quarantined for 2 s and then on probation for 3 s. A worker now accepts runs from the first renewal on. Ruled out: to shorten the inherited lease, since the inherited runs may last as long.

Before the change: test regressions::a_new_incarnation_is_not_quarantined ... FAILED assertion `left == right` failed: at once left: 0 right: 8 After it the 43 tests of the crate pass, fuzz included.

--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -106,6 +106,7 @@
     pub fn lease_renewed(&mut self, key: WorkerKey, lease_end: Instant) {
         if let Some(worker) = self.workers.get_mut(key) {
             worker.lease_end = worker.lease_end.max(lease_end);
+            worker.has_lease = true;
         }
     }
 
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -178,6 +178,8 @@
     pub reported: bool,
     /// Time on the owner's clock at which all runs on the worker have ended unless the lease is renewed.
     pub lease_end: Instant,
+    /// Whether this owner has renewed the lease. Starts carry the end of that lease.
+    pub has_lease: bool,
     pub used: Resources,
     pub slots: HashMap<TaskRun, Slot>,
     /// Number of the last processed end.
@@ -204,6 +206,7 @@
             listed: true,
             reported: false,
             lease_end,
+            has_lease: false,
             used: Resources::ZERO,
             slots: HashMap::new(),
             last_seen_end: 0,
@@ -225,7 +228,8 @@
             }
             None => true,
         };
-        self.listed && self.reported && !self.entry.draining && now < self.lease_end && is_healthy
+        let has_lease = self.has_lease && now < self.lease_end;
+        self.listed && self.reported && !self.entry.draining && has_lease && is_healthy
     }
 
     /// Returns whether the worker is quarantined after failures, or on probation after that.
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -442,3 +442,36 @@
     }
     assert_eq!(world.placed(id(1)).len(), 3);
 }
+
+/// Guards against a new incarnation of a worker that gets no runs for seconds, because a start that is sent before
+/// its lease is renewed is refused.
+#[test]
+fn a_new_incarnation_is_not_quarantined() {
+    struct Case {
+        name: &'static str,
+        rounds_until_return: usize,
+    }
+    let cases = [Case {
+        name: "at once",
+        rounds_until_return: 0,
+    }];
+    for Case {
+        name,
+        rounds_until_return,
+    } in cases
+    {
+        let mut world = World::with_reports(1, vec![queue("check", 0, 3)]);
+        world.submit(id(1), job("check", vec![step(6, 1000, 500)]));
+        world.fault_free_round(ROUND_TIME);
+        world.crash(0);
+        world.submit(id(2), job("check", vec![step(2, 1000, 500)]));
+        for _ in 0..rounds_until_return {
+            world.fault_free_round(ROUND_TIME);
+        }
+        world.restart(0);
+        for _ in 0..5 {
+            world.fault_free_round(ROUND_TIME);
+        }
+        assert_eq!(world.workers[0].running.len(), 8, "{name}");
+    }
+}
