fix: do not quarantine a new incarnation for the runs of the earlier one

Runs that a new incarnation inherits until its first report kept the time of their last progress. If a worker was back after more than 2.6 s, a run at 0 percent counted as stalled between two reports, and the new incarnation was quarantined for it. The time now begins with the incarnation.

--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -65,6 +65,8 @@
             }
             slot.phase = SlotPhase::Running;
             slot.visible_since = Some(now);
+            // A run that ended with the earlier incarnation does not show that the new one is unhealthy.
+            slot.last_progress_at = now;
             self.allocate(key, run, slot);
             let step = self.jobs.get_mut(&run.task.job());
             let step = step.and_then(|job| job.step_mut(run.task.step));
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -443,18 +443,24 @@
     assert_eq!(world.placed(id(1)).len(), 3);
 }
 
-/// Guards against a new incarnation of a worker that gets no runs for seconds, because a start that is sent before
-/// its lease is renewed is refused.
+/// Guards against a new incarnation of a worker that gets no runs for seconds, because the run that ended with the
+/// earlier one counts as stalled, or because a start that is sent before its lease is renewed is refused.
 #[test]
 fn a_new_incarnation_is_not_quarantined() {
     struct Case {
         name: &'static str,
         rounds_until_return: usize,
     }
-    let cases = [Case {
-        name: "at once",
-        rounds_until_return: 0,
-    }];
+    let cases = [
+        Case {
+            name: "at once",
+            rounds_until_return: 0,
+        },
+        Case {
+            name: "after 3 s",
+            rounds_until_return: 60,
+        },
+    ];
     for Case {
         name,
         rounds_until_return,
