fix: give up tasks that crash worker after worker

A run that ended with its worker counted nowhere, so a task that crashes each worker that starts it went from worker to worker without end, and took the runs beside it down each time.

Crashes are now counted by task: when a new incarnation of the worker is listed, while the lease holds or after it has expired, or at a takeover from the incarnation in the record. The count is stored (field h of a task, optional, so older records read and older programs read new ones). A worker that returns as the same incarnation, or that was draining, has not crashed. Since others on the worker are not at fault, suspicion is narrowed first: - after 1 crash, the tasks that were together run on different workers if there is room; - after 2 within 10 s of a start, a task is a suspect and runs alone if a worker is empty; - after 3 it only runs alone, and the worker that gets empty first is vacated (runs older than 10 s may stay); - it is given up after 4, alone in 2 of them, or after 5. So at most two starts follow the third crash. A task is cleared when it makes progress for four times as long as it ever took to lose a worker (3 s to 60 s). If the lease of a worker with a lone suspect expired, the task waits for up to 15 s for the worker. Long-running tasks have the limit too: unlike their failures, crashes end the runs of others. Placement, advice requests and reservations use the same limit of tasks on a worker (capacity.rs).

Ruled out: giving up after 2 crashes, which fails tasks that ran beside a deadly one; isolating after 1, which needs an empty worker for each task of any crashed worker; counting lost leases, which a partition causes too.

The fuzz also found a suspect that waited forever for workers of which it had tickets (a_suspect_learns_which_other_workers_are_allowed), so a suspect also asks for those that could be vacated.

--- a/crates/hs-cell/benches/placement.rs
+++ b/crates/hs-cell/benches/placement.rs
@@ -286,7 +286,10 @@
                 let cost = request.spec.cost(request.workers.len().min(40));
                 self.schedule(cost, Event::Advice(request));
             }
-            CellEffect::Stop(..) | CellEffect::Acknowledge(..) | CellEffect::Forget(..) => {}
+            CellEffect::Stop(..)
+            | CellEffect::Acknowledge(..)
+            | CellEffect::Forget(..)
+            | CellEffect::Report(..) => {}
         }
     }
 
--- a/crates/hs-cell/src/attempts.rs
+++ b/crates/hs-cell/src/attempts.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use crate::cell::Cell;
+use crate::crash_history::CrashHistory;
 use crate::job::Job;
 use crate::job_record::JobOutcome;
 use crate::queue_spec::QueueSpec;
@@ -42,20 +43,26 @@
         !self.fail_if_exhausted(id.job)
     }
 
-    /// Ends a job as failed if one of its tasks has no attempts left. Returns whether it has.
+    /// Ends a job as failed if one of its tasks has no attempts left or is given up after crashes of workers.
+    /// Returns whether it has ended.
     ///
     /// A job whose queue is not configured yet is checked again by [`Cell::fail_exhausted_jobs`].
     pub(crate) fn fail_if_exhausted(&mut self, id: JobId) -> bool {
-        let Some(job) = self.jobs.get(&id) else {
+        let job = self.jobs.get(&id).filter(|job| job.outcome.is_none());
+        let Some(job) = job else {
             return false;
         };
         let queue = job.spec.as_ref().map(|spec| &spec.queue);
         let queue = queue.and_then(|name| self.queues.get(name));
         let is_exhausted = queue.is_some_and(|queue| has_exhausted_task(job, queue));
-        if is_exhausted {
+        let is_given_up = has_given_up_task(job);
+        if is_given_up {
+            self.report_given_up_tasks(id);
+        }
+        if is_exhausted || is_given_up {
             self.end_job(id, JobOutcome::Failed);
         }
-        is_exhausted
+        is_exhausted || is_given_up
     }
 
     /// Ends the jobs of a queue of which a task has no attempts left.
@@ -69,6 +76,17 @@
     }
 }
 
+/// Returns whether too many workers have crashed under a task of a job. Long-running tasks have this limit too:
+/// unlike their failures, such crashes end the runs of others.
+fn has_given_up_task(job: &Job) -> bool {
+    let steps = job.occurrences.iter().flat_map(|o| &o.steps);
+    let mut tasks = steps.flat_map(|step| &step.tasks);
+    tasks.any(|task| {
+        let history = task.crash_history.as_deref();
+        history.is_some_and(CrashHistory::is_given_up)
+    })
+}
+
 /// Returns whether a task of an unfinished job has failed as often as its queue allows. Long-running tasks
 /// have no limit.
 fn has_exhausted_task(job: &Job, queue: &QueueSpec) -> bool {
--- a/crates/hs-cell/src/capacity.rs
+++ b/crates/hs-cell/src/capacity.rs
@@ -3,13 +3,13 @@
 //! Placement, advice requests and reservations use the same figures. If they differed, a step could wait for
 //! workers on which it is never placed.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hs_wire::Resources;
 
 use crate::StepId;
 use crate::job_spec::StepSpec;
-use crate::worker::Worker;
+use crate::worker::{Slot, SlotPhase, Worker};
 
 /// Properties of a step that determine how many of its tasks fit on a worker.
 #[derive(Clone, Copy, Debug)]
@@ -20,8 +20,25 @@
     pub priority: u8,
     /// Maximum number of tasks of the step on one worker.
     pub max_per_worker: u32,
+    pub sharing: Sharing,
 }
 
+/// What may run beside a task on its worker.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Sharing {
+    /// All tasks that are not isolated.
+    #[default]
+    Shared,
+    /// All tasks that are not isolated and under which no worker has crashed.
+    Apart,
+    /// Nothing; on a worker that was vacated for the step, runs that have lasted for [`SETTLED_RUN_TIME`].
+    Alone,
+}
+
+/// Duration from which a run counts as harmless to its worker. A suspect may run beside it where no worker gets
+/// empty, and a crash counts as if the suspect were alone.
+pub(crate) const SETTLED_RUN_TIME: Duration = Duration::from_secs(10);
+
 impl StepDemand {
     pub(crate) fn new(step: StepId, spec: &StepSpec, priority: u8) -> Self {
         let max_per_worker = match spec.max_per_worker {
@@ -33,8 +50,14 @@
             need: spec.allocated_resources(),
             priority,
             max_per_worker,
+            sharing: Sharing::Shared,
         }
     }
+
+    /// Returns the same demand for a task that shares its worker in another way.
+    pub(crate) fn with_sharing(self, sharing: Sharing) -> Self {
+        Self { sharing, ..self }
+    }
 }
 
 impl Worker {
@@ -52,16 +75,57 @@
 
     /// Returns how many further tasks of a step the worker may run, however many resources are free.
     pub(crate) fn task_limit(&self, demand: &StepDemand, now: Instant) -> u32 {
+        let limit = self.sharing_limit(demand, now);
+        if limit == 0 {
+            return 0;
+        }
         if self.is_quarantined_or_on_probation(now) {
             return 1;
         }
         if demand.max_per_worker == u32::MAX {
-            return u32::MAX;
+            return limit;
         }
         let runs = self.slots.keys();
         let of_step = runs.filter(|run| run.task.step == demand.step).count();
         let of_step = u32::try_from(of_step).unwrap_or(u32::MAX);
-        demand.max_per_worker.saturating_sub(of_step)
+        demand.max_per_worker.saturating_sub(of_step).min(limit)
+    }
+
+    /// Returns how many further tasks of a step the worker may run because of what is beside them.
+    fn sharing_limit(&self, demand: &StepDemand, now: Instant) -> u32 {
+        let is_for_another = match demand.sharing {
+            Sharing::Apart => self.vacated_for.is_some(),
+            _ => self.vacated_for.is_some_and(|v| v.step != demand.step),
+        };
+        let is_usable = match demand.sharing {
+            Sharing::Shared => return self.shared_limit(),
+            Sharing::Apart => !self.slots.values().any(|slot| slot.is_suspect),
+            Sharing::Alone => self.is_vacant_for(demand.step, now),
+        };
+        u32::from(is_usable && !is_for_another && self.isolated_runs == 0)
+    }
+
+    fn is_vacant_for(&self, step: StepId, now: Instant) -> bool {
+        let is_vacated = self.vacated_for.is_some_and(|v| v.step == step);
+        let mut slots = self.slots.values();
+        slots.all(|slot| is_vacated && slot.is_settled(now))
+    }
+
+    /// Returns how many tasks of a step fit beside the runs that have lasted for long.
+    pub(crate) fn tasks_beside_settled(&self, demand: &StepDemand, now: Instant) -> usize {
+        let settled = self.slots.values().filter(|slot| slot.is_settled(now));
+        let used = settled.fold(Resources::ZERO, |sum, slot| sum.saturating_add(slot.need));
+        let fits = demand
+            .need
+            .max_copies_in(self.entry.capacity.saturating_sub(used));
+        fits.min(demand.max_per_worker) as usize
+    }
+
+    fn shared_limit(&self) -> u32 {
+        match self.isolated_runs > 0 || self.vacated_for.is_some() {
+            true => 0,
+            false => u32::MAX,
+        }
     }
 
     fn is_reserved_for_another(&self, demand: &StepDemand) -> bool {
@@ -69,3 +133,11 @@
             .is_some_and(|(priority, step)| step != demand.step && priority <= demand.priority)
     }
 }
+
+impl Slot {
+    /// Returns whether the run has lasted long enough to count as harmless to its worker.
+    pub(crate) fn is_settled(&self, now: Instant) -> bool {
+        let time = now.saturating_duration_since(self.started_at);
+        self.phase == SlotPhase::Running && !self.is_isolated && time >= SETTLED_RUN_TIME
+    }
+}
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -15,7 +15,7 @@
 use crate::queue_spec::QueueSpec;
 use crate::reserve::Reservation;
 use crate::worker::Worker;
-use crate::{JobId, StepId, WorkerKey};
+use crate::{JobId, StepId, TaskId, WorkerKey};
 
 /// Settings of a cell.
 #[derive(Clone, Copy, Debug)]
@@ -102,6 +102,10 @@
     /// Minimum time from the last scheduling pass to the next one.
     pub(crate) pass_interval: Duration,
     pub(crate) reservations: Vec<Reservation>,
+    /// Workers that are vacated for suspects, and some that were.
+    pub(crate) vacated_workers: Vec<WorkerKey>,
+    /// Tasks that wait to learn whether a worker has crashed under them, by worker ID.
+    pub(crate) lost_tasks: HashMap<Arc<str>, Vec<TaskId>>,
     pub(crate) last_stall_check: Option<Instant>,
     pub(crate) last_lease_check: Option<Instant>,
 }
@@ -125,6 +129,8 @@
             last_pass_at: None,
             pass_interval: Duration::ZERO,
             reservations: Vec::new(),
+            vacated_workers: Vec::new(),
+            lost_tasks: HashMap::new(),
             last_stall_check: None,
             last_lease_check: None,
         }
--- a/crates/hs-cell/src/effect.rs
+++ b/crates/hs-cell/src/effect.rs
@@ -57,6 +57,43 @@
     Acknowledge(WorkerKey, u64),
     /// Drop all state of the worker, which the cell has removed.
     Forget(WorkerKey),
+    /// Log the event and count it.
+    Report(CrashEvent),
+}
+
+/// Event in the search for the tasks that crash workers.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CrashEvent {
+    /// A worker has crashed under a run.
+    WorkerCrashed {
+        /// ID of the worker.
+        worker: Arc<str>,
+        /// Run that the worker had.
+        run: TaskRun,
+        /// Whether nothing else ran on the worker.
+        alone: bool,
+    },
+    /// A task is suspected of crashing workers, and runs alone from now on.
+    TaskSuspected {
+        /// Task that is suspected.
+        task: TaskId,
+        /// Number of crashes so far.
+        crashes: u32,
+    },
+    /// A task is not suspected any more, since it has run for long enough.
+    TaskCleared {
+        /// Task that was suspected.
+        task: TaskId,
+    },
+    /// A task is not started again, and its job has failed.
+    TaskGivenUp {
+        /// Task that crashed workers.
+        task: TaskId,
+        /// Number of crashes.
+        crashes: u32,
+        /// Number of crashes in which nothing else ran on the worker.
+        alone: u32,
+    },
 }
 
 /// Change of a job to be written to the store.
--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -39,12 +39,16 @@
             earlier = Some(key);
         }
         let id = entry.id.clone();
+        let started_ms = entry.started_ms;
         let key = self.insert_worker(Worker::new(entry, lease_end));
-        self.workers_by_id.insert(id, key);
+        self.workers_by_id.insert(id.clone(), key);
         if let Some(earlier) = earlier {
+            let gone = self.workers[earlier].runs_gone_in_crash(now);
             self.inherit_runs(earlier, key, now);
             self.remove_worker(earlier);
+            self.count_crashes(&id, &gone);
         }
+        self.settle_losses(&id, started_ms, false);
         self.request_pass();
         key
     }
@@ -118,6 +122,7 @@
         let workers = self.workers.iter().filter(|(_, worker)| is_expired(worker));
         let expired: Vec<WorkerKey> = workers.map(|(key, _)| key).collect();
         for key in expired {
+            self.record_losses(key, now);
             let runs: Vec<TaskRun> = self.workers[key].slots.keys().copied().collect();
             for run in runs {
                 self.release_run(key, run);
--- a/crates/hs-cell/src/job.rs
+++ b/crates/hs-cell/src/job.rs
@@ -4,9 +4,10 @@
 use std::time::Instant;
 
 use crate::advice::StepAdvice;
+use crate::crash_history::CrashHistory;
 use crate::job_record::JobOutcome;
 use crate::job_spec::{JobSpec, StepSpec};
-use crate::{StepId, TaskRun, WorkerKey};
+use crate::{JobId, StepId, TaskRun, WorkerKey};
 
 /// State of a job.
 #[derive(Clone, Debug)]
@@ -67,6 +68,10 @@
     pub checkpoint: Option<Arc<str>>,
     /// Worker on which a run last failed. Other candidates come first, except that one rack may be preferred.
     pub last_failed_on: Option<WorkerKey>,
+    /// Crashes of workers under the task, if there were any.
+    pub crash_history: Option<Box<CrashHistory>>,
+    /// Whether the current run was placed alone on its worker.
+    pub isolated: bool,
 }
 
 /// Placement state of a task.
@@ -130,19 +135,27 @@
     }
 
     /// Returns the placed runs with their workers.
-    pub(crate) fn placed_runs(&self, id: crate::JobId) -> Vec<(WorkerKey, TaskRun)> {
+    pub(crate) fn placed_runs(&self, id: JobId) -> Vec<(WorkerKey, TaskRun)> {
         let mut placed = Vec::new();
-        for occurrence in &self.occurrences {
-            for (step, run) in occurrence.steps.iter().enumerate() {
-                let step = StepId {
+        for (step, run) in self.step_runs(id) {
+            run.collect_placed_runs(step, &mut placed);
+        }
+        placed
+    }
+
+    /// Returns the steps of all occurrences with their IDs.
+    pub(crate) fn step_runs(&self, id: JobId) -> impl Iterator<Item = (StepId, &StepRun)> {
+        self.occurrences.iter().flat_map(move |occurrence| {
+            let steps = (0u16..).zip(&occurrence.steps);
+            steps.map(move |(step, run)| {
+                let step_id = StepId {
                     job: id,
                     occurrence: occurrence.number,
-                    step: u16::try_from(step).unwrap_or(u16::MAX),
+                    step,
                 };
-                run.collect_placed_runs(step, &mut placed);
-            }
-        }
-        placed
+                (step_id, run)
+            })
+        })
     }
 }
 
--- a/crates/hs-cell/src/job_record.rs
+++ b/crates/hs-cell/src/job_record.rs
@@ -8,7 +8,7 @@
     /// Number of the first occurrence that is not done.
     #[serde(default, rename = "o")]
     pub first_occurrence: u32,
-    /// Workers that [`TaskPlace::Worker`] refers to by index.
+    /// Workers that [`TaskPlace::Worker`] and [`LossRecord::worker`] refer to by index.
     #[serde(default, rename = "w", skip_serializing_if = "Vec::is_empty")]
     pub workers: Vec<WorkerIncarnation>,
     /// Steps that have made progress.
@@ -22,7 +22,7 @@
 pub enum JobOutcome {
     /// All tasks are done.
     Completed,
-    /// A task, or a gang, reached the maximum number of failed runs.
+    /// A task, or a gang, reached the maximum number of failed runs, or too many workers crashed under a task.
     Failed,
     /// The client cancelled the job.
     Cancelled,
@@ -78,6 +78,52 @@
     /// Last checkpoint; empty if there is none.
     #[serde(default, rename = "c", skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
+    /// Crashes of workers under the task, if there were any.
+    #[serde(default, rename = "h", skip_serializing_if = "Option::is_none")]
+    pub crashes: Option<CrashRecord>,
+}
+
+/// Crashes of workers under a task.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct CrashRecord {
+    /// Number of crashes.
+    #[serde(default, rename = "n", skip_serializing_if = "is_zero")]
+    pub crashes: u32,
+    /// Number of the crashes early in the run.
+    #[serde(default, rename = "s", skip_serializing_if = "is_zero")]
+    pub early_crashes: u32,
+    /// Number of the early crashes in which nothing else ran on the worker.
+    #[serde(default, rename = "a", skip_serializing_if = "is_zero")]
+    pub alone_crashes: u32,
+    /// Number of the last run that `crashes` includes. It prevents counting a crash twice.
+    #[serde(default, rename = "l", skip_serializing_if = "is_zero")]
+    pub last_crashed_run: u32,
+    /// Longest time in milliseconds for which a run had lasted when its worker crashed.
+    #[serde(default, rename = "m", skip_serializing_if = "is_zero")]
+    pub longest_run_ms: u32,
+    /// Whether the current run was placed alone on its worker.
+    #[serde(default, rename = "e", skip_serializing_if = "std::ops::Not::not")]
+    pub isolated: bool,
+    /// Workers of which it is not known whether they have crashed.
+    #[serde(default, rename = "u", skip_serializing_if = "Vec::is_empty")]
+    pub losses: Vec<LossRecord>,
+}
+
+/// Worker whose lease expired while it may have run a task.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LossRecord {
+    /// Index of the worker in [`JobRecord::workers`].
+    #[serde(rename = "w")]
+    pub worker: u16,
+    /// Whether nothing else ran on the worker.
+    #[serde(default, rename = "a", skip_serializing_if = "std::ops::Not::not")]
+    pub alone: bool,
+    /// Number of the run.
+    #[serde(rename = "r")]
+    pub run: u32,
+    /// Time in milliseconds for which the run had lasted.
+    #[serde(default, rename = "m", skip_serializing_if = "is_zero")]
+    pub lasted_ms: u32,
 }
 
 /// Recorded placement of a task.
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -14,10 +14,13 @@
 mod attempts;
 mod capacity;
 mod cell;
+mod crash_history;
+mod crashes;
 mod effect;
 mod free_index;
 mod ids;
 mod incarnations;
+mod isolation;
 mod job;
 mod job_record;
 mod job_spec;
@@ -35,9 +38,14 @@
 pub use advice::AdviceReply;
 pub use advice_queue::{AdviceCaller, AdvicePart, AdviceQueue};
 pub use cell::{Cell, CellOptions, JobState};
-pub use effect::{AdviceRequest, CellBatch, CellEffect, RecordRow, StartOrder, TaskRun};
+pub use effect::{
+    AdviceRequest, CellBatch, CellEffect, CrashEvent, RecordRow, StartOrder, TaskRun,
+};
 pub use ids::{IdError, JobId, StepId, TaskId};
-pub use job_record::{JobOutcome, JobRecord, StepRecord, TaskPlace, TaskRecord, WorkerIncarnation};
+pub use job_record::{
+    CrashRecord, JobOutcome, JobRecord, LossRecord, StepRecord, TaskPlace, TaskRecord,
+    WorkerIncarnation,
+};
 pub use job_spec::{JobSchedule, JobSpec, MAX_STEPS, MAX_TASKS, SpecError, StepSpec};
 pub use queue_spec::{AdviceSpec, QueueSpec};
 pub use record_log::{LogWrites, RecordLog, StoredRecords};
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -13,6 +13,8 @@
 use crate::advice_request::AdviceNeed;
 use crate::capacity::StepDemand;
 use crate::cell::Cell;
+use crate::crash_history::Isolation;
+use crate::isolation::PlannedTask;
 use crate::job::{Job, TaskState};
 use crate::job_spec::StepSpec;
 use crate::step_order::OrderKey;
@@ -56,6 +58,7 @@
         self.pass_requested = false;
         self.last_pass_at = Some(now);
         self.refresh_reservations(now);
+        self.refresh_vacated_workers(now);
         let ready = std::mem::take(&mut self.ready_steps);
         let mut keys: Vec<OrderKey> = Vec::with_capacity(ready.len());
         for id in ready {
@@ -101,18 +104,32 @@
         let (Some(step), Some(spec)) = (job.step(id), job.step_spec(id).cloned()) else {
             return;
         };
-        let waiting: SmallVec<[u16; 16]> = step.waiting_tasks().collect();
         if spec.gang && step.has_placed_tasks() {
             return;
         }
-        let wanted = waiting.len() as u32;
         let queue = job
             .spec
             .as_ref()
             .and_then(|spec| self.queues.get(&spec.queue));
         let advice = queue.and_then(|queue| queue.advice);
+        let Some(plan) = self.plan_isolation(key, advice, now) else {
+            return;
+        };
+        if !spec.gang {
+            self.place_planned(id, &plan.planned, None, now);
+        }
+        let (waiting, planned) = (plan.shared, plan.planned);
+        if waiting.is_empty() && (planned.is_empty() || !spec.gang) {
+            return;
+        }
+        let wanted = waiting.len() as u32;
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
         let demand = StepDemand::new(id, &spec, key.priority);
         let mut candidates = self.candidates(job, &demand, &spec, advice.is_some(), now);
+        let is_taken = |key: WorkerKey| planned.iter().any(|task| task.worker == key);
+        candidates.retain(|c| !is_taken(c.key));
         let total_fits: u32 = candidates
             .iter()
             .map(|c| c.fits)
@@ -123,13 +140,15 @@
         {
             let need = AdviceNeed {
                 spec: advice,
-                wanted,
+                wanted: wanted + self.tasks_displaced(&planned, &demand, now),
                 demand,
             };
             self.request_advice(key, need, now);
         }
-        if candidates.is_empty() || (spec.gang && total_fits < wanted) {
-            if is_active && spec.gang {
+        if (candidates.is_empty() && wanted > 0) || (spec.gang && total_fits < wanted) {
+            // A reservation without the members that run alone would let the tickets of their workers expire.
+            let is_plain = planned.is_empty() || advice.is_none();
+            if is_active && spec.gang && is_plain {
                 self.reserve(key, wanted, now);
             }
             return;
@@ -151,42 +170,57 @@
             .and_then(|job| job.step(id))
             .map(|s| s.max_run_number() + 1);
         let gang_run = run.filter(|_| spec.gang);
+        if spec.gang {
+            self.place_planned(id, &planned, gang_run, now);
+        }
         let mut tasks = waiting.into_iter();
         for candidate in candidates {
             for _ in 0..candidate.fits {
                 let Some(index) = tasks.next() else {
                     return;
                 };
-                self.place_task(
-                    id,
-                    index,
-                    candidate.key,
-                    spec.allocated_resources(),
-                    gang_run,
-                    now,
-                );
+                self.place_task(id, index, candidate.key, gang_run, false, now);
             }
         }
     }
 
+    fn place_planned(
+        &mut self,
+        id: StepId,
+        tasks: &[PlannedTask],
+        gang_run: Option<u32>,
+        now: Instant,
+    ) {
+        for task in tasks {
+            self.place_task(id, task.index, task.worker, gang_run, task.alone, now);
+            self.workers[task.worker].vacated_for = None;
+        }
+    }
+
     fn place_task(
         &mut self,
         id: StepId,
         index: u16,
         key: WorkerKey,
-        need: Resources,
         gang_run: Option<u32>,
+        is_isolated: bool,
         now: Instant,
     ) {
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
+        let need = job.step_spec(id).map(StepSpec::allocated_resources);
+        let Some(need) = need else {
+            return;
+        };
         let Some(step) = job.step_mut(id) else {
             return;
         };
         let task = &mut step.tasks[usize::from(index)];
         task.run = gang_run.unwrap_or(task.run + 1);
         task.state = TaskState::Placed(key);
+        task.isolated = is_isolated;
+        let is_suspect = task.isolation() != Isolation::Unneeded;
         let run = TaskRun {
             task: id.task(index),
             run: task.run,
@@ -199,11 +233,30 @@
             percent: 0,
             last_progress_at: now,
             started_at: now,
+            is_isolated,
+            is_suspect,
         };
         self.allocate(key, run, slot);
         self.mark_dirty(id.job);
     }
 
+    /// Returns the workers on which tasks of a step can be placed now, those with the least free resources first.
+    pub(crate) fn placeable_workers(
+        &self,
+        demand: &StepDemand,
+        needs_ticket: bool,
+        now: Instant,
+    ) -> Vec<WorkerKey> {
+        let job = self.jobs.get(&demand.step.job);
+        let spec = job.and_then(|job| Some((job, job.step_spec(demand.step)?)));
+        let Some((job, spec)) = spec else {
+            return Vec::new();
+        };
+        let mut candidates = self.candidates(job, demand, spec, needs_ticket, now);
+        candidates.sort_by_key(|c| (!c.in_preferred_rack, c.leftover_permille, c.key));
+        candidates.into_iter().map(|c| c.key).collect()
+    }
+
     /// Returns the workers on which tasks of a step can be placed now.
     fn candidates(
         &self,
@@ -303,8 +356,13 @@
     pub(crate) fn admits(&self, worker: &Worker, now: Instant) -> bool {
         worker.listed
             && worker.reported
-            && !worker.entry.draining
             && worker.quarantined_until.is_none_or(|until| now >= until)
+            && self.suits(worker)
+    }
+
+    /// Returns whether the worker may run the step once it is reachable and healthy.
+    pub(crate) fn suits(&self, worker: &Worker) -> bool {
+        !worker.entry.draining
             && worker.entry.service == self.service
             && self.need.fits(worker.entry.capacity)
             && has_label(&worker.entry.labels, self.label)
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -50,7 +50,10 @@
                 TaskState::Waiting => TaskPlace::Waiting,
                 TaskState::Done => TaskPlace::Done,
                 TaskState::Placed(key) => match self.workers.get(key) {
-                    Some(worker) => TaskPlace::Worker(worker_index(workers, worker)),
+                    Some(worker) => {
+                        let entry = &worker.entry;
+                        TaskPlace::Worker(worker_index(workers, &entry.id, entry.started_ms))
+                    }
                     None => TaskPlace::Waiting,
                 },
             };
@@ -61,6 +64,7 @@
                 failures: task.failures,
                 last_failed_run: task.last_failed_run,
                 checkpoint: task.checkpoint.as_deref().unwrap_or_default().to_owned(),
+                crashes: task.crash_record(workers),
             });
         }
         records
@@ -103,7 +107,9 @@
         }
         let begun: Vec<u32> = job.occurrences.iter().map(|o| o.number).collect();
         self.jobs.insert(id, job);
-        if self.fail_if_exhausted(id) {
+        self.restore_crashes(id, record, now);
+        self.fail_if_exhausted(id);
+        if self.jobs.get(&id).is_none_or(|job| job.outcome.is_some()) {
             return;
         }
         for number in begun {
@@ -169,6 +175,8 @@
                     percent: 0,
                     last_progress_at: now,
                     started_at: now,
+                    is_isolated: record.crashes.as_ref().is_some_and(|c| c.isolated),
+                    is_suspect: record.crashes.is_some(),
                 };
                 self.allocate(key, run, slot);
             }
@@ -188,7 +196,7 @@
             service: "".into(),
             labels: Vec::new(),
             capacity: hs_wire::Resources::ZERO,
-            draining: true,
+            draining: false,
         };
         let mut worker = Worker::new(entry, lease_end);
         worker.listed = false;
@@ -213,16 +221,16 @@
     };
 }
 
-fn worker_index(workers: &mut Vec<WorkerIncarnation>, worker: &Worker) -> u16 {
-    let entry = &worker.entry;
+/// Returns the index of a worker incarnation in a record, to which it is added if it is missing.
+pub(crate) fn worker_index(workers: &mut Vec<WorkerIncarnation>, id: &str, started_ms: u64) -> u16 {
     let same = |incarnation: &WorkerIncarnation| {
-        incarnation.id == *entry.id && incarnation.started_ms == entry.started_ms
+        incarnation.id == id && incarnation.started_ms == started_ms
     };
     let found = workers.iter().position(same);
     let index = found.unwrap_or_else(|| {
         workers.push(WorkerIncarnation {
-            id: entry.id.to_string(),
-            started_ms: entry.started_ms,
+            id: id.to_owned(),
+            started_ms,
         });
         workers.len() - 1
     });
--- a/crates/hs-cell/src/reserve.rs
+++ b/crates/hs-cell/src/reserve.rs
@@ -316,7 +316,7 @@
     }
 
     /// Returns the expected end of a run, extrapolated from its progress or else from the client's estimate.
-    fn expected_end(&self, run: TaskRun, slot: &Slot, now: Instant) -> Option<Instant> {
+    pub(crate) fn expected_end(&self, run: TaskRun, slot: &Slot, now: Instant) -> Option<Instant> {
         if slot.percent > 0 {
             let elapsed = slot
                 .last_progress_at
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -7,6 +7,7 @@
 use hs_wire::Resources;
 use slotmap::new_key_type;
 
+use crate::isolation::Vacating;
 use crate::{StepId, TaskId, TaskRun};
 
 new_key_type! {
@@ -139,6 +140,10 @@
     pub last_progress_at: Instant,
     /// Time at which the run began, as far as the owner knows.
     pub started_at: Instant,
+    /// Whether nothing else may be placed on the worker while it has the run.
+    pub is_isolated: bool,
+    /// Whether workers have crashed under the task.
+    pub is_suspect: bool,
 }
 
 /// Minimum time without progress after which a run counts as stalled. Reports are up to a second apart.
@@ -195,6 +200,10 @@
     pub quarantine_time: Duration,
     /// Priority and step of the gang that has reserved the worker.
     pub reserved_by: Option<(u8, StepId)>,
+    /// Number of isolated runs. There can be several after a takeover.
+    pub isolated_runs: u32,
+    /// Step for a suspect of which the worker is being vacated.
+    pub vacated_for: Option<Vacating>,
 }
 
 impl Worker {
@@ -216,6 +225,8 @@
             quarantined_until: None,
             quarantine_time: INITIAL_QUARANTINE,
             reserved_by: None,
+            isolated_runs: 0,
+            vacated_for: None,
         }
     }
 
@@ -244,23 +255,35 @@
 
     pub(crate) fn allocate(&mut self, run: TaskRun, slot: Slot) {
         self.used = self.used.saturating_add(slot.need);
+        self.isolated_runs += u32::from(slot.is_isolated);
         if let Some(old) = self.slots.insert(run, slot) {
             self.used = self.used.saturating_sub(old.need);
+            self.isolated_runs -= u32::from(old.is_isolated);
         }
     }
 
     /// Removes all runs.
     pub(crate) fn take_slots(&mut self) -> HashMap<TaskRun, Slot> {
         self.used = Resources::ZERO;
+        self.isolated_runs = 0;
         std::mem::take(&mut self.slots)
     }
 
     pub(crate) fn release(&mut self, run: TaskRun) -> Option<Slot> {
         let slot = self.slots.remove(&run)?;
         self.used = self.used.saturating_sub(slot.need);
+        self.isolated_runs -= u32::from(slot.is_isolated);
         Some(slot)
     }
 
+    /// Lets others be placed beside a run.
+    pub(crate) fn end_isolation(&mut self, run: TaskRun) {
+        if let Some(slot) = self.slots.get_mut(&run) {
+            self.isolated_runs -= u32::from(slot.is_isolated);
+            slot.is_isolated = false;
+        }
+    }
+
     /// Returns the number of the last end that may be acknowledged; all ends before it are recorded too.
     pub(crate) fn acknowledgeable_end(&self) -> u64 {
         match self.unrecorded_ends.first() {
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -99,11 +99,17 @@
             // From this report on no earlier owner can renew the lease.
             worker.lease_end = worker.lease_end.min(now + self.options.max_lease());
         }
+        if is_first_report {
+            let entry = &self.workers[key].entry;
+            let (id, started_ms) = (entry.id.clone(), entry.started_ms);
+            self.settle_losses(&id, started_ms, true);
+        }
         for end in report.ended {
             self.apply_end(key, end, now);
         }
         for run in &report.running {
             self.apply_running(key, run, now);
+            self.clear_if_harmless(key, run.run, now);
         }
         self.release_absent_runs(key, &report.running, requested_at);
         let acknowledged = self.workers[key].acknowledgeable_end();
@@ -147,6 +153,8 @@
             percent: report.percent,
             last_progress_at: now,
             started_at: now,
+            is_isolated: false,
+            is_suspect: false,
         };
         self.allocate(key, run, slot);
         self.stop_run(key, run);
@@ -297,6 +305,7 @@
             return;
         }
         if long_running {
+            self.clear_task(run.task);
             self.requeue_task(key, run);
             return;
         }
--- a/crates/hs-cell/tests/cell/fuzz.rs
+++ b/crates/hs-cell/tests/cell/fuzz.rs
@@ -1,13 +1,14 @@
 //! Fuzz test: random sequences of jobs and faults, checked by the oracle in `world`.
 //!
 //! The oracle checks at each start that the worker is not over its capacity, that the task is not already
-//! running elsewhere and has no acknowledged success, that the steps it depends on are done, and that it has
-//! attempts left. At the end of a sequence all faults are repaired, and every job has to end.
+//! running elsewhere and has no acknowledged success, that the steps it depends on are done, that it has
+//! attempts left, and that not too many workers have crashed under it. At the end of a sequence all faults are
+//! repaired, and every job has to end.
 
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::time::Duration;
 
-use hs_cell::{JobState, QueueSpec, RunEnd, StepId, StepSpec, TaskRun};
+use hs_cell::{JobId, JobState, QueueSpec, RunEnd, StepId, StepSpec, TaskRun};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 use crate::fixture::{advised_queue, id, job, queue, step};
@@ -23,6 +24,12 @@
 /// Maximum number of commands of a sequence.
 const MAX_SEQUENCE_COMMANDS: usize = 90;
 
+/// Number of sequences per test run in which workers crash only under deadly tasks.
+const DEADLY_SEQUENCE_COUNT: u64 = 3_000;
+
+/// Number of rounds, of 250 ms, within which the jobs with deadly tasks end.
+const GIVE_UP_ROUNDS: usize = 600;
+
 /// Number of workers of sequences with spare room. Faults only affect the first [`WORKER_COUNT`] of them.
 const ROOMY_WORKER_COUNT: usize = 24;
 
@@ -70,13 +77,14 @@
     FailRuns { worker: u8 },
     Round { ms: u8 },
     DelayStarts { percent: u8 },
+    SubmitDeadly { kind: u8, crash_delay_ms: u16 },
 }
 
 impl Arbitrary for Command {
     fn arbitrary(g: &mut Gen) -> Self {
         let worker = u8::arbitrary(g) % WORKER_COUNT as u8;
         let nth = u8::arbitrary(g);
-        match u8::arbitrary(g) % 47 {
+        match u8::arbitrary(g) % 48 {
             0..=4 => Self::Submit { kind: nth },
             5 => Self::Cancel { nth },
             6..=13 => Self::RenewLease { worker },
@@ -103,7 +111,11 @@
             39 => Self::ReadConfig,
             40 => Self::FailRuns { worker },
             41..=45 => Self::Round { ms: nth },
-            _ => Self::DelayStarts { percent: nth % 60 },
+            46 => Self::DelayStarts { percent: nth % 60 },
+            _ => Self::SubmitDeadly {
+                kind: nth,
+                crash_delay_ms: u16::arbitrary(g) % 2000,
+            },
         }
     }
 }
@@ -188,7 +200,31 @@
     for command in &sequence.commands {
         apply(&mut world, &mut jobs, *command);
     }
-    repair(&mut world);
+    finish_sequence(&mut world, jobs);
+}
+
+/// Runs a sequence in which workers crash only under deadly tasks. Panics if a job fails that could be done.
+fn run_sequence_with_deadly_tasks(sequence: &Sequence) {
+    let mut world = World::new(WORKER_COUNT, queues(), sequence.seed);
+    let mut jobs = 0u64;
+    for command in &sequence.commands {
+        let command = match *command {
+            Command::Crash { worker } | Command::Restart { worker } => Command::SubmitDeadly {
+                kind: worker,
+                crash_delay_ms: 0,
+            },
+            command => command,
+        };
+        apply(&mut world, &mut jobs, command);
+        assert_eq!(world.jobs_failed_without_cause(), Vec::<JobId>::new());
+    }
+    finish_sequence(&mut world, jobs);
+    assert_eq!(world.jobs_failed_without_cause(), Vec::<JobId>::new());
+}
+
+fn finish_sequence(world: &mut World, jobs: u64) {
+    repair(world);
+    await_end_of_deadly_jobs(world, |world| world.finish_runs(1));
     world.finish_runs(FINAL_ROUNDS);
     for number in 0..jobs {
         let state = world.state(id(number));
@@ -200,6 +236,19 @@
     }
 }
 
+/// Runs rounds without other faults until the jobs with deadly tasks have ended.
+fn await_end_of_deadly_jobs(world: &mut World, run_round: fn(&mut World)) {
+    let deadly: Vec<JobId> = world.deadly.iter().map(|task| task.job()).collect();
+    for _ in 0..GIVE_UP_ROUNDS {
+        let has_ended = |id: &JobId| matches!(world.state(*id), Some(JobState::Ended(_)));
+        if deadly.iter().all(has_ended) {
+            break;
+        }
+        run_round(world);
+    }
+    repair(world);
+}
+
 fn apply(world: &mut World, jobs: &mut u64, command: Command) {
     match command {
         Command::Submit { kind } => {
@@ -246,6 +295,21 @@
         Command::FailRuns { worker } => world.fail_runs(usize::from(worker)),
         Command::Round { ms } => world.fault_free_round(Duration::from_millis(ms.into())),
         Command::DelayStarts { percent } => world.delayed_start_percent = percent.into(),
+        Command::SubmitDeadly {
+            kind,
+            crash_delay_ms,
+        } => {
+            let (queue, steps) = steps_of_kind(kind);
+            let step = StepId {
+                job: id(*jobs),
+                occurrence: 0,
+                step: 0,
+            };
+            world.deadly.insert(step.task(0));
+            world.crash_delay = Duration::from_millis(crash_delay_ms.into());
+            world.submit(id(*jobs), job(queue, steps));
+            *jobs += 1;
+        }
     }
 }
 
@@ -264,6 +328,8 @@
         apply(&mut world, &mut jobs, *command);
     }
     repair(&mut world);
+    let run_round = |world: &mut World| world.fault_free_round(SETTLE_ROUND_TIME);
+    await_end_of_deadly_jobs(&mut world, run_round);
     for _ in 0..SETTLE_ROUNDS {
         world.fault_free_round(SETTLE_ROUND_TIME);
     }
@@ -303,6 +369,48 @@
     });
 }
 
+/// Guards against a suspect that waits forever for workers of which it has tickets, although others have room. The
+/// fuzz test has found the sequence.
+#[test]
+fn a_suspect_learns_which_other_workers_are_allowed() {
+    use Command::{BeginWrite, Cancel, Crash, Disconnect, PassTime, Round, Submit, SubmitDeadly};
+    let submit = |kinds: &[u8]| -> Vec<Command> {
+        let kinds = kinds.iter();
+        kinds.map(|kind| Submit { kind: *kind }).collect()
+    };
+    let mut commands = submit(&[201, 185, 58, 206, 151, 181]);
+    commands.extend([Round { ms: 26 }, PassTime { ms: 1091 }]);
+    commands.push(Disconnect { worker: 1 });
+    commands.extend(submit(&[104, 0]));
+    commands.extend([PassTime { ms: 2643 }, Cancel { nth: 24 }]);
+    commands.extend(submit(&[247, 20, 164]));
+    commands.extend([BeginWrite, Round { ms: 17 }]);
+    commands.extend(submit(&[110, 230, 60]));
+    commands.push(SubmitDeadly {
+        kind: 59,
+        crash_delay_ms: 905,
+    });
+    commands.extend(submit(&[40]));
+    commands.push(PassTime { ms: 2027 });
+    commands.extend(submit(&[241]));
+    commands.extend([Crash { worker: 2 }, Round { ms: 227 }]);
+    commands.extend(submit(&[205]));
+    run_sequence_with_room(&Sequence {
+        commands,
+        seed: 18403067387364612125,
+    });
+}
+
+/// Guards against jobs that fail because of other tasks that crash workers, and against workers that crash one
+/// after the other under the same task.
+#[test]
+fn deadly_tasks_fail_no_other_jobs() {
+    check_sequences(DEADLY_SEQUENCE_COUNT, |sequence| {
+        run_sequence_with_deadly_tasks(&sequence);
+        true
+    });
+}
+
 /// Guards against ready tasks that are never considered again, or late, although workers have room for them.
 #[test]
 fn ready_tasks_start_while_workers_have_room() {
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the cell against a simulated environment with an oracle, and of its scheduling policies.
 
 mod advice_queue;
+mod crashes;
 mod fixture;
 mod fuzz;
 mod patterns;
--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -1,21 +1,29 @@
 //! Simulated environment of a cell: workers, store and owner. It injects the faults of a platform, such as
-//! orders and answers that are lost or delayed, workers that crash, restart or become unreachable, and owners
-//! that are replaced.
+//! orders and answers that are lost or delayed, workers that crash, restart or become unreachable, tasks that crash their workers, and owners that are replaced.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hs_cell::{
-    AdviceReply, Cell, CellBatch, CellEffect, CellOptions, EndReport, JobId, JobOutcome, JobRecord,
-    JobSpec, JobState, LogWrites, QueueSpec, RecordLog, RecordStamp, RunEnd, RunReport,
-    SegmentState, StartOrder, StartRefusal, StoredRecords, TaskId, TaskRun, WorkerKey,
+    AdviceReply, Cell, CellBatch, CellEffect, CellOptions, CrashEvent, EndReport, JobId,
+    JobOutcome, JobRecord, JobSpec, JobState, LogWrites, QueueSpec, RecordLog, RecordStamp, RunEnd,
+    RunReport, SegmentState, StartOrder, StartRefusal, StoredRecords, TaskId, TaskRun, WorkerKey,
     WorkerReport,
 };
 use hs_wire::Resources;
 
 use crate::fixture::{WORKER_CPU, cpu, entry};
 
+/// Number of workers that have crashed under a task from which its further starts are counted.
+const COUNTED_CRASHES: u32 = 3;
+
+/// Number of starts of a task after [`COUNTED_CRASHES`] that the oracle does not allow.
+const TOO_MANY_STARTS: u32 = 3;
+
+/// Time after which a worker that crashed under a deadly task is back.
+const WORKER_RETURN_TIME: Duration = Duration::from_secs(3);
+
 /// Duration of the leases that the owner requests.
 pub const LEASE: Duration = Duration::from_millis(7500);
 
@@ -53,6 +61,21 @@
     run: TaskRun,
 }
 
+/// Worker that is going to crash under a deadly task.
+#[derive(Clone, Copy, Debug)]
+struct DueCrash {
+    at: Instant,
+    worker: usize,
+    run: TaskRun,
+}
+
+/// Worker that is going to start again after a crash.
+#[derive(Clone, Copy, Debug)]
+struct DueReturn {
+    at: Instant,
+    worker: usize,
+}
+
 /// Maximum number of entries of a transaction. It is small, so that segments are used.
 const MAX_TRANSACTION_ENTRIES: usize = 5;
 
@@ -107,6 +130,22 @@
     pub start_count: usize,
     /// Share of starts that are delayed, in percent.
     pub delayed_start_percent: u64,
+    /// Tasks that crash each worker that starts them.
+    pub deadly: BTreeSet<TaskId>,
+    /// Time from the start of a deadly task to the crash.
+    pub crash_delay: Duration,
+    /// Time from a crash under a deadly task to the return of the worker as a new incarnation.
+    pub return_time: Duration,
+    /// Number of workers that have crashed under a task.
+    pub crash_counts: HashMap<TaskId, u32>,
+    /// Number of starts of a deadly task after [`COUNTED_CRASHES`].
+    late_starts: HashMap<TaskId, u32>,
+    /// Number of runs that have ended as failed, by task.
+    failed_runs: HashMap<TaskId, u32>,
+    /// Events that the cell has reported.
+    pub crash_events: Vec<CrashEvent>,
+    due_crashes: Vec<DueCrash>,
+    due_returns: Vec<DueReturn>,
     seed: u64,
 }
 
@@ -138,6 +177,15 @@
             acknowledged_failures: HashMap::new(),
             start_count: 0,
             delayed_start_percent: 0,
+            deadly: BTreeSet::new(),
+            crash_delay: Duration::ZERO,
+            return_time: WORKER_RETURN_TIME,
+            crash_counts: HashMap::new(),
+            late_starts: HashMap::new(),
+            failed_runs: HashMap::new(),
+            crash_events: Vec::new(),
+            due_crashes: Vec::new(),
+            due_returns: Vec::new(),
             seed: seed | 1,
         };
         for number in 0..workers {
@@ -256,6 +304,9 @@
     /// Crashes the process of a worker, with all its runs and its memory of ended ones.
     pub fn crash(&mut self, number: usize) {
         let worker = &mut self.workers[number];
+        for run in worker.running.keys() {
+            *self.crash_counts.entry(run.task).or_default() += 1;
+        }
         worker.up = false;
         worker.running.clear();
         worker.ended.clear();
@@ -279,10 +330,42 @@
         self.register(number, self.now);
     }
 
-    /// Advances the clock: leases expire, and delayed starts reach their workers.
+    /// Crashes a worker under a deadly task. The worker is back after [`World::return_time`].
+    fn crash_under_task(&mut self, number: usize) {
+        self.crash(number);
+        let at = self.now + self.return_time;
+        self.due_returns.push(DueReturn { at, worker: number });
+    }
+
+    fn apply_due_crashes(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = self.due_crashes.drain(..).partition(|c| c.at <= now);
+        self.due_crashes = later;
+        for crash in due {
+            if self.workers[crash.worker].running.contains_key(&crash.run) {
+                self.crash_under_task(crash.worker);
+            }
+        }
+    }
+
+    fn apply_due_returns(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = self.due_returns.drain(..).partition(|r| r.at <= now);
+        self.due_returns = later;
+        for due in due {
+            if !self.workers[due.worker].up {
+                self.restart(due.worker);
+            }
+        }
+    }
+
+    /// Advances the clock: leases expire, deadly tasks crash their workers, crashed workers return, and delayed
+    /// starts reach their workers.
     pub fn pass_time(&mut self, time: Duration) {
         self.now += time;
         let now = self.now;
+        self.apply_due_crashes();
+        self.apply_due_returns();
         for worker in &mut self.workers {
             if worker.lease_end.is_some_and(|end| now >= end) {
                 let runs: Vec<TaskRun> = worker.running.keys().copied().collect();
@@ -340,9 +423,39 @@
         worker.running.insert(run, need);
         self.start_count += 1;
         self.check_start(run);
+        if !self.deadly.contains(&run.task) {
+            return Ok(());
+        }
+        self.check_deadly_start(run);
+        match self.crash_delay {
+            Duration::ZERO => self.crash_under_task(number),
+            delay => self.due_crashes.push(DueCrash {
+                at: self.now + delay,
+                worker: number,
+                run,
+            }),
+        }
         Ok(())
     }
 
+    /// Panics if a task under which several workers have crashed is started too often.
+    fn check_deadly_start(&mut self, run: TaskRun) {
+        if self.crash_count(run.task) < COUNTED_CRASHES {
+            return;
+        }
+        let starts = self.late_starts.entry(run.task).or_default();
+        *starts += 1;
+        assert!(
+            *starts < TOO_MANY_STARTS,
+            "{run:?} is start {starts} after {COUNTED_CRASHES} workers have crashed"
+        );
+    }
+
+    /// Returns the number of workers that have crashed under a task.
+    pub fn crash_count(&self, task: TaskId) -> u32 {
+        self.crash_counts.get(&task).copied().unwrap_or(0)
+    }
+
     fn need(&self, task: TaskId) -> Resources {
         let (spec, _) = &self.store.jobs[&task.job()];
         spec.steps[usize::from(task.step.step)].allocated_resources()
@@ -403,6 +516,9 @@
         self.workers[number].end(run, end);
         let (spec, _) = &self.store.jobs[&run.task.job()];
         let step = &spec.steps[usize::from(run.task.step.step)];
+        if end == RunEnd::Failed {
+            *self.failed_runs.entry(run.task).or_default() += 1;
+        }
         if end == RunEnd::Done && !step.long_running {
             self.succeeded.insert(run.task);
         }
@@ -574,6 +690,7 @@
                     let cursor = self.acks.entry(key).or_default();
                     *cursor = number.max(*cursor);
                 }
+                CellEffect::Report(event) => self.crash_events.push(event),
                 CellEffect::Forget(_) => {}
             }
         }
@@ -608,6 +725,8 @@
             return;
         }
         match self.accept_start(number, self.fence, run, lease_end) {
+            // The worker has crashed before it could answer.
+            Ok(()) if !self.workers[number].up => self.cell.start_unanswered(key, run, self.now),
             Ok(()) => self.cell.start_confirmed(key, run, self.now),
             Err(why) => self.cell.start_refused(key, run, why, self.now),
         }
@@ -658,7 +777,7 @@
             let keys = request.workers.iter();
             let named: Vec<Arc<str>> = keys.filter_map(|key| self.cell.worker_id(*key)).collect();
             let allowed = named.iter().filter_map(|id| {
-                let number: usize = id.strip_prefix('w')?.parse().ok()?;
+                let number = worker_number(id)?;
                 Self::is_allowed(number).then(|| (id.clone(), "ticket".into()))
             });
             let reply = AdviceReply {
@@ -675,14 +794,47 @@
         &self.advice
     }
 
-    /// Runs rounds without faults, in each of which all current runs succeed.
+    /// Returns the jobs shown as failed of which no task has failed too often or crashes its workers.
+    pub fn jobs_failed_without_cause(&self) -> Vec<JobId> {
+        let jobs = self.store.jobs.iter();
+        let failed = jobs
+            .filter(|(id, _)| self.cell.state(**id) == Some(JobState::Ended(JobOutcome::Failed)));
+        let without_cause = failed.filter(|(id, (spec, _))| !self.may_fail(**id, spec));
+        without_cause.map(|(id, _)| *id).collect()
+    }
+
+    /// Returns whether a run, or another one of its gang, crashes its worker.
+    fn has_deadly_member(&self, run: TaskRun) -> bool {
+        let (spec, _) = &self.store.jobs[&run.task.job()];
+        let is_gang = spec.steps[usize::from(run.task.step.step)].gang;
+        let mut deadly = self.deadly.iter();
+        deadly.any(|task| *task == run.task || is_gang && task.step == run.task.step)
+    }
+
+    fn may_fail(&self, id: JobId, spec: &JobSpec) -> bool {
+        let queue = self.queues.iter().find(|queue| queue.name == spec.queue);
+        let max_attempts = queue.map_or(1, |queue| queue.max_attempts);
+        let is_deadly = self.deadly.iter().any(|task| task.job() == id);
+        // The members of a gang fail together.
+        let mut failures: HashMap<(u16, u16), u32> = HashMap::new();
+        for (task, count) in self.failed_runs.iter().filter(|(task, _)| task.job() == id) {
+            let is_gang = spec.steps[usize::from(task.step.step)].gang;
+            let index = if is_gang { 0 } else { task.index };
+            *failures.entry((task.step.step, index)).or_default() += count;
+        }
+        is_deadly || failures.values().any(|count| *count >= max_attempts)
+    }
+
+    /// Runs rounds without faults, in each of which all current runs succeed except those of deadly tasks.
     pub fn finish_runs(&mut self, rounds: usize) {
         self.delayed_start_percent = 0;
         for _ in 0..rounds {
             for number in 0..self.workers.len() {
                 let runs: Vec<TaskRun> = self.workers[number].running.keys().copied().collect();
                 for run in runs {
-                    self.end(number, run, RunEnd::Done);
+                    if !self.has_deadly_member(run) {
+                        self.end(number, run, RunEnd::Done);
+                    }
                 }
             }
             self.fault_free_round(Duration::from_millis(250));
@@ -735,6 +887,11 @@
     }
 }
 
+/// Returns the number of a worker, which is part of its ID.
+fn worker_number(id: &str) -> Option<usize> {
+    id.strip_prefix('w')?.parse().ok()
+}
+
 /// Serialises a value to JSON and parses it again.
 fn round_trip<T: serde::Serialize + serde::de::DeserializeOwned>(value: &T) -> T {
     let text = serde_json::to_string(value).expect("records serialise");
--- a/crates/hs-control/src/metrics.rs
+++ b/crates/hs-control/src/metrics.rs
@@ -24,6 +24,8 @@
     start_refusals: Counter<u64>,
     run_ends: Counter<u64>,
     takeovers: Counter<u64>,
+    crashed_runs: Counter<u64>,
+    tasks_given_up: Counter<u64>,
     commits: Histogram<f64>,
     start_waits: Histogram<f64>,
     unfinished_jobs: Gauge<u64>,
@@ -54,6 +56,14 @@
                 "hornbeamshunt_takeovers",
                 "Times that this process took the cell",
             ),
+            crashed_runs: counter(
+                "hornbeamshunt_crashed_runs",
+                "Runs that ended with a crash of their worker",
+            ),
+            tasks_given_up: counter(
+                "hornbeamshunt_tasks_given_up",
+                "Tasks given up after crashes of workers",
+            ),
             commits: histogram(
                 "hornbeamshunt_commit_seconds",
                 "Duration of the owner's writes",
@@ -116,6 +126,15 @@
         self.takeovers.add(1, &[]);
     }
 
+    /// Counts a run that ended with its worker, and whether nothing else ran there.
+    pub(crate) fn record_worker_crash(&self, alone: bool) {
+        self.crashed_runs.add(1, &[KeyValue::new("alone", alone)]);
+    }
+
+    pub(crate) fn record_task_given_up(&self) {
+        self.tasks_given_up.add(1, &[]);
+    }
+
     pub(crate) fn record_commit(&self, duration: Duration) {
         self.commits.record(duration.as_secs_f64(), &[]);
     }
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -6,8 +6,8 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{
-    Cell, CellBatch, CellEffect, CellOptions, JobId, JobSpec, JobState, LogWrites, RecordRow,
-    WorkerKey,
+    Cell, CellBatch, CellEffect, CellOptions, CrashEvent, JobId, JobSpec, JobState, LogWrites,
+    RecordRow, WorkerKey,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
@@ -546,6 +546,34 @@
             CellEffect::Forget(key) => {
                 self.links.remove(&key);
             }
+            CellEffect::Report(event) => self.report_crash_event(event),
+        }
+    }
+
+    fn report_crash_event(&self, event: CrashEvent) {
+        match event {
+            CrashEvent::WorkerCrashed { worker, run, alone } => {
+                self.metrics.record_worker_crash(alone);
+                EventCode::WorkerCrashed.log(format_args!(
+                    "task={} run={} worker={worker} alone={alone}",
+                    run.task, run.run
+                ));
+            }
+            CrashEvent::TaskSuspected { task, crashes } => {
+                EventCode::TaskSuspected.log(format_args!("task={task} crashes={crashes}"));
+            }
+            CrashEvent::TaskCleared { task } => {
+                EventCode::TaskCleared.log(format_args!("task={task}"));
+            }
+            CrashEvent::TaskGivenUp {
+                task,
+                crashes,
+                alone,
+            } => {
+                self.metrics.record_task_given_up();
+                EventCode::TaskGivenUp
+                    .log(format_args!("task={task} crashes={crashes} alone={alone}"));
+            }
         }
     }
 
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -147,6 +147,14 @@
     AdviceEnded = 8051, Info, "advice answered";
     /// A step needs tickets, and an advice request for it is queued.
     AdviceRequested = 8052, Info, "advice wanted";
+    /// A worker crashed while it had a run.
+    WorkerCrashed = 8071, Warn, "worker crashed under a run";
+    /// Several workers crashed under a task, which runs alone from now on.
+    TaskSuspected = 8072, Warn, "task suspected of crashing workers";
+    /// A suspected task ran for long enough without a crash.
+    TaskCleared = 8073, Info, "suspected task cleared";
+    /// Workers crashed again while they ran only this task, and its job failed.
+    TaskGivenUp = 8074, Warn, "task given up after crashes of workers";
     /// A worker lists a run whose name cannot be parsed.
     ForeignRun = 8101, Warn, "worker runs something unknown";
     /// A worker reports an end of an unknown kind.
