fix: keep starts within a capacity that has shrunk

A worker's registry entry may name less capacity while it runs. The smaller figure counted for new placements at once, but placements that were recorded and not sent yet were sent all the same; tasks that need none of what the worker lacks were still placed on it; a run of an unknown job counted only as much as the worker had after it had shrunk, so that too much was placed after it had grown again; and a reservation counted what runs release as free although the worker remains over its capacity.

Placements that are not sent are now undone, the last ones first and those of a gang together; a worker over its capacity gets nothing; nothing is placed beside a run of an unknown job; and reservations subtract what is released from what is used. Nothing is stopped because of a smaller capacity, and growth is used at once. Ruled out: undoing the placements when the record is written, since the worker counts as full until then.

No test shows the change of reservations.

--- a/crates/hs-cell/src/capacity.rs
+++ b/crates/hs-cell/src/capacity.rs
@@ -66,6 +66,10 @@
         if !self.accepts_runs(now) || self.is_reserved_for_another(demand) {
             return 0;
         }
+        // A worker that has shrunk gets nothing, not even tasks that need none of what it lacks.
+        if !self.used.fits(self.entry.capacity) {
+            return 0;
+        }
         let fits = demand.need.max_copies_in(self.free());
         match fits {
             0 => 0,
--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -8,7 +8,7 @@
 use crate::cell::Cell;
 use crate::effect::CellEffect;
 use crate::job::TaskState;
-use crate::worker::{SlotPhase, Worker, WorkerEntry};
+use crate::worker::{Slot, SlotPhase, Worker, WorkerEntry};
 use crate::{StepId, TaskRun, WorkerKey};
 
 impl Cell {
@@ -32,6 +32,7 @@
                         worker.entry = entry;
                         worker.listed = true;
                     });
+                    self.undo_excess_placements(key);
                     self.request_pass();
                 }
                 return key;
@@ -53,6 +54,28 @@
         key
     }
 
+    /// Undoes placements that are not sent yet, the last ones first, until a worker that has shrunk is not over its
+    /// capacity. What it runs goes on.
+    fn undo_excess_placements(&mut self, key: WorkerKey) {
+        let mut undone: SmallVec<[StepId; 4]> = SmallVec::new();
+        loop {
+            let worker = &self.workers[key];
+            if worker.used.fits(worker.entry.capacity) {
+                break;
+            }
+            let is_recording = |slot: &Slot| slot.phase == SlotPhase::Recording;
+            let recording = worker.slots.iter().filter(|(_, slot)| is_recording(slot));
+            let Some(run) = recording.map(|(run, _)| *run).max() else {
+                break;
+            };
+            self.undo_placement(key, run);
+            undone.push(run.task.step);
+        }
+        for step in undone {
+            self.stop_incomplete_gang(step);
+        }
+    }
+
     fn inherit_runs(&mut self, earlier: WorkerKey, key: WorkerKey, now: Instant) {
         let slots = self.change_worker(earlier, Worker::take_slots);
         let slots = slots.unwrap_or_default();
--- a/crates/hs-cell/src/reserve.rs
+++ b/crates/hs-cell/src/reserve.rs
@@ -217,8 +217,9 @@
         let worker = &self.workers[key];
         let need = demand.need;
         let limit = worker.task_limit(demand, now);
-        let mut free = worker.free();
-        let mut fits = need.max_copies_in(free).min(limit);
+        let capacity = worker.entry.capacity;
+        let mut used = worker.used;
+        let mut fits = need.max_copies_in(worker.free()).min(limit);
         for _ in 0..fits {
             options.push(PlacementOption {
                 available_at: now,
@@ -237,11 +238,11 @@
         releases.sort_by_key(|release| (release.at, std::cmp::Reverse(release.need.cpu_milli)));
         let mut victims: SmallVec<[TaskRun; 4]> = SmallVec::new();
         for release in releases {
-            free = free.saturating_add(release.need);
+            used = used.saturating_sub(release.need);
             if release.preempted {
                 victims.push(release.run);
             }
-            let new_fits = need.max_copies_in(free).min(limit);
+            let new_fits = need.max_copies_in(capacity.saturating_sub(used)).min(limit);
             for _ in fits..new_fits {
                 let victims = std::mem::take(&mut victims);
                 let available_at = release.at;
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -153,7 +153,8 @@
             percent: report.percent,
             last_progress_at: now,
             started_at: now,
-            is_isolated: false,
+            // What a run of an unknown job occupies is not known, so nothing is placed beside it.
+            is_isolated: need.is_none(),
             is_suspect: false,
         };
         self.allocate(key, run, slot);
--- a/crates/hs-cell/tests/cell/fuzz.rs
+++ b/crates/hs-cell/tests/cell/fuzz.rs
@@ -11,7 +11,7 @@
 use hs_cell::{JobId, JobState, QueueSpec, RunEnd, StepId, StepSpec, TaskRun};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
-use crate::fixture::{advised_queue, id, job, queue, step};
+use crate::fixture::{WORKER_CPU, advised_queue, id, job, queue, step};
 use crate::readiness::overlooked_steps;
 use crate::world::World;
 
@@ -30,6 +30,9 @@
 /// Number of rounds, of 250 ms, within which the jobs with deadly tasks end.
 const GIVE_UP_ROUNDS: usize = 600;
 
+/// Unit of the capacities that workers shrink to, in thousandths of a CPU core.
+const CAPACITY_UNIT: u32 = 500;
+
 /// Number of workers of sequences with spare room. Faults only affect the first [`WORKER_COUNT`] of them.
 const ROOMY_WORKER_COUNT: usize = 24;
 
@@ -78,13 +81,14 @@
     Round { ms: u8 },
     DelayStarts { percent: u8 },
     SubmitDeadly { kind: u8, crash_delay_ms: u16 },
+    SetCapacity { worker: u8, units: u8 },
 }
 
 impl Arbitrary for Command {
     fn arbitrary(g: &mut Gen) -> Self {
         let worker = u8::arbitrary(g) % WORKER_COUNT as u8;
         let nth = u8::arbitrary(g);
-        match u8::arbitrary(g) % 48 {
+        match u8::arbitrary(g) % 51 {
             0..=4 => Self::Submit { kind: nth },
             5 => Self::Cancel { nth },
             6..=13 => Self::RenewLease { worker },
@@ -112,10 +116,14 @@
             40 => Self::FailRuns { worker },
             41..=45 => Self::Round { ms: nth },
             46 => Self::DelayStarts { percent: nth % 60 },
-            _ => Self::SubmitDeadly {
+            47 => Self::SubmitDeadly {
                 kind: nth,
                 crash_delay_ms: u16::arbitrary(g) % 2000,
             },
+            _ => Self::SetCapacity {
+                worker,
+                units: nth % 20,
+            },
         }
     }
 }
@@ -185,6 +193,7 @@
 fn repair(world: &mut World) {
     for number in 0..world.workers.len() {
         world.workers[number].reachable = true;
+        world.set_capacity(number, WORKER_CPU);
         if !world.workers[number].up {
             world.restart(number);
         }
@@ -310,6 +319,10 @@
             world.submit(id(*jobs), job(queue, steps));
             *jobs += 1;
         }
+        Command::SetCapacity { worker, units } => {
+            let capacity = u32::from(units) * CAPACITY_UNIT;
+            world.set_capacity(usize::from(worker), capacity);
+        }
     }
 }
 
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -9,4 +9,5 @@
 mod record_log;
 mod records;
 mod regressions;
+mod shrinking;
 mod world;
--- a/crates/hs-cell/tests/cell/readiness.rs
+++ b/crates/hs-cell/tests/cell/readiness.rs
@@ -2,7 +2,6 @@
 
 use hs_cell::{JobId, JobState, StepId, StepSpec};
 
-use crate::fixture::{WORKER_CPU, cpu};
 use crate::world::World;
 
 /// Room that a waiting step must leave unused to count as overlooked, as a multiple of what it needs.
@@ -60,7 +59,7 @@
         return 0;
     }
     let used: u32 = worker.running.values().map(|need| need.cpu_milli).sum();
-    cpu(WORKER_CPU).cpu_milli - used
+    worker.capacity.saturating_sub(used)
 }
 
 /// Returns the steps with waiting tasks. An end that was lost with its worker may hide a task or a step, so the
--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -1,5 +1,6 @@
 //! Simulated environment of a cell: workers, store and owner. It injects the faults of a platform, such as
-//! orders and answers that are lost or delayed, workers that crash, restart or become unreachable, tasks that crash their workers, and owners that are replaced.
+//! orders and answers that are lost or delayed, workers that crash, restart, become unreachable or change their
+//! capacity, tasks that crash their workers, and owners that are replaced.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -7,9 +8,9 @@
 
 use hs_cell::{
     AdviceReply, Cell, CellBatch, CellEffect, CellOptions, CrashEvent, EndReport, JobId,
-    JobOutcome, JobRecord, JobSpec, JobState, LogWrites, QueueSpec, RecordLog, RecordStamp, RunEnd,
-    RunReport, SegmentState, StartOrder, StartRefusal, StoredRecords, TaskId, TaskRun, WorkerKey,
-    WorkerReport,
+    JobOutcome, JobRecord, JobSpec, JobState, LogWrites, QueueSpec, RecordLog, RecordRow,
+    RecordStamp, RunEnd, RunReport, SegmentState, StartOrder, StartRefusal, StoredRecords, TaskId,
+    TaskPlace, TaskRun, WorkerEntry, WorkerKey, WorkerReport,
 };
 use hs_wire::Resources;
 
@@ -38,6 +39,8 @@
     pub fence: u64,
     pub lease_end: Option<Instant>,
     pub running: BTreeMap<TaskRun, Resources>,
+    /// Capacity that the worker reports about itself, in thousandths of a CPU core and in MiB of memory.
+    pub capacity: u32,
     /// Ends that are not acknowledged.
     pub ended: Vec<EndReport>,
     /// Number of the last end.
@@ -59,6 +62,8 @@
     started_ms: u64,
     lease_end: Instant,
     run: TaskRun,
+    /// Capacity of the worker when the order was sent. It may shrink before the order arrives.
+    capacity: u32,
 }
 
 /// Worker that is going to crash under a deadly task.
@@ -191,6 +196,7 @@
         for number in 0..workers {
             world.workers.push(FakeWorker {
                 started_ms: 1 + number as u64,
+                capacity: WORKER_CPU,
                 up: true,
                 reachable: true,
                 ..FakeWorker::default()
@@ -297,10 +303,22 @@
     }
 
     fn register(&mut self, number: usize, lease_end: Instant) {
-        let entry = entry(number, self.workers[number].started_ms);
+        let worker = &self.workers[number];
+        let entry = WorkerEntry {
+            capacity: cpu(worker.capacity),
+            ..entry(number, worker.started_ms)
+        };
         self.keys[number] = Some(self.cell.worker_listed(entry, lease_end, self.now));
     }
 
+    /// Changes the capacity of a worker, which keeps what it runs, and updates its registry entry.
+    pub fn set_capacity(&mut self, number: usize, capacity: u32) {
+        self.workers[number].capacity = capacity;
+        if self.workers[number].up {
+            self.register(number, self.now);
+        }
+    }
+
     /// Crashes the process of a worker, with all its runs and its memory of ended ones.
     pub fn crash(&mut self, number: usize) {
         let worker = &mut self.workers[number];
@@ -381,18 +399,21 @@
             let number = start.worker;
             let same_incarnation = self.workers[number].started_ms == start.started_ms;
             if same_incarnation && self.workers[number].up && now < start.lease_end {
-                let _ = self.accept_start(number, start.fence, start.run, start.lease_end);
+                let limit = start.capacity.max(self.workers[number].capacity);
+                let _ = self.accept_start(number, start.fence, start.run, start.lease_end, limit);
             }
         }
     }
 
-    /// Lets a worker process a start, and checks the invariants of the oracle if it starts the run.
+    /// Lets a worker process a start, and checks the invariants of the oracle if it starts the run. `limit` is the
+    /// capacity over which the start must not bring the worker.
     fn accept_start(
         &mut self,
         number: usize,
         fence: u64,
         run: TaskRun,
         lease_end: Instant,
+        limit: u32,
     ) -> Result<(), StartRefusal> {
         let worker = &mut self.workers[number];
         if fence < worker.fence {
@@ -417,7 +438,7 @@
             .values()
             .fold(need, |sum, n| sum.saturating_add(*n));
         assert!(
-            used.fits(cpu(WORKER_CPU)),
+            used.fits(cpu(limit)),
             "worker w{number} is over its capacity by {run:?}"
         );
         worker.running.insert(run, need);
@@ -661,6 +682,31 @@
         self.pending = Some((batch, writes));
     }
 
+    /// Returns the worker on which the write in progress places the most tasks.
+    pub fn worker_of_pending_write(&self) -> Option<usize> {
+        let (batch, _) = self.pending.as_ref()?;
+        let mut counts = vec![0u32; self.workers.len()];
+        for row in &batch.rows {
+            let RecordRow::Progress(_, record) = row else {
+                continue;
+            };
+            for task in record.steps.iter().flat_map(|step| &step.tasks) {
+                if let TaskPlace::Worker(index) = task.place {
+                    let id = &record.workers[usize::from(index)].id;
+                    counts[worker_number(id)?] += 1;
+                }
+            }
+        }
+        let numbers = 0..counts.len();
+        numbers.max_by_key(|number| counts[*number])
+    }
+
+    /// Removes a job from the store, as the end of its retention does.
+    pub fn forget_job(&mut self, id: JobId) {
+        self.store.jobs.remove(&id);
+        self.store.records.records.remove(&id);
+    }
+
     /// Applies the write to the store and confirms it to the cell.
     pub fn finish_write(&mut self) {
         let Some((batch, writes)) = self.pending.take() else {
@@ -674,10 +720,15 @@
 
     /// Advances the cell, executes its effects and retries unanswered stops.
     pub fn advance_cell(&mut self) {
+        self.advance_without_stops();
+        self.retry_stops();
+    }
+
+    /// Advances the cell and executes its effects, except that stops do not reach the workers yet.
+    pub fn advance_without_stops(&mut self) {
         let now_ms = self.unix_ms();
         self.cell.advance(self.now, now_ms);
         self.execute_effects();
-        self.retry_stops();
     }
 
     fn execute_effects(&mut self) {
@@ -720,11 +771,13 @@
                 started_ms: self.workers[number].started_ms,
                 lease_end,
                 run,
+                capacity: self.workers[number].capacity,
             });
             self.cell.start_unanswered(key, run, self.now);
             return;
         }
-        match self.accept_start(number, self.fence, run, lease_end) {
+        let limit = self.workers[number].capacity;
+        match self.accept_start(number, self.fence, run, lease_end, limit) {
             // The worker has crashed before it could answer.
             Ok(()) if !self.workers[number].up => self.cell.start_unanswered(key, run, self.now),
             Ok(()) => self.cell.start_confirmed(key, run, self.now),
