--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -15,7 +15,7 @@
 use crate::queue_spec::QueueSpec;
 use crate::reserve::Reservation;
 use crate::worker::Worker;
-use crate::{JobId, StepId, WorkerKey};
+use crate::{JobId, StepId, TaskId, WorkerKey};
 
 /// Settings of a cell.
 #[derive(Clone, Copy, Debug)]
@@ -104,6 +104,10 @@
     pub(crate) reservations: Vec<Reservation>,
     /// CPU that the earlier single-task steps of the current pass are expected to use, by worker.
     pub(crate) expected_use: SecondaryMap<WorkerKey, u32>,
+    /// Workers that are vacated for suspects, and some that were.
+    pub(crate) vacated_workers: Vec<WorkerKey>,
+    /// Tasks that wait to learn whether a worker has crashed under them, by worker ID.
+    pub(crate) lost_tasks: HashMap<Arc<str>, Vec<TaskId>>,
     pub(crate) last_stall_check: Option<Instant>,
     pub(crate) last_lease_check: Option<Instant>,
 }
@@ -128,6 +132,8 @@
             pass_interval: Duration::ZERO,
             reservations: Vec::new(),
             expected_use: SecondaryMap::new(),
+            vacated_workers: Vec::new(),
+            lost_tasks: HashMap::new(),
             last_stall_check: None,
             last_lease_check: None,
         }
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -16,11 +16,14 @@
 mod capacity;
 mod cell;
 mod census;
+mod crash_history;
+mod crashes;
 mod effect;
 mod expected_use;
 mod free_index;
 mod ids;
 mod incarnations;
+mod isolation;
 mod job;
 mod job_record;
 mod job_spec;
@@ -39,9 +42,14 @@
 pub use advice_queue::{AdviceCaller, AdvicePart, AdviceQueue};
 pub use cell::{Cell, CellOptions, JobState};
 pub use census::{AdviceWait, StepWait, WorkerCensus};
-pub use effect::{AdviceRequest, CellBatch, CellEffect, RecordRow, StartOrder, TaskRun};
+pub use effect::{
+    AdviceRequest, CellBatch, CellEffect, CrashEvent, RecordRow, StartOrder, TaskRun,
+};
 pub use ids::{IdError, JobId, StepId, TaskId};
-pub use job_record::{JobOutcome, JobRecord, StepRecord, TaskPlace, TaskRecord, WorkerIncarnation};
+pub use job_record::{
+    CrashRecord, JobOutcome, JobRecord, LossRecord, StepRecord, TaskPlace, TaskRecord,
+    WorkerIncarnation,
+};
 pub use job_spec::{JobSchedule, JobSpec, MAX_STEPS, MAX_TASKS, SpecError, StepSpec};
 pub use queue_spec::{AdviceSpec, QueueSpec};
 pub use record_log::{LogWrites, RecordLog, StoredRecords};
--- a/crates/hs-cell/tests/cell/advised_load.rs
+++ b/crates/hs-cell/tests/cell/advised_load.rs
@@ -236,7 +236,7 @@
                 self.send_advice();
             }
             CellEffect::Stop(key, run) => self.end(key, run, RunEnd::Stopped),
-            CellEffect::Acknowledge(..) | CellEffect::Forget(..) => {}
+            CellEffect::Acknowledge(..) | CellEffect::Forget(..) | CellEffect::Report(_) => {}
         }
     }
 
