--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -8,7 +8,7 @@
 use crate::cell::Cell;
 use crate::effect::CellEffect;
 use crate::job::TaskState;
-use crate::worker::{SlotPhase, Worker, WorkerEntry};
+use crate::worker::{Slot, SlotPhase, Worker, WorkerEntry};
 use crate::{StepId, TaskRun, WorkerKey};
 
 impl Cell {
@@ -32,6 +32,7 @@
                         worker.entry = entry;
                         worker.listed = true;
                     });
+                    self.undo_excess_placements(key);
                     self.request_pass();
                 }
                 return key;
@@ -39,16 +40,42 @@
             earlier = Some(key);
         }
         let id = entry.id.clone();
+        let started_ms = entry.started_ms;
         let key = self.insert_worker(Worker::new(entry, lease_end));
-        self.workers_by_id.insert(id, key);
+        self.workers_by_id.insert(id.clone(), key);
         if let Some(earlier) = earlier {
+            let gone = self.workers[earlier].runs_gone_in_crash(now);
             self.inherit_runs(earlier, key, now);
             self.remove_worker(earlier);
+            self.count_crashes(&id, &gone);
         }
+        self.settle_losses(&id, started_ms, false);
         self.request_pass();
         key
     }
 
+    /// Undoes placements that are not sent yet, the last ones first, until a worker that has shrunk is not over its
+    /// capacity. What it runs goes on.
+    fn undo_excess_placements(&mut self, key: WorkerKey) {
+        let mut undone: SmallVec<[StepId; 4]> = SmallVec::new();
+        loop {
+            let worker = &self.workers[key];
+            if worker.used.fits(worker.entry.capacity) {
+                break;
+            }
+            let is_recording = |slot: &Slot| slot.phase == SlotPhase::Recording;
+            let recording = worker.slots.iter().filter(|(_, slot)| is_recording(slot));
+            let Some(run) = recording.map(|(run, _)| *run).max() else {
+                break;
+            };
+            self.undo_placement(key, run);
+            undone.push(run.task.step);
+        }
+        for step in undone {
+            self.stop_incomplete_gang(step);
+        }
+    }
+
     fn inherit_runs(&mut self, earlier: WorkerKey, key: WorkerKey, now: Instant) {
         let slots = self.change_worker(earlier, Worker::take_slots);
         let slots = slots.unwrap_or_default();
@@ -65,6 +92,8 @@
             }
             slot.phase = SlotPhase::Running;
             slot.visible_since = Some(now);
+            // A run that ended with the earlier incarnation does not show that the new one is unhealthy.
+            slot.last_progress_at = now;
             self.allocate(key, run, slot);
             let step = self.jobs.get_mut(&run.task.job());
             let step = step.and_then(|job| job.step_mut(run.task.step));
@@ -106,6 +135,7 @@
     pub fn lease_renewed(&mut self, key: WorkerKey, lease_end: Instant) {
         if let Some(worker) = self.workers.get_mut(key) {
             worker.lease_end = worker.lease_end.max(lease_end);
+            worker.has_lease = true;
         }
     }
 
@@ -115,6 +145,7 @@
         let workers = self.workers.iter().filter(|(_, worker)| is_expired(worker));
         let expired: Vec<WorkerKey> = workers.map(|(key, _)| key).collect();
         for key in expired {
+            self.record_losses(key, now);
             let runs: Vec<TaskRun> = self.workers[key].slots.keys().copied().collect();
             for run in runs {
                 self.release_run(key, run);
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod advice_queue;
 mod advised_load;
 mod backlog;
+mod crashes;
 mod fixture;
 mod fuzz;
 mod patterns;
@@ -10,4 +11,5 @@
 mod record_log;
 mod records;
 mod regressions;
+mod shrinking;
 mod world;
