fix: judge stalled runs by the last report of their worker

What callers would see: work of a worker that was only slow to report for two seconds is stopped and started again elsewhere. Cause: a run counted as stalled by the owner's clock, so a late report, or an owner that was paused, looked like a run without progress. Class of fault: silence of one part is taken for the failure of another. Ruled out: a longer limit, since hanging workers have to be found. Change: the time for which the last report holds decides; a worker that does not report at all is handled by its lease.

--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -156,8 +156,9 @@
 const STALL_FACTOR: u32 = 5;
 
 impl Slot {
-    /// Returns whether the run is stalled, compared with its own progress so far.
-    pub(crate) fn is_stalled(&self, now: Instant) -> bool {
+    /// Returns whether a report at `reported_at` shows that the run is stalled, compared with its own progress so
+    /// far.
+    pub(crate) fn is_stalled(&self, reported_at: Instant) -> bool {
         if self.phase != SlotPhase::Running || self.percent >= 100 {
             return false;
         }
@@ -168,7 +169,7 @@
             0 => ZERO_PROGRESS_STALL_TIME,
             percent => (elapsed / u32::from(percent) * STALL_FACTOR).max(MIN_STALL_TIME),
         };
-        now.saturating_duration_since(self.last_progress_at) > limit
+        reported_at.saturating_duration_since(self.last_progress_at) > limit
     }
 }
 
@@ -181,6 +182,8 @@
     pub listed: bool,
     /// Whether the worker has reported to this owner, and has been reachable since.
     pub reported: bool,
+    /// Time for which the last report holds.
+    pub reported_at: Option<Instant>,
     /// Time on the owner's clock at which all runs on the worker have ended unless the lease is renewed.
     pub lease_end: Instant,
     /// Whether this owner has renewed the lease. Starts carry the end of that lease.
@@ -214,6 +217,7 @@
             rack,
             listed: true,
             reported: false,
+            reported_at: None,
             lease_end,
             has_lease: false,
             used: Resources::ZERO,
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -1,7 +1,7 @@
 //! Events from workers: replies to starts and stops, and reports on running and ended runs.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::cell::Cell;
 use crate::effect::CellEffect;
@@ -10,6 +10,9 @@
 use crate::worker::{EndReport, RunEnd, RunReport, Slot, SlotPhase, StartRefusal, WorkerReport};
 use crate::{StepId, TaskRun, WorkerKey};
 
+/// Longest time from the request of a report to the state that it shows. A worker may delay its reply by this.
+const MAX_REPORT_DELAY: Duration = Duration::from_secs(1);
+
 impl Cell {
     /// Processes the confirmation that a worker has started a run.
     pub fn start_confirmed(&mut self, key: WorkerKey, run: TaskRun, now: Instant) {
@@ -95,6 +98,8 @@
         };
         let is_first_report = !worker.reported;
         worker.reported = true;
+        // An owner that was paused may process a report long after the worker has sent it.
+        worker.reported_at = Some(now.min(requested_at + MAX_REPORT_DELAY));
         if is_first_report {
             // From this report on no earlier owner can renew the lease.
             worker.lease_end = worker.lease_end.min(now + self.options.max_lease());
@@ -394,15 +399,16 @@
         }
     }
 
-    /// Stops runs that make no progress although their workers report them as running, and quarantines the
+    /// Stops runs that make no progress according to the last report of their worker, although their workers report them as running, and quarantines the
     /// workers.
     pub(crate) fn stop_stalled_runs(&mut self, now: Instant) {
         let mut stalled = Vec::new();
         for (key, worker) in &self.workers {
-            if !worker.reported {
+            let Some(reported_at) = worker.reported_at.filter(|_| worker.reported) else {
                 continue;
-            }
-            let runs = worker.slots.iter().filter(|(_, slot)| slot.is_stalled(now));
+            };
+            let slots = worker.slots.iter();
+            let runs = slots.filter(|(_, slot)| slot.is_stalled(reported_at));
             stalled.extend(runs.map(|(run, _)| (key, *run)));
         }
         for (key, run) in stalled {
--- a/crates/hs-cell/tests/cell/regressions.rs
+++ b/crates/hs-cell/tests/cell/regressions.rs
@@ -481,3 +481,22 @@
         assert_eq!(world.workers[0].running.len(), 8, "{name}");
     }
 }
+
+/// Guards against a run that is stopped because the next report of its worker is late, although the run makes
+/// progress.
+#[test]
+fn a_run_is_not_stalled_while_its_worker_is_slow_to_report() {
+    let mut world = World::with_reports(1, vec![queue("check", 0, 3)]);
+    world.submit(id(1), job("check", vec![step(1, 1000, 60_000)]));
+    for _ in 0..20 {
+        world.fault_free_round(ROUND_TIME);
+    }
+    // The worker answers the next renewal after 3 s.
+    for _ in 0..60 {
+        world.pass_time(ROUND_TIME);
+        world.advance_cell();
+    }
+    world.fault_free_round(ROUND_TIME);
+    let run_numbers: Vec<u32> = world.placed(id(1)).iter().map(|(_, run)| run.run).collect();
+    assert_eq!(run_numbers, [1]);
+}
