--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -1,5 +1,9 @@
 //! The task that runs the cell in the process that owns it.
 
+mod commit;
+mod feed;
+mod report;
+
 use hs_event::EventCode;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -7,29 +11,27 @@
 
 use hs_cell::{
     Cell, CellBatch, CellEffect, CellOptions, CrashEvent, JobId, JobSpec, JobState, LogWrites,
-    RecordRow, WorkerKey,
+    WorkerKey,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::advice_dispatcher::{AdviceDispatcher, AdvicePartEnd};
-use crate::claim::{self, ClaimError, HeldClaim};
-use crate::commits::{CommitPlanner, OwnerWrites};
+use crate::claim::{ClaimError, HeldClaim};
+use crate::commits::CommitPlanner;
 use crate::config::ClusterConfig;
 use crate::end_waiters::EndWaiters;
 use crate::feeds::{self, FeedEvent, StoredState};
-use crate::keys::{self, IntakeKey};
 use crate::lag::LagMeter;
 use crate::link::{LeaseTerms, LinkEvent, LinkHandle, LinkOrder, MAX_LEASE_PAST_CONFIRMATION};
 use crate::load::LoadMeter;
 use crate::members::MemberTable;
 use crate::metrics::ControlMetrics;
 use crate::peers::PeerPool;
-use crate::port::{Platform, RegisteredWorker, StoreItem, WorkerChange, WorkerEndpoint};
-use crate::recover::JobValue;
+use crate::port::{Platform, RegisteredWorker, WorkerEndpoint};
 use crate::shared::{HeartbeatReply, OwnerRequest};
-use crate::takeover::{self, CLAIM_CONFIRM_INTERVAL, ClaimTracker};
+use crate::takeover::{self, ClaimTracker};
 
 /// Interval at which the cell is advanced to the current time even if nothing happens.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
@@ -301,53 +303,6 @@
         }
     }
 
-    fn handle_feed_event(&mut self, event: FeedEvent) {
-        match event {
-            FeedEvent::Workers(changes) => {
-                for change in changes {
-                    match change {
-                        WorkerChange::Registered(worker) => self.add_worker(worker),
-                        WorkerChange::Removed(id) => {
-                            EventCode::WorkerUnlisted.log(format_args!("worker={id}"));
-                            self.cell.worker_unlisted(&id);
-                        }
-                    }
-                }
-            }
-            FeedEvent::AllWorkers(workers) => {
-                for (id, _) in self.cell.listed_workers() {
-                    if !workers.iter().any(|worker| worker.entry.id == id) {
-                        self.cell.worker_unlisted(&id);
-                    }
-                }
-                for worker in workers {
-                    self.add_worker(worker);
-                }
-            }
-            FeedEvent::Intake(items) => {
-                for item in items {
-                    self.add_intake_item(&item);
-                }
-            }
-        }
-    }
-
-    fn add_intake_item(&mut self, item: &StoreItem) {
-        let Some(value) = item.value.as_deref() else {
-            return;
-        };
-        match keys::parse_intake_key(&item.key) {
-            Some(IntakeKey::Job(id)) if !self.cell.has_job(id) => match JobValue::parse(value) {
-                Some(JobValue::Accepted(spec)) => self.add_job(id, Arc::new(spec), "store"),
-                Some(JobValue::Ended(_)) => {}
-                None => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
-            },
-            Some(IntakeKey::Cancel(id)) => self.cancel(id),
-            Some(IntakeKey::Job(_)) => {}
-            None => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
-        }
-    }
-
     fn add_job(&mut self, id: JobId, spec: Arc<JobSpec>, source: &str) {
         let now = self.platform.now();
         let now_ms = self.platform.unix_ms();
@@ -486,56 +441,6 @@
         }
     }
 
-    /// Publishes the size of the cell and the load of this task, and describes the steps that wait longest.
-    fn report_load(&mut self, now: Instant) {
-        let cell = &self.cell;
-        let (unfinished_jobs, allocated_runs) = (cell.unfinished_jobs(), cell.allocated_runs());
-        let waiting_steps = cell.waiting_steps();
-        self.metrics
-            .record_cell_size(unfinished_jobs, allocated_runs, waiting_steps);
-        EventCode::OwnerLoad.log(format_args!(
-            "jobs={unfinished_jobs} runs={allocated_runs} waiting_steps={waiting_steps} \
-             mean_lag_ms={} members={} {}",
-            self.lag.mean_lag().as_millis(),
-            self.members.len(),
-            self.load.take(),
-        ));
-        let census = self.cell.worker_census(now);
-        EventCode::WorkerCensus.log(format_args!(
-            "accepting={} probation={} quarantined={} unreported={} lease_expired={} leaving={} \
-             free_cpu_milli={}",
-            census.accepting,
-            census.on_probation,
-            census.quarantined,
-            census.unreported,
-            census.lease_expired,
-            census.leaving,
-            census.free_cpu_milli,
-        ));
-        for wait in self.cell.longest_waits(MAX_LOGGED_WAITS, now) {
-            EventCode::StepWaiting.log(format_args!(
-                "step={} queue={} age_ms={} timeliness={} position={} waiting={} placed={} \
-                 cpu_milli={} advice={:?} denied={} allowed={} valid={} allowed_fits={} \
-                 valid_fits={} reserved={}",
-                wait.step,
-                wait.queue,
-                wait.age.as_millis(),
-                wait.timeliness,
-                wait.position,
-                wait.waiting,
-                wait.placed,
-                wait.cpu_milli,
-                wait.advice,
-                wait.denied,
-                wait.allowed,
-                wait.valid,
-                wait.allowed_fits,
-                wait.valid_fits,
-                wait.reserved,
-            ));
-        }
-    }
-
     /// Gives the cell up if one of the background tasks has panicked, since a transaction or the feeds would be
     /// missing from then on.
     fn check_background_tasks(&mut self) {
@@ -640,74 +545,4 @@
             }
         }
     }
-
-    fn begin_commit(&mut self, now: Instant) {
-        let planned = self
-            .planner
-            .plan(&mut self.cell, &self.claim_tracker.held.value, now);
-        // If no other process could take the cell over, a slow owner is better than none.
-        let slow = self.lag.is_slow() && !self.members.is_empty();
-        let releasing = slow || (self.release.is_some() && planned.batch.is_empty());
-        let is_confirm_due =
-            now.saturating_duration_since(self.last_commit_at) >= CLAIM_CONFIRM_INTERVAL;
-        if planned.is_empty() && !is_confirm_due && !releasing {
-            return;
-        }
-        self.committing = true;
-        self.commit_started_at = now;
-        let platform = self.platform.clone();
-        let held = self.claim_tracker.held.clone();
-        let events = self.events.clone();
-        self.background_tasks.spawn(async move {
-            let OwnerWrites {
-                batch,
-                log,
-                writes,
-                deletes,
-            } = planned;
-            let result =
-                claim::write_with_claim(&platform, &held, writes, deletes, releasing).await;
-            let end = Box::new(CommitEnd { batch, log, result });
-            // The receiver is gone if the owner task has ended.
-            let _ = events.send(OwnerEvent::Committed(end)).await;
-        });
-    }
-
-    fn finish_commit(&mut self, end: CommitEnd) {
-        self.committing = false;
-        match end.result {
-            Ok((held, confirmed_at)) => {
-                let now = self.platform.now();
-                self.last_commit_at = now;
-                let duration = now.saturating_duration_since(self.commit_started_at);
-                self.metrics.record_commit(duration);
-                self.load.record_commit(duration);
-                self.claim_tracker
-                    .record_confirmation(held, confirmed_at, now);
-                self.planner.log.committed(end.log);
-                for row in &end.batch.rows {
-                    if let RecordRow::Finished(id, outcome) = row {
-                        EventCode::JobEnded.log(format_args!("job={id} outcome={outcome:?}"));
-                    }
-                }
-                let ended: Vec<JobId> = end.batch.finished().collect();
-                self.cell.committed(end.batch, now);
-                for id in ended {
-                    if let Some(state) = self.cell.state(id) {
-                        self.end_waiters.notify_ended(id, state);
-                    }
-                }
-                if self.claim_tracker.held.value.released {
-                    self.end = Some(match self.release.take() {
-                        Some(reply) => {
-                            let _ = reply.send(());
-                            OwnerEnd::Released
-                        }
-                        None => OwnerEnd::TooSlow(self.lag.mean_lag()),
-                    });
-                }
-            }
-            Err(error) => self.end = Some(OwnerEnd::Lost(error.to_string())),
-        }
-    }
 }
--- /dev/null
+++ b/crates/hs-control/src/owner/report.rs
@@ -0,0 +1,60 @@
+//! Log lines and gauges that describe the cell and the load of its owner.
+
+use std::time::Instant;
+
+use hs_event::EventCode;
+
+use super::{MAX_LOGGED_WAITS, OwnerTask};
+use crate::port::Platform;
+
+impl<P: Platform> OwnerTask<P> {
+    /// Publishes the size of the cell and the load of this task, and describes the steps that wait longest.
+    pub(super) fn report_load(&mut self, now: Instant) {
+        let cell = &self.cell;
+        let (unfinished_jobs, allocated_runs) = (cell.unfinished_jobs(), cell.allocated_runs());
+        let waiting_steps = cell.waiting_steps();
+        self.metrics
+            .record_cell_size(unfinished_jobs, allocated_runs, waiting_steps);
+        EventCode::OwnerLoad.log(format_args!(
+            "jobs={unfinished_jobs} runs={allocated_runs} waiting_steps={waiting_steps} \
+             mean_lag_ms={} members={} {}",
+            self.lag.mean_lag().as_millis(),
+            self.members.len(),
+            self.load.take(),
+        ));
+        let census = self.cell.worker_census(now);
+        EventCode::WorkerCensus.log(format_args!(
+            "accepting={} probation={} quarantined={} unreported={} lease_expired={} leaving={} \
+             free_cpu_milli={}",
+            census.accepting,
+            census.on_probation,
+            census.quarantined,
+            census.unreported,
+            census.lease_expired,
+            census.leaving,
+            census.free_cpu_milli,
+        ));
+        for wait in self.cell.longest_waits(MAX_LOGGED_WAITS, now) {
+            EventCode::StepWaiting.log(format_args!(
+                "step={} queue={} age_ms={} timeliness={} position={} waiting={} placed={} \
+                 cpu_milli={} advice={:?} denied={} allowed={} valid={} allowed_fits={} \
+                 valid_fits={} reserved={}",
+                wait.step,
+                wait.queue,
+                wait.age.as_millis(),
+                wait.timeliness,
+                wait.position,
+                wait.waiting,
+                wait.placed,
+                wait.cpu_milli,
+                wait.advice,
+                wait.denied,
+                wait.allowed,
+                wait.valid,
+                wait.allowed_fits,
+                wait.valid_fits,
+                wait.reserved,
+            ));
+        }
+    }
+}
