fix: let a suspect ask for workers that can be vacated

What callers would see: a job of which a task has crashed workers never ends (LOST). A suspect first asks for empty workers and then for those that can be vacated; where there were no empty ones, the first attempt delayed the second each time, so no ticket was ever renewed. Change: the attempt says what came of it, and only a step in its place in the order is delayed. Test: a_suspect_asks_for_workers_that_can_be_vacated fails with the change taken out, passes with it; 66 tests of hs-cell pass, the fuzz included.

--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -69,6 +69,17 @@
     pub demand: StepDemand,
 }
 
+/// What came of the attempt to request advice for a step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AdviceAttempt {
+    /// A request is in flight, or the next one is delayed.
+    Blocked,
+    /// No worker is worth a request.
+    NothingToName,
+    /// A request was sent.
+    Sent,
+}
+
 /// Number of further tasks of a step that fit on a worker.
 #[derive(Clone, Copy, Debug)]
 struct FreeCapacity {
@@ -81,16 +92,20 @@
     ///
     /// The advice service never changes its decision on a step and a worker. Denied workers are therefore not
     /// named again, and allowed ones only to renew their tickets.
-    pub(crate) fn request_advice(&mut self, order: OrderKey, need: AdviceNeed, now: Instant) {
+    pub(crate) fn request_advice(
+        &mut self,
+        order: OrderKey,
+        need: AdviceNeed,
+        now: Instant,
+    ) -> AdviceAttempt {
         let id = order.step;
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
         if step.is_none_or(|step| step.advice.is_blocked(now)) {
-            return;
+            return AdviceAttempt::Blocked;
         }
         let workers = self.workers_to_name(id, need, now);
         if workers.is_empty() {
-            self.delay_advice(id, now + RESCAN_DELAY);
-            return;
+            return AdviceAttempt::NothingToName;
         }
         let expected_uses = match self.is_gang(id) {
             true => Vec::new(),
@@ -110,11 +125,13 @@
         }
         self.add_expected_uses(id, now);
         self.effects.push(CellEffect::Advise(request));
+        AdviceAttempt::Sent
     }
 
-    fn delay_advice(&mut self, id: StepId, until: Instant) {
+    /// Delays the next request of a step for which there was no worker to name.
+    pub(crate) fn delay_rescan(&mut self, id: StepId, now: Instant) {
         if let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id)) {
-            step.advice.retry_at = Some(until);
+            step.advice.retry_at = Some(now + RESCAN_DELAY);
         }
     }
 
--- a/crates/hs-cell/src/isolation.rs
+++ b/crates/hs-cell/src/isolation.rs
@@ -9,7 +9,7 @@
 use hs_wire::Resources;
 use smallvec::SmallVec;
 
-use crate::advice_request::AdviceNeed;
+use crate::advice_request::{AdviceAttempt, AdviceNeed};
 use crate::capacity::{SETTLED_RUN_TIME, Sharing, StepDemand};
 use crate::cell::Cell;
 use crate::crash_history::{CrashHistory, Isolation};
@@ -267,7 +267,7 @@
     ) {
         if let Some(spec) = advice {
             let wanted = u32::try_from(missing).unwrap_or(u32::MAX);
-            // Empty workers come first, then those that can be vacated. The second request waits for the first.
+            // Empty workers come first, then those that can be vacated.
             for sharing in [Sharing::Alone, Sharing::Shared] {
                 let demand = demand.with_sharing(sharing);
                 let need = AdviceNeed {
@@ -275,7 +275,9 @@
                     wanted,
                     demand,
                 };
-                self.request_advice(order, need, now);
+                if self.request_advice(order, need, now) != AdviceAttempt::NothingToName {
+                    break;
+                }
             }
         }
         let vacated = self.vacated_workers.iter();
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -11,7 +11,7 @@
 use smallvec::SmallVec;
 
 use crate::active_steps::ActiveSteps;
-use crate::advice_request::AdviceNeed;
+use crate::advice_request::{AdviceAttempt, AdviceNeed};
 use crate::capacity::StepDemand;
 use crate::cell::Cell;
 use crate::crash_history::Isolation;
@@ -146,7 +146,9 @@
                 wanted: wanted + self.tasks_displaced(&planned, &demand, now),
                 demand,
             };
-            self.request_advice(key, need, now);
+            if self.request_advice(key, need, now) == AdviceAttempt::NothingToName {
+                self.delay_rescan(id, now);
+            }
         }
         if (candidates.is_empty() && wanted > 0) || (spec.gang && total_fits < wanted) {
             // A reservation without the members that run alone would let the tickets of their workers expire.
--- a/crates/hs-cell/tests/cell/fuzz.rs
+++ b/crates/hs-cell/tests/cell/fuzz.rs
@@ -414,6 +414,34 @@
     });
 }
 
+/// Guards against a suspect that never asks for workers that can be vacated, since the attempt to ask for empty ones
+/// delays the next one each time. The fuzz test has found the sequence.
+#[test]
+fn a_suspect_asks_for_workers_that_can_be_vacated() {
+    use Command::{Crash, Disconnect, PassTime, Round, Submit, SubmitDeadly};
+    let submit = |kinds: &[u8]| -> Vec<Command> {
+        let kinds = kinds.iter();
+        kinds.map(|kind| Submit { kind: *kind }).collect()
+    };
+    let mut commands = submit(&[97, 205]);
+    commands.push(SubmitDeadly {
+        kind: 65,
+        crash_delay_ms: 1503,
+    });
+    commands.extend([Crash { worker: 3 }, PassTime { ms: 2782 }]);
+    commands.extend(submit(&[139, 136, 149]));
+    commands.push(Disconnect { worker: 1 });
+    commands.extend(submit(&[144]));
+    commands.push(Round { ms: 10 });
+    commands.extend(submit(&[97, 129, 118, 151]));
+    commands.push(Round { ms: 7 });
+    commands.extend(submit(&[63, 164, 139]));
+    run_sequence_with_room(&Sequence {
+        commands,
+        seed: 7498181347642185001,
+    });
+}
+
 /// Guards against jobs that fail because of other tasks that crash workers, and against workers that crash one
 /// after the other under the same task.
 #[test]
