--- a/crates/hs-http/tests/direct.rs
+++ b/crates/hs-http/tests/direct.rs
@@ -77,14 +77,7 @@
             name: "expect-instance",
             value: "w1",
         };
-        let call = client.post_json(
-            "start",
-            &self.address,
-            "/v1/run-start",
-            header,
-            &(),
-            timeout,
-        );
+        let call = client.post_json("start", &self.address, "/orders", header, &(), timeout);
         call.await
     }
 
