fix: answer heartbeats without waiting for the owner task

Callers saw jobs that never started again on the large deployment (LOST): with a backlog of 7,000 jobs the cell went from one owner to the next every 1.6 s.

Cause: the owner task answered heartbeats itself. A follower waits 300 ms for the answer, but a scheduling pass of 70 to 90 ms and the events queued before the heartbeat could take longer, so followers took an owner that was merely busy for a silent one. Ruled out: lost connections, since the same followers reached the next owner at once.

Heartbeats are now answered from state that the owner shares with the peer listener. Whether the owner can still act is shown by the age of the last confirmation of the claim, which the reply contains as before.

--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -17,6 +17,7 @@
 use crate::claim::{self, ClaimValue, ObservedClaim};
 use crate::message::BeatRequest;
 use crate::owner::{self, OwnerEnd, OwnerInputs};
+use crate::owner_status::OwnerStatus;
 use crate::peers::PeerError;
 use crate::port::Platform;
 use crate::shared::{NodeContext, OwnerHandle, OwnerRequest, Ownership};
@@ -287,7 +288,12 @@
             }
         };
         let (sender, requests) = mpsc::channel(REQUEST_QUEUE_CAPACITY);
-        let handle = OwnerHandle { sender };
+        let (confirmation, confirmations) = watch::channel(confirmed_at);
+        let status = OwnerStatus::new(held.value.fence, confirmations);
+        let handle = OwnerHandle {
+            sender,
+            status: status.clone(),
+        };
         self.set_ownership(Ownership::Here(handle.clone()));
         let inputs = OwnerInputs {
             platform: self.platform.clone(),
@@ -295,7 +301,8 @@
             options: self.options,
             config: self.context.config.clone(),
             held,
-            confirmed_at,
+            confirmation,
+            status,
             owner_last_seen: self.owner_last_seen.clone(),
             metrics: self.context.metrics.clone(),
             requests,
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -30,6 +30,7 @@
 mod metrics;
 mod notify;
 mod owner;
+mod owner_status;
 mod peer_listener;
 mod peers;
 pub mod port;
--- a/crates/hs-control/src/members.rs
+++ b/crates/hs-control/src/members.rs
@@ -27,31 +27,39 @@
 #[derive(Debug, Default)]
 pub(crate) struct MemberTable {
     members: HashMap<String, Member>,
+    /// Whether a process has joined or was removed since the last call of [`MemberTable::take_changed`].
+    changed: bool,
 }
 
 impl MemberTable {
-    /// Records a heartbeat. Returns whether the process is new.
-    pub(crate) fn record_heartbeat(&mut self, node: String, address: String, now: Instant) -> bool {
+    /// Records a heartbeat.
+    pub(crate) fn record_heartbeat(&mut self, node: String, address: String, now: Instant) {
+        let address: Arc<str> = address.into();
+        let earlier = self.members.get(&node);
+        if earlier.is_none() {
+            EventCode::MemberJoined.log(format_args!("node={node}"));
+        }
+        self.changed |= earlier.is_none_or(|member| member.address != address);
         let member = Member {
-            address: address.into(),
+            address,
             last_heartbeat_at: now,
         };
-        let is_new = !self.members.contains_key(&node);
-        if is_new {
-            EventCode::MemberJoined.log(format_args!("node={node}"));
-        }
         self.members.insert(node, member);
-        is_new
     }
 
-    /// Removes the processes whose heartbeats have stopped. Returns whether there were any.
-    pub(crate) fn remove_unreachable(&mut self, now: Instant) -> bool {
+    /// Removes the processes whose heartbeats have stopped.
+    pub(crate) fn remove_unreachable(&mut self, now: Instant) {
         let count_before = self.members.len();
         let is_alive = |member: &Member| {
             now.saturating_duration_since(member.last_heartbeat_at) < MEMBER_TIMEOUT
         };
         self.members.retain(|_, member| is_alive(member));
-        self.members.len() != count_before
+        self.changed |= self.members.len() != count_before;
+    }
+
+    /// Returns whether a process has joined, moved or left since the last call.
+    pub(crate) fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
     }
 
     /// Returns the addresses of the processes' peer listeners.
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -26,11 +26,11 @@
 use crate::lag::LagMeter;
 use crate::link::{LeaseTerms, LinkEvent, LinkHandle, LinkOrder, MAX_LEASE_PAST_CONFIRMATION};
 use crate::load::LoadMeter;
-use crate::members::MemberTable;
 use crate::metrics::ControlMetrics;
+use crate::owner_status::OwnerStatus;
 use crate::peers::PeerPool;
 use crate::port::{Platform, RegisteredWorker, WorkerEndpoint};
-use crate::shared::{HeartbeatReply, OwnerRequest};
+use crate::shared::OwnerRequest;
 use crate::takeover::{self, ClaimTracker};
 
 /// Interval at which the cell is advanced to the current time even if nothing happens.
@@ -63,8 +63,9 @@
     pub options: CellOptions,
     pub config: watch::Receiver<Option<Arc<ClusterConfig>>>,
     pub held: HeldClaim,
-    /// Latest time at which the claim was certainly held.
-    pub confirmed_at: Instant,
+    /// Publishes the latest time at which the claim was certainly held.
+    pub confirmation: watch::Sender<Instant>,
+    pub status: OwnerStatus,
     pub owner_last_seen: Arc<watch::Sender<Option<Instant>>>,
     pub metrics: ControlMetrics,
     pub requests: mpsc::Receiver<OwnerRequest>,
@@ -121,7 +122,7 @@
     earlier_leases_end: Instant,
     links: HashMap<WorkerKey, LinkHandle>,
     advice_dispatcher: AdviceDispatcher<P>,
-    members: MemberTable,
+    status: OwnerStatus,
     end_waiters: EndWaiters,
     /// Where to confirm the release of the cell, once it has been requested.
     release: Option<oneshot::Sender<()>>,
@@ -140,8 +141,7 @@
     let started = platform.now();
     let mut claim_tracker = ClaimTracker {
         held: inputs.held,
-        confirmation: watch::channel(inputs.confirmed_at).0,
-        confirmed_at: inputs.confirmed_at,
+        confirmation: inputs.confirmation,
         owner_last_seen: inputs.owner_last_seen,
     };
     let mut requests = inputs.requests;
@@ -171,7 +171,7 @@
             + MAX_LEASE_PAST_CONFIRMATION.mul_f64(CLOCK_DRIFT_FACTOR)
             + EARLIER_LEASE_MARGIN,
         links: HashMap::new(),
-        members: takeover.members,
+        status: inputs.status,
         end_waiters: EndWaiters::default(),
         release: None,
         lag: LagMeter::default(),
@@ -327,22 +327,6 @@
     fn handle_request(&mut self, request: OwnerRequest) {
         // Sending a reply fails if the caller stopped waiting, which needs no handling.
         match request {
-            OwnerRequest::Heartbeat {
-                node,
-                address,
-                reply,
-            } => {
-                let now = self.platform.now();
-                if self.members.record_heartbeat(node, address, now) {
-                    self.update_advice_callers();
-                }
-                let _ = reply.send(HeartbeatReply {
-                    heartbeat_interval: self.members.heartbeat_interval(),
-                    fence: self.claim_tracker.held.value.fence,
-                    confirmation_age: now
-                        .saturating_duration_since(self.claim_tracker.confirmed_at),
-                });
-            }
             OwnerRequest::Offer {
                 jobs,
                 cancelled,
@@ -373,9 +357,14 @@
         }
     }
 
+    /// Lets the processes that send heartbeats call the advice service, if they have changed.
     fn update_advice_callers(&mut self) {
-        self.advice_dispatcher
-            .set_members(&self.members.addresses());
+        let mut members = self.status.members();
+        if members.take_changed() {
+            let addresses = members.addresses();
+            drop(members);
+            self.advice_dispatcher.set_members(&addresses);
+        }
     }
 
     fn handle_link_event(&mut self, key: WorkerKey, event: LinkEvent) {
@@ -436,9 +425,8 @@
             self.report_load(now);
         }
         self.end_waiters.remove_closed();
-        if self.members.remove_unreachable(now) {
-            self.update_advice_callers();
-        }
+        self.status.members().remove_unreachable(now);
+        self.update_advice_callers();
     }
 
     /// Gives the cell up if one of the background tasks has panicked, since a transaction or the feeds would be
--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -17,7 +17,7 @@
             .planner
             .plan(&mut self.cell, &self.claim_tracker.held.value, now);
         // If no other process could take the cell over, a slow owner is better than none.
-        let slow = self.lag.is_slow() && !self.members.is_empty();
+        let slow = self.lag.is_slow() && !self.status.members().is_empty();
         let releasing = slow || (self.release.is_some() && planned.batch.is_empty());
         let is_confirm_due =
             now.saturating_duration_since(self.last_commit_at) >= CLAIM_CONFIRM_INTERVAL;
--- a/crates/hs-control/src/owner/report.rs
+++ b/crates/hs-control/src/owner/report.rs
@@ -19,7 +19,7 @@
             "jobs={unfinished_jobs} runs={allocated_runs} waiting_steps={waiting_steps} \
              mean_lag_ms={} members={} {}",
             self.lag.mean_lag().as_millis(),
-            self.members.len(),
+            self.status.members().len(),
             self.load.take(),
         ));
         let census = self.cell.worker_census(now);
--- a/crates/hs-control/src/server.rs
+++ b/crates/hs-control/src/server.rs
@@ -50,16 +50,12 @@
     async fn beat(&self, request: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
         let BeatRequest { node, address } = request.into_inner();
         let owner = self.owner()?;
-        let answer = owner.ask(|reply| OwnerRequest::Heartbeat {
-            node,
-            address,
-            reply,
-        });
-        let answer = answer.await.ok_or_else(not_owner)?;
+        let now = self.control.platform.now();
+        let reply = owner.status.answer_heartbeat(node, address, now);
         Ok(Response::new(BeatReply {
-            fence: answer.fence,
-            proof_age_ms: u64::try_from(answer.confirmation_age.as_millis()).unwrap_or(u64::MAX),
-            next_beat_ms: u64::try_from(answer.heartbeat_interval.as_millis()).unwrap_or(u64::MAX),
+            fence: reply.fence,
+            proof_age_ms: u64::try_from(reply.confirmation_age.as_millis()).unwrap_or(u64::MAX),
+            next_beat_ms: u64::try_from(reply.heartbeat_interval.as_millis()).unwrap_or(u64::MAX),
         }))
     }
 
--- a/crates/hs-control/src/shared.rs
+++ b/crates/hs-control/src/shared.rs
@@ -9,6 +9,7 @@
 
 use crate::config::ClusterConfig;
 use crate::metrics::ControlMetrics;
+use crate::owner_status::OwnerStatus;
 use crate::peers::PeerPool;
 use crate::store_health::StoreHealth;
 
@@ -27,16 +28,12 @@
 #[derive(Clone, Debug)]
 pub(crate) struct OwnerHandle {
     pub sender: mpsc::Sender<OwnerRequest>,
+    pub status: OwnerStatus,
 }
 
 /// A request to the owner task.
 #[derive(Debug)]
 pub(crate) enum OwnerRequest {
-    Heartbeat {
-        node: String,
-        address: String,
-        reply: oneshot::Sender<HeartbeatReply>,
-    },
     Offer {
         jobs: Vec<(JobId, Arc<JobSpec>)>,
         cancelled: Vec<JobId>,
@@ -50,16 +47,6 @@
     Release(oneshot::Sender<()>),
 }
 
-/// The owner's reply to a heartbeat.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct HeartbeatReply {
-    pub fence: u64,
-    /// Time since the owner's claim was last confirmed by a write to the store.
-    pub confirmation_age: Duration,
-    /// Time until the process should send its next heartbeat.
-    pub heartbeat_interval: Duration,
-}
-
 impl OwnerHandle {
     /// Sends a request and waits for the reply. Returns `None` if the owner task has ended.
     pub(crate) async fn ask<T>(
--- a/crates/hs-control/src/takeover.rs
+++ b/crates/hs-control/src/takeover.rs
@@ -1,7 +1,7 @@
 //! Loads the state of the cell for a new owner, between acquiring the claim and the first decision.
 //!
-//! Loading can take seconds if the store is slow. Meanwhile the new owner keeps confirming its claim and
-//! answering heartbeats; otherwise another process would take the cell over again.
+//! Loading can take seconds if the store is slow. Meanwhile the new owner keeps confirming its claim;
+//! otherwise another process would take the cell over again.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,10 +11,9 @@
 
 use crate::claim::{self, ClaimError, HeldClaim};
 use crate::feeds::{self, StoredState};
-use crate::members::MemberTable;
 use crate::owner::OwnerEnd;
 use crate::port::Platform;
-use crate::shared::{HeartbeatReply, OwnerRequest};
+use crate::shared::OwnerRequest;
 
 /// Time after the last confirmation of the claim at which it is confirmed again. A follower
 /// considers the owner cut off from the store once the last confirmation is 600 ms old.
@@ -24,7 +23,6 @@
 #[derive(Debug)]
 pub(crate) struct TakeoverState {
     pub state: StoredState,
-    pub members: MemberTable,
     /// Offers of jobs and cancellations that arrived while the state was being read.
     pub buffered: Vec<OwnerRequest>,
 }
@@ -33,9 +31,7 @@
 #[derive(Debug)]
 pub(crate) struct ClaimTracker {
     pub held: HeldClaim,
-    /// Latest time at which the claim was certainly held.
-    pub confirmed_at: Instant,
-    /// Publishes `confirmed_at` to the links to workers.
+    /// Publishes the latest time at which the claim was certainly held.
     pub confirmation: watch::Sender<Instant>,
     pub owner_last_seen: Arc<watch::Sender<Option<Instant>>>,
 }
@@ -49,7 +45,6 @@
         now: Instant,
     ) {
         self.held = held;
-        self.confirmed_at = confirmed_at;
         self.confirmation.send_replace(confirmed_at);
         self.owner_last_seen.send_replace(Some(now));
     }
@@ -57,7 +52,7 @@
 
 type ConfirmationResult = Result<(HeldClaim, Instant), ClaimError>;
 
-/// Reads the state of the cell while confirming the claim and answering heartbeats.
+/// Reads the state of the cell while confirming the claim.
 ///
 /// # Errors
 ///
@@ -68,7 +63,6 @@
     tracker: &mut ClaimTracker,
     requests: &mut mpsc::Receiver<OwnerRequest>,
 ) -> Result<TakeoverState, OwnerEnd> {
-    let mut members = MemberTable::default();
     let mut buffered = Vec::new();
     let (confirmations, mut confirmation_receiver) = mpsc::channel::<ConfirmationResult>(1);
     let mut confirming = false;
@@ -83,7 +77,6 @@
         if !confirming && let Some(state) = state.take() {
             return Ok(TakeoverState {
                 state,
-                members,
                 buffered,
             });
         }
@@ -100,16 +93,6 @@
                 }
             }
             Some(request) = requests.recv() => match request {
-                OwnerRequest::Heartbeat { node, address, reply } => {
-                    let now = platform.now();
-                    members.record_heartbeat(node, address, now);
-                    // The receiver is gone if the caller stopped waiting.
-                    let _ = reply.send(HeartbeatReply {
-                        heartbeat_interval: members.heartbeat_interval(),
-                        fence: tracker.held.value.fence,
-                        confirmation_age: now.saturating_duration_since(tracker.confirmed_at),
-                    });
-                }
                 OwnerRequest::Offer { .. } => buffered.push(request),
                 OwnerRequest::Release(_) => return Err(OwnerEnd::Released),
                 // The state is not loaded yet. A dropped reply makes callers read job states from the
