fix: confirm the claim without waiting for the owner task

Callers saw jobs that never started again on the large deployment (LOST).

Cause: the claim was only confirmed by transactions that the owner task began, one at a time, between passes.

A claim writer task now holds the claim, carries out the transactions of the owner, and confirms the claim by itself 200 ms after the last write. It does so from the moment the claim was acquired, so loading the state at a takeover needs no confirmations of its own. Stamps of records come from a counter of the planner, since the sequence number of the claim now also counts confirmations.

--- /dev/null
+++ b/crates/hs-control/src/claim_writer.rs
@@ -0,0 +1,134 @@
+//! The task that writes to the store for the owner.
+//!
+//! It writes one transaction at a time, each conditional on the claim. While the owner has nothing to write,
+//! it confirms the claim by itself, so that the confirmation does not wait for the owner task.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hs_cell::{CellBatch, LogWrites};
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+
+use crate::claim::{self, ClaimError, HeldClaim};
+use crate::commits::OwnerWrites;
+use crate::port::Platform;
+
+/// Time after the last confirmation of the claim at which it is confirmed again. A follower
+/// considers the owner cut off from the store once the last confirmation is 600 ms old.
+const CLAIM_CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A transaction that the owner wants to have written.
+#[derive(Debug, Default)]
+pub(crate) struct WriteOrder {
+    pub writes: OwnerWrites,
+    /// Whether the transaction releases the claim.
+    pub releases: bool,
+}
+
+/// A transaction that is in the store.
+#[derive(Debug)]
+pub(crate) struct WriteEnd {
+    pub batch: CellBatch,
+    pub log: LogWrites,
+    /// Whether the transaction has released the claim.
+    pub released: bool,
+    /// Time that the write took.
+    pub duration: Duration,
+}
+
+/// What the writer tells the owner.
+#[derive(Debug)]
+pub(crate) enum WriterEvent {
+    /// An order has been carried out.
+    Written(Box<WriteEnd>),
+    /// The claim is lost. No further order is carried out.
+    Lost(ClaimError),
+}
+
+/// The claim of this process, and where its confirmations are published.
+#[derive(Debug)]
+pub(crate) struct ClaimKeeper {
+    pub held: HeldClaim,
+    /// Publishes the latest time at which the claim was certainly held.
+    pub confirmation: watch::Sender<Instant>,
+    pub owner_last_seen: Arc<watch::Sender<Option<Instant>>>,
+}
+
+/// Writes the transactions of an owner.
+#[derive(Debug)]
+pub(crate) struct ClaimWriter<P> {
+    pub platform: P,
+    pub keeper: ClaimKeeper,
+    pub orders: mpsc::Receiver<WriteOrder>,
+    pub events: mpsc::Sender<WriterEvent>,
+}
+
+impl<P: Platform> ClaimWriter<P> {
+    /// Carries out orders and confirms the claim, until it is released or lost or the owner task has ended.
+    pub(crate) async fn run(mut self) {
+        let mut last_written_at = self.platform.now();
+        loop {
+            let since = self
+                .platform
+                .now()
+                .saturating_duration_since(last_written_at);
+            let until_due = CLAIM_CONFIRM_INTERVAL.saturating_sub(since);
+            let order = match timeout(until_due, self.orders.recv()).await {
+                Ok(Some(order)) => Some(order),
+                Ok(None) => return,
+                Err(_) => None,
+            };
+            let released = order.as_ref().is_some_and(|order| order.releases);
+            let event = self.write(order).await;
+            last_written_at = self.platform.now();
+            let is_lost = matches!(event, Some(WriterEvent::Lost(_)));
+            if let Some(event) = event {
+                // The receiver is gone if the owner task has ended.
+                let _ = self.events.send(event).await;
+            }
+            if released || is_lost {
+                return;
+            }
+        }
+    }
+
+    /// Writes a transaction, which only confirms the claim if there is no order. Returns what the owner has to
+    /// be told.
+    async fn write(&mut self, order: Option<WriteOrder>) -> Option<WriterEvent> {
+        let is_ordered = order.is_some();
+        let WriteOrder { writes, releases } = order.unwrap_or_default();
+        let OwnerWrites {
+            batch,
+            log,
+            writes,
+            deletes,
+        } = writes;
+        let began_at = self.platform.now();
+        let held = &self.keeper.held;
+        let result = claim::write_with_claim(&self.platform, held, writes, deletes, releases).await;
+        let (held, confirmed_at) = match result {
+            Ok(confirmed) => confirmed,
+            Err(error) => return Some(WriterEvent::Lost(error)),
+        };
+        let now = self.platform.now();
+        self.keeper.record_confirmation(held, confirmed_at, now);
+        is_ordered.then(|| {
+            WriterEvent::Written(Box::new(WriteEnd {
+                batch,
+                log,
+                released: releases,
+                duration: now.saturating_duration_since(began_at),
+            }))
+        })
+    }
+}
+
+impl ClaimKeeper {
+    /// Records that a write conditional on the claim, first sent at `confirmed_at`, has been committed.
+    fn record_confirmation(&mut self, held: HeldClaim, confirmed_at: Instant, now: Instant) {
+        self.held = held;
+        self.confirmation.send_replace(confirmed_at);
+        self.owner_last_seen.send_replace(Some(now));
+    }
+}
--- a/crates/hs-control/src/commits.rs
+++ b/crates/hs-control/src/commits.rs
@@ -6,7 +6,6 @@
 
 use hs_cell::{Cell, CellBatch, JobId, LogWrites, RecordLog, RecordStamp};
 
-use crate::claim::ClaimValue;
 use crate::keys;
 use crate::recover::JobValue;
 
@@ -48,15 +47,27 @@
 }
 
 /// Chooses the contents of the next transaction.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct CommitPlanner {
     pub log: RecordLog,
+    /// Stamp of the last planned transaction.
+    last_stamp: RecordStamp,
     cancelled: Vec<JobId>,
     /// Time before which the jobs are not searched for expired ones.
     next_expiry_check: Option<Instant>,
 }
 
 impl CommitPlanner {
+    /// Creates a planner for the owner with this fencing token.
+    pub(crate) fn new(fence: u64) -> Self {
+        Self {
+            log: RecordLog::default(),
+            last_stamp: RecordStamp { fence, sequence: 0 },
+            cancelled: Vec::new(),
+            next_expiry_check: None,
+        }
+    }
+
     /// Notes that a cancellation has been applied. Its item can be deleted, because the job will be
     /// recorded as cancelled.
     pub(crate) fn note_cancelled(&mut self, id: JobId) {
@@ -65,16 +76,9 @@
 
     /// Plans a transaction with the next changes of the cell. If there are none, it deletes items that
     /// are no longer needed.
-    pub(crate) fn plan(
-        &mut self,
-        cell: &mut Cell,
-        claim: &ClaimValue,
-        now: Instant,
-    ) -> OwnerWrites {
-        let stamp = RecordStamp {
-            fence: claim.fence,
-            sequence: claim.sequence + 1,
-        };
+    pub(crate) fn plan(&mut self, cell: &mut Cell, now: Instant) -> OwnerWrites {
+        self.last_stamp.sequence += 1;
+        let stamp = self.last_stamp;
         cell.rerecord_jobs(&self.log.jobs_to_rewrite(MAX_REWRITTEN_JOBS));
         let batch = cell.take_batch(MAX_BATCH_JOBS, MAX_BATCH_TASKS);
         let log = self.log.plan(stamp, &batch.rows, MAX_TXN_ENTRIES);
--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::claim::{self, ClaimValue, ObservedClaim};
+use crate::claim_writer::ClaimKeeper;
 use crate::message::BeatRequest;
 use crate::owner::{self, OwnerEnd, OwnerInputs};
 use crate::owner_status::OwnerStatus;
@@ -300,10 +301,12 @@
             peers: self.context.peers.clone(),
             options: self.options,
             config: self.context.config.clone(),
-            held,
-            confirmation,
+            keeper: ClaimKeeper {
+                held,
+                confirmation,
+                owner_last_seen: self.owner_last_seen.clone(),
+            },
             status,
-            owner_last_seen: self.owner_last_seen.clone(),
             metrics: self.context.metrics.clone(),
             requests,
         };
--- a/crates/hs-control/src/feeds.rs
+++ b/crates/hs-control/src/feeds.rs
@@ -79,11 +79,11 @@
 }
 
 /// Polls the registry and the intake for changes after these revisions, and sends them to the owner task.
-pub(crate) async fn follow<P: Platform, Event: From<FeedEvent>>(
+pub(crate) async fn follow<P: Platform>(
     platform: P,
     registry_revision: u64,
     intake_revision: u64,
-    events: mpsc::Sender<Event>,
+    events: mpsc::Sender<FeedEvent>,
 ) {
     tokio::join!(
         follow_registry(platform.clone(), registry_revision, events.clone()),
@@ -92,10 +92,10 @@
 }
 
 /// Sends changes of the registry to the owner task.
-async fn follow_registry<P: Platform, Event: From<FeedEvent>>(
+async fn follow_registry<P: Platform>(
     platform: P,
     mut revision: u64,
-    events: mpsc::Sender<Event>,
+    events: mpsc::Sender<FeedEvent>,
 ) {
     loop {
         sleep(REGISTRY_POLL_INTERVAL).await;
@@ -122,7 +122,7 @@
                 continue;
             }
         };
-        if events.send(event.into()).await.is_err() {
+        if events.send(event).await.is_err() {
             return;
         }
     }
@@ -130,10 +130,10 @@
 
 /// Sends jobs and cancellations from the store to the owner task, including those that no process
 /// offered.
-async fn follow_intake<P: Platform, Event: From<FeedEvent>>(
+async fn follow_intake<P: Platform>(
     platform: P,
     mut revision: u64,
-    events: mpsc::Sender<Event>,
+    events: mpsc::Sender<FeedEvent>,
 ) {
     loop {
         sleep(INTAKE_POLL_INTERVAL).await;
@@ -160,7 +160,7 @@
                 continue;
             }
         };
-        if !items.is_empty() && events.send(FeedEvent::Intake(items).into()).await.is_err() {
+        if !items.is_empty() && events.send(FeedEvent::Intake(items)).await.is_err() {
             return;
         }
     }
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod advice_dispatcher;
 mod claim;
+mod claim_writer;
 mod commits;
 mod config;
 mod control;
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -9,16 +9,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{
-    Cell, CellBatch, CellEffect, CellOptions, CrashEvent, JobId, JobSpec, JobState, LogWrites,
-    WorkerKey,
-};
+use hs_cell::{Cell, CellEffect, CellOptions, CrashEvent, JobId, JobSpec, JobState, WorkerKey};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::advice_dispatcher::{AdviceDispatcher, AdvicePartEnd};
-use crate::claim::{ClaimError, HeldClaim};
+use crate::claim_writer::{ClaimKeeper, ClaimWriter, WriteOrder};
 use crate::commits::CommitPlanner;
 use crate::config::ClusterConfig;
 use crate::end_waiters::EndWaiters;
@@ -31,7 +28,7 @@
 use crate::peers::PeerPool;
 use crate::port::{Platform, RegisteredWorker, WorkerEndpoint};
 use crate::shared::OwnerRequest;
-use crate::takeover::{self, ClaimTracker};
+use crate::takeover;
 
 /// Interval at which the cell is advanced to the current time even if nothing happens.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
@@ -45,6 +42,9 @@
 /// Maximum number of waiting steps that are described in the log in each [`CELL_METRICS_INTERVAL`].
 const MAX_LOGGED_WAITS: usize = 8;
 
+/// Maximum number of transactions that may wait for the claim writer. The owner orders one at a time.
+const MAX_WRITE_ORDERS: usize = 1;
+
 /// Maximum number of events of each kind that may wait for the owner task.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
 
@@ -62,11 +62,8 @@
     pub peers: PeerPool,
     pub options: CellOptions,
     pub config: watch::Receiver<Option<Arc<ClusterConfig>>>,
-    pub held: HeldClaim,
-    /// Publishes the latest time at which the claim was certainly held.
-    pub confirmation: watch::Sender<Instant>,
+    pub keeper: ClaimKeeper,
     pub status: OwnerStatus,
-    pub owner_last_seen: Arc<watch::Sender<Option<Instant>>>,
     pub metrics: ControlMetrics,
     pub requests: mpsc::Receiver<OwnerRequest>,
 }
@@ -84,38 +81,18 @@
     Unreadable(String),
 }
 
-/// Events from the owner's background tasks.
-#[derive(Debug)]
-enum OwnerEvent {
-    /// A transaction has finished.
-    Committed(Box<CommitEnd>),
-    Feed(FeedEvent),
-}
-
-impl From<FeedEvent> for OwnerEvent {
-    fn from(event: FeedEvent) -> Self {
-        Self::Feed(event)
-    }
-}
-
-/// The result of a transaction, and what it wrote.
-#[derive(Debug)]
-struct CommitEnd {
-    batch: CellBatch,
-    log: LogWrites,
-    result: Result<(HeldClaim, Instant), ClaimError>,
-}
-
 /// State of the owner task.
 struct OwnerTask<P> {
     platform: P,
     cell: Cell,
-    claim_tracker: ClaimTracker,
+    fence: u64,
+    /// Publishes the latest time at which the claim was certainly held.
+    confirmation: watch::Receiver<Instant>,
     planner: CommitPlanner,
+    write_orders: mpsc::Sender<WriteOrder>,
+    /// Whether a transaction is in flight.
     committing: bool,
-    last_commit_at: Instant,
     metrics: ControlMetrics,
-    commit_started_at: Instant,
     cell_measured_at: Instant,
     lease: Duration,
     /// Time at which all leases that an earlier owner granted have certainly ended.
@@ -128,7 +105,7 @@
     release: Option<oneshot::Sender<()>>,
     lag: LagMeter,
     load: LoadMeter,
-    events: mpsc::Sender<OwnerEvent>,
+    feed_events: mpsc::Sender<FeedEvent>,
     link_events: mpsc::Sender<(WorkerKey, LinkEvent)>,
     background_tasks: JoinSet<()>,
     /// Why the task should end, once that is known.
@@ -139,18 +116,26 @@
 pub(crate) async fn run<P: Platform>(inputs: OwnerInputs<P>) -> OwnerEnd {
     let platform = inputs.platform.clone();
     let started = platform.now();
-    let mut claim_tracker = ClaimTracker {
-        held: inputs.held,
-        confirmation: inputs.confirmation,
-        owner_last_seen: inputs.owner_last_seen,
+    let fence = inputs.keeper.held.value.fence;
+    let confirmation = inputs.keeper.confirmation.subscribe();
+    let mut background_tasks = JoinSet::new();
+    let (write_orders, orders) = mpsc::channel(MAX_WRITE_ORDERS);
+    let (writer_events, mut writer_receiver) = mpsc::channel(MAX_WRITE_ORDERS);
+    let writer = ClaimWriter {
+        platform: platform.clone(),
+        keeper: inputs.keeper,
+        orders,
+        events: writer_events,
     };
+    background_tasks.spawn(writer.run());
     let mut requests = inputs.requests;
-    let takeover = match takeover::load_state(&platform, &mut claim_tracker, &mut requests).await {
+    let takeover = takeover::load_state(&platform, &mut writer_receiver, &mut requests).await;
+    let takeover = match takeover {
         Ok(takeover) => takeover,
         Err(end) => return end,
     };
     let read_at = platform.now();
-    let (events, mut event_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
+    let (feed_events, mut feed_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let (link_events, mut link_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let (advice_ends, mut advice_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let mut config = inputs.config;
@@ -158,12 +143,12 @@
         advice_dispatcher: AdviceDispatcher::new(platform.clone(), inputs.peers, advice_ends),
         cell: Cell::new(inputs.options),
         lease: inputs.options.lease,
-        claim_tracker,
-        planner: CommitPlanner::default(),
+        fence,
+        confirmation,
+        planner: CommitPlanner::new(fence),
+        write_orders,
         committing: false,
-        last_commit_at: started,
         metrics: inputs.metrics,
-        commit_started_at: started,
         cell_measured_at: started,
         // Earlier owners last confirmed their claim before this process acquired it, which bounds the end
         // of their leases.
@@ -176,9 +161,9 @@
         release: None,
         lag: LagMeter::default(),
         load: LoadMeter::default(),
-        events,
+        feed_events,
         link_events,
-        background_tasks: JoinSet::new(),
+        background_tasks,
         end: None,
         platform: platform.clone(),
     };
@@ -193,7 +178,7 @@
     }
     EventCode::CellTaken.log(format_args!(
         "fence={} jobs={} runs={} workers={} read_ms={} restore_ms={}",
-        owner.claim_tracker.held.value.fence,
+        owner.fence,
         owner.cell.unfinished_jobs(),
         owner.cell.allocated_runs(),
         owner.links.len(),
@@ -217,7 +202,8 @@
                     owner.handle_link_event(key, event);
                 }
             }
-            Some(event) = event_receiver.recv() => owner.handle_event(event),
+            Some(event) = writer_receiver.recv() => owner.handle_writer_event(event),
+            Some(event) = feed_receiver.recv() => owner.handle_feed_event(event),
             Some(end) = advice_receiver.recv() => owner.handle_advice_end(end),
             Some(request) = requests.recv() => {
                 owner.handle_request(request);
@@ -247,12 +233,11 @@
             state
                 .cell
                 .restore(&mut self.cell, &self.platform, self.earlier_leases_end);
-        let events = self.events.clone();
         let feeds = feeds::follow(
             self.platform.clone(),
             state.registry_revision,
             revision,
-            events,
+            self.feed_events.clone(),
         );
         self.background_tasks.spawn(feeds);
     }
@@ -286,9 +271,9 @@
             key,
             peer,
             LeaseTerms {
-                fence: self.claim_tracker.held.value.fence,
+                fence: self.fence,
                 lease: self.lease,
-                confirmation: self.claim_tracker.confirmation.subscribe(),
+                confirmation: self.confirmation.clone(),
             },
             self.metrics.clone(),
             self.link_events.clone(),
@@ -296,13 +281,6 @@
         self.links.insert(key, link);
     }
 
-    fn handle_event(&mut self, event: OwnerEvent) {
-        match event {
-            OwnerEvent::Committed(end) => self.finish_commit(*end),
-            OwnerEvent::Feed(event) => self.handle_feed_event(event),
-        }
-    }
-
     fn add_job(&mut self, id: JobId, spec: Arc<JobSpec>, source: &str) {
         let now = self.platform.now();
         let now_ms = self.platform.unix_ms();
@@ -454,9 +432,7 @@
         for effect in self.cell.take_effects() {
             self.apply_effect(effect);
         }
-        if !self.committing {
-            self.begin_commit(now);
-        }
+        self.begin_commit();
     }
 
     fn apply_effect(&mut self, effect: CellEffect) {
