fix: hand the cell over only to a process that has shown to be faster

Each next owner had to read the state and link 1,100 workers, was as late or later, and released the cell after 2.0 to 2.4 s as well.

Cause: the lag of a timer shows that a process has too much to do, not that another one would do better. Ruled out as a measure: the lag of followers, which have nothing to do and are on time on any VM.

Each process now times a fixed piece of work, about 50 us of a whole core, once a second and sends the result with its heartbeats. An owner that is late hands the cell over only to a process that takes at most half of its own time, and not within 3 s of its takeover. Every handover thus halves the time that the same work takes, which bounds their number. The released claim names the successor, which takes over at once, while other processes leave it 800 ms; before, the first process to notice took the cell.

--- a/crates/hs-control/src/claim.rs
+++ b/crates/hs-control/src/claim.rs
@@ -4,6 +4,7 @@
 //! rewrites it. A write by an owner that has lost the claim therefore fails, and so does a duplicate of
 //! an earlier write that the store applies late.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -37,6 +38,21 @@
     pub address: String,
     /// Whether the owner has released the cell.
     pub released: bool,
+    /// Name of the process that should take over a released cell, if the owner has chosen one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub successor: Option<String>,
+}
+
+/// What a write does to the claim.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) enum ClaimChange {
+    /// The owner keeps the cell.
+    #[default]
+    Confirm,
+    /// The owner releases the cell, for any other process.
+    Release,
+    /// The owner releases the cell, for the process on this VM in the first place.
+    HandOver(Arc<str>),
 }
 
 /// A permanent failure of a write under the claim.
@@ -161,11 +177,15 @@
     held: &HeldClaim,
     writes: Vec<(String, Vec<u8>)>,
     deletes: Vec<String>,
-    released: bool,
+    change: &ClaimChange,
 ) -> Result<(HeldClaim, Instant), ClaimError> {
     let mut claim = held.value.clone();
     claim.sequence += 1;
-    claim.released = released;
+    claim.released = *change != ClaimChange::Confirm;
+    claim.successor = match change {
+        ClaimChange::Confirm | ClaimChange::Release => None,
+        ClaimChange::HandOver(node) => Some(node.to_string()),
+    };
     let mut txn = claim_txn(&claim, held.revision);
     txn.writes.extend(writes);
     txn.deletes = deletes;
--- a/crates/hs-control/src/claim_writer.rs
+++ b/crates/hs-control/src/claim_writer.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
-use crate::claim::{self, ClaimError, HeldClaim};
+use crate::claim::{self, ClaimChange, ClaimError, HeldClaim};
 use crate::commits::OwnerWrites;
 use crate::port::Platform;
 
@@ -22,8 +22,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct WriteOrder {
     pub writes: OwnerWrites,
-    /// Whether the transaction releases the claim.
-    pub releases: bool,
+    pub change: ClaimChange,
 }
 
 /// A transaction that is in the store.
@@ -31,8 +30,8 @@
 pub(crate) struct WriteEnd {
     pub batch: CellBatch,
     pub log: LogWrites,
-    /// Whether the transaction has released the claim.
-    pub released: bool,
+    /// What the transaction has done to the claim.
+    pub change: ClaimChange,
     /// Time that the write took.
     pub duration: Duration,
 }
@@ -79,15 +78,18 @@
                 Ok(None) => return,
                 Err(_) => None,
             };
-            let released = order.as_ref().is_some_and(|order| order.releases);
             let event = self.write(order).await;
             last_written_at = self.platform.now();
-            let is_lost = matches!(event, Some(WriterEvent::Lost(_)));
+            let is_last = match &event {
+                Some(WriterEvent::Written(end)) => end.change != ClaimChange::Confirm,
+                Some(WriterEvent::Lost(_)) => true,
+                None => false,
+            };
             if let Some(event) = event {
                 // The receiver is gone if the owner task has ended.
                 let _ = self.events.send(event).await;
             }
-            if released || is_lost {
+            if is_last {
                 return;
             }
         }
@@ -97,7 +99,7 @@
     /// be told.
     async fn write(&mut self, order: Option<WriteOrder>) -> Option<WriterEvent> {
         let is_ordered = order.is_some();
-        let WriteOrder { writes, releases } = order.unwrap_or_default();
+        let WriteOrder { writes, change } = order.unwrap_or_default();
         let OwnerWrites {
             batch,
             log,
@@ -106,7 +108,7 @@
         } = writes;
         let began_at = self.platform.now();
         let held = &self.keeper.held;
-        let result = claim::write_with_claim(&self.platform, held, writes, deletes, releases).await;
+        let result = claim::write_with_claim(&self.platform, held, writes, deletes, &change).await;
         let (held, confirmed_at) = match result {
             Ok(confirmed) => confirmed,
             Err(error) => return Some(WriterEvent::Lost(error)),
@@ -117,7 +119,7 @@
             WriterEvent::Written(Box::new(WriteEnd {
                 batch,
                 log,
-                released: releases,
+                change,
                 duration: now.saturating_duration_since(began_at),
             }))
         })
--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -22,6 +22,7 @@
 use crate::peers::PeerError;
 use crate::port::Platform;
 use crate::shared::{NodeContext, OwnerHandle, OwnerRequest, Ownership};
+use crate::speed::SpeedMeter;
 
 /// Upper bound of the heartbeat interval, whatever the owner asks for.
 const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -49,6 +50,10 @@
 /// store.
 const FRESH_CONFIRMATION_AGE: Duration = Duration::from_millis(350);
 
+/// Time that a released claim is left to the process that the former owner has named. That process notices the
+/// release with its next heartbeat.
+const SUCCESSOR_HEAD_START: Duration = Duration::from_millis(800);
+
 /// Interval between reads of the claim.
 const CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -85,6 +90,7 @@
     /// Additional delay before this process acquires the claim, so that processes on
     /// larger VMs acquire it first.
     pub takeover_delay: Duration,
+    pub speed: SpeedMeter,
     pub stop: watch::Receiver<bool>,
 }
 
@@ -109,11 +115,14 @@
                 sleep(CLAIM_POLL_INTERVAL).await;
                 continue;
             };
-            let Some(owner) = claim.filter(|claim| !claim.released) else {
-                self.set_ownership(Ownership::Unknown);
-                self.acquire_when_stale(&mut observation, Duration::ZERO)
-                    .await;
-                continue;
+            let owner = match claim {
+                Some(claim) if !claim.released => claim,
+                released => {
+                    self.set_ownership(Ownership::Unknown);
+                    let successor = released.and_then(|claim| claim.successor);
+                    self.acquire_released(&mut observation, successor).await;
+                    continue;
+                }
             };
             if *owner.node == *self.context.node {
                 // The claim belongs to an earlier incarnation of this process on the same VM.
@@ -168,14 +177,17 @@
     }
 
     /// Sends heartbeats to the owner as long as it answers and confirms its claim.
-    async fn follow(&self, owner: &ClaimValue) -> FollowEnd {
+    async fn follow(&mut self, owner: &ClaimValue) -> FollowEnd {
         let address: Arc<str> = owner.address.as_str().into();
         let mut is_following = false;
         let mut heartbeat_interval;
         loop {
+            self.speed.measure_if_due(&self.platform);
+            let work_time = self.speed.work_time().unwrap_or_default();
             let request = BeatRequest {
                 node: self.context.node.to_string(),
                 address: self.context.address.to_string(),
+                work_us: u64::try_from(work_time.as_micros()).unwrap_or(u64::MAX),
             };
             let heartbeat = self.context.peers.call(
                 "beat",
@@ -216,6 +228,29 @@
         }
     }
 
+    /// Acquires a released claim. The process that the former owner has named does so at once, and the others
+    /// leave it the time to.
+    async fn acquire_released(
+        &mut self,
+        observation: &mut Option<ClaimObservation>,
+        successor: Option<String>,
+    ) {
+        match successor {
+            Some(node) if *node == *self.context.node => {
+                if !*self.stop.borrow()
+                    && let Some(current) = observation.take()
+                {
+                    self.acquire_and_own(&current.claim).await;
+                }
+            }
+            Some(_) => {
+                self.acquire_when_stale(observation, SUCCESSOR_HEAD_START)
+                    .await
+            }
+            None => self.acquire_when_stale(observation, Duration::ZERO).await,
+        }
+    }
+
     /// Waits until the claim has been unchanged for `stale_after` and this process's delay, then acquires
     /// it and runs the cell. Returns early if the claim changes meanwhile.
     async fn acquire_when_stale(
@@ -276,6 +311,7 @@
             started_ms: self.context.started_ms,
             address: self.context.address.to_string(),
             released: false,
+            successor: None,
         };
         let confirmed_at = self.platform.now();
         let acquired =
@@ -325,8 +361,16 @@
         self.set_ownership(Ownership::Unknown);
         match end {
             OwnerEnd::Released => EventCode::CellReleased.log(format_args!("")),
-            OwnerEnd::TooSlow(lag) => {
-                EventCode::OwnerTooSlow.log(format_args!("lag_ms={}", lag.as_millis()));
+            OwnerEnd::TooSlow {
+                lag,
+                work_time,
+                successor,
+            } => {
+                EventCode::OwnerTooSlow.log(format_args!(
+                    "lag_ms={} work_us={} successor={successor}",
+                    lag.as_millis(),
+                    work_time.as_micros(),
+                ));
                 self.cooldown_until = Some(self.platform.now() + SLOW_OWNER_COOLDOWN);
             }
             OwnerEnd::Lost(cause) => EventCode::CellLost.log(format_args!("cause=\"{cause}\"")),
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -28,6 +28,7 @@
 use crate::peers::PeerPool;
 use crate::port::{Platform, RegisteredWorker, WorkerEndpoint};
 use crate::shared::OwnerRequest;
+use crate::speed::SpeedMeter;
 use crate::takeover;
 
 /// Interval at which the cell is advanced to the current time even if nothing happens.
@@ -73,8 +74,15 @@
 pub(crate) enum OwnerEnd {
     /// The cell was released because the process shuts down.
     Released,
-    /// The cell was released because this process is too slow, with this mean lag of its timer.
-    TooSlow(Duration),
+    /// The cell was handed over because this process is too slow.
+    TooSlow {
+        /// Mean lag of the owner's timer.
+        lag: Duration,
+        /// Time that the owner takes for the work of a speed measurement.
+        work_time: Duration,
+        /// Name of the process that should take the cell over.
+        successor: Arc<str>,
+    },
     /// Another process owns the cell.
     Lost(String),
     /// The state of the cell could not be read.
@@ -104,6 +112,8 @@
     /// Where to confirm the release of the cell, once it has been requested.
     release: Option<oneshot::Sender<()>>,
     lag: LagMeter,
+    speed: SpeedMeter,
+    owned_since: Instant,
     load: LoadMeter,
     feed_events: mpsc::Sender<FeedEvent>,
     link_events: mpsc::Sender<(WorkerKey, LinkEvent)>,
@@ -160,6 +170,8 @@
         end_waiters: EndWaiters::default(),
         release: None,
         lag: LagMeter::default(),
+        speed: SpeedMeter::default(),
+        owned_since: started,
         load: LoadMeter::default(),
         feed_events,
         link_events,
@@ -397,6 +409,7 @@
         let now = self.platform.now();
         self.lag.record_tick(now, TICK_INTERVAL);
         self.load.record_tick(now);
+        self.speed.measure_if_due(&self.platform);
         self.check_background_tasks();
         if now.saturating_duration_since(self.cell_measured_at) >= CELL_METRICS_INTERVAL {
             self.cell_measured_at = now;
--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -1,10 +1,15 @@
 //! Transactions of the owner, one at a time.
 
+use std::sync::Arc;
+use std::time::Instant;
+
 use hs_cell::{JobId, RecordRow};
 use hs_event::EventCode;
 
 use super::{OwnerEnd, OwnerTask};
+use crate::claim::ClaimChange;
 use crate::claim_writer::{WriteEnd, WriteOrder, WriterEvent};
+use crate::handover;
 use crate::port::Platform;
 
 impl<P: Platform> OwnerTask<P> {
@@ -15,19 +20,30 @@
         }
         let now = self.platform.now();
         let writes = self.planner.plan(&mut self.cell, now);
-        // If no other process could take the cell over, a slow owner is better than none.
-        let slow = self.lag.is_slow() && !self.status.members().is_empty();
-        let releases = slow || (self.release.is_some() && writes.batch.is_empty());
-        if writes.is_empty() && !releases {
+        let change = match self.successor(now) {
+            Some(node) => ClaimChange::HandOver(node),
+            None if self.release.is_some() && writes.batch.is_empty() => ClaimChange::Release,
+            None => ClaimChange::Confirm,
+        };
+        if writes.is_empty() && change == ClaimChange::Confirm {
             return;
         }
         self.committing = true;
-        let order = WriteOrder { writes, releases };
+        let order = WriteOrder { writes, change };
         if self.write_orders.try_send(order).is_err() {
             self.end = Some(OwnerEnd::Lost("the claim writer has ended".to_owned()));
         }
     }
 
+    /// Returns the process to which the cell is handed over, if this one is too slow for it.
+    fn successor(&self, now: Instant) -> Option<Arc<str>> {
+        if !self.lag.is_slow() {
+            return None;
+        }
+        let members = self.status.members();
+        handover::successor(&members, self.speed.work_time(), self.owned_since, now)
+    }
+
     pub(super) fn handle_writer_event(&mut self, event: WriterEvent) {
         match event {
             WriterEvent::Written(end) => self.finish_commit(*end),
@@ -52,15 +68,18 @@
                 self.end_waiters.notify_ended(id, state);
             }
         }
-        if end.released {
-            self.end = Some(match self.release.take() {
-                Some(reply) => {
-                    // The receiver is gone if the process no longer waits for the release.
-                    let _ = reply.send(());
-                    OwnerEnd::Released
-                }
-                None => OwnerEnd::TooSlow(self.lag.mean_lag()),
-            });
+        self.end = match end.change {
+            ClaimChange::Confirm => return,
+            ClaimChange::Release => Some(OwnerEnd::Released),
+            ClaimChange::HandOver(successor) => Some(OwnerEnd::TooSlow {
+                lag: self.lag.mean_lag(),
+                work_time: self.speed.work_time().unwrap_or_default(),
+                successor,
+            }),
+        };
+        if let Some(reply) = self.release.take() {
+            // The receiver is gone if the process no longer waits for the release.
+            let _ = reply.send(());
         }
     }
 }
--- a/crates/hs-control/src/owner_status.rs
+++ b/crates/hs-control/src/owner_status.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::watch;
 
-use crate::members::MemberTable;
+use crate::members::{Heartbeat, MemberTable};
 
 /// State of an owner that its tasks share with the peer listener. Clones share their state.
 #[derive(Clone, Debug)]
@@ -39,14 +39,9 @@
     }
 
     /// Records the heartbeat of another process, and returns the reply.
-    pub(crate) fn answer_heartbeat(
-        &self,
-        node: String,
-        address: String,
-        now: Instant,
-    ) -> HeartbeatReply {
+    pub(crate) fn answer_heartbeat(&self, heartbeat: Heartbeat, now: Instant) -> HeartbeatReply {
         let mut members = self.members();
-        members.record_heartbeat(node, address, now);
+        members.record_heartbeat(heartbeat, now);
         HeartbeatReply {
             fence: self.fence,
             confirmation_age: now.saturating_duration_since(*self.confirmation.borrow()),
--- a/crates/hs-control/src/port.rs
+++ b/crates/hs-control/src/port.rs
@@ -301,6 +301,10 @@
 
     /// Returns the wall-clock time in Unix milliseconds.
     fn unix_ms(&self) -> u64;
+
+    /// Tells a simulated clock how much work the process has just done, in the unit of the work. A real clock
+    /// has moved on meanwhile.
+    fn record_work(&self, _amount: u64) {}
 }
 
 /// Everything that a process needs from its platform.
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -22,6 +22,7 @@
 use crate::peers::PeerPool;
 use crate::port::Platform;
 use crate::shared::{NodeContext, Ownership};
+use crate::speed::SpeedMeter;
 use crate::store_health::StoreHealth;
 use crate::supervise::restart_on_panic;
 
@@ -119,6 +120,7 @@
         cooldown_until: None,
         options: options.cell,
         takeover_delay: options.takeover_delay,
+        speed: SpeedMeter::default(),
         stop: stop.clone(),
     };
     tokio::spawn(restart_on_panic("election", move || election.clone().run()));
--- a/crates/hs-control/src/server.rs
+++ b/crates/hs-control/src/server.rs
@@ -10,6 +10,7 @@
 use crate::control::{Control, phase_from_state};
 use crate::intake::IntakeResult;
 use crate::keys;
+use crate::members::Heartbeat;
 use crate::message::cell_server::Cell;
 use crate::message::{
     AcceptReply, AcceptRequest, AcceptResult, AdviseReply, AdviseRequest, AllowedWorker, BeatReply,
@@ -48,10 +49,19 @@
 #[tonic::async_trait]
 impl<P: Platform> Cell for PeerServer<P> {
     async fn beat(&self, request: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
-        let BeatRequest { node, address } = request.into_inner();
+        let BeatRequest {
+            node,
+            address,
+            work_us,
+        } = request.into_inner();
         let owner = self.owner()?;
         let now = self.control.platform.now();
-        let reply = owner.status.answer_heartbeat(node, address, now);
+        let heartbeat = Heartbeat {
+            node: node.into(),
+            address: address.into(),
+            work_time: (work_us > 0).then(|| Duration::from_micros(work_us)),
+        };
+        let reply = owner.status.answer_heartbeat(heartbeat, now);
         Ok(Response::new(BeatReply {
             fence: reply.fence,
             proof_age_ms: u64::try_from(reply.confirmation_age.as_millis()).unwrap_or(u64::MAX),
