--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -1,15 +1,17 @@
 //! The task that runs the cell in the process that owns it.
 
 mod commit;
+mod effects;
 mod feed;
 mod report;
+mod requests;
 
 use hs_event::EventCode;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{Cell, CellEffect, CellOptions, CrashEvent, JobId, JobSpec, JobState, WorkerKey};
+use hs_cell::{Cell, CellOptions, WorkerKey};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -21,7 +23,7 @@
 use crate::end_waiters::EndWaiters;
 use crate::feeds::{self, FeedEvent, StoredState};
 use crate::lag::LagMeter;
-use crate::link::{LeaseTerms, LinkEvent, LinkHandle, LinkOrder, MAX_LEASE_PAST_CONFIRMATION};
+use crate::link::{LeaseTerms, LinkEvent, LinkHandle, MAX_LEASE_PAST_CONFIRMATION};
 use crate::load::LoadMeter;
 use crate::metrics::ControlMetrics;
 use crate::owner_status::OwnerStatus;
@@ -293,60 +295,6 @@
         self.links.insert(key, link);
     }
 
-    fn add_job(&mut self, id: JobId, spec: Arc<JobSpec>, source: &str) {
-        let now = self.platform.now();
-        let now_ms = self.platform.unix_ms();
-        let queue = spec.queue.clone();
-        let steps = spec.steps.len();
-        if self.cell.add_job(id, spec, now, now_ms) {
-            EventCode::JobQueued.log(format_args!(
-                "job={id} queue={queue} steps={steps} source={source}"
-            ));
-        }
-    }
-
-    fn cancel(&mut self, id: JobId) {
-        if self.cell.cancel(id) {
-            EventCode::JobCancelled.log(format_args!("job={id}"));
-            self.planner.note_cancelled(id);
-        } else {
-            log::debug!("cancellation of unknown job {id}");
-        }
-    }
-
-    fn handle_request(&mut self, request: OwnerRequest) {
-        // Sending a reply fails if the caller stopped waiting, which needs no handling.
-        match request {
-            OwnerRequest::Offer {
-                jobs,
-                cancelled,
-                reply,
-            } => {
-                for (id, spec) in jobs {
-                    self.add_job(id, spec, "offer");
-                }
-                for id in cancelled {
-                    self.cancel(id);
-                }
-                let _ = reply.send(());
-            }
-            OwnerRequest::State(id, reply) => {
-                let _ = reply.send(self.cell.state(id));
-            }
-            OwnerRequest::AwaitEnd(id, reply) => match self.cell.state(id) {
-                Some(state @ JobState::Ended(_)) => {
-                    let _ = reply.send(state);
-                }
-                _ => self.end_waiters.add(id, reply),
-            },
-            OwnerRequest::Pending(queue, reply) => {
-                let count = self.cell.pending_jobs(&queue);
-                let _ = reply.send(u64::try_from(count).unwrap_or(u64::MAX));
-            }
-            OwnerRequest::Release(reply) => self.release = Some(reply),
-        }
-    }
-
     /// Lets the processes that send heartbeats call the advice service, if they have changed.
     fn update_advice_callers(&mut self) {
         let mut members = self.status.members();
@@ -447,79 +395,4 @@
         }
         self.begin_commit();
     }
-
-    fn apply_effect(&mut self, effect: CellEffect) {
-        match effect {
-            CellEffect::Start(key, order) => {
-                let run = order.run;
-                let worker = self.cell.worker_id(key).unwrap_or_default();
-                EventCode::StartSent.log(format_args!(
-                    "task={} run={} worker={worker}",
-                    run.task, run.run
-                ));
-                self.metrics.record_start();
-                self.load.starts += 1;
-                if let Some(wait) = self.cell.queue_wait(run.task.job(), self.platform.now()) {
-                    self.metrics.record_start_wait(wait);
-                }
-                if let Some(link) = self.links.get(&key) {
-                    link.send(LinkOrder::Start(order));
-                }
-            }
-            CellEffect::Stop(key, run) => {
-                self.load.stops += 1;
-                EventCode::StopSent.log(format_args!("task={} run={}", run.task, run.run));
-                if let Some(link) = self.links.get(&key) {
-                    link.send(LinkOrder::Stop(run));
-                }
-            }
-            CellEffect::Advise(request) => {
-                self.load.advice_requests += 1;
-                EventCode::AdviceRequested.log(format_args!(
-                    "step={} named={}",
-                    request.step,
-                    request.workers.len()
-                ));
-                let ids = request.workers.iter();
-                let workers = ids.filter_map(|key| self.cell.worker_id(*key)).collect();
-                self.advice_dispatcher.enqueue(request, workers);
-            }
-            CellEffect::Acknowledge(key, number) => {
-                if let Some(link) = self.links.get(&key) {
-                    link.acknowledge(number);
-                }
-            }
-            CellEffect::Forget(key) => {
-                self.links.remove(&key);
-            }
-            CellEffect::Report(event) => self.report_crash_event(event),
-        }
-    }
-
-    fn report_crash_event(&self, event: CrashEvent) {
-        match event {
-            CrashEvent::WorkerCrashed { worker, run, alone } => {
-                self.metrics.record_worker_crash(alone);
-                EventCode::WorkerCrashed.log(format_args!(
-                    "task={} run={} worker={worker} alone={alone}",
-                    run.task, run.run
-                ));
-            }
-            CrashEvent::TaskSuspected { task, crashes } => {
-                EventCode::TaskSuspected.log(format_args!("task={task} crashes={crashes}"));
-            }
-            CrashEvent::TaskCleared { task } => {
-                EventCode::TaskCleared.log(format_args!("task={task}"));
-            }
-            CrashEvent::TaskGivenUp {
-                task,
-                crashes,
-                alone,
-            } => {
-                self.metrics.record_task_given_up();
-                EventCode::TaskGivenUp
-                    .log(format_args!("task={task} crashes={crashes} alone={alone}"));
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/hs-control/src/owner/effects.rs
@@ -0,0 +1,85 @@
+//! Execution of the effects that the cell asks for.
+
+use hs_cell::{CellEffect, CrashEvent};
+use hs_event::EventCode;
+
+use super::OwnerTask;
+use crate::link::LinkOrder;
+use crate::port::Platform;
+
+impl<P: Platform> OwnerTask<P> {
+    pub(super) fn apply_effect(&mut self, effect: CellEffect) {
+        match effect {
+            CellEffect::Start(key, order) => {
+                let run = order.run;
+                let worker = self.cell.worker_id(key).unwrap_or_default();
+                EventCode::StartSent.log(format_args!(
+                    "task={} run={} worker={worker}",
+                    run.task, run.run
+                ));
+                self.metrics.record_start();
+                self.load.starts += 1;
+                if let Some(wait) = self.cell.queue_wait(run.task.job(), self.platform.now()) {
+                    self.metrics.record_start_wait(wait);
+                }
+                if let Some(link) = self.links.get(&key) {
+                    link.send(LinkOrder::Start(order));
+                }
+            }
+            CellEffect::Stop(key, run) => {
+                self.load.stops += 1;
+                EventCode::StopSent.log(format_args!("task={} run={}", run.task, run.run));
+                if let Some(link) = self.links.get(&key) {
+                    link.send(LinkOrder::Stop(run));
+                }
+            }
+            CellEffect::Advise(request) => {
+                self.load.advice_requests += 1;
+                EventCode::AdviceRequested.log(format_args!(
+                    "step={} named={}",
+                    request.step,
+                    request.workers.len()
+                ));
+                let ids = request.workers.iter();
+                let workers = ids.filter_map(|key| self.cell.worker_id(*key)).collect();
+                self.advice_dispatcher.enqueue(request, workers);
+            }
+            CellEffect::Acknowledge(key, number) => {
+                if let Some(link) = self.links.get(&key) {
+                    link.acknowledge(number);
+                }
+            }
+            CellEffect::Forget(key) => {
+                self.links.remove(&key);
+            }
+            CellEffect::Report(event) => self.report_crash_event(event),
+        }
+    }
+
+    fn report_crash_event(&self, event: CrashEvent) {
+        match event {
+            CrashEvent::WorkerCrashed { worker, run, alone } => {
+                self.metrics.record_worker_crash(alone);
+                EventCode::WorkerCrashed.log(format_args!(
+                    "task={} run={} worker={worker} alone={alone}",
+                    run.task, run.run
+                ));
+            }
+            CrashEvent::TaskSuspected { task, crashes } => {
+                EventCode::TaskSuspected.log(format_args!("task={task} crashes={crashes}"));
+            }
+            CrashEvent::TaskCleared { task } => {
+                EventCode::TaskCleared.log(format_args!("task={task}"));
+            }
+            CrashEvent::TaskGivenUp {
+                task,
+                crashes,
+                alone,
+            } => {
+                self.metrics.record_task_given_up();
+                EventCode::TaskGivenUp
+                    .log(format_args!("task={task} crashes={crashes} alone={alone}"));
+            }
+        }
+    }
+}
