fix: give the other tasks of the owner's process their turn

With a backlog, gaps of 170 to 1,758 ms lay between the ticks of the owner's timer, and calls to peers and workers were not read meanwhile.

Cause: after each event the owner task went on with the next one as long as any was queued. The runtime takes a task off only after 128 of them, each of which may cause a scheduling pass.

A round now handles at most 64 events of a kind, and the owner task yields after a round of 2 ms or more.

--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -13,7 +13,7 @@
 
 use hs_cell::{Cell, CellOptions, WorkerKey};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, yield_now};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::advice_dispatcher::{AdviceDispatcher, AdvicePartEnd};
@@ -48,6 +48,14 @@
 /// Maximum number of transactions that may wait for the claim writer. The owner orders one at a time.
 const MAX_WRITE_ORDERS: usize = 1;
 
+/// Maximum number of events of one kind that are handled before the cell is advanced and other tasks of the
+/// process get their turn.
+const MAX_EVENTS_PER_ROUND: usize = 64;
+
+/// Duration of a round after which the other tasks of the process get their turn, even if further events wait.
+/// The runtime would otherwise let the owner task handle up to 128 events in a row.
+const LONG_ROUND: Duration = Duration::from_millis(2);
+
 /// Maximum number of events of each kind that may wait for the owner task.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
 
@@ -205,14 +213,21 @@
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        let round_began_at = platform.now();
         owner.advance();
         if let Some(end) = owner.end.take() {
             return end;
         }
+        if platform.now().saturating_duration_since(round_began_at) >= LONG_ROUND {
+            yield_now().await;
+        }
         tokio::select! {
             Some((key, event)) = link_receiver.recv() => {
                 owner.handle_link_event(key, event);
-                while let Ok((key, event)) = link_receiver.try_recv() {
+                for _ in 1..MAX_EVENTS_PER_ROUND {
+                    let Ok((key, event)) = link_receiver.try_recv() else {
+                        break;
+                    };
                     owner.handle_link_event(key, event);
                 }
             }
@@ -221,7 +236,10 @@
             Some(end) = advice_receiver.recv() => owner.handle_advice_end(end),
             Some(request) = requests.recv() => {
                 owner.handle_request(request);
-                while let Ok(request) = requests.try_recv() {
+                for _ in 1..MAX_EVENTS_PER_ROUND {
+                    let Ok(request) = requests.try_recv() else {
+                        break;
+                    };
                     owner.handle_request(request);
                 }
             }
