--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -1,37 +1,37 @@
 //! The task that runs the cell in the process that owns it.
 
 mod commit;
+mod effects;
 mod feed;
 mod report;
+mod requests;
 
 use hs_event::EventCode;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{
-    Cell, CellBatch, CellEffect, CellOptions, CrashEvent, JobId, JobSpec, JobState, LogWrites,
-    WorkerKey,
-};
+use hs_cell::{Cell, CellOptions, WorkerKey};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinSet;
+use tokio::task::{JoinSet, yield_now};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::advice_dispatcher::{AdviceDispatcher, AdvicePartEnd};
-use crate::claim::{ClaimError, HeldClaim};
+use crate::claim_writer::{ClaimKeeper, ClaimWriter, WriteOrder};
 use crate::commits::CommitPlanner;
 use crate::config::ClusterConfig;
 use crate::end_waiters::EndWaiters;
 use crate::feeds::{self, FeedEvent, StoredState};
 use crate::lag::LagMeter;
-use crate::link::{LeaseTerms, LinkEvent, LinkHandle, LinkOrder, MAX_LEASE_PAST_CONFIRMATION};
+use crate::link::{LeaseTerms, LinkEvent, LinkHandle, MAX_LEASE_PAST_CONFIRMATION};
 use crate::load::LoadMeter;
-use crate::members::MemberTable;
 use crate::metrics::ControlMetrics;
+use crate::owner_status::OwnerStatus;
 use crate::peers::PeerPool;
 use crate::port::{Platform, RegisteredWorker, WorkerEndpoint};
-use crate::shared::{HeartbeatReply, OwnerRequest};
-use crate::takeover::{self, ClaimTracker};
+use crate::shared::OwnerRequest;
+use crate::speed::SpeedMeter;
+use crate::takeover;
 
 /// Interval at which the cell is advanced to the current time even if nothing happens.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
@@ -45,6 +45,17 @@
 /// Maximum number of waiting steps that are described in the log in each [`CELL_METRICS_INTERVAL`].
 const MAX_LOGGED_WAITS: usize = 8;
 
+/// Maximum number of transactions that may wait for the claim writer. The owner orders one at a time.
+const MAX_WRITE_ORDERS: usize = 1;
+
+/// Maximum number of events of one kind that are handled before the cell is advanced and other tasks of the
+/// process get their turn.
+const MAX_EVENTS_PER_ROUND: usize = 64;
+
+/// Duration of a round after which the other tasks of the process get their turn, even if further events wait.
+/// The runtime would otherwise let the owner task handle up to 128 events in a row.
+const LONG_ROUND: Duration = Duration::from_millis(2);
+
 /// Maximum number of events of each kind that may wait for the owner task.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
 
@@ -62,10 +73,8 @@
     pub peers: PeerPool,
     pub options: CellOptions,
     pub config: watch::Receiver<Option<Arc<ClusterConfig>>>,
-    pub held: HeldClaim,
-    /// Latest time at which the claim was certainly held.
-    pub confirmed_at: Instant,
-    pub owner_last_seen: Arc<watch::Sender<Option<Instant>>>,
+    pub keeper: ClaimKeeper,
+    pub status: OwnerStatus,
     pub metrics: ControlMetrics,
     pub requests: mpsc::Receiver<OwnerRequest>,
 }
@@ -75,59 +84,48 @@
 pub(crate) enum OwnerEnd {
     /// The cell was released because the process shuts down.
     Released,
-    /// The cell was released because this process is too slow, with this mean lag of its timer.
-    TooSlow(Duration),
+    /// The cell was handed over because this process is too slow.
+    TooSlow {
+        /// Mean lag of the owner's timer.
+        lag: Duration,
+        /// Time that the owner takes for the work of a speed measurement.
+        work_time: Duration,
+        /// Name of the process that should take the cell over.
+        successor: Arc<str>,
+    },
     /// Another process owns the cell.
     Lost(String),
     /// The state of the cell could not be read.
     Unreadable(String),
 }
 
-/// Events from the owner's background tasks.
-#[derive(Debug)]
-enum OwnerEvent {
-    /// A transaction has finished.
-    Committed(Box<CommitEnd>),
-    Feed(FeedEvent),
-}
-
-impl From<FeedEvent> for OwnerEvent {
-    fn from(event: FeedEvent) -> Self {
-        Self::Feed(event)
-    }
-}
-
-/// The result of a transaction, and what it wrote.
-#[derive(Debug)]
-struct CommitEnd {
-    batch: CellBatch,
-    log: LogWrites,
-    result: Result<(HeldClaim, Instant), ClaimError>,
-}
-
 /// State of the owner task.
 struct OwnerTask<P> {
     platform: P,
     cell: Cell,
-    claim_tracker: ClaimTracker,
+    fence: u64,
+    /// Publishes the latest time at which the claim was certainly held.
+    confirmation: watch::Receiver<Instant>,
     planner: CommitPlanner,
+    write_orders: mpsc::Sender<WriteOrder>,
+    /// Whether a transaction is in flight.
     committing: bool,
-    last_commit_at: Instant,
     metrics: ControlMetrics,
-    commit_started_at: Instant,
     cell_measured_at: Instant,
     lease: Duration,
     /// Time at which all leases that an earlier owner granted have certainly ended.
     earlier_leases_end: Instant,
     links: HashMap<WorkerKey, LinkHandle>,
     advice_dispatcher: AdviceDispatcher<P>,
-    members: MemberTable,
+    status: OwnerStatus,
     end_waiters: EndWaiters,
     /// Where to confirm the release of the cell, once it has been requested.
     release: Option<oneshot::Sender<()>>,
     lag: LagMeter,
+    speed: SpeedMeter,
+    owned_since: Instant,
     load: LoadMeter,
-    events: mpsc::Sender<OwnerEvent>,
+    feed_events: mpsc::Sender<FeedEvent>,
     link_events: mpsc::Sender<(WorkerKey, LinkEvent)>,
     background_tasks: JoinSet<()>,
     /// Why the task should end, once that is known.
@@ -138,19 +136,26 @@
 pub(crate) async fn run<P: Platform>(inputs: OwnerInputs<P>) -> OwnerEnd {
     let platform = inputs.platform.clone();
     let started = platform.now();
-    let mut claim_tracker = ClaimTracker {
-        held: inputs.held,
-        confirmation: watch::channel(inputs.confirmed_at).0,
-        confirmed_at: inputs.confirmed_at,
-        owner_last_seen: inputs.owner_last_seen,
+    let fence = inputs.keeper.held.value.fence;
+    let confirmation = inputs.keeper.confirmation.subscribe();
+    let mut background_tasks = JoinSet::new();
+    let (write_orders, orders) = mpsc::channel(MAX_WRITE_ORDERS);
+    let (writer_events, mut writer_receiver) = mpsc::channel(MAX_WRITE_ORDERS);
+    let writer = ClaimWriter {
+        platform: platform.clone(),
+        keeper: inputs.keeper,
+        orders,
+        events: writer_events,
     };
+    background_tasks.spawn(writer.run());
     let mut requests = inputs.requests;
-    let takeover = match takeover::load_state(&platform, &mut claim_tracker, &mut requests).await {
+    let takeover = takeover::load_state(&platform, &mut writer_receiver, &mut requests).await;
+    let takeover = match takeover {
         Ok(takeover) => takeover,
         Err(end) => return end,
     };
     let read_at = platform.now();
-    let (events, mut event_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
+    let (feed_events, mut feed_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let (link_events, mut link_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let (advice_ends, mut advice_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
     let mut config = inputs.config;
@@ -158,12 +163,12 @@
         advice_dispatcher: AdviceDispatcher::new(platform.clone(), inputs.peers, advice_ends),
         cell: Cell::new(inputs.options),
         lease: inputs.options.lease,
-        claim_tracker,
-        planner: CommitPlanner::default(),
+        fence,
+        confirmation,
+        planner: CommitPlanner::new(fence),
+        write_orders,
         committing: false,
-        last_commit_at: started,
         metrics: inputs.metrics,
-        commit_started_at: started,
         cell_measured_at: started,
         // Earlier owners last confirmed their claim before this process acquired it, which bounds the end
         // of their leases.
@@ -171,14 +176,16 @@
             + MAX_LEASE_PAST_CONFIRMATION.mul_f64(CLOCK_DRIFT_FACTOR)
             + EARLIER_LEASE_MARGIN,
         links: HashMap::new(),
-        members: takeover.members,
+        status: inputs.status,
         end_waiters: EndWaiters::default(),
         release: None,
         lag: LagMeter::default(),
+        speed: SpeedMeter::default(),
+        owned_since: started,
         load: LoadMeter::default(),
-        events,
+        feed_events,
         link_events,
-        background_tasks: JoinSet::new(),
+        background_tasks,
         end: None,
         platform: platform.clone(),
     };
@@ -193,7 +200,7 @@
     }
     EventCode::CellTaken.log(format_args!(
         "fence={} jobs={} runs={} workers={} read_ms={} restore_ms={}",
-        owner.claim_tracker.held.value.fence,
+        owner.fence,
         owner.cell.unfinished_jobs(),
         owner.cell.allocated_runs(),
         owner.links.len(),
@@ -206,22 +213,33 @@
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        let round_began_at = platform.now();
         owner.advance();
         if let Some(end) = owner.end.take() {
             return end;
         }
+        if platform.now().saturating_duration_since(round_began_at) >= LONG_ROUND {
+            yield_now().await;
+        }
         tokio::select! {
             Some((key, event)) = link_receiver.recv() => {
                 owner.handle_link_event(key, event);
-                while let Ok((key, event)) = link_receiver.try_recv() {
+                for _ in 1..MAX_EVENTS_PER_ROUND {
+                    let Ok((key, event)) = link_receiver.try_recv() else {
+                        break;
+                    };
                     owner.handle_link_event(key, event);
                 }
             }
-            Some(event) = event_receiver.recv() => owner.handle_event(event),
+            Some(event) = writer_receiver.recv() => owner.handle_writer_event(event),
+            Some(event) = feed_receiver.recv() => owner.handle_feed_event(event),
             Some(end) = advice_receiver.recv() => owner.handle_advice_end(end),
             Some(request) = requests.recv() => {
                 owner.handle_request(request);
-                while let Ok(request) = requests.try_recv() {
+                for _ in 1..MAX_EVENTS_PER_ROUND {
+                    let Ok(request) = requests.try_recv() else {
+                        break;
+                    };
                     owner.handle_request(request);
                 }
             }
@@ -247,12 +265,11 @@
             state
                 .cell
                 .restore(&mut self.cell, &self.platform, self.earlier_leases_end);
-        let events = self.events.clone();
         let feeds = feeds::follow(
             self.platform.clone(),
             state.registry_revision,
             revision,
-            events,
+            self.feed_events.clone(),
         );
         self.background_tasks.spawn(feeds);
     }
@@ -286,9 +303,9 @@
             key,
             peer,
             LeaseTerms {
-                fence: self.claim_tracker.held.value.fence,
+                fence: self.fence,
                 lease: self.lease,
-                confirmation: self.claim_tracker.confirmation.subscribe(),
+                confirmation: self.confirmation.clone(),
             },
             self.metrics.clone(),
             self.link_events.clone(),
@@ -296,86 +313,14 @@
         self.links.insert(key, link);
     }
 
-    fn handle_event(&mut self, event: OwnerEvent) {
-        match event {
-            OwnerEvent::Committed(end) => self.finish_commit(*end),
-            OwnerEvent::Feed(event) => self.handle_feed_event(event),
-        }
-    }
-
-    fn add_job(&mut self, id: JobId, spec: Arc<JobSpec>, source: &str) {
-        let now = self.platform.now();
-        let now_ms = self.platform.unix_ms();
-        let queue = spec.queue.clone();
-        let steps = spec.steps.len();
-        if self.cell.add_job(id, spec, now, now_ms) {
-            EventCode::JobQueued.log(format_args!(
-                "job={id} queue={queue} steps={steps} source={source}"
-            ));
-        }
-    }
-
-    fn cancel(&mut self, id: JobId) {
-        if self.cell.cancel(id) {
-            EventCode::JobCancelled.log(format_args!("job={id}"));
-            self.planner.note_cancelled(id);
-        } else {
-            log::debug!("cancellation of unknown job {id}");
-        }
-    }
-
-    fn handle_request(&mut self, request: OwnerRequest) {
-        // Sending a reply fails if the caller stopped waiting, which needs no handling.
-        match request {
-            OwnerRequest::Heartbeat {
-                node,
-                address,
-                reply,
-            } => {
-                let now = self.platform.now();
-                if self.members.record_heartbeat(node, address, now) {
-                    self.update_advice_callers();
-                }
-                let _ = reply.send(HeartbeatReply {
-                    heartbeat_interval: self.members.heartbeat_interval(),
-                    fence: self.claim_tracker.held.value.fence,
-                    confirmation_age: now
-                        .saturating_duration_since(self.claim_tracker.confirmed_at),
-                });
-            }
-            OwnerRequest::Offer {
-                jobs,
-                cancelled,
-                reply,
-            } => {
-                for (id, spec) in jobs {
-                    self.add_job(id, spec, "offer");
-                }
-                for id in cancelled {
-                    self.cancel(id);
-                }
-                let _ = reply.send(());
-            }
-            OwnerRequest::State(id, reply) => {
-                let _ = reply.send(self.cell.state(id));
-            }
-            OwnerRequest::AwaitEnd(id, reply) => match self.cell.state(id) {
-                Some(state @ JobState::Ended(_)) => {
-                    let _ = reply.send(state);
-                }
-                _ => self.end_waiters.add(id, reply),
-            },
-            OwnerRequest::Pending(queue, reply) => {
-                let count = self.cell.pending_jobs(&queue);
-                let _ = reply.send(u64::try_from(count).unwrap_or(u64::MAX));
-            }
-            OwnerRequest::Release(reply) => self.release = Some(reply),
-        }
-    }
-
+    /// Lets the processes that send heartbeats call the advice service, if they have changed.
     fn update_advice_callers(&mut self) {
-        self.advice_dispatcher
-            .set_members(&self.members.addresses());
+        let mut members = self.status.members();
+        if members.take_changed() {
+            let addresses = members.addresses();
+            drop(members);
+            self.advice_dispatcher.set_members(&addresses);
+        }
     }
 
     fn handle_link_event(&mut self, key: WorkerKey, event: LinkEvent) {
@@ -430,15 +375,15 @@
         let now = self.platform.now();
         self.lag.record_tick(now, TICK_INTERVAL);
         self.load.record_tick(now);
+        self.speed.measure_if_due(&self.platform);
         self.check_background_tasks();
         if now.saturating_duration_since(self.cell_measured_at) >= CELL_METRICS_INTERVAL {
             self.cell_measured_at = now;
             self.report_load(now);
         }
         self.end_waiters.remove_closed();
-        if self.members.remove_unreachable(now) {
-            self.update_advice_callers();
-        }
+        self.status.members().remove_unreachable(now);
+        self.update_advice_callers();
     }
 
     /// Gives the cell up if one of the background tasks has panicked, since a transaction or the feeds would be
@@ -466,83 +411,6 @@
         for effect in self.cell.take_effects() {
             self.apply_effect(effect);
         }
-        if !self.committing {
-            self.begin_commit(now);
-        }
-    }
-
-    fn apply_effect(&mut self, effect: CellEffect) {
-        match effect {
-            CellEffect::Start(key, order) => {
-                let run = order.run;
-                let worker = self.cell.worker_id(key).unwrap_or_default();
-                EventCode::StartSent.log(format_args!(
-                    "task={} run={} worker={worker}",
-                    run.task, run.run
-                ));
-                self.metrics.record_start();
-                self.load.starts += 1;
-                if let Some(wait) = self.cell.queue_wait(run.task.job(), self.platform.now()) {
-                    self.metrics.record_start_wait(wait);
-                }
-                if let Some(link) = self.links.get(&key) {
-                    link.send(LinkOrder::Start(order));
-                }
-            }
-            CellEffect::Stop(key, run) => {
-                self.load.stops += 1;
-                EventCode::StopSent.log(format_args!("task={} run={}", run.task, run.run));
-                if let Some(link) = self.links.get(&key) {
-                    link.send(LinkOrder::Stop(run));
-                }
-            }
-            CellEffect::Advise(request) => {
-                self.load.advice_requests += 1;
-                EventCode::AdviceRequested.log(format_args!(
-                    "step={} named={}",
-                    request.step,
-                    request.workers.len()
-                ));
-                let ids = request.workers.iter();
-                let workers = ids.filter_map(|key| self.cell.worker_id(*key)).collect();
-                self.advice_dispatcher.enqueue(request, workers);
-            }
-            CellEffect::Acknowledge(key, number) => {
-                if let Some(link) = self.links.get(&key) {
-                    link.acknowledge(number);
-                }
-            }
-            CellEffect::Forget(key) => {
-                self.links.remove(&key);
-            }
-            CellEffect::Report(event) => self.report_crash_event(event),
-        }
-    }
-
-    fn report_crash_event(&self, event: CrashEvent) {
-        match event {
-            CrashEvent::WorkerCrashed { worker, run, alone } => {
-                self.metrics.record_worker_crash(alone);
-                EventCode::WorkerCrashed.log(format_args!(
-                    "task={} run={} worker={worker} alone={alone}",
-                    run.task, run.run
-                ));
-            }
-            CrashEvent::TaskSuspected { task, crashes } => {
-                EventCode::TaskSuspected.log(format_args!("task={task} crashes={crashes}"));
-            }
-            CrashEvent::TaskCleared { task } => {
-                EventCode::TaskCleared.log(format_args!("task={task}"));
-            }
-            CrashEvent::TaskGivenUp {
-                task,
-                crashes,
-                alone,
-            } => {
-                self.metrics.record_task_given_up();
-                EventCode::TaskGivenUp
-                    .log(format_args!("task={task} crashes={crashes} alone={alone}"));
-            }
-        }
+        self.begin_commit();
     }
 }
--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -1,84 +1,85 @@
 //! Transactions of the owner, one at a time.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use hs_cell::{JobId, RecordRow};
 use hs_event::EventCode;
 
-use super::{CommitEnd, OwnerEnd, OwnerEvent, OwnerTask};
-use crate::claim;
-use crate::commits::OwnerWrites;
+use super::{OwnerEnd, OwnerTask};
+use crate::claim::ClaimChange;
+use crate::claim_writer::{WriteEnd, WriteOrder, WriterEvent};
+use crate::handover;
 use crate::port::Platform;
-use crate::takeover::CLAIM_CONFIRM_INTERVAL;
 
 impl<P: Platform> OwnerTask<P> {
-    pub(super) fn begin_commit(&mut self, now: Instant) {
-        let planned = self
-            .planner
-            .plan(&mut self.cell, &self.claim_tracker.held.value, now);
-        // If no other process could take the cell over, a slow owner is better than none.
-        let slow = self.lag.is_slow() && !self.members.is_empty();
-        let releasing = slow || (self.release.is_some() && planned.batch.is_empty());
-        let is_confirm_due =
-            now.saturating_duration_since(self.last_commit_at) >= CLAIM_CONFIRM_INTERVAL;
-        if planned.is_empty() && !is_confirm_due && !releasing {
+    /// Orders the next transaction, unless one is in flight or there is nothing to write.
+    pub(super) fn begin_commit(&mut self) {
+        if self.committing {
+            return;
+        }
+        let now = self.platform.now();
+        let writes = self.planner.plan(&mut self.cell, now);
+        let change = match self.successor(now) {
+            Some(node) => ClaimChange::HandOver(node),
+            None if self.release.is_some() && writes.batch.is_empty() => ClaimChange::Release,
+            None => ClaimChange::Confirm,
+        };
+        if writes.is_empty() && change == ClaimChange::Confirm {
             return;
         }
         self.committing = true;
-        self.commit_started_at = now;
-        let platform = self.platform.clone();
-        let held = self.claim_tracker.held.clone();
-        let events = self.events.clone();
-        self.background_tasks.spawn(async move {
-            let OwnerWrites {
-                batch,
-                log,
-                writes,
-                deletes,
-            } = planned;
-            let result =
-                claim::write_with_claim(&platform, &held, writes, deletes, releasing).await;
-            let end = Box::new(CommitEnd { batch, log, result });
-            // The receiver is gone if the owner task has ended.
-            let _ = events.send(OwnerEvent::Committed(end)).await;
-        });
+        let order = WriteOrder { writes, change };
+        if self.write_orders.try_send(order).is_err() {
+            self.end = Some(OwnerEnd::Lost("the claim writer has ended".to_owned()));
+        }
+    }
+
+    /// Returns the process to which the cell is handed over, if this one is too slow for it.
+    fn successor(&self, now: Instant) -> Option<Arc<str>> {
+        if !self.lag.is_slow() {
+            return None;
+        }
+        let members = self.status.members();
+        handover::successor(&members, self.speed.work_time(), self.owned_since, now)
     }
 
-    pub(super) fn finish_commit(&mut self, end: CommitEnd) {
+    pub(super) fn handle_writer_event(&mut self, event: WriterEvent) {
+        match event {
+            WriterEvent::Written(end) => self.finish_commit(*end),
+            WriterEvent::Lost(error) => self.end = Some(OwnerEnd::Lost(error.to_string())),
+        }
+    }
+
+    fn finish_commit(&mut self, end: WriteEnd) {
         self.committing = false;
-        match end.result {
-            Ok((held, confirmed_at)) => {
-                let now = self.platform.now();
-                self.last_commit_at = now;
-                let duration = now.saturating_duration_since(self.commit_started_at);
-                self.metrics.record_commit(duration);
-                self.load.record_commit(duration);
-                self.claim_tracker
-                    .record_confirmation(held, confirmed_at, now);
-                self.planner.log.committed(end.log);
-                for row in &end.batch.rows {
-                    if let RecordRow::Finished(id, outcome) = row {
-                        EventCode::JobEnded.log(format_args!("job={id} outcome={outcome:?}"));
-                    }
-                }
-                let ended: Vec<JobId> = end.batch.finished().collect();
-                self.cell.committed(end.batch, now);
-                for id in ended {
-                    if let Some(state) = self.cell.state(id) {
-                        self.end_waiters.notify_ended(id, state);
-                    }
-                }
-                if self.claim_tracker.held.value.released {
-                    self.end = Some(match self.release.take() {
-                        Some(reply) => {
-                            let _ = reply.send(());
-                            OwnerEnd::Released
-                        }
-                        None => OwnerEnd::TooSlow(self.lag.mean_lag()),
-                    });
-                }
+        self.metrics.record_commit(end.duration);
+        self.load.record_commit(end.duration);
+        self.planner.log.committed(end.log);
+        for row in &end.batch.rows {
+            if let RecordRow::Finished(id, outcome) = row {
+                EventCode::JobEnded.log(format_args!("job={id} outcome={outcome:?}"));
             }
-            Err(error) => self.end = Some(OwnerEnd::Lost(error.to_string())),
+        }
+        let ended: Vec<JobId> = end.batch.finished().collect();
+        self.cell.committed(end.batch, self.platform.now());
+        for id in ended {
+            if let Some(state) = self.cell.state(id) {
+                self.end_waiters.notify_ended(id, state);
+            }
+        }
+        self.end = match end.change {
+            ClaimChange::Confirm => return,
+            ClaimChange::Release => Some(OwnerEnd::Released),
+            ClaimChange::HandOver(successor) => Some(OwnerEnd::TooSlow {
+                lag: self.lag.mean_lag(),
+                work_time: self.speed.work_time().unwrap_or_default(),
+                successor,
+            }),
+        };
+        if let Some(reply) = self.release.take() {
+            // The receiver is gone if the process no longer waits for the release.
+            let _ = reply.send(());
         }
     }
 }
