fix: bound the work of a scheduling pass

Callers saw an owner that starts nothing once thousands of jobs wait: each pass takes 70 to 90 ms on a small VM, so that calls time out, the cell is given up, and the next owner has the same backlog.

Cause: a pass computed the order of all waiting steps anew, with the critical path of each job, and visited every step however long the backlog was. It also looked for workers for all active steps at once.

Ruled out: the free capacity (nearly all workers were free) and the stores' reads at a takeover.

Waiting steps are now kept in order between the passes, and move when they change their timeliness, the time of which is known from the beginning. A pass over more than 500 steps visits the first 256 of each priority while these may be active, the steps that hold tickets, and some others in turn. Each part has a budget of work that follows the measured duration of passes, so that they take about 8 ms. Shorter backlogs are visited as before: every step in each pass, in the same order. `Cell::last_pass_work` returns the work of a pass.

`longest_waits` sorted all steps and described each; it now describes only those that it returns.

--- a/crates/hs-cell/src/active_steps.rs
+++ b/crates/hs-cell/src/active_steps.rs
@@ -50,11 +50,18 @@
         let earlier = *demand;
         demand.steps += 1;
         demand.cpu_milli += cpu_milli;
-        if earlier.steps < MIN_ACTIVE_STEPS {
-            return true;
-        }
-        earlier.steps < max_active_steps(advice)
-            && earlier.cpu_milli <= self.free_cpu_milli * MAX_DEMAND_FACTOR
+        earlier.steps < max_active_steps(advice) && self.has_room_after(earlier)
+    }
+
+    /// Returns whether further steps of a priority may be active.
+    pub(crate) fn is_open(&self, priority: u8) -> bool {
+        let earlier = self.by_priority[usize::from(priority)];
+        earlier.steps < MAX_ACTIVE_STEPS && self.has_room_after(earlier)
+    }
+
+    fn has_room_after(&self, earlier: PriorityDemand) -> bool {
+        earlier.steps < MIN_ACTIVE_STEPS
+            || earlier.cpu_milli <= self.free_cpu_milli * MAX_DEMAND_FACTOR
     }
 }
 
--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -189,6 +189,7 @@
         advice.denied.extend(denied);
         advice.denied.sort_unstable();
         advice.denied.dedup();
+        self.hold_tickets(step);
         self.request_pass();
     }
 }
--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -188,6 +188,7 @@
         let (Some(step), Some(eligibility)) = (job.step(id), self.eligibility(job, id)) else {
             return Vec::new();
         };
+        self.pass_work.add_looks(step.advice.tickets.len());
         let tickets = step.advice.tickets.iter();
         let capacity =
             tickets.filter_map(|ticket| self.free_capacity(ticket.worker, &eligibility, need, now));
@@ -272,7 +273,10 @@
                 false => ControlFlow::Continue(()),
             }
         };
-        let unknown = |key: &WorkerKey| !advice.is_known(*key);
+        let unknown = |key: &WorkerKey| {
+            self.pass_work.add_looks(1);
+            !advice.is_known(*key)
+        };
         let index = &self.free_index;
         let flow = match spec.gang {
             true => {
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -12,10 +12,14 @@
 use crate::job::{Job, Occurrence};
 use crate::job_record::JobOutcome;
 use crate::job_spec::JobSpec;
+use crate::pass_budget::{PassBudget, PassWork};
 use crate::queue_spec::QueueSpec;
+use crate::ready_steps::ReadySteps;
 use crate::reserve::Reservation;
+use crate::step_order::OrderKey;
+use crate::ticket_holders::TicketHolders;
 use crate::worker::Worker;
-use crate::{JobId, StepId, TaskId, WorkerKey};
+use crate::{JobId, TaskId, WorkerKey};
 
 /// Settings of a cell.
 #[derive(Clone, Copy, Debug)]
@@ -55,17 +59,6 @@
 /// Interval at which runs are checked for progress.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Maximum pass duration from which the interval until the next scheduling pass is computed.
-const MAX_PASS_COST: Duration = Duration::from_millis(8);
-
-/// Interval between passes as a multiple of the duration of the last one, which bounds the share of CPU time
-/// that passes take however long the queues are.
-const PASS_INTERVAL_FACTOR: u32 = 4;
-
-/// Minimum interval between passes. At thousands of worker reports a second, each of which requests a pass,
-/// several reports share one.
-const MIN_PASS_INTERVAL: Duration = Duration::from_millis(5);
-
 /// State of a job as reported to clients.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobState {
@@ -90,7 +83,8 @@
     /// Share of workers that the advice service allows, by queue.
     pub(crate) allowed_shares: HashMap<Arc<str>, AllowedShare>,
     /// Runnable steps with waiting tasks.
-    pub(crate) ready_steps: Vec<StepId>,
+    pub(crate) ready_steps: ReadySteps,
+    pub(crate) ticket_holders: TicketHolders,
     /// Jobs whose next occurrence is not due yet, by due time in Unix milliseconds.
     pub(crate) due_occurrences: BTreeMap<(u64, JobId), ()>,
     /// Jobs that have changed since their last batch.
@@ -101,6 +95,11 @@
     pub(crate) last_pass_at: Option<Instant>,
     /// Minimum time from the last scheduling pass to the next one.
     pub(crate) pass_interval: Duration,
+    pub(crate) pass_budget: PassBudget,
+    /// Work of the current pass, or else of the last one.
+    pub(crate) pass_work: PassWork,
+    /// Last step that had its turn in a pass; `None` if the first one is next.
+    pub(crate) last_turn: Option<OrderKey>,
     pub(crate) reservations: Vec<Reservation>,
     /// CPU that the earlier single-task steps of the current pass are expected to use, by worker.
     pub(crate) expected_use: SecondaryMap<WorkerKey, u32>,
@@ -123,13 +122,17 @@
             free_index: FreeIndex::default(),
             workers_by_id: HashMap::new(),
             allowed_shares: HashMap::new(),
-            ready_steps: Vec::new(),
+            ready_steps: ReadySteps::default(),
+            ticket_holders: TicketHolders::default(),
             due_occurrences: BTreeMap::new(),
             dirty_jobs: VecDeque::new(),
             effects: Vec::new(),
             pass_requested: false,
             last_pass_at: None,
             pass_interval: Duration::ZERO,
+            pass_budget: PassBudget::default(),
+            pass_work: PassWork::default(),
+            last_turn: None,
             reservations: Vec::new(),
             expected_use: SecondaryMap::new(),
             vacated_workers: Vec::new(),
@@ -142,14 +145,19 @@
     /// Applies the queues of a configuration. Queues that it no longer contains keep their last settings,
     /// for the jobs that still wait in them.
     pub fn configure(&mut self, queues: impl IntoIterator<Item = QueueSpec>) {
+        let mut has_changed = false;
         for queue in queues {
             let name = queue.name.clone();
             let max_attempts = queue.max_attempts;
-            let earlier = self.queues.insert(name.clone(), queue);
+            let earlier = self.queues.insert(name.clone(), queue.clone());
+            has_changed |= earlier.as_ref() != Some(&queue);
             if earlier.is_none_or(|earlier| earlier.max_attempts != max_attempts) {
                 self.fail_exhausted_jobs(&name);
             }
         }
+        if has_changed {
+            self.reorder_ready_steps();
+        }
         self.request_pass();
     }
 
@@ -245,23 +253,6 @@
         self.schedule(now);
     }
 
-    /// Records the duration of the last call of [`Cell::advance`] as that of the scheduling pass. To be called
-    /// only if the call made one.
-    pub fn record_pass_cost(&mut self, cost: Duration) {
-        let interval = cost.min(MAX_PASS_COST) * PASS_INTERVAL_FACTOR;
-        self.pass_interval = interval.max(MIN_PASS_INTERVAL);
-    }
-
-    /// Returns the time of the last scheduling pass.
-    pub fn last_pass_at(&self) -> Option<Instant> {
-        self.last_pass_at
-    }
-
-    /// Returns whether a scheduling pass is requested, which is made once the minimum interval has passed.
-    pub fn wants_pass(&self) -> bool {
-        self.pass_requested
-    }
-
     /// Removes at most `limit` jobs whose retention time is over, and returns them for deletion in the store.
     pub fn take_expired_jobs(&mut self, now: Instant, limit: usize) -> Vec<JobId> {
         let is_expired = |job: &Job| job.delete_at.is_some_and(|at| now >= at);
@@ -295,6 +286,7 @@
         };
         job.outcome = Some(outcome);
         let placed = job.placed_runs(id);
+        self.dequeue_job(id);
         self.mark_dirty(id);
         for (worker, run) in placed {
             self.stop_run(worker, run);
@@ -338,51 +330,6 @@
         }
     }
 
-    /// Adds the runnable steps of an occurrence to the ready steps.
-    pub(crate) fn queue_runnable_steps(&mut self, id: JobId, occurrence: u32) {
-        let Some(job) = self.jobs.get(&id) else {
-            return;
-        };
-        let Some(spec) = job.spec.clone() else {
-            return;
-        };
-        let mut occurrences = job.occurrences.iter();
-        let Some(found) = occurrences.find(|o| o.number == occurrence) else {
-            return;
-        };
-        let steps = (0u16..).zip(&spec.steps);
-        let runnable: Vec<u16> = steps
-            .filter(|(_, step)| found.is_runnable(step))
-            .map(|(step, _)| step)
-            .collect();
-        for step in runnable {
-            self.queue_step(StepId {
-                job: id,
-                occurrence,
-                step,
-            });
-        }
-    }
-
-    /// Adds a step to the ready steps, if it has waiting tasks.
-    pub(crate) fn queue_step(&mut self, id: StepId) {
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        if job.outcome.is_some() {
-            return;
-        }
-        let Some(step) = job.step_mut(id) else {
-            return;
-        };
-        if step.queued || step.waiting_tasks().next().is_none() {
-            return;
-        }
-        step.queued = true;
-        self.ready_steps.push(id);
-        self.request_pass();
-    }
-
     /// Marks a job as changed, so that one of the next batches contains it.
     pub(crate) fn mark_dirty(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id)
@@ -392,9 +339,4 @@
             self.dirty_jobs.push_back(id);
         }
     }
-
-    /// Requests a scheduling pass, since something has changed that may allow a placement.
-    pub(crate) fn request_pass(&mut self) {
-        self.pass_requested = true;
-    }
 }
--- a/crates/hs-cell/src/census.rs
+++ b/crates/hs-cell/src/census.rs
@@ -109,24 +109,24 @@
         census
     }
 
-    /// Describes at most `limit` waiting steps that are no longer on time, the longest waiting first. Sorts all
-    /// waiting steps.
+    /// Describes at most `limit` waiting steps that are no longer on time, the longest waiting first. Goes through
+    /// all waiting steps, but only looks at those that it describes.
     pub fn longest_waits(&self, limit: usize, now: Instant) -> Vec<StepWait> {
-        let steps = self.ready_steps.iter();
-        let mut keys: Vec<_> = steps.filter_map(|id| self.order_key(*id, now)).collect();
-        keys.sort_unstable();
         let mut positions = [0usize; u8::MAX as usize + 1];
-        let mut waits = Vec::new();
-        for key in keys {
+        let mut late = Vec::new();
+        for (key, step) in self.ready_steps.iter() {
             let position = &mut positions[usize::from(key.priority)];
             *position += 1;
             if key.timeliness != Timeliness::OnTime {
-                waits.extend(self.step_wait(key.step, key.timeliness, *position, now));
+                late.push((step.runnable_since, *position, key));
             }
         }
-        waits.sort_by_key(|wait| std::cmp::Reverse(wait.age));
-        waits.truncate(limit);
+        late.sort_by_key(|(runnable_since, ..)| *runnable_since);
+        late.truncate(limit);
+        let waits = late.into_iter().map(|(_, position, key)| (key, position));
         waits
+            .filter_map(|(key, position)| self.step_wait(key.step, key.timeliness, position, now))
+            .collect()
     }
 
     fn step_wait(
--- a/crates/hs-cell/src/isolation.rs
+++ b/crates/hs-cell/src/isolation.rs
@@ -246,6 +246,7 @@
         let (Some(step), Some(eligibility)) = (job.step(id), self.eligibility(job, id)) else {
             return false;
         };
+        self.pass_work.add_looks(self.workers.len());
         let is_denied = |key: WorkerKey| step.advice.denied.binary_search(&key).is_ok();
         let workers = self.workers.iter();
         let usable = workers.filter(|(key, worker)| eligibility.suits(worker) && !is_denied(*key));
@@ -311,6 +312,7 @@
         let eligibility = self.eligibility(job, id)?;
         let step = job.step(id)?;
         let need = job.step_spec(id)?.allocated_resources();
+        self.pass_work.add_looks(self.workers.len());
         let is_allowed = |key: WorkerKey| advice.is_none() || step.advice.any_ticket(key).is_some();
         let is_usable = |key: WorkerKey, worker: &Worker| {
             let is_free = worker.vacated_for.is_none() && worker.isolated_runs == 0;
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -1,11 +1,11 @@
 //! Placement of tasks on workers.
 //!
-//! A scheduling pass goes through the waiting steps in order. Placement is best-fit: a task goes to the
+//! A scheduling pass goes through waiting steps in order (see the `passes` module). Placement is best-fit: a task goes to the
 //! worker on which it leaves the least free resources, so that large tasks and gangs find empty workers.
 //! A gang that does not fit reserves workers (see the `reserve` module).
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use hs_wire::Resources;
 use smallvec::SmallVec;
@@ -22,9 +22,6 @@
 use crate::worker::{Slot, SlotPhase, Worker};
 use crate::{StepId, TaskRun, WorkerKey};
 
-/// Interval of passes that no event requests. They are needed because tickets expire and quarantines end.
-const IDLE_PASS_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Worker on which tasks of a step fit.
 #[derive(Clone, Copy, Debug)]
 struct Candidate {
@@ -41,57 +38,13 @@
 }
 
 impl Cell {
-    /// Makes a scheduling pass if one was requested, or if steps wait and the last pass was made
-    /// [`IDLE_PASS_INTERVAL`] ago. A requested pass waits for the minimum interval between passes.
-    pub(crate) fn schedule(&mut self, now: Instant) {
-        let since = |limit: Duration| {
-            let old = |at: Instant| now.saturating_duration_since(at) >= limit;
-            self.last_pass_at.is_none_or(old)
-        };
-        let due = !self.ready_steps.is_empty() && since(IDLE_PASS_INTERVAL);
-        if !(due || self.pass_requested && since(self.pass_interval)) {
-            return;
-        }
-        self.pass_requested = false;
-        self.last_pass_at = Some(now);
-        self.refresh_reservations(now);
-        self.refresh_vacated_workers(now);
-        let ready = std::mem::take(&mut self.ready_steps);
-        let mut keys: Vec<OrderKey> = Vec::with_capacity(ready.len());
-        for id in ready {
-            match self.order_key(id, now) {
-                Some(key) => keys.push(key),
-                // Steps stay queued until their queue is configured.
-                None if self.has_waiting_tasks(id) => self.ready_steps.push(id),
-                None => self.dequeue_step(id),
-            }
-        }
-        keys.sort_unstable();
-        self.expected_use.clear();
-        let mut active_steps = ActiveSteps::new(self.free_index.total_cpu_milli());
-        for key in keys {
-            self.place_step(key, &mut active_steps, now);
-            match self.has_waiting_tasks(key.step) {
-                true => self.ready_steps.push(key.step),
-                false => self.dequeue_step(key.step),
-            }
-        }
-    }
-
-    fn dequeue_step(&mut self, id: StepId) {
-        let job = self.jobs.get_mut(&id.job);
-        if let Some(step) = job.and_then(|job| job.step_mut(id)) {
-            step.queued = false;
-        }
-    }
-
-    pub(crate) fn has_waiting_tasks(&self, id: StepId) -> bool {
-        let job = self.jobs.get(&id.job).filter(|job| job.outcome.is_none());
-        let step = job.and_then(|job| job.step(id));
-        step.is_some_and(|step| step.waiting_tasks().next().is_some())
-    }
-
-    fn place_step(&mut self, key: OrderKey, active_steps: &mut ActiveSteps, now: Instant) {
+    /// Places tasks of a waiting step, and requests advice or reserves workers for it.
+    pub(crate) fn place_step(
+        &mut self,
+        key: OrderKey,
+        active_steps: &mut ActiveSteps,
+        now: Instant,
+    ) {
         let id = key.step;
         self.add_expected_uses(id, now);
         let Some(job) = self.jobs.get(&id.job) else {
@@ -292,6 +245,7 @@
                 .fullest_first(demand.need.cpu_milli)
                 .collect(),
         };
+        self.pass_work.add_looks(keys.len());
         for key in keys {
             let Some(worker) = self.workers.get(key) else {
                 continue;
--- a/crates/hs-cell/src/reserve.rs
+++ b/crates/hs-cell/src/reserve.rs
@@ -171,9 +171,13 @@
         Some(match queue.advice {
             Some(_) => {
                 let tickets = job.step(id)?.advice.tickets.iter();
+                self.pass_work.add_looks(tickets.len());
                 tickets.map(|t| t.worker).filter(usable).collect()
             }
-            None => self.workers.keys().filter(usable).collect(),
+            None => {
+                self.pass_work.add_looks(self.workers.len());
+                self.workers.keys().filter(usable).collect()
+            }
         })
     }
 
@@ -190,6 +194,7 @@
         let spec = self.jobs.get(&id.job)?.step_spec(id)?;
         let demand = StepDemand::new(id, spec, order.priority);
         let mut options = Vec::new();
+        self.pass_work.add_looks(allowed.len());
         for key in allowed {
             self.add_placement_options(order, *key, &demand, allow_preemption, now, &mut options);
         }
--- a/crates/hs-cell/src/step_order.rs
+++ b/crates/hs-cell/src/step_order.rs
@@ -38,48 +38,101 @@
     pub step: StepId,
 }
 
-/// Returns the timeliness of a job that takes `remaining` from now on.
-pub(crate) fn timeliness(
-    runnable_since: Instant,
-    objective: Duration,
-    remaining: Duration,
-    now: Instant,
-) -> Timeliness {
-    let end = now + remaining + START_LATENCY;
-    if end <= runnable_since + objective {
-        Timeliness::OnTime
-    } else if end <= runnable_since + objective * USEFUL_OBJECTIVE_FACTOR {
-        Timeliness::Late
-    } else {
-        Timeliness::Overdue
+/// Times at which a waiting step changes its timeliness. They are fixed once the step is runnable.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TimelinessLimits {
+    /// Last time at which the step is on time; `None` if it never counts as late.
+    on_time_until: Option<Instant>,
+    /// Last time at which it is not overdue.
+    useful_until: Option<Instant>,
+}
+
+impl TimelinessLimits {
+    /// Limits of a step that never counts as late.
+    const NEVER_LATE: Self = Self {
+        on_time_until: None,
+        useful_until: None,
+    };
+
+    /// Returns the limits of a step whose job takes `remaining` from its start on.
+    fn new(runnable_since: Instant, objective: Duration, remaining: Duration) -> Self {
+        let latest_start = |end: Instant| end.checked_sub(remaining + START_LATENCY);
+        let on_time_until = latest_start(runnable_since + objective);
+        let useful_until = latest_start(runnable_since + objective * USEFUL_OBJECTIVE_FACTOR);
+        Self {
+            on_time_until: Some(on_time_until.unwrap_or(runnable_since)),
+            useful_until: Some(useful_until.unwrap_or(runnable_since)),
+        }
+    }
+
+    pub(crate) fn timeliness(self, now: Instant) -> Timeliness {
+        let is_until = |limit: Option<Instant>| limit.is_none_or(|limit| now <= limit);
+        if is_until(self.on_time_until) {
+            Timeliness::OnTime
+        } else if is_until(self.useful_until) {
+            Timeliness::Late
+        } else {
+            Timeliness::Overdue
+        }
+    }
+
+    /// Returns the last time at which a step has this timeliness, unless it keeps it.
+    pub(crate) fn last_time_of(self, timeliness: Timeliness) -> Option<Instant> {
+        match timeliness {
+            Timeliness::OnTime => self.on_time_until,
+            Timeliness::Late => self.useful_until,
+            Timeliness::Overdue => None,
+        }
+    }
+}
+
+/// Waiting step with all that determines its place in the order.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadyStep {
+    pub id: StepId,
+    pub priority: u8,
+    pub start_by: Instant,
+    pub limits: TimelinessLimits,
+    /// Time at which the occurrence began.
+    pub runnable_since: Instant,
+    /// Whether the tasks need tickets of the advice service.
+    pub is_advised: bool,
+}
+
+impl ReadyStep {
+    pub(crate) fn key(&self, timeliness: Timeliness) -> OrderKey {
+        OrderKey {
+            timeliness,
+            priority: self.priority,
+            start_by: self.start_by,
+            step: self.id,
+        }
     }
 }
 
 impl Cell {
-    /// Returns the sort key of a step, or `None` if it has no tasks to place or its queue is not configured.
-    pub(crate) fn order_key(&self, id: StepId, now: Instant) -> Option<OrderKey> {
+    /// Describes a waiting step, or returns `None` if its queue is not configured.
+    pub(crate) fn ready_step(&self, id: StepId) -> Option<ReadyStep> {
         let job = self.jobs.get(&id.job)?;
         let spec = job.spec.as_ref()?;
-        if job.outcome.is_some() {
-            return None;
-        }
         let queue = self.queues.get(&spec.queue)?;
         let mut occurrences = job.occurrences.iter();
         let occurrence = occurrences.find(|o| o.number == id.occurrence)?;
-        let step = occurrence.steps.get(usize::from(id.step))?;
-        step.waiting_tasks().next()?;
+        let runnable_since = occurrence.runnable_since;
         let critical_path = spec.critical_path();
         let objective = critical_path.mul_f64(queue.stretch.max(1.0)) + queue.target;
         let remaining = spec.critical_path_from(id.step);
-        let timeliness = match spec.steps.get(usize::from(id.step))?.long_running {
-            true => Timeliness::OnTime,
-            false => timeliness(occurrence.runnable_since, objective, remaining, now),
+        let limits = match spec.steps.get(usize::from(id.step))?.long_running {
+            true => TimelinessLimits::NEVER_LATE,
+            false => TimelinessLimits::new(runnable_since, objective, remaining),
         };
-        Some(OrderKey {
-            timeliness,
+        Some(ReadyStep {
+            id,
             priority: queue.priority,
-            start_by: occurrence.runnable_since + objective - remaining,
-            step: id,
+            start_by: runnable_since + objective - remaining,
+            limits,
+            runnable_since,
+            is_advised: queue.advice.is_some(),
         })
     }
 }
--- a/crates/hs-cell/tests/cell/advised_load.rs
+++ b/crates/hs-cell/tests/cell/advised_load.rs
@@ -6,14 +6,15 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{
-    AdvicePart, AdviceQueue, AdviceReply, Cell, CellEffect, CellOptions, EndReport, JobId, JobSpec,
-    JobState, QueueSpec, RunEnd, RunReport, StepId, TaskRun, WorkerEntry, WorkerKey, WorkerReport,
+    AdvicePart, AdviceQueue, AdviceReply, Cell, CellBatch, CellEffect, CellOptions, EndReport,
+    JobId, JobSpec, JobState, QueueSpec, RunEnd, RunReport, StartRefusal, StepId, TaskRun,
+    WorkerKey, WorkerReport,
 };
 
-use crate::fixture::cpu;
+use crate::advised_workers::{SimWorker, WORKER_CPU, is_allowed, worker_entry};
+use crate::owner_processor::{LoadCounts, OwnerProcessor, ProcessorCosts, TICK};
 
-/// Simulated time between two calls of [`Cell::advance`].
-const TICK: Duration = Duration::from_millis(5);
+pub use crate::owner_processor::OwnerSpeed;
 
 /// Interval at which a worker reports its progress.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -21,12 +22,6 @@
 /// Validity of the tickets of the advice service.
 const TICKET_VALIDITY: Duration = Duration::from_millis(2500);
 
-/// CPU of a worker in thousandths of a core.
-const WORKER_CPU: u32 = 64_000;
-
-/// Number of workers in a rack.
-const RACK_SIZE: u32 = 20;
-
 /// Size of a simulated cell.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadSize {
@@ -38,46 +33,15 @@
     pub owner: OwnerSpeed,
 }
 
-/// How fast the owner is.
-#[derive(Clone, Copy, Debug)]
-pub struct OwnerSpeed {
-    /// Time that a scheduling pass takes.
-    pub pass: Duration,
-    /// Time that a call or a store write takes, beside the service of the other side.
-    pub call: Duration,
-}
-
-impl OwnerSpeed {
-    /// An owner with processor time to spare.
-    pub const IDLE: Self = Self {
-        pass: Duration::from_millis(1),
-        call: Duration::from_millis(15),
-    };
-
-    /// An owner whose calls wait for the processor.
-    pub const SATURATED: Self = Self {
-        pass: Duration::from_millis(8),
-        call: Duration::from_millis(100),
-    };
-}
-
 /// Something that happens at a simulated time.
 enum Event {
-    Commit(Vec<CellEffect>),
+    Commit(CellBatch),
+    Start(Vec<CellEffect>),
     End(WorkerKey, TaskRun),
     Report(WorkerKey),
     Advice(AdvicePart),
 }
 
-#[derive(Default)]
-struct SimWorker {
-    /// Runs with the times of their starts.
-    running: BTreeMap<TaskRun, Instant>,
-    ended: Vec<EndReport>,
-    last_end: u64,
-    used_milli: u32,
-}
-
 /// A job of the load.
 #[derive(Clone, Debug)]
 struct LoadJob {
@@ -94,8 +58,15 @@
     events: BTreeMap<(Instant, u64), Event>,
     event_count: u64,
     workers: HashMap<WorkerKey, SimWorker>,
+    worker_keys: HashMap<Arc<str>, WorkerKey>,
     advice: AdviceQueue,
+    /// Times at which the last tickets for a step and a worker expire.
+    ticket_ends: HashMap<(StepId, WorkerKey), Instant>,
     jobs: BTreeMap<JobId, LoadJob>,
+    pub processor: OwnerProcessor,
+    /// Whether a store write is in flight.
+    is_committing: bool,
+    pub counts: LoadCounts,
 }
 
 impl AdvisedLoad {
@@ -114,14 +85,20 @@
             events: BTreeMap::new(),
             event_count: 0,
             workers: HashMap::new(),
+            worker_keys: HashMap::new(),
             advice,
+            ticket_ends: HashMap::new(),
             jobs: BTreeMap::new(),
+            processor: OwnerProcessor::new(ProcessorCosts::NONE, now),
+            is_committing: false,
+            counts: LoadCounts::default(),
         };
         load.cell.configure(queues);
         load.cell.record_pass_cost(size.owner.pass);
         for number in 0..size.workers {
             let key = load.cell.worker_listed(worker_entry(number), now, now);
             load.workers.insert(key, SimWorker::default());
+            load.worker_keys.insert(worker_entry(number).id, key);
             load.schedule(
                 Duration::from_millis(u64::from(number % 1000)),
                 Event::Report(key),
@@ -148,13 +125,31 @@
         let end = self.now + time;
         while self.now < end {
             self.now += TICK;
-            while let Some(entry) = self.events.first_entry()
-                && entry.key().0 <= self.now
-            {
-                let event = entry.remove();
-                self.handle(event);
+            self.handle_due_events();
+            while self.processor.is_idle(self.now) && self.has_due_event() {
+                self.advance();
+                self.handle_due_events();
+            }
+            if self.processor.is_idle(self.now) {
+                self.advance();
+            }
+        }
+    }
+
+    fn has_due_event(&self) -> bool {
+        let first = self.events.first_key_value();
+        first.is_some_and(|((due, _), _)| *due <= self.now)
+    }
+
+    /// Handles the events that are due, as far as the owner has time for it and takes them in one turn.
+    fn handle_due_events(&mut self) {
+        for _ in 0..self.processor.costs.events_per_turn {
+            if !self.processor.is_idle(self.now) || !self.has_due_event() {
+                break;
+            }
+            if let Some(((due, _), event)) = self.events.pop_first() {
+                self.handle(event, due);
             }
-            self.advance();
         }
     }
 
@@ -208,16 +203,42 @@
     }
 
     fn advance(&mut self) {
+        let last_pass_at = self.cell.last_pass_at();
         self.cell.advance(self.now, 0);
+        if self.cell.last_pass_at() != last_pass_at {
+            self.record_pass();
+        }
         self.execute_effects();
+        if self.is_committing {
+            return;
+        }
         let batch = self.cell.take_batch(256, 6000);
         if batch.is_empty() {
             return;
         }
-        self.cell.committed(batch, self.now);
-        let starts = self.cell.take_effects();
+        let rows = u32::try_from(batch.rows.len()).expect("a batch is small");
+        let costs = self.processor.costs;
+        self.processor
+            .spend(costs.commit + costs.row * rows, self.now);
         // A store write, and then the calls to the workers.
-        self.schedule(self.size.owner.call * 2, Event::Commit(starts));
+        if costs.commit.is_zero() {
+            self.cell.committed(batch, self.now);
+            let starts = self.cell.take_effects();
+            self.schedule(self.size.owner.call * 2, Event::Start(starts));
+        } else {
+            self.is_committing = true;
+            self.schedule(self.size.owner.call, Event::Commit(batch));
+        }
+    }
+
+    fn record_pass(&mut self) {
+        let work = self.cell.last_pass_work();
+        self.counts.passes += 1;
+        self.counts.most_pass_work = self.counts.most_pass_work.max(work);
+        let cost = self.processor.spend_pass(work, self.now);
+        if !cost.is_zero() {
+            self.cell.record_pass_cost(cost);
+        }
     }
 
     fn execute_effects(&mut self) {
@@ -230,6 +251,9 @@
         match effect {
             CellEffect::Start(key, order) => self.start(key, order.run),
             CellEffect::Advise(request) => {
+                self.counts.advice_requests += 1;
+                let costs = self.processor.costs;
+                self.processor.spend(costs.advice_call, self.now);
                 let keys = request.workers.iter();
                 let names = keys.filter_map(|key| self.cell.worker_id(*key)).collect();
                 self.advice.enqueue(request, names);
@@ -251,6 +275,16 @@
         let Some(job) = self.jobs.get_mut(&run.task.job()) else {
             return;
         };
+        let costs = self.processor.costs;
+        self.processor.spend(costs.start, self.now);
+        let ticket_end = self.ticket_ends.get(&(run.task.step, key));
+        if !costs.start.is_zero() && ticket_end.is_some_and(|end| *end < self.now) {
+            self.counts.refused_starts += 1;
+            let why = StartRefusal::Ticket;
+            self.cell.start_refused(key, run, why, self.now);
+            return;
+        }
+        self.counts.starts += 1;
         job.started += 1;
         let step = &job.spec.steps[usize::from(run.task.step.step)];
         let duration = Duration::from_millis(step.estimate_ms);
@@ -282,19 +316,27 @@
         self.report(key);
     }
 
-    fn handle(&mut self, event: Event) {
+    fn handle(&mut self, event: Event, due: Instant) {
         match event {
-            Event::Commit(starts) => starts.into_iter().for_each(|start| self.execute(start)),
+            Event::Commit(batch) => {
+                self.is_committing = false;
+                self.cell.committed(batch, self.now);
+                let starts = self.cell.take_effects();
+                self.schedule(self.size.owner.call, Event::Start(starts));
+            }
+            Event::Start(starts) => starts.into_iter().for_each(|start| self.execute(start)),
             Event::End(key, run) => self.end(key, run, RunEnd::Done),
             Event::Report(key) => {
                 self.report(key);
                 self.schedule(REPORT_INTERVAL, Event::Report(key));
             }
-            Event::Advice(part) => self.answer(&part),
+            Event::Advice(part) => self.answer(&part, due),
         }
     }
 
     fn report(&mut self, key: WorkerKey) {
+        let costs = self.processor.costs;
+        self.processor.spend(costs.report, self.now);
         let worker = self.workers.entry(key).or_default();
         let running = worker.running.iter().map(|(run, started_at)| RunReport {
             run: *run,
@@ -310,14 +352,22 @@
         self.cell.worker_reported(key, report, self.now, self.now);
     }
 
-    fn answer(&mut self, part: &AdvicePart) {
+    fn answer(&mut self, part: &AdvicePart, due: Instant) {
+        self.counts.advice_ends += 1;
+        let validity = TICKET_VALIDITY.saturating_sub(self.now - due);
         let percent = self.size.allowed_percent;
         let allowed = part.workers.iter();
         let allowed = allowed.filter(|id| is_allowed(part.step, id, percent));
         let reply = AdviceReply {
             allowed: allowed.map(|id| (id.clone(), "ticket".into())).collect(),
-            ticket_validity: TICKET_VALIDITY,
+            ticket_validity: validity,
         };
+        for (id, _) in &reply.allowed {
+            if let Some(key) = self.worker_keys.get(id) {
+                let end = self.now + validity;
+                self.ticket_ends.insert((part.step, *key), end);
+            }
+        }
         let is_last = self.advice.part_ended(part.step, &part.caller);
         self.cell
             .advice_settled(part.step, &part.workers, Some(reply), is_last, self.now);
@@ -332,23 +382,3 @@
         step: 0,
     }
 }
-
-/// Returns whether the advice service allows a worker for a step: a fixed part, different for each step.
-fn is_allowed(step: StepId, worker: &str, percent: u64) -> bool {
-    let number: u64 = worker[1..].parse().expect("ids are numbers");
-    let mut mixed =
-        number.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ step.job.0.wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 31)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    (mixed ^ (mixed >> 29)) % 100 < percent
-}
-
-fn worker_entry(number: u32) -> WorkerEntry {
-    WorkerEntry {
-        id: format!("w{number}").into(),
-        started_ms: 1,
-        service: "desk".into(),
-        labels: vec![format!("r0-{}", number / RACK_SIZE).into()],
-        capacity: cpu(WORKER_CPU),
-        draining: false,
-    }
-}
--- a/crates/hs-cell/tests/cell/backlog.rs
+++ b/crates/hs-cell/tests/cell/backlog.rs
@@ -33,7 +33,8 @@
     }
 }
 
-fn queues() -> Vec<QueueSpec> {
+/// Returns the queues of the load.
+pub fn queues() -> Vec<QueueSpec> {
     vec![
         advised("check", 0, 11_440, 169),
         advised("plan", 1, 507_000, 7150),
@@ -42,7 +43,7 @@
 }
 
 /// Returns a gang of 14 to 62 tasks of 10 to 30 cores.
-fn wide_gang(number: u64) -> Arc<JobSpec> {
+pub fn wide_gang(number: u64) -> Arc<JobSpec> {
     let count = 14 + (number * 13 % 49) as u16;
     let cpu_milli = 10_000 + (number * 7919 % 20_000) as u32;
     let gang = StepSpec {
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -2,10 +2,13 @@
 
 mod advice_queue;
 mod advised_load;
+mod advised_workers;
 mod backlog;
+mod backlog_drain;
 mod crashes;
 mod fixture;
 mod fuzz;
+mod owner_processor;
 mod patterns;
 mod readiness;
 mod record_log;
