fix: queue advice requests at a cost that does not grow with the queue

Callers saw gaps of up to 1.8 s in the owner's loop while a backlog requested advice.

Cause: each request and each reply went through all waiting requests, sorted them, and built a list of the idle processes for each one.

Waiting requests are now kept in order for each class of duration, and the idle processes in a set; a search ends as soon as no process is idle. Order and split of requests are the same, except that requests of one priority and start time go by their steps.

--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod active_steps;
 mod advice;
+mod advice_callers;
 mod advice_queue;
 mod advice_request;
 mod attempts;
@@ -35,6 +36,7 @@
 mod ready_steps;
 mod record;
 mod record_log;
+mod request_class;
 mod reserve;
 mod run_orders;
 mod segment;
@@ -45,7 +47,8 @@
 mod worker_events;
 
 pub use advice::AdviceReply;
-pub use advice_queue::{AdviceCaller, AdvicePart, AdviceQueue};
+pub use advice_callers::AdviceCaller;
+pub use advice_queue::{AdvicePart, AdviceQueue};
 pub use cell::{Cell, CellOptions, JobState};
 pub use census::{AdviceWait, StepWait, WorkerCensus};
 pub use effect::{
--- a/crates/hs-cell/tests/cell/advice_queue.rs
+++ b/crates/hs-cell/tests/cell/advice_queue.rs
@@ -113,3 +113,21 @@
     let parts = queue.take_parts();
     assert_eq!(parts[0].caller, AdviceCaller::Peer("peer0".into()));
 }
+
+/// Guards against requests whose cost grows with the number of those that wait already, so that a backlog of
+/// requests takes all the time of the owner.
+#[test]
+fn a_request_costs_the_same_behind_thousands_of_others() {
+    const REQUESTS: u64 = 5000;
+    /// A hundred times of what the requests take, and a twentieth of what they take if each visits all others.
+    const MAX_TIME: Duration = Duration::from_secs(3);
+    let mut queue = AdviceQueue::default();
+    queue.set_peers(&peers(146));
+    let begun = Instant::now();
+    for number in 0..REQUESTS {
+        queue.enqueue(request(number, 10), workers(8));
+        queue.take_parts();
+    }
+    let time = begun.elapsed();
+    assert!(time < MAX_TIME, "{time:?}");
+}
