fix: bound the advice requests that are in flight

Callers saw 601 to 1,767 advice requests a second from an owner that got one answer in that time.

Cause: the first pass of an owner sent a request for every active step, 256 of a priority with short requests, and each takeover repeated that. Nothing compared them with what the processes can answer.

A pass now emits at most 32 requests, and asks for another pass if there are more. The expected duration of the requests in flight of a class is bounded by what its processes answer in 1.5 s; the owner tells the cell how many there are. A request that is not answered in 10 s loses its place.

With these bounds lifted the new tests fail: 256 requests in the first pass, and 24 long requests in flight on two processes that answer about one a second each.

--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -9,7 +9,7 @@
 use crate::{StepId, WorkerKey};
 
 /// Time after which an unanswered advice request counts as lost.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Delay before a failed advice request is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -145,6 +145,9 @@
         last: bool,
         now: Instant,
     ) {
+        if last {
+            self.advice_window.remove(step);
+        }
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -72,7 +72,7 @@
 /// What came of the attempt to request advice for a step.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AdviceAttempt {
-    /// A request is in flight, or the next one is delayed.
+    /// A request is in flight, the next one is delayed, or too many of other steps are in flight.
     Blocked,
     /// No worker is worth a request.
     NothingToName,
@@ -103,10 +103,24 @@
         if step.is_none_or(|step| step.advice.is_blocked(now)) {
             return AdviceAttempt::Blocked;
         }
+        if self.advice_window.is_pass_over() {
+            self.request_pass();
+            return AdviceAttempt::Blocked;
+        }
+        // Naming workers takes long, so that requests that are not admitted are ruled out before.
+        if !self.advice_window.admits(need.spec.base_cost) {
+            return AdviceAttempt::Blocked;
+        }
         let workers = self.workers_to_name(id, need, now);
         if workers.is_empty() {
             return AdviceAttempt::NothingToName;
         }
+        let cost = need.spec.cost(workers.len());
+        if !self.advice_window.admits(cost) {
+            self.delay_rescan(id, now);
+            return AdviceAttempt::Blocked;
+        }
+        self.advice_window.add(id, cost, now);
         let expected_uses = match self.is_gang(id) {
             true => Vec::new(),
             false => expected_uses(&workers, need),
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -7,6 +7,7 @@
 use slotmap::{SecondaryMap, SlotMap};
 
 use crate::advice::AllowedShare;
+use crate::advice_window::AdviceWindow;
 use crate::effect::CellEffect;
 use crate::free_index::FreeIndex;
 use crate::job::{Job, Occurrence};
@@ -85,6 +86,7 @@
     /// Runnable steps with waiting tasks.
     pub(crate) ready_steps: ReadySteps,
     pub(crate) ticket_holders: TicketHolders,
+    pub(crate) advice_window: AdviceWindow,
     /// Jobs whose next occurrence is not due yet, by due time in Unix milliseconds.
     pub(crate) due_occurrences: BTreeMap<(u64, JobId), ()>,
     /// Jobs that have changed since their last batch.
@@ -124,6 +126,7 @@
             allowed_shares: HashMap::new(),
             ready_steps: ReadySteps::default(),
             ticket_holders: TicketHolders::default(),
+            advice_window: AdviceWindow::default(),
             due_occurrences: BTreeMap::new(),
             dirty_jobs: VecDeque::new(),
             effects: Vec::new(),
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -13,6 +13,7 @@
 mod advice_callers;
 mod advice_queue;
 mod advice_request;
+mod advice_window;
 mod attempts;
 mod batches;
 mod capacity;
--- a/crates/hs-cell/src/passes.rs
+++ b/crates/hs-cell/src/passes.rs
@@ -96,6 +96,7 @@
         self.pass_requested = false;
         self.last_pass_at = Some(now);
         self.pass_work.reset();
+        self.advice_window.begin_pass(now);
         self.refresh_reservations(now);
         self.refresh_vacated_workers(now);
         let moved = self
--- a/crates/hs-cell/tests/cell/advised_load.rs
+++ b/crates/hs-cell/tests/cell/advised_load.rs
@@ -93,6 +93,7 @@
             is_committing: false,
             counts: LoadCounts::default(),
         };
+        load.cell.set_advice_callers(size.advice_callers + 1);
         load.cell.configure(queues);
         load.cell.record_pass_cost(size.owner.pass);
         for number in 0..size.workers {
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the cell against a simulated environment with an oracle, and of its scheduling policies.
 
 mod advice_queue;
+mod advice_window;
 mod advised_load;
 mod advised_workers;
 mod backlog;
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -374,8 +374,9 @@
     }
 
     fn update_advice_callers(&mut self) {
-        self.advice_dispatcher
-            .set_members(&self.members.addresses());
+        let peers = self.members.addresses();
+        self.cell.set_advice_callers(peers.len() + 1);
+        self.advice_dispatcher.set_members(&peers);
     }
 
     fn handle_link_event(&mut self, key: WorkerKey, event: LinkEvent) {
