fix: keep failing calls from taking most advice requests

A process that is gone fails its calls at once, so it was idle before all others and got the next request, and steps whose calls failed sent the next request after 100 ms for as long as that lasted: 50 requests in 5 s.

Processes now take parts in the order of their failures since the last answered call, and the delay of a step doubles with each failed part up to 1.6 s. The first retry comes after 100 ms as before.

Both tests fail if failures are not counted: the process that has failed gets the next part, and the step sends 50 requests instead of at most 8.

--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -11,9 +11,12 @@
 /// Time after which an unanswered advice request counts as lost.
 pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Delay before a failed advice request is retried.
+/// Delay before a failed advice request is retried, doubled with each further one that fails.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Maximum exponent of the factor by which the delay grows.
+const MAX_RETRY_DOUBLINGS: u32 = 4;
+
 /// Time before its expiry at which a ticket stops being used, since a start takes a store write and a call
 /// to the worker.
 pub(crate) const TICKET_MARGIN: Duration = Duration::from_millis(150);
@@ -54,6 +57,8 @@
     pub answered_at: Option<Instant>,
     /// Earliest time of the next request, after one that failed or if there was no worker to name.
     pub retry_at: Option<Instant>,
+    /// Number of parts that have failed since the last reply.
+    pub failures: u32,
 }
 
 impl StepAdvice {
@@ -161,9 +166,12 @@
             advice.answered_at = Some(now);
         }
         let Some(reply) = reply else {
-            advice.retry_at = Some(now + RETRY_DELAY);
+            let doublings = advice.failures.min(MAX_RETRY_DOUBLINGS);
+            advice.retry_at = Some(now + RETRY_DELAY * 2u32.pow(doublings));
+            advice.failures += 1;
             return;
         };
+        advice.failures = 0;
         let workers_by_id = &self.workers_by_id;
         let mut named_keys: Vec<WorkerKey> = named
             .iter()
--- a/crates/hs-cell/src/advice_callers.rs
+++ b/crates/hs-cell/src/advice_callers.rs
@@ -14,13 +14,30 @@
     Peer(Arc<str>),
 }
 
+/// Maximum number of failures of a process that are counted.
+const MAX_FAILURES: u8 = 8;
+
+/// Process that has no call in flight. The one that has failed least comes first, since calls to a process that
+/// is gone fail at once, so that it would be idle again before all others.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct IdleCaller {
+    failures: u8,
+    position: usize,
+}
+
+#[derive(Clone, Debug)]
+struct CallerState {
+    caller: AdviceCaller,
+    /// Number of calls that have failed since the last one that was answered.
+    failures: u8,
+}
+
 /// Processes that call the advice service, in a fixed order.
 #[derive(Debug)]
 pub(crate) struct AdviceCallers {
-    callers: Vec<AdviceCaller>,
+    callers: Vec<CallerState>,
     positions: HashMap<AdviceCaller, usize>,
-    /// Positions of the processes that have no call in flight.
-    idle: BTreeSet<usize>,
+    idle: BTreeSet<IdleCaller>,
 }
 
 impl Default for AdviceCallers {
@@ -30,7 +47,7 @@
             positions: HashMap::new(),
             idle: BTreeSet::new(),
         };
-        callers.push(AdviceCaller::Here, true);
+        callers.push(CallerState::new(AdviceCaller::Here), true);
         callers
     }
 }
@@ -42,36 +59,53 @@
         let earlier = std::mem::take(&mut self.callers);
         let idle = std::mem::take(&mut self.idle);
         self.positions.clear();
-        for (position, caller) in earlier.into_iter().enumerate() {
-            let stays = match &caller {
+        for (position, state) in earlier.into_iter().enumerate() {
+            let stays = match &state.caller {
                 AdviceCaller::Here => true,
                 AdviceCaller::Peer(address) => live.contains(address),
             };
+            let failures = state.failures;
+            let is_idle = idle.contains(&IdleCaller { failures, position });
             if stays {
-                self.push(caller, idle.contains(&position));
+                self.push(state, is_idle);
             }
         }
         for address in addresses {
             let caller = AdviceCaller::Peer(address.clone());
             if !self.positions.contains_key(&caller) {
-                self.push(caller, true);
+                self.push(CallerState::new(caller), true);
             }
         }
     }
 
-    fn push(&mut self, caller: AdviceCaller, is_idle: bool) {
+    fn push(&mut self, state: CallerState, is_idle: bool) {
         let position = self.callers.len();
-        self.positions.insert(caller.clone(), position);
-        self.callers.push(caller);
+        let failures = state.failures;
+        self.positions.insert(state.caller.clone(), position);
+        self.callers.push(state);
         if is_idle {
-            self.idle.insert(position);
+            self.idle.insert(IdleCaller { failures, position });
         }
     }
 
-    pub(crate) fn set_idle(&mut self, caller: &AdviceCaller) {
-        if let Some(position) = self.positions.get(caller) {
-            self.idle.insert(*position);
-        }
+    /// Marks a process as idle after a call, which was answered or has failed.
+    pub(crate) fn call_ended(&mut self, caller: &AdviceCaller, is_answered: bool) {
+        let Some(&position) = self.positions.get(caller) else {
+            return;
+        };
+        let state = &mut self.callers[position];
+        let earlier = state.failures;
+        state.failures = match is_answered {
+            true => 0,
+            false => (earlier + 1).min(MAX_FAILURES),
+        };
+        let failures = state.failures;
+        // A process that left and returned is idle already.
+        self.idle.remove(&IdleCaller {
+            failures: earlier,
+            position,
+        });
+        self.idle.insert(IdleCaller { failures, position });
     }
 
     /// Returns whether an idle process may send a request of this class.
@@ -85,13 +119,23 @@
 
     /// Takes the first idle process that may send a request of this class.
     pub(crate) fn take_idle(&mut self, class: RequestClass) -> Option<AdviceCaller> {
-        let position = self.idle_for(class).next()?;
-        self.idle.remove(&position);
-        Some(self.callers[position].clone())
+        let idle = self.idle_for(class).next()?;
+        self.idle.remove(&idle);
+        Some(self.callers[idle.position].caller.clone())
     }
 
-    fn idle_for(&self, class: RequestClass) -> impl Iterator<Item = usize> {
+    fn idle_for(&self, class: RequestClass) -> impl Iterator<Item = IdleCaller> {
         let first = class.first_caller(self.callers.len());
-        self.idle.range(first..).copied()
+        let idle = self.idle.iter().copied();
+        idle.filter(move |idle| idle.position >= first)
+    }
+}
+
+impl CallerState {
+    fn new(caller: AdviceCaller) -> Self {
+        Self {
+            caller,
+            failures: 0,
+        }
     }
 }
--- a/crates/hs-cell/src/advice_queue.rs
+++ b/crates/hs-cell/src/advice_queue.rs
@@ -105,9 +105,21 @@
         self.insert(WaitingRequest { request, workers });
     }
 
-    /// Marks the caller of a part as idle. Returns whether no other part of the step is in flight or waits.
+    /// Marks the caller of an answered part as idle. Returns whether no other part of the step is in flight or
+    /// waits.
     pub fn part_ended(&mut self, step: StepId, caller: &AdviceCaller) -> bool {
-        self.callers.set_idle(caller);
+        self.callers.call_ended(caller, true);
+        self.end_part(step)
+    }
+
+    /// Marks the caller of a part whose call has failed as idle. It gets the next parts only if no other process is
+    /// idle. Returns whether no other part of the step is in flight or waits.
+    pub fn part_failed(&mut self, step: StepId, caller: &AdviceCaller) -> bool {
+        self.callers.call_ended(caller, false);
+        self.end_part(step)
+    }
+
+    fn end_part(&mut self, step: StepId) -> bool {
         let in_flight = self.parts_in_flight.remove(&step).unwrap_or(0);
         let left = in_flight.saturating_sub(1);
         if left > 0 {
--- a/crates/hs-cell/tests/cell/advice_queue.rs
+++ b/crates/hs-cell/tests/cell/advice_queue.rs
@@ -131,3 +131,22 @@
     let time = begun.elapsed();
     assert!(time < MAX_TIME, "{time:?}");
 }
+
+/// Guards against a process that is gone and takes most requests, since its calls fail at once and it is idle again
+/// before all others.
+#[test]
+fn a_process_whose_calls_fail_is_the_last_to_get_a_part() {
+    let mut queue = AdviceQueue::default();
+    queue.set_peers(&peers(2));
+    let take = |queue: &mut AdviceQueue, number: u64| {
+        queue.enqueue(request(number, 10), workers(5));
+        queue.take_parts().remove(0).caller
+    };
+    let first = take(&mut queue, 1);
+    assert!(queue.part_failed(step(1), &first));
+    let others = [take(&mut queue, 2), take(&mut queue, 3)];
+    assert!(!others.contains(&first), "{others:?}");
+    assert_eq!(take(&mut queue, 4), first, "no other process is idle");
+    assert!(queue.part_ended(step(4), &first));
+    assert_eq!(take(&mut queue, 5), first, "its last call was answered");
+}
--- a/crates/hs-cell/tests/cell/advice_window.rs
+++ b/crates/hs-cell/tests/cell/advice_window.rs
@@ -62,3 +62,23 @@
     }
     assert_eq!(world.advice_requests().len(), 2);
 }
+
+/// Guards against steps that repeat their requests ten times a second while all calls fail, which keeps a busy
+/// owner too busy to read the replies of the calls that don't.
+#[test]
+fn a_step_whose_requests_fail_repeats_them_less_and_less_often() {
+    let queues = vec![advised_queue("plan", 1, Duration::from_millis(300))];
+    let mut world = World::with_reports(2, queues);
+    world.submit(id(1), job("plan", vec![step(1, 1000, 500)]));
+    let mut answered = 0;
+    for _ in 0..100 {
+        world.advance_cell();
+        while let Some(request) = world.advice_requests().get(answered) {
+            let step = request.step;
+            answered += 1;
+            world.cell.advice_settled(step, &[], None, true, world.now);
+        }
+        world.pass_time(ROUND_TIME);
+    }
+    assert!((5..=8).contains(&answered), "{answered} requests in 5 s");
+}
--- a/crates/hs-control/src/advice_dispatcher.rs
+++ b/crates/hs-control/src/advice_dispatcher.rs
@@ -60,7 +60,10 @@
 
     /// Marks the caller of a part as idle. Returns whether this was the last part of its request.
     pub(crate) fn part_ended(&mut self, end: &AdvicePartEnd) -> bool {
-        let is_last = self.queue.part_ended(end.step, &end.caller);
+        let is_last = match end.reply {
+            Some(_) => self.queue.part_ended(end.step, &end.caller),
+            None => self.queue.part_failed(end.step, &end.caller),
+        };
         self.dispatch();
         is_last
     }
