fix: record starts before other changes

Starts waited behind all earlier changes, in the order in which jobs had changed. With a commit a second their tickets, which live 2.5 s, expired before their records were written.

A batch now takes jobs with starts first, then those with ends to acknowledge or an outcome, then records that are only rewritten. What waits for the record of a job still goes with that record.

Both tests fail with the order before: 20 starts are not in a batch behind 400 rewritten records.

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -1,6 +1,6 @@
 //! State of a cell, and the part of its interface that concerns jobs and queues.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,6 +8,7 @@
 
 use crate::advice::AllowedShare;
 use crate::advice_window::AdviceWindow;
+use crate::dirty_jobs::DirtyJobs;
 use crate::effect::CellEffect;
 use crate::free_index::FreeIndex;
 use crate::job::{Job, Occurrence};
@@ -89,8 +90,7 @@
     pub(crate) advice_window: AdviceWindow,
     /// Jobs whose next occurrence is not due yet, by due time in Unix milliseconds.
     pub(crate) due_occurrences: BTreeMap<(u64, JobId), ()>,
-    /// Jobs that have changed since their last batch.
-    pub(crate) dirty_jobs: VecDeque<JobId>,
+    pub(crate) dirty_jobs: DirtyJobs,
     pub(crate) effects: Vec<CellEffect>,
     /// Whether something has changed since the last scheduling pass.
     pub(crate) pass_requested: bool,
@@ -128,7 +128,7 @@
             ticket_holders: TicketHolders::default(),
             advice_window: AdviceWindow::default(),
             due_occurrences: BTreeMap::new(),
-            dirty_jobs: VecDeque::new(),
+            dirty_jobs: DirtyJobs::default(),
             effects: Vec::new(),
             pass_requested: false,
             last_pass_at: None,
@@ -332,14 +332,4 @@
             self.queue_runnable_steps(id, number);
         }
     }
-
-    /// Marks a job as changed, so that one of the next batches contains it.
-    pub(crate) fn mark_dirty(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id)
-            && !job.dirty
-        {
-            job.dirty = true;
-            self.dirty_jobs.push_back(id);
-        }
-    }
 }
--- a/crates/hs-cell/src/job.rs
+++ b/crates/hs-cell/src/job.rs
@@ -5,6 +5,7 @@
 
 use crate::advice::StepAdvice;
 use crate::crash_history::CrashHistory;
+use crate::dirty_jobs::DirtyPlace;
 use crate::job_record::JobOutcome;
 use crate::job_spec::{JobSpec, StepSpec};
 use crate::{JobId, StepId, TaskRun, WorkerKey};
@@ -24,8 +25,8 @@
     /// Number of the next occurrence to create.
     pub next_occurrence: u32,
     pub occurrences: Vec<Occurrence>,
-    /// Whether the job has changed since it was last put into a batch.
-    pub dirty: bool,
+    /// Place among the jobs that have changed since they were last put into a batch.
+    pub dirty_place: Option<DirtyPlace>,
     /// Placements whose starts wait for the next batch to be committed.
     pub pending_starts: Vec<(WorkerKey, TaskRun)>,
     /// Ends that wait for the next batch before they are acknowledged, by worker and end number.
@@ -93,7 +94,7 @@
             first_occurrence: 0,
             next_occurrence: 0,
             occurrences: Vec::new(),
-            dirty: false,
+            dirty_place: None,
             pending_starts: Vec::new(),
             pending_ends: Vec::new(),
             delete_at: None,
@@ -109,7 +110,7 @@
             first_occurrence: 0,
             next_occurrence: 0,
             occurrences: Vec::new(),
-            dirty: false,
+            dirty_place: None,
             pending_starts: Vec::new(),
             pending_ends: Vec::new(),
             delete_at: Some(delete_at),
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -21,6 +21,7 @@
 mod census;
 mod crash_history;
 mod crashes;
+mod dirty_jobs;
 mod effect;
 mod expected_use;
 mod free_index;
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod advised_workers;
 mod backlog;
 mod backlog_drain;
+mod batch_order;
 mod crashes;
 mod fixture;
 mod fuzz;
