test: work off a large backlog on an owner with half a core

Models the processor of the owner in the advised load: passes take time by `Cell::last_pass_work`, and so do reports, starts, advice calls and store writes, while events wait.

--- a/crates/hs-cell/tests/cell/advised_load.rs
+++ b/crates/hs-cell/tests/cell/advised_load.rs
@@ -109,6 +109,11 @@
         load
     }
 
+    /// Lets what the owner does take processor time from now on.
+    pub fn set_processor_costs(&mut self, costs: ProcessorCosts) {
+        self.processor = OwnerProcessor::new(costs, self.now);
+    }
+
     /// Adds an accepted job.
     pub fn submit(&mut self, id: JobId, spec: Arc<JobSpec>) {
         self.jobs.insert(
@@ -160,6 +165,11 @@
         unstarted.map(|(id, _)| *id).collect()
     }
 
+    /// Returns the number of jobs that have not completed.
+    pub fn unfinished_jobs(&self) -> usize {
+        self.cell.unfinished_jobs()
+    }
+
     /// Returns whether all jobs have completed.
     pub fn is_done(&self) -> bool {
         let ended = |id| matches!(self.cell.state(id), Some(JobState::Ended(_)));
--- a/crates/hs-cell/tests/cell/owner_processor.rs
+++ b/crates/hs-cell/tests/cell/owner_processor.rs
@@ -59,6 +59,17 @@
 }
 
 impl ProcessorCosts {
+    /// An owner with half a core.
+    pub const HALF_CORE: Self = Self {
+        work_unit: Duration::from_nanos(300),
+        report: Duration::from_micros(100),
+        start: Duration::from_micros(250),
+        advice_call: Duration::from_micros(500),
+        commit: Duration::from_millis(2),
+        row: Duration::from_micros(30),
+        events_per_turn: 64,
+    };
+
     /// An owner that does everything in no time.
     pub const NONE: Self = Self {
         work_unit: Duration::ZERO,
