fix: let the margin of tickets follow the duration of store writes

Starts of a busy owner were undone, or refused by the workers, since their tickets had expired when the records of their placements were written. Other steps could not use the workers meanwhile.

Cause: a ticket was used up to 150 ms before its expiry, however long a store write took.

The owner now tells the cell the duration of each write.

--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -17,10 +17,6 @@
 /// Maximum exponent of the factor by which the delay grows.
 const MAX_RETRY_DOUBLINGS: u32 = 4;
 
-/// Time before its expiry at which a ticket stops being used, since a start takes a store write and a call
-/// to the worker.
-pub(crate) const TICKET_MARGIN: Duration = Duration::from_millis(150);
-
 /// Estimated share of allowed workers before any reply is known.
 const INITIAL_ALLOWED_SHARE: f64 = 0.4;
 
@@ -62,10 +58,10 @@
 }
 
 impl StepAdvice {
-    /// Returns the ticket for a worker, if it can still be used.
-    pub(crate) fn ticket(&self, worker: WorkerKey, now: Instant) -> Option<&Arc<str>> {
+    /// Returns the ticket for a worker, if it is valid at `time`.
+    pub(crate) fn ticket(&self, worker: WorkerKey, time: Instant) -> Option<&Arc<str>> {
         let ticket = self.any_ticket(worker)?;
-        (now + TICKET_MARGIN < ticket.until).then_some(&ticket.ticket)
+        (time < ticket.until).then_some(&ticket.ticket)
     }
 
     /// Returns the ticket for a worker, even if it has expired.
@@ -79,9 +75,9 @@
         self.denied.binary_search(&worker).is_ok() || self.any_ticket(worker).is_some()
     }
 
-    /// Returns the workers whose tickets can still be used.
-    pub(crate) fn valid_workers(&self, now: Instant) -> impl Iterator<Item = WorkerKey> + '_ {
-        let valid = move |ticket: &&Ticket| now + TICKET_MARGIN < ticket.until;
+    /// Returns the workers whose tickets are valid at `time`.
+    pub(crate) fn valid_workers(&self, time: Instant) -> impl Iterator<Item = WorkerKey> + '_ {
+        let valid = move |ticket: &&Ticket| time < ticket.until;
         self.tickets
             .iter()
             .filter(valid)
--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -14,7 +14,6 @@
 
 use slotmap::Key;
 
-use crate::advice::TICKET_MARGIN;
 use crate::capacity::StepDemand;
 use crate::cell::Cell;
 use crate::effect::{AdviceRequest, CellEffect};
@@ -161,7 +160,7 @@
             if is_gang && !unknown.is_empty() {
                 // All tickets have to be valid at once when the reply arrives.
                 let cost = need.spec.cost(unknown.len() + allowed.len());
-                let renewed_until = now + cost + TICKET_MARGIN * 2;
+                let renewed_until = now + cost + self.ticket_margin.of_renewal();
                 requested = self.tickets_that_end_before(id, &allowed, renewed_until);
             }
             requested.extend(unknown);
@@ -365,7 +364,7 @@
             let ticket = step.advice.any_ticket(key);
             ticket.is_some_and(|ticket| now + time >= ticket.until)
         };
-        let soon = spec.cost(wanted.len()) + TICKET_MARGIN * 2;
+        let soon = spec.cost(wanted.len()) + self.ticket_margin.of_renewal();
         if !wanted.iter().any(|key| ends_within(*key, soon)) {
             return Vec::new();
         }
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -20,6 +20,7 @@
 use crate::reserve::Reservation;
 use crate::step_order::OrderKey;
 use crate::ticket_holders::TicketHolders;
+use crate::ticket_margin::TicketMargin;
 use crate::worker::Worker;
 use crate::{JobId, TaskId, WorkerKey};
 
@@ -88,6 +89,7 @@
     pub(crate) ready_steps: ReadySteps,
     pub(crate) ticket_holders: TicketHolders,
     pub(crate) advice_window: AdviceWindow,
+    pub(crate) ticket_margin: TicketMargin,
     /// Jobs whose next occurrence is not due yet, by due time in Unix milliseconds.
     pub(crate) due_occurrences: BTreeMap<(u64, JobId), ()>,
     pub(crate) dirty_jobs: DirtyJobs,
@@ -127,6 +129,7 @@
             ready_steps: ReadySteps::default(),
             ticket_holders: TicketHolders::default(),
             advice_window: AdviceWindow::default(),
+            ticket_margin: TicketMargin::default(),
             due_occurrences: BTreeMap::new(),
             dirty_jobs: DirtyJobs::default(),
             effects: Vec::new(),
--- a/crates/hs-cell/src/census.rs
+++ b/crates/hs-cell/src/census.rs
@@ -143,6 +143,7 @@
             let worker = self.workers.get(key);
             worker.map_or(0, |worker| worker.placeable_tasks(&demand, now))
         };
+        let ticket_end = self.placement_ticket_end(now);
         let total = |sum: u32, fits: u32| sum.saturating_add(fits);
         let tickets = step.advice.tickets.iter();
         let reservation = self.reservations.iter().find(|r| r.step == id);
@@ -163,9 +164,13 @@
             advice: step.advice.wait(now),
             denied: step.advice.denied.len(),
             allowed: step.advice.tickets.len(),
-            valid: step.advice.valid_workers(now).count(),
+            valid: step.advice.valid_workers(ticket_end).count(),
             allowed_fits: tickets.map(|t| fits_on(t.worker)).fold(0, total),
-            valid_fits: step.advice.valid_workers(now).map(fits_on).fold(0, total),
+            valid_fits: step
+                .advice
+                .valid_workers(ticket_end)
+                .map(fits_on)
+                .fold(0, total),
             reserved: reservation.map_or(0, |r| r.workers.len()),
         })
     }
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -45,6 +45,7 @@
 mod stalls;
 mod step_order;
 mod ticket_holders;
+mod ticket_margin;
 mod worker;
 mod worker_events;
 
--- a/crates/hs-cell/src/passes.rs
+++ b/crates/hs-cell/src/passes.rs
@@ -210,7 +210,12 @@
 
     fn has_valid_ticket(&self, id: StepId, now: Instant) -> bool {
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
-        step.is_some_and(|step| step.advice.valid_workers(now).next().is_some())
+        step.is_some_and(|step| {
+            step.advice
+                .valid_workers(self.placement_ticket_end(now))
+                .next()
+                .is_some()
+        })
     }
 
     /// Lets the next passes visit a step that holds tickets.
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -78,7 +78,8 @@
         let demand = StepDemand::new(id, &spec, key.priority);
         let cpu_milli = u64::from(wanted) * u64::from(demand.need.cpu_milli);
         let is_active = active_steps.add(key.priority, cpu_milli, advice);
-        let has_ticket = |step: &StepRun| step.advice.valid_workers(now).next().is_some();
+        let ticket_end = self.placement_ticket_end(now);
+        let has_ticket = |step: &StepRun| step.advice.valid_workers(ticket_end).next().is_some();
         let can_start = advice.is_none() || job.step(id).is_some_and(has_ticket);
         if !is_active && !can_start {
             return;
@@ -239,7 +240,10 @@
         let mut candidates = Vec::new();
         // If the queue uses advice, only the few workers with a valid ticket are candidates.
         let keys: SmallVec<[WorkerKey; 64]> = match needs_ticket {
-            true => step.advice.valid_workers(now).collect(),
+            true => {
+                let ticket_end = self.placement_ticket_end(now);
+                step.advice.valid_workers(ticket_end).collect()
+            }
             false => self
                 .free_index
                 .fullest_first(demand.need.cpu_milli)
--- a/crates/hs-cell/src/run_orders.rs
+++ b/crates/hs-cell/src/run_orders.rs
@@ -41,7 +41,10 @@
             return Some(None);
         }
         let step = job.step(run.task.step)?;
-        step.advice.ticket(key, now).cloned().map(Some)
+        step.advice
+            .ticket(key, self.sent_ticket_end(now))
+            .cloned()
+            .map(Some)
     }
 
     fn send_start(&mut self, key: WorkerKey, run: TaskRun, now: Instant) {
--- a/crates/hs-cell/tests/cell/advice_window.rs
+++ b/crates/hs-cell/tests/cell/advice_window.rs
@@ -1,7 +1,10 @@
 //! Bounds on the advice requests of a cell.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use hs_cell::AdviceReply;
+
 use crate::advised_load::{AdvisedLoad, LoadSize, OwnerSpeed};
 use crate::backlog::{queues, wide_gang};
 use crate::fixture::{advised_queue, id, job, step};
@@ -82,3 +85,32 @@
     }
     assert!((5..=8).contains(&answered), "{answered} requests in 5 s");
 }
+
+/// Guards against placements whose tickets expire while a busy owner records them, so that they are undone and the
+/// workers were kept from others for nothing.
+#[test]
+fn tickets_that_expire_before_a_slow_write_ends_are_renewed() {
+    let queues = vec![advised_queue("plan", 1, Duration::from_millis(10))];
+    let mut world = World::with_reports(1, queues);
+    world.cell.record_commit_time(Duration::from_millis(250));
+    world.submit(id(1), job("plan", vec![step(1, 1000, 500)]));
+    world.advance_cell();
+    let request = world.advice_requests()[0].step;
+    let worker: Arc<str> = "w0".into();
+    let reply = AdviceReply {
+        allowed: vec![(worker.clone(), "ticket".into())],
+        ticket_validity: Duration::from_millis(450),
+    };
+    let now = world.now;
+    world
+        .cell
+        .advice_settled(request, &[worker], Some(reply), true, now);
+    world.pass_time(ROUND_TIME);
+    world.advance_cell();
+    assert_eq!(world.cell.allocated_runs(), 0);
+    assert_eq!(
+        world.advice_requests().len(),
+        2,
+        "the ticket is not renewed"
+    );
+}
--- a/crates/hs-cell/tests/cell/advised_load.rs
+++ b/crates/hs-cell/tests/cell/advised_load.rs
@@ -64,8 +64,8 @@
     ticket_ends: HashMap<(StepId, WorkerKey), Instant>,
     jobs: BTreeMap<JobId, LoadJob>,
     pub processor: OwnerProcessor,
-    /// Whether a store write is in flight.
-    is_committing: bool,
+    /// Start of the store write in flight.
+    committing_since: Option<Instant>,
     pub counts: LoadCounts,
 }
 
@@ -90,7 +90,7 @@
             ticket_ends: HashMap::new(),
             jobs: BTreeMap::new(),
             processor: OwnerProcessor::new(ProcessorCosts::NONE, now),
-            is_committing: false,
+            committing_since: None,
             counts: LoadCounts::default(),
         };
         load.cell.set_advice_callers(size.advice_callers + 1);
@@ -220,7 +220,7 @@
             self.record_pass();
         }
         self.execute_effects();
-        if self.is_committing {
+        if self.committing_since.is_some() {
             return;
         }
         let batch = self.cell.take_batch(256, 6000);
@@ -237,7 +237,7 @@
             let starts = self.cell.take_effects();
             self.schedule(self.size.owner.call * 2, Event::Start(starts));
         } else {
-            self.is_committing = true;
+            self.committing_since = Some(self.now);
             self.schedule(self.size.owner.call, Event::Commit(batch));
         }
     }
@@ -330,7 +330,9 @@
     fn handle(&mut self, event: Event, due: Instant) {
         match event {
             Event::Commit(batch) => {
-                self.is_committing = false;
+                if let Some(since) = self.committing_since.take() {
+                    self.cell.record_commit_time(self.now - since);
+                }
                 self.cell.committed(batch, self.now);
                 let starts = self.cell.take_effects();
                 self.schedule(self.size.owner.call, Event::Start(starts));
--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -53,6 +53,7 @@
                 let duration = now.saturating_duration_since(self.commit_started_at);
                 self.metrics.record_commit(duration);
                 self.load.record_commit(duration);
+                self.cell.record_commit_time(duration);
                 self.claim_tracker
                     .record_confirmation(held, confirmed_at, now);
                 self.planner.log.committed(end.log);
