perf: count unfinished jobs and find expired ones without a search

The owner went through all jobs each second for their number, and ten times a second while idle for those whose retention time is over: at 140 jobs a second the outcomes of 17,000 ended ones are kept.

The number is now counted as jobs are added and end, and the jobs with stored outcomes are kept by the time from which they may be deleted. The order of deletion was arbitrary and is now by that time. The new tests guard the counts, and pass on the code before too. `Cell::pending_jobs` still goes through all jobs.

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -1,6 +1,7 @@
 //! State of a cell, and the part of its interface that concerns jobs and queues.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -79,6 +80,10 @@
     pub(crate) options: CellOptions,
     pub(crate) queues: HashMap<Arc<str>, QueueSpec>,
     pub(crate) jobs: HashMap<JobId, Job>,
+    /// Number of jobs that have not ended.
+    unfinished_jobs: usize,
+    /// Jobs whose outcomes are stored, by the time from which they may be deleted.
+    expiring_jobs: BTreeSet<(Instant, JobId)>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) free_index: FreeIndex,
     /// Latest incarnation of each worker, by worker ID.
@@ -122,6 +127,8 @@
             options,
             queues: HashMap::new(),
             jobs: HashMap::new(),
+            unfinished_jobs: 0,
+            expiring_jobs: BTreeSet::new(),
             workers: SlotMap::with_key(),
             free_index: FreeIndex::default(),
             workers_by_id: HashMap::new(),
@@ -172,7 +179,7 @@
         if self.jobs.contains_key(&id) {
             return false;
         }
-        self.jobs.insert(id, Job::new(spec));
+        self.insert_unfinished(id, Job::new(spec));
         self.begin_due_occurrences(id, now, now_ms);
         true
     }
@@ -181,7 +188,17 @@
     pub fn add_ended(&mut self, id: JobId, outcome: JobOutcome, now: Instant) {
         let delete_at = now + self.options.status_retention;
         let ended = Job::ended(outcome, delete_at);
-        self.jobs.entry(id).or_insert(ended);
+        if let Entry::Vacant(entry) = self.jobs.entry(id) {
+            entry.insert(ended);
+            self.expiring_jobs.insert((delete_at, id));
+        }
+    }
+
+    /// Adds a job that has not ended.
+    pub(crate) fn insert_unfinished(&mut self, id: JobId, job: Job) {
+        let earlier = self.jobs.insert(id, job);
+        let was_unfinished = earlier.is_some_and(|job| job.outcome.is_none());
+        self.unfinished_jobs += usize::from(!was_unfinished);
     }
 
     /// Returns whether the cell knows a job.
@@ -228,10 +245,7 @@
 
     /// Returns the number of jobs that have not ended.
     pub fn unfinished_jobs(&self) -> usize {
-        self.jobs
-            .values()
-            .filter(|job| job.outcome.is_none())
-            .count()
+        self.unfinished_jobs
     }
 
     /// Returns the number of runs to which resources are allocated.
@@ -261,11 +275,18 @@
 
     /// Removes at most `limit` jobs whose retention time is over, and returns them for deletion in the store.
     pub fn take_expired_jobs(&mut self, now: Instant, limit: usize) -> Vec<JobId> {
-        let is_expired = |job: &Job| job.delete_at.is_some_and(|at| now >= at);
-        let jobs = self.jobs.iter().filter(|(_, job)| is_expired(job));
-        let ids: Vec<JobId> = jobs.map(|(id, _)| *id).take(limit).collect();
-        for id in &ids {
-            self.jobs.remove(id);
+        let mut ids = Vec::new();
+        while ids.len() < limit
+            && let Some(&(delete_at, id)) = self.expiring_jobs.first()
+            && now >= delete_at
+        {
+            self.expiring_jobs.pop_first();
+            let job = self.jobs.get(&id);
+            // The retention time begins again if the outcome is stored again.
+            if job.is_some_and(|job| job.delete_at == Some(delete_at)) {
+                self.jobs.remove(&id);
+                ids.push(id);
+            }
         }
         ids
     }
@@ -282,6 +303,7 @@
             job.delete_at = Some(delete_at);
             job.spec = None;
             job.occurrences = Vec::new();
+            self.expiring_jobs.insert((delete_at, id));
         }
     }
 
@@ -290,7 +312,8 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        job.outcome = Some(outcome);
+        let was_unfinished = job.outcome.replace(outcome).is_none();
+        self.unfinished_jobs -= usize::from(was_unfinished);
         let placed = job.placed_runs(id);
         self.dequeue_job(id);
         self.mark_dirty(id);
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -106,7 +106,7 @@
             self.restore_step(&mut job, step_id, step, &workers, now);
         }
         let begun: Vec<u32> = job.occurrences.iter().map(|o| o.number).collect();
-        self.jobs.insert(id, job);
+        self.insert_unfinished(id, job);
         self.restore_crashes(id, record, now);
         self.fail_if_exhausted(id);
         if self.jobs.get(&id).is_none_or(|job| job.outcome.is_some()) {
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod fixture;
 mod fuzz;
+mod job_counts;
 mod owner_processor;
 mod patterns;
 mod readiness;
