--- a/crates/hs-cell/src/advice.rs
+++ b/crates/hs-cell/src/advice.rs
@@ -9,14 +9,13 @@
 use crate::{StepId, WorkerKey};
 
 /// Time after which an unanswered advice request counts as lost.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Delay before a failed advice request is retried.
+/// Delay before a failed advice request is retried, doubled with each further one that fails.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Time before its expiry at which a ticket stops being used, since a start takes a store write and a call
-/// to the worker.
-pub(crate) const TICKET_MARGIN: Duration = Duration::from_millis(150);
+/// Maximum exponent of the factor by which the delay grows.
+const MAX_RETRY_DOUBLINGS: u32 = 4;
 
 /// Estimated share of allowed workers before any reply is known.
 const INITIAL_ALLOWED_SHARE: f64 = 0.4;
@@ -54,13 +53,15 @@
     pub answered_at: Option<Instant>,
     /// Earliest time of the next request, after one that failed or if there was no worker to name.
     pub retry_at: Option<Instant>,
+    /// Number of parts that have failed since the last reply.
+    pub failures: u32,
 }
 
 impl StepAdvice {
-    /// Returns the ticket for a worker, if it can still be used.
-    pub(crate) fn ticket(&self, worker: WorkerKey, now: Instant) -> Option<&Arc<str>> {
+    /// Returns the ticket for a worker, if it is valid at `time`.
+    pub(crate) fn ticket(&self, worker: WorkerKey, time: Instant) -> Option<&Arc<str>> {
         let ticket = self.any_ticket(worker)?;
-        (now + TICKET_MARGIN < ticket.until).then_some(&ticket.ticket)
+        (time < ticket.until).then_some(&ticket.ticket)
     }
 
     /// Returns the ticket for a worker, even if it has expired.
@@ -74,9 +75,9 @@
         self.denied.binary_search(&worker).is_ok() || self.any_ticket(worker).is_some()
     }
 
-    /// Returns the workers whose tickets can still be used.
-    pub(crate) fn valid_workers(&self, now: Instant) -> impl Iterator<Item = WorkerKey> + '_ {
-        let valid = move |ticket: &&Ticket| now + TICKET_MARGIN < ticket.until;
+    /// Returns the workers whose tickets are valid at `time`.
+    pub(crate) fn valid_workers(&self, time: Instant) -> impl Iterator<Item = WorkerKey> + '_ {
+        let valid = move |ticket: &&Ticket| time < ticket.until;
         self.tickets
             .iter()
             .filter(valid)
@@ -145,6 +146,9 @@
         last: bool,
         now: Instant,
     ) {
+        if last {
+            self.advice_window.remove(step);
+        }
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
@@ -158,9 +162,12 @@
             advice.answered_at = Some(now);
         }
         let Some(reply) = reply else {
-            advice.retry_at = Some(now + RETRY_DELAY);
+            let doublings = advice.failures.min(MAX_RETRY_DOUBLINGS);
+            advice.retry_at = Some(now + RETRY_DELAY * 2u32.pow(doublings));
+            advice.failures += 1;
             return;
         };
+        advice.failures = 0;
         let workers_by_id = &self.workers_by_id;
         let mut named_keys: Vec<WorkerKey> = named
             .iter()
@@ -189,6 +196,7 @@
         advice.denied.extend(denied);
         advice.denied.sort_unstable();
         advice.denied.dedup();
+        self.hold_tickets(step);
         self.request_pass();
     }
 }
--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -14,7 +14,6 @@
 
 use slotmap::Key;
 
-use crate::advice::TICKET_MARGIN;
 use crate::capacity::StepDemand;
 use crate::cell::Cell;
 use crate::effect::{AdviceRequest, CellEffect};
@@ -72,7 +71,7 @@
 /// What came of the attempt to request advice for a step.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AdviceAttempt {
-    /// A request is in flight, or the next one is delayed.
+    /// A request is in flight, the next one is delayed, or too many of other steps are in flight.
     Blocked,
     /// No worker is worth a request.
     NothingToName,
@@ -103,10 +102,24 @@
         if step.is_none_or(|step| step.advice.is_blocked(now)) {
             return AdviceAttempt::Blocked;
         }
+        if self.advice_window.is_pass_over() {
+            self.request_pass();
+            return AdviceAttempt::Blocked;
+        }
+        // Naming workers takes long, so that requests that are not admitted are ruled out before.
+        if !self.advice_window.admits(need.spec.base_cost) {
+            return AdviceAttempt::Blocked;
+        }
         let workers = self.workers_to_name(id, need, now);
         if workers.is_empty() {
             return AdviceAttempt::NothingToName;
         }
+        let cost = need.spec.cost(workers.len());
+        if !self.advice_window.admits(cost) {
+            self.delay_rescan(id, now);
+            return AdviceAttempt::Blocked;
+        }
+        self.advice_window.add(id, cost, now);
         let expected_uses = match self.is_gang(id) {
             true => Vec::new(),
             false => expected_uses(&workers, need),
@@ -147,7 +160,7 @@
             if is_gang && !unknown.is_empty() {
                 // All tickets have to be valid at once when the reply arrives.
                 let cost = need.spec.cost(unknown.len() + allowed.len());
-                let renewed_until = now + cost + TICKET_MARGIN * 2;
+                let renewed_until = now + cost + self.ticket_margin.of_renewal();
                 requested = self.tickets_that_end_before(id, &allowed, renewed_until);
             }
             requested.extend(unknown);
@@ -188,6 +201,7 @@
         let (Some(step), Some(eligibility)) = (job.step(id), self.eligibility(job, id)) else {
             return Vec::new();
         };
+        self.pass_work.add_looks(step.advice.tickets.len());
         let tickets = step.advice.tickets.iter();
         let capacity =
             tickets.filter_map(|ticket| self.free_capacity(ticket.worker, &eligibility, need, now));
@@ -272,7 +286,10 @@
                 false => ControlFlow::Continue(()),
             }
         };
-        let unknown = |key: &WorkerKey| !advice.is_known(*key);
+        let unknown = |key: &WorkerKey| {
+            self.pass_work.add_looks(1);
+            !advice.is_known(*key)
+        };
         let index = &self.free_index;
         let flow = match spec.gang {
             true => {
@@ -347,7 +364,7 @@
             let ticket = step.advice.any_ticket(key);
             ticket.is_some_and(|ticket| now + time >= ticket.until)
         };
-        let soon = spec.cost(wanted.len()) + TICKET_MARGIN * 2;
+        let soon = spec.cost(wanted.len()) + self.ticket_margin.of_renewal();
         if !wanted.iter().any(|key| ends_within(*key, soon)) {
             return Vec::new();
         }
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -1,21 +1,29 @@
 //! State of a cell, and the part of its interface that concerns jobs and queues.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use slotmap::{SecondaryMap, SlotMap};
 
 use crate::advice::AllowedShare;
+use crate::advice_window::AdviceWindow;
+use crate::dirty_jobs::DirtyJobs;
 use crate::effect::CellEffect;
 use crate::free_index::FreeIndex;
 use crate::job::{Job, Occurrence};
 use crate::job_record::JobOutcome;
 use crate::job_spec::JobSpec;
+use crate::pass_budget::{PassBudget, PassWork};
 use crate::queue_spec::QueueSpec;
+use crate::ready_steps::ReadySteps;
 use crate::reserve::Reservation;
+use crate::step_order::OrderKey;
+use crate::ticket_holders::TicketHolders;
+use crate::ticket_margin::TicketMargin;
 use crate::worker::Worker;
-use crate::{JobId, StepId, TaskId, WorkerKey};
+use crate::{JobId, TaskId, WorkerKey};
 
 /// Settings of a cell.
 #[derive(Clone, Copy, Debug)]
@@ -55,17 +63,6 @@
 /// Interval at which runs are checked for progress.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Maximum pass duration from which the interval until the next scheduling pass is computed.
-const MAX_PASS_COST: Duration = Duration::from_millis(8);
-
-/// Interval between passes as a multiple of the duration of the last one, which bounds the share of CPU time
-/// that passes take however long the queues are.
-const PASS_INTERVAL_FACTOR: u32 = 4;
-
-/// Minimum interval between passes. At thousands of worker reports a second, each of which requests a pass,
-/// several reports share one.
-const MIN_PASS_INTERVAL: Duration = Duration::from_millis(5);
-
 /// State of a job as reported to clients.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobState {
@@ -83,6 +80,10 @@
     pub(crate) options: CellOptions,
     pub(crate) queues: HashMap<Arc<str>, QueueSpec>,
     pub(crate) jobs: HashMap<JobId, Job>,
+    /// Number of jobs that have not ended.
+    unfinished_jobs: usize,
+    /// Jobs whose outcomes are stored, by the time from which they may be deleted.
+    expiring_jobs: BTreeSet<(Instant, JobId)>,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) free_index: FreeIndex,
     /// Latest incarnation of each worker, by worker ID.
@@ -90,17 +91,24 @@
     /// Share of workers that the advice service allows, by queue.
     pub(crate) allowed_shares: HashMap<Arc<str>, AllowedShare>,
     /// Runnable steps with waiting tasks.
-    pub(crate) ready_steps: Vec<StepId>,
+    pub(crate) ready_steps: ReadySteps,
+    pub(crate) ticket_holders: TicketHolders,
+    pub(crate) advice_window: AdviceWindow,
+    pub(crate) ticket_margin: TicketMargin,
     /// Jobs whose next occurrence is not due yet, by due time in Unix milliseconds.
     pub(crate) due_occurrences: BTreeMap<(u64, JobId), ()>,
-    /// Jobs that have changed since their last batch.
-    pub(crate) dirty_jobs: VecDeque<JobId>,
+    pub(crate) dirty_jobs: DirtyJobs,
     pub(crate) effects: Vec<CellEffect>,
     /// Whether something has changed since the last scheduling pass.
     pub(crate) pass_requested: bool,
     pub(crate) last_pass_at: Option<Instant>,
     /// Minimum time from the last scheduling pass to the next one.
     pub(crate) pass_interval: Duration,
+    pub(crate) pass_budget: PassBudget,
+    /// Work of the current pass, or else of the last one.
+    pub(crate) pass_work: PassWork,
+    /// Last step that had its turn in a pass; `None` if the first one is next.
+    pub(crate) last_turn: Option<OrderKey>,
     pub(crate) reservations: Vec<Reservation>,
     /// CPU that the earlier single-task steps of the current pass are expected to use, by worker.
     pub(crate) expected_use: SecondaryMap<WorkerKey, u32>,
@@ -119,17 +127,25 @@
             options,
             queues: HashMap::new(),
             jobs: HashMap::new(),
+            unfinished_jobs: 0,
+            expiring_jobs: BTreeSet::new(),
             workers: SlotMap::with_key(),
             free_index: FreeIndex::default(),
             workers_by_id: HashMap::new(),
             allowed_shares: HashMap::new(),
-            ready_steps: Vec::new(),
+            ready_steps: ReadySteps::default(),
+            ticket_holders: TicketHolders::default(),
+            advice_window: AdviceWindow::default(),
+            ticket_margin: TicketMargin::default(),
             due_occurrences: BTreeMap::new(),
-            dirty_jobs: VecDeque::new(),
+            dirty_jobs: DirtyJobs::default(),
             effects: Vec::new(),
             pass_requested: false,
             last_pass_at: None,
             pass_interval: Duration::ZERO,
+            pass_budget: PassBudget::default(),
+            pass_work: PassWork::default(),
+            last_turn: None,
             reservations: Vec::new(),
             expected_use: SecondaryMap::new(),
             vacated_workers: Vec::new(),
@@ -142,14 +158,19 @@
     /// Applies the queues of a configuration. Queues that it no longer contains keep their last settings,
     /// for the jobs that still wait in them.
     pub fn configure(&mut self, queues: impl IntoIterator<Item = QueueSpec>) {
+        let mut has_changed = false;
         for queue in queues {
             let name = queue.name.clone();
             let max_attempts = queue.max_attempts;
-            let earlier = self.queues.insert(name.clone(), queue);
+            let earlier = self.queues.insert(name.clone(), queue.clone());
+            has_changed |= earlier.as_ref() != Some(&queue);
             if earlier.is_none_or(|earlier| earlier.max_attempts != max_attempts) {
                 self.fail_exhausted_jobs(&name);
             }
         }
+        if has_changed {
+            self.reorder_ready_steps();
+        }
         self.request_pass();
     }
 
@@ -158,7 +179,7 @@
         if self.jobs.contains_key(&id) {
             return false;
         }
-        self.jobs.insert(id, Job::new(spec));
+        self.insert_unfinished(id, Job::new(spec));
         self.begin_due_occurrences(id, now, now_ms);
         true
     }
@@ -167,7 +188,17 @@
     pub fn add_ended(&mut self, id: JobId, outcome: JobOutcome, now: Instant) {
         let delete_at = now + self.options.status_retention;
         let ended = Job::ended(outcome, delete_at);
-        self.jobs.entry(id).or_insert(ended);
+        if let Entry::Vacant(entry) = self.jobs.entry(id) {
+            entry.insert(ended);
+            self.expiring_jobs.insert((delete_at, id));
+        }
+    }
+
+    /// Adds a job that has not ended.
+    pub(crate) fn insert_unfinished(&mut self, id: JobId, job: Job) {
+        let earlier = self.jobs.insert(id, job);
+        let was_unfinished = earlier.is_some_and(|job| job.outcome.is_none());
+        self.unfinished_jobs += usize::from(!was_unfinished);
     }
 
     /// Returns whether the cell knows a job.
@@ -214,10 +245,7 @@
 
     /// Returns the number of jobs that have not ended.
     pub fn unfinished_jobs(&self) -> usize {
-        self.jobs
-            .values()
-            .filter(|job| job.outcome.is_none())
-            .count()
+        self.unfinished_jobs
     }
 
     /// Returns the number of runs to which resources are allocated.
@@ -245,30 +273,20 @@
         self.schedule(now);
     }
 
-    /// Records the duration of the last call of [`Cell::advance`] as that of the scheduling pass. To be called
-    /// only if the call made one.
-    pub fn record_pass_cost(&mut self, cost: Duration) {
-        let interval = cost.min(MAX_PASS_COST) * PASS_INTERVAL_FACTOR;
-        self.pass_interval = interval.max(MIN_PASS_INTERVAL);
-    }
-
-    /// Returns the time of the last scheduling pass.
-    pub fn last_pass_at(&self) -> Option<Instant> {
-        self.last_pass_at
-    }
-
-    /// Returns whether a scheduling pass is requested, which is made once the minimum interval has passed.
-    pub fn wants_pass(&self) -> bool {
-        self.pass_requested
-    }
-
     /// Removes at most `limit` jobs whose retention time is over, and returns them for deletion in the store.
     pub fn take_expired_jobs(&mut self, now: Instant, limit: usize) -> Vec<JobId> {
-        let is_expired = |job: &Job| job.delete_at.is_some_and(|at| now >= at);
-        let jobs = self.jobs.iter().filter(|(_, job)| is_expired(job));
-        let ids: Vec<JobId> = jobs.map(|(id, _)| *id).take(limit).collect();
-        for id in &ids {
-            self.jobs.remove(id);
+        let mut ids = Vec::new();
+        while ids.len() < limit
+            && let Some(&(delete_at, id)) = self.expiring_jobs.first()
+            && now >= delete_at
+        {
+            self.expiring_jobs.pop_first();
+            let job = self.jobs.get(&id);
+            // The retention time begins again if the outcome is stored again.
+            if job.is_some_and(|job| job.delete_at == Some(delete_at)) {
+                self.jobs.remove(&id);
+                ids.push(id);
+            }
         }
         ids
     }
@@ -285,6 +303,7 @@
             job.delete_at = Some(delete_at);
             job.spec = None;
             job.occurrences = Vec::new();
+            self.expiring_jobs.insert((delete_at, id));
         }
     }
 
@@ -293,8 +312,10 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        job.outcome = Some(outcome);
+        let was_unfinished = job.outcome.replace(outcome).is_none();
+        self.unfinished_jobs -= usize::from(was_unfinished);
         let placed = job.placed_runs(id);
+        self.dequeue_job(id);
         self.mark_dirty(id);
         for (worker, run) in placed {
             self.stop_run(worker, run);
@@ -337,64 +358,4 @@
             self.queue_runnable_steps(id, number);
         }
     }
-
-    /// Adds the runnable steps of an occurrence to the ready steps.
-    pub(crate) fn queue_runnable_steps(&mut self, id: JobId, occurrence: u32) {
-        let Some(job) = self.jobs.get(&id) else {
-            return;
-        };
-        let Some(spec) = job.spec.clone() else {
-            return;
-        };
-        let mut occurrences = job.occurrences.iter();
-        let Some(found) = occurrences.find(|o| o.number == occurrence) else {
-            return;
-        };
-        let steps = (0u16..).zip(&spec.steps);
-        let runnable: Vec<u16> = steps
-            .filter(|(_, step)| found.is_runnable(step))
-            .map(|(step, _)| step)
-            .collect();
-        for step in runnable {
-            self.queue_step(StepId {
-                job: id,
-                occurrence,
-                step,
-            });
-        }
-    }
-
-    /// Adds a step to the ready steps, if it has waiting tasks.
-    pub(crate) fn queue_step(&mut self, id: StepId) {
-        let Some(job) = self.jobs.get_mut(&id.job) else {
-            return;
-        };
-        if job.outcome.is_some() {
-            return;
-        }
-        let Some(step) = job.step_mut(id) else {
-            return;
-        };
-        if step.queued || step.waiting_tasks().next().is_none() {
-            return;
-        }
-        step.queued = true;
-        self.ready_steps.push(id);
-        self.request_pass();
-    }
-
-    /// Marks a job as changed, so that one of the next batches contains it.
-    pub(crate) fn mark_dirty(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id)
-            && !job.dirty
-        {
-            job.dirty = true;
-            self.dirty_jobs.push_back(id);
-        }
-    }
-
-    /// Requests a scheduling pass, since something has changed that may allow a placement.
-    pub(crate) fn request_pass(&mut self) {
-        self.pass_requested = true;
-    }
 }
--- a/crates/hs-cell/src/census.rs
+++ b/crates/hs-cell/src/census.rs
@@ -109,24 +109,24 @@
         census
     }
 
-    /// Describes at most `limit` waiting steps that are no longer on time, the longest waiting first. Sorts all
-    /// waiting steps.
+    /// Describes at most `limit` waiting steps that are no longer on time, the longest waiting first. Goes through
+    /// all waiting steps, but only looks at those that it describes.
     pub fn longest_waits(&self, limit: usize, now: Instant) -> Vec<StepWait> {
-        let steps = self.ready_steps.iter();
-        let mut keys: Vec<_> = steps.filter_map(|id| self.order_key(*id, now)).collect();
-        keys.sort_unstable();
         let mut positions = [0usize; u8::MAX as usize + 1];
-        let mut waits = Vec::new();
-        for key in keys {
+        let mut late = Vec::new();
+        for (key, step) in self.ready_steps.iter() {
             let position = &mut positions[usize::from(key.priority)];
             *position += 1;
             if key.timeliness != Timeliness::OnTime {
-                waits.extend(self.step_wait(key.step, key.timeliness, *position, now));
+                late.push((step.runnable_since, *position, key));
             }
         }
-        waits.sort_by_key(|wait| std::cmp::Reverse(wait.age));
-        waits.truncate(limit);
+        late.sort_by_key(|(runnable_since, ..)| *runnable_since);
+        late.truncate(limit);
+        let waits = late.into_iter().map(|(_, position, key)| (key, position));
         waits
+            .filter_map(|(key, position)| self.step_wait(key.step, key.timeliness, position, now))
+            .collect()
     }
 
     fn step_wait(
@@ -143,6 +143,7 @@
             let worker = self.workers.get(key);
             worker.map_or(0, |worker| worker.placeable_tasks(&demand, now))
         };
+        let ticket_end = self.placement_ticket_end(now);
         let total = |sum: u32, fits: u32| sum.saturating_add(fits);
         let tickets = step.advice.tickets.iter();
         let reservation = self.reservations.iter().find(|r| r.step == id);
@@ -163,9 +164,13 @@
             advice: step.advice.wait(now),
             denied: step.advice.denied.len(),
             allowed: step.advice.tickets.len(),
-            valid: step.advice.valid_workers(now).count(),
+            valid: step.advice.valid_workers(ticket_end).count(),
             allowed_fits: tickets.map(|t| fits_on(t.worker)).fold(0, total),
-            valid_fits: step.advice.valid_workers(now).map(fits_on).fold(0, total),
+            valid_fits: step
+                .advice
+                .valid_workers(ticket_end)
+                .map(fits_on)
+                .fold(0, total),
             reserved: reservation.map_or(0, |r| r.workers.len()),
         })
     }
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -10,8 +10,10 @@
 
 mod active_steps;
 mod advice;
+mod advice_callers;
 mod advice_queue;
 mod advice_request;
+mod advice_window;
 mod attempts;
 mod batches;
 mod capacity;
@@ -19,6 +21,7 @@
 mod census;
 mod crash_history;
 mod crashes;
+mod dirty_jobs;
 mod effect;
 mod expected_use;
 mod free_index;
@@ -28,20 +31,27 @@
 mod job;
 mod job_record;
 mod job_spec;
+mod pass_budget;
+mod passes;
 mod placement;
 mod queue_spec;
+mod ready_steps;
 mod record;
 mod record_log;
+mod request_class;
 mod reserve;
 mod run_orders;
 mod segment;
 mod stalls;
 mod step_order;
+mod ticket_holders;
+mod ticket_margin;
 mod worker;
 mod worker_events;
 
 pub use advice::AdviceReply;
-pub use advice_queue::{AdviceCaller, AdvicePart, AdviceQueue};
+pub use advice_callers::AdviceCaller;
+pub use advice_queue::{AdvicePart, AdviceQueue};
 pub use cell::{Cell, CellOptions, JobState};
 pub use census::{AdviceWait, StepWait, WorkerCensus};
 pub use effect::{
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -1,11 +1,17 @@
 //! Tests of the cell against a simulated environment with an oracle, and of its scheduling policies.
 
 mod advice_queue;
+mod advice_window;
 mod advised_load;
+mod advised_workers;
 mod backlog;
+mod backlog_drain;
+mod batch_order;
 mod crashes;
 mod fixture;
 mod fuzz;
+mod job_counts;
+mod owner_processor;
 mod patterns;
 mod readiness;
 mod record_log;
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -319,6 +319,7 @@
         if members.take_changed() {
             let addresses = members.addresses();
             drop(members);
+            self.cell.set_advice_callers(addresses.len() + 1);
             self.advice_dispatcher.set_members(&addresses);
         }
     }
@@ -407,6 +408,7 @@
             let cost = self.platform.now().saturating_duration_since(now);
             self.cell.record_pass_cost(cost);
             self.load.record_pass(cost);
+            self.platform.record_work(self.cell.last_pass_work());
         }
         for effect in self.cell.take_effects() {
             self.apply_effect(effect);
--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -55,6 +55,7 @@
         self.committing = false;
         self.metrics.record_commit(end.duration);
         self.load.record_commit(end.duration);
+        self.cell.record_commit_time(end.duration);
         self.planner.log.committed(end.log);
         for row in &end.batch.rows {
             if let RecordRow::Finished(id, outcome) = row {
