fix: contact the workers of a new owner in order and a few at a time

What callers saw: LOST by the thousand on the large deployment, after takeovers that followed each other without end. Cause: a new owner called all its workers at once, 1,100 to 1,400 connections with a renewal each, in the order of the registry. A small VM is late for its heartbeats and its claim meanwhile. Workers that were gone were called ten times a second. Workers with the most recorded runs come first, then those with the most free CPU, so links begin after the jobs are restored. The end of an earlier owner's lease is not recorded, so the order can't follow it.

--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -17,6 +17,7 @@
 mod capacity;
 mod cell;
 mod census;
+mod contact_order;
 mod crash_history;
 mod crashes;
 mod effect;
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -18,6 +18,7 @@
 mod claim_writer;
 mod commits;
 mod config;
+mod contact_permits;
 mod control;
 mod election;
 mod end_waiters;
--- /dev/null
+++ b/crates/hs-control/src/link/orders.rs
@@ -0,0 +1,80 @@
+//! Starts and stops.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hs_cell::{StartOrder, StartRefusal, TaskRun};
+use tokio::time::sleep;
+
+use super::{LinkEvent, RETRY_PAUSE, WorkerLink};
+use crate::port::{Platform, StartReply, StopReply};
+
+/// Timeout of a start or a stop.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Maximum number of attempts to send a start before it is reported as unanswered or refused.
+const MAX_START_ATTEMPTS: u32 = 3;
+
+impl<P: Platform> WorkerLink<P> {
+    /// Sends a start until the worker answers, with a bounded number of attempts. Repeating it is safe,
+    /// because a worker starts a run only once.
+    pub(super) async fn send_start(self: Arc<Self>, order: StartOrder) {
+        let run = order.run;
+        let mut in_doubt = false;
+        for _ in 0..MAX_START_ATTEMPTS {
+            let Some(end_ms) = self.requested_lease_end_ms() else {
+                break;
+            };
+            let sent = self
+                .platform
+                .start(&self.peer, self.fence, end_ms, &order, ORDER_TIMEOUT)
+                .await;
+            match sent {
+                Ok(StartReply::Started) => return self.emit(LinkEvent::Started(run)).await,
+                Ok(StartReply::Fenced) => return self.emit(LinkEvent::Fenced).await,
+                Ok(StartReply::Refused(why)) if !in_doubt => {
+                    return self.emit(LinkEvent::StartRefused(run, why)).await;
+                }
+                // An earlier attempt has started the run, and it has ended; the worker's report contains
+                // the end.
+                Ok(StartReply::Refused(StartRefusal::Old)) => {
+                    return self.emit(LinkEvent::Stopped(run)).await;
+                }
+                // An earlier attempt may still be carried out.
+                Ok(StartReply::Refused(_)) => break,
+                Err(error) => {
+                    log::debug!("failed to start run={} {}: {error}", run.run, run.task);
+                    in_doubt = in_doubt || !error.is_refused();
+                    if error.is_refused() {
+                        sleep(RETRY_PAUSE).await;
+                    }
+                }
+            }
+        }
+        let event = match in_doubt {
+            true => LinkEvent::StartUnanswered(run),
+            false => LinkEvent::StartRefused(run, StartRefusal::Unhealthy),
+        };
+        self.emit(event).await;
+    }
+
+    /// Sends a stop until the worker answers. Its first contact comes before, since that is limited to a number
+    /// of workers at a time.
+    pub(super) async fn send_stop(self: Arc<Self>, run: TaskRun) {
+        self.first_contact().await;
+        loop {
+            match self
+                .platform
+                .stop(&self.peer, self.fence, run, ORDER_TIMEOUT)
+                .await
+            {
+                Ok(StopReply::Stopped) => return self.emit(LinkEvent::Stopped(run)).await,
+                Ok(StopReply::Fenced) => return self.emit(LinkEvent::Fenced).await,
+                // The run ended with the incarnation of the worker that had it.
+                Ok(StopReply::OtherIncarnation) => return,
+                Err(error) => log::debug!("failed to stop {}: {error}", run.task),
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+}
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -3,6 +3,7 @@
 mod commit;
 mod effects;
 mod feed;
+mod links;
 mod report;
 mod requests;
 
@@ -20,15 +21,16 @@
 use crate::claim_writer::{ClaimKeeper, ClaimWriter, WriteOrder};
 use crate::commits::CommitPlanner;
 use crate::config::ClusterConfig;
+use crate::contact_permits::ContactPermits;
 use crate::end_waiters::EndWaiters;
-use crate::feeds::{self, FeedEvent, StoredState};
+use crate::feeds::FeedEvent;
 use crate::lag::LagMeter;
-use crate::link::{LeaseTerms, LinkEvent, LinkHandle, MAX_LEASE_PAST_CONFIRMATION};
+use crate::link::{LinkEvent, LinkHandle, MAX_LEASE_PAST_CONFIRMATION};
 use crate::load::LoadMeter;
 use crate::metrics::ControlMetrics;
 use crate::owner_status::OwnerStatus;
 use crate::peers::PeerPool;
-use crate::port::{Platform, RegisteredWorker, WorkerEndpoint};
+use crate::port::Platform;
 use crate::shared::OwnerRequest;
 use crate::speed::SpeedMeter;
 use crate::takeover;
@@ -116,6 +118,7 @@
     /// Time at which all leases that an earlier owner granted have certainly ended.
     earlier_leases_end: Instant,
     links: HashMap<WorkerKey, LinkHandle>,
+    contact_permits: ContactPermits,
     advice_dispatcher: AdviceDispatcher<P>,
     status: OwnerStatus,
     end_waiters: EndWaiters,
@@ -176,6 +179,7 @@
             + MAX_LEASE_PAST_CONFIRMATION.mul_f64(CLOCK_DRIFT_FACTOR)
             + EARLIER_LEASE_MARGIN,
         links: HashMap::new(),
+        contact_permits: ContactPermits::default(),
         status: inputs.status,
         end_waiters: EndWaiters::default(),
         release: None,
@@ -256,63 +260,11 @@
 }
 
 impl<P: Platform> OwnerTask<P> {
-    fn restore(&mut self, state: StoredState) {
-        for worker in state.workers {
-            self.add_worker(worker);
-        }
-        let revision = state.cell.intake_revision;
-        self.planner.log =
-            state
-                .cell
-                .restore(&mut self.cell, &self.platform, self.earlier_leases_end);
-        let feeds = feeds::follow(
-            self.platform.clone(),
-            state.registry_revision,
-            revision,
-            self.feed_events.clone(),
-        );
-        self.background_tasks.spawn(feeds);
-    }
-
     fn configure(&mut self, config: &ClusterConfig) {
         let queues = config.routes.iter().map(|route| route.queue.clone());
         self.cell.configure(queues);
     }
 
-    fn add_worker(&mut self, worker: RegisteredWorker) {
-        let id = worker.entry.id.clone();
-        let started_ms = worker.entry.started_ms;
-        let now = self.platform.now();
-        // A worker that was registered before the takeover may still hold a lease from an earlier owner.
-        let lease_end = self.earlier_leases_end.max(now);
-        let key = self.cell.worker_listed(worker.entry, lease_end, now);
-        if self.links.contains_key(&key) {
-            return;
-        }
-        let peer = WorkerEndpoint {
-            id: id.clone(),
-            address: worker.address.clone(),
-            started_ms,
-        };
-        EventCode::WorkerLinked.log(format_args!(
-            "worker={id} address={} born_ms={started_ms}",
-            worker.address
-        ));
-        let link = LinkHandle::spawn(
-            self.platform.clone(),
-            key,
-            peer,
-            LeaseTerms {
-                fence: self.fence,
-                lease: self.lease,
-                confirmation: self.confirmation.clone(),
-            },
-            self.metrics.clone(),
-            self.link_events.clone(),
-        );
-        self.links.insert(key, link);
-    }
-
     /// Lets the processes that send heartbeats call the advice service, if they have changed.
     fn update_advice_callers(&mut self) {
         let mut members = self.status.members();
@@ -323,40 +275,6 @@
         }
     }
 
-    fn handle_link_event(&mut self, key: WorkerKey, event: LinkEvent) {
-        let now = self.platform.now();
-        match event {
-            LinkEvent::Renewing(lease_end) => self.cell.lease_renewed(key, lease_end),
-            LinkEvent::Report(report, requested_at) => {
-                self.load.reports += 1;
-                self.cell.worker_reported(key, report, requested_at, now);
-            }
-            LinkEvent::Unreachable => {
-                self.load.unreachable_workers += 1;
-                self.cell.worker_unreachable(key);
-            }
-            LinkEvent::Started(run) => self.cell.start_confirmed(key, run, now),
-            LinkEvent::StartRefused(run, why) => {
-                EventCode::RunRefused.log(format_args!(
-                    "task={} run={} why={why:?}",
-                    run.task, run.run
-                ));
-                self.metrics.record_start_refusal(why);
-                self.cell.start_refused(key, run, why, now);
-            }
-            LinkEvent::StartUnanswered(run) => {
-                self.load.unanswered_starts += 1;
-                EventCode::StartUnanswered.log(format_args!("task={} run={}", run.task, run.run));
-                self.cell.start_unanswered(key, run, now);
-            }
-            LinkEvent::Stopped(run) => self.cell.stop_confirmed(key, run, now),
-            LinkEvent::Fenced => {
-                let why = "a worker has seen a higher fence".to_owned();
-                self.end = Some(OwnerEnd::Lost(why));
-            }
-        }
-    }
-
     fn handle_advice_end(&mut self, end: AdvicePartEnd) {
         self.load.advice_ends += 1;
         let is_last_part = self.advice_dispatcher.part_ended(&end);
--- /dev/null
+++ b/crates/hs-control/src/owner/links.rs
@@ -0,0 +1,117 @@
+//! The workers of the cell: their restoration at a takeover, their links, and what the links report.
+
+use std::collections::HashMap;
+
+use hs_cell::WorkerKey;
+use hs_event::EventCode;
+
+use super::{OwnerEnd, OwnerTask};
+use crate::feeds::{self, StoredState};
+use crate::link::{LeaseTerms, LinkEvent, LinkHandle};
+use crate::port::{Platform, RegisteredWorker, WorkerEndpoint};
+
+impl<P: Platform> OwnerTask<P> {
+    /// Restores the state of the cell, then links the workers in the order of [`hs_cell::Cell::contact_order`], which
+    /// needs the restored runs.
+    pub(super) fn restore(&mut self, state: StoredState) {
+        let mut endpoints = HashMap::new();
+        for worker in state.workers {
+            let (key, endpoint) = self.list_worker(worker);
+            endpoints.insert(key, endpoint);
+        }
+        let revision = state.cell.intake_revision;
+        let restored = state
+            .cell
+            .restore(&mut self.cell, &self.platform, self.earlier_leases_end);
+        self.planner.log = restored;
+        for key in self.cell.contact_order() {
+            if let Some(endpoint) = endpoints.remove(&key) {
+                self.link_worker(key, endpoint);
+            }
+        }
+        let feeds = feeds::follow(
+            self.platform.clone(),
+            state.registry_revision,
+            revision,
+            self.feed_events.clone(),
+        );
+        self.background_tasks.spawn(feeds);
+    }
+
+    /// Adds or updates a worker, and links it unless it is linked.
+    pub(super) fn add_worker(&mut self, worker: RegisteredWorker) {
+        let (key, endpoint) = self.list_worker(worker);
+        if !self.links.contains_key(&key) {
+            self.link_worker(key, endpoint);
+        }
+    }
+
+    fn list_worker(&mut self, worker: RegisteredWorker) -> (WorkerKey, WorkerEndpoint) {
+        let endpoint = WorkerEndpoint {
+            id: worker.entry.id.clone(),
+            address: worker.address,
+            started_ms: worker.entry.started_ms,
+        };
+        let now = self.platform.now();
+        // A worker that was registered before the takeover may still hold a lease from an earlier owner.
+        let lease_end = self.earlier_leases_end.max(now);
+        let key = self.cell.worker_listed(worker.entry, lease_end, now);
+        (key, endpoint)
+    }
+
+    fn link_worker(&mut self, key: WorkerKey, endpoint: WorkerEndpoint) {
+        EventCode::WorkerLinked.log(format_args!(
+            "worker={} address={} born_ms={}",
+            endpoint.id, endpoint.address, endpoint.started_ms
+        ));
+        let terms = LeaseTerms {
+            fence: self.fence,
+            lease: self.lease,
+            confirmation: self.confirmation.clone(),
+        };
+        let link = LinkHandle::spawn(
+            self.platform.clone(),
+            key,
+            endpoint,
+            terms,
+            self.contact_permits.clone(),
+            self.metrics.clone(),
+            self.link_events.clone(),
+        );
+        self.links.insert(key, link);
+    }
+
+    pub(super) fn handle_link_event(&mut self, key: WorkerKey, event: LinkEvent) {
+        let now = self.platform.now();
+        match event {
+            LinkEvent::Renewing(lease_end) => self.cell.lease_renewed(key, lease_end),
+            LinkEvent::Report(report, requested_at) => {
+                self.load.reports += 1;
+                self.cell.worker_reported(key, report, requested_at, now);
+            }
+            LinkEvent::Unreachable => {
+                self.load.unreachable_workers += 1;
+                self.cell.worker_unreachable(key);
+            }
+            LinkEvent::Started(run) => self.cell.start_confirmed(key, run, now),
+            LinkEvent::StartRefused(run, why) => {
+                EventCode::RunRefused.log(format_args!(
+                    "task={} run={} why={why:?}",
+                    run.task, run.run
+                ));
+                self.metrics.record_start_refusal(why);
+                self.cell.start_refused(key, run, why, now);
+            }
+            LinkEvent::StartUnanswered(run) => {
+                self.load.unanswered_starts += 1;
+                EventCode::StartUnanswered.log(format_args!("task={} run={}", run.task, run.run));
+                self.cell.start_unanswered(key, run, now);
+            }
+            LinkEvent::Stopped(run) => self.cell.stop_confirmed(key, run, now),
+            LinkEvent::Fenced => {
+                let why = "a worker has seen a higher fence".to_owned();
+                self.end = Some(OwnerEnd::Lost(why));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hs-control/tests/links/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the links of an owner to its workers, on a platform in memory.
+
+mod platform;
+mod takeover;
--- /dev/null
+++ b/crates/hs-control/tests/links/platform.rs
@@ -0,0 +1,347 @@
+//! A platform in memory whose workers answer, refuse or keep silent.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use hs_cell::{AdviceReply, QueueSpec, StartOrder, StepId, TaskRun, WorkerEntry, WorkerReport};
+use hs_control::port::{
+    AdvicePort, CatalogPort, ClockPort, ConfigReply, LeaseRenewal, PortError, RegisteredWorker,
+    RenewalReply, StartReply, StopReply, StoreChanges, StoreItem, StorePage, StorePort, StoreTxn,
+    TxnReply, WorkerChanges, WorkerEndpoint, WorkerPort,
+};
+use hs_control::{ClusterConfig, QueueRoute};
+use hs_wire::Resources;
+use tokio::time::{sleep, timeout};
+
+/// Name of the only queue.
+pub const QUEUE: &str = "queue";
+
+/// Service of all workers.
+const SERVICE: &str = "service";
+
+/// Time that a worker takes to answer.
+const LATENCY: Duration = Duration::from_millis(5);
+
+/// Number of items on a page of the store.
+const PAGE_ITEMS: usize = 200;
+
+/// Start time of all workers in Unix milliseconds.
+pub const BORN_MS: u64 = 1_000;
+
+/// How a worker answers calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorkerBehaviour {
+    /// Answers each call.
+    Answers,
+    /// Answers no call.
+    Silent,
+    /// Refuses connections.
+    Refuses,
+}
+
+/// A call to a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallKind {
+    Renewal,
+    Start,
+    Stop,
+}
+
+/// A recorded call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub worker: Arc<str>,
+    pub kind: CallKind,
+    pub at: Instant,
+}
+
+/// State of the platform.
+#[derive(Debug, Default)]
+pub struct State {
+    items: BTreeMap<String, StoreItem>,
+    revision: u64,
+    workers: Vec<RegisteredWorker>,
+    behaviours: HashMap<Arc<str>, WorkerBehaviour>,
+    /// All calls to workers, in order.
+    pub calls: Vec<Call>,
+    /// Number of calls that are in flight to workers that were not called before.
+    first_calls: usize,
+    /// Largest number of such calls at a time.
+    pub max_first_calls: usize,
+}
+
+/// Handle of the platform. Clones share its state.
+#[derive(Clone, Debug, Default)]
+pub struct FakePlatform {
+    state: Arc<Mutex<State>>,
+}
+
+impl FakePlatform {
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Registers a worker with this much CPU.
+    pub fn add_worker(&self, id: &str, cpu_milli: u32, behaviour: WorkerBehaviour) {
+        let id: Arc<str> = id.into();
+        let mut state = self.state();
+        state.workers.push(RegisteredWorker {
+            entry: WorkerEntry {
+                id: id.clone(),
+                started_ms: BORN_MS,
+                service: SERVICE.into(),
+                labels: Vec::new(),
+                capacity: Resources {
+                    cpu_milli,
+                    memory_mib: 1024,
+                    slots: 64,
+                    ..Resources::ZERO
+                },
+                draining: false,
+            },
+            address: id.clone(),
+        });
+        state.behaviours.insert(id, behaviour);
+    }
+
+    /// Writes an item to the store.
+    pub fn put(&self, key: String, value: Vec<u8>) {
+        self.state().put(key, value);
+    }
+
+    /// Returns the workers in the order in which they were first called.
+    pub fn contacted_workers(&self) -> Vec<Arc<str>> {
+        let mut workers = Vec::new();
+        for call in &self.state().calls {
+            if !workers.contains(&call.worker) {
+                workers.push(call.worker.clone());
+            }
+        }
+        workers
+    }
+
+    /// Returns the times of the calls of one kind to a worker.
+    pub fn call_times(&self, worker: &str, kind: CallKind) -> Vec<Instant> {
+        let state = self.state();
+        let calls = state.calls.iter();
+        let calls = calls.filter(|call| &*call.worker == worker && call.kind == kind);
+        calls.map(|call| call.at).collect()
+    }
+
+    /// Records a call, and waits until the worker answers it.
+    async fn call_worker(
+        &self,
+        worker: &WorkerEndpoint,
+        kind: CallKind,
+        wait: Duration,
+        limit: Duration,
+    ) -> Result<(), PortError> {
+        let behaviour = self.state().begin_call(&worker.id, kind);
+        let (behaviour, is_first) = behaviour;
+        let answer = async {
+            match behaviour {
+                WorkerBehaviour::Answers => sleep(LATENCY + wait).await,
+                WorkerBehaviour::Silent => std::future::pending().await,
+                WorkerBehaviour::Refuses => {}
+            }
+        };
+        let answered = timeout(limit, answer).await.is_ok();
+        self.state().first_calls -= usize::from(is_first);
+        match behaviour {
+            WorkerBehaviour::Refuses => Err(PortError::Refused {
+                operation: "call",
+                peer: worker.id.to_string(),
+                cause: "connection refused".to_owned(),
+            }),
+            _ if !answered => Err(PortError::NoReply {
+                operation: "call",
+                peer: worker.id.to_string(),
+                cause: "no reply in time".to_owned(),
+            }),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl State {
+    fn put(&mut self, key: String, value: Vec<u8>) {
+        self.revision += 1;
+        let item = StoreItem {
+            key: key.clone(),
+            value: Some(value),
+            revision: self.revision,
+        };
+        self.items.insert(key, item);
+    }
+
+    /// Records a call. Returns how the worker answers, and whether it was not called before.
+    fn begin_call(&mut self, worker: &Arc<str>, kind: CallKind) -> (WorkerBehaviour, bool) {
+        let is_first = !self.calls.iter().any(|call| call.worker == *worker);
+        self.calls.push(Call {
+            worker: worker.clone(),
+            kind,
+            at: tokio::time::Instant::now().into_std(),
+        });
+        self.first_calls += usize::from(is_first);
+        self.max_first_calls = self.max_first_calls.max(self.first_calls);
+        (self.behaviours[worker], is_first)
+    }
+}
+
+impl StorePort for FakePlatform {
+    async fn read(&self, key: &str, _: Duration) -> Result<Option<StoreItem>, PortError> {
+        Ok(self.state().items.get(key).cloned())
+    }
+
+    async fn range(&self, prefix: &str, after: &str, _: Duration) -> Result<StorePage, PortError> {
+        let state = self.state();
+        let items = state.items.range(prefix.to_owned()..);
+        let items = items.take_while(|(key, _)| key.starts_with(prefix));
+        let mut items = items.filter(|(key, _)| key.as_str() > after);
+        let page: Vec<StoreItem> = items
+            .by_ref()
+            .take(PAGE_ITEMS)
+            .map(|(_, item)| item.clone())
+            .collect();
+        Ok(StorePage {
+            items: page,
+            has_more: items.next().is_some(),
+            revision: state.revision,
+        })
+    }
+
+    async fn watch(
+        &self,
+        _: &str,
+        after: u64,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<StoreChanges, PortError> {
+        sleep(wait).await;
+        Ok(StoreChanges::Events(Vec::new(), after))
+    }
+
+    async fn transact(&self, txn: &StoreTxn, _: Duration) -> Result<TxnReply, PortError> {
+        let mut state = self.state();
+        let revision_of = |key: &String| state.items.get(key).map_or(0, |item| item.revision);
+        let is_met = |(key, revision): &(String, u64)| revision_of(key) == *revision;
+        if !txn.expect.iter().all(is_met) {
+            let keys = txn.expect.iter().map(|(key, _)| key);
+            let items = keys.filter_map(|key| state.items.get(key).cloned());
+            return Ok(TxnReply::Conflict(items.collect()));
+        }
+        for (key, value) in &txn.writes {
+            state.put(key.clone(), value.clone());
+        }
+        for key in &txn.deletes {
+            state.items.remove(key);
+        }
+        Ok(TxnReply::Committed(state.revision))
+    }
+}
+
+impl CatalogPort for FakePlatform {
+    async fn config(
+        &self,
+        known: Option<(u64, u64)>,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<ConfigReply, PortError> {
+        if let Some((_, revision)) = known {
+            sleep(wait).await;
+            return Ok(ConfigReply::Unchanged(revision));
+        }
+        let config = ClusterConfig {
+            version: 1,
+            routes: vec![QueueRoute {
+                host: String::new(),
+                prefix: String::new(),
+                queue: QueueSpec {
+                    name: QUEUE.into(),
+                    service: SERVICE.into(),
+                    priority: 0,
+                    max_attempts: 3,
+                    stretch: 1.0,
+                    target: Duration::from_secs(1),
+                    advice: None,
+                },
+            }],
+            max_body_bytes: 1 << 10,
+        };
+        Ok(ConfigReply::Newest(Arc::new(config), 1))
+    }
+
+    async fn workers(&self, _: Duration) -> Result<(Vec<RegisteredWorker>, u64), PortError> {
+        Ok((self.state().workers.clone(), 1))
+    }
+
+    async fn worker_changes(
+        &self,
+        after: u64,
+        _: Duration,
+        _: Duration,
+    ) -> Result<WorkerChanges, PortError> {
+        Ok(WorkerChanges::Events(Vec::new(), after))
+    }
+}
+
+impl WorkerPort for FakePlatform {
+    async fn start(
+        &self,
+        peer: &WorkerEndpoint,
+        _: u64,
+        _: u64,
+        _: &StartOrder,
+        timeout: Duration,
+    ) -> Result<StartReply, PortError> {
+        let call = self.call_worker(peer, CallKind::Start, Duration::ZERO, timeout);
+        call.await.map(|()| StartReply::Started)
+    }
+
+    async fn stop(
+        &self,
+        peer: &WorkerEndpoint,
+        _: u64,
+        _: TaskRun,
+        timeout: Duration,
+    ) -> Result<StopReply, PortError> {
+        let call = self.call_worker(peer, CallKind::Stop, Duration::ZERO, timeout);
+        call.await.map(|()| StopReply::Stopped)
+    }
+
+    async fn renew_lease(
+        &self,
+        peer: &WorkerEndpoint,
+        renewal: LeaseRenewal,
+        timeout: Duration,
+    ) -> Result<RenewalReply, PortError> {
+        let call = self.call_worker(peer, CallKind::Renewal, renewal.wait, timeout);
+        call.await?;
+        Ok(RenewalReply::Report {
+            clock_ms: self.unix_ms(),
+            report: WorkerReport::default(),
+        })
+    }
+}
+
+impl AdvicePort for FakePlatform {
+    async fn advise(
+        &self,
+        _: StepId,
+        _: &[Arc<str>],
+        _: Duration,
+    ) -> Result<AdviceReply, PortError> {
+        std::future::pending().await
+    }
+}
+
+impl ClockPort for FakePlatform {
+    fn now(&self) -> Instant {
+        tokio::time::Instant::now().into_std()
+    }
+
+    fn unix_ms(&self) -> u64 {
+        BORN_MS
+    }
+}
--- /dev/null
+++ b/crates/hs-control/tests/links/takeover.rs
@@ -0,0 +1,163 @@
+//! Takeover of a cell with many workers and jobs.
+
+use std::time::Duration;
+
+use hs_cell::{
+    CellOptions, JobId, JobRecord, JobSpec, StampedRecord, StepRecord, StepSpec, TaskPlace,
+    TaskRecord, WorkerIncarnation,
+};
+use hs_control::{Control, ControlMetrics, ControlOptions, run};
+use hs_metrics::MetricRegistry;
+use hs_wire::Resources;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::platform::{BORN_MS, CallKind, FakePlatform, QUEUE, WorkerBehaviour};
+
+/// Number of first contacts in flight that a small VM carries.
+const MAX_FIRST_CONTACTS: usize = 64;
+
+/// Time in which a process without others takes the cell over.
+const ELECTION_TIME: Duration = Duration::from_secs(1);
+
+/// A process that takes the cell over. It ends with the runtime of the test.
+struct Process {
+    _control: Control<FakePlatform>,
+    _stop: watch::Sender<bool>,
+}
+
+impl Process {
+    async fn start(platform: &FakePlatform) -> Self {
+        let options = ControlOptions {
+            node: "node-1".to_owned(),
+            peer_listen: "127.0.0.1:0".parse().expect("address"),
+            cell: CellOptions::default(),
+            takeover_delay: Duration::ZERO,
+        };
+        let metrics = ControlMetrics::new(MetricRegistry::new().expect("registry"));
+        let (stop, stopped) = watch::channel(false);
+        let control = run(platform.clone(), options, metrics, stopped).await;
+        Self {
+            _control: control.expect("a free port"),
+            _stop: stop,
+        }
+    }
+}
+
+/// Writes a job of one task to the store, which runs on the worker if there is one.
+fn put_job(platform: &FakePlatform, number: u64, worker: Option<&str>) {
+    let id = JobId(number);
+    let spec = JobSpec {
+        queue: QUEUE.into(),
+        input: "".into(),
+        steps: vec![StepSpec {
+            count: 1,
+            need: Resources {
+                cpu_milli: 100,
+                slots: 1,
+                ..Resources::ZERO
+            },
+            estimate_ms: 1_000,
+            ..StepSpec::default()
+        }],
+        schedule: None,
+        accepted_ms: BORN_MS,
+    };
+    let value = serde_json::json!({ "a": spec });
+    platform.put(format!("hs/in/job/{id}"), value.to_string().into_bytes());
+    let Some(worker) = worker else {
+        return;
+    };
+    let record = JobRecord {
+        first_occurrence: 0,
+        workers: vec![WorkerIncarnation {
+            id: worker.to_owned(),
+            started_ms: BORN_MS,
+        }],
+        steps: vec![StepRecord {
+            tasks: vec![TaskRecord {
+                index: 0,
+                place: TaskPlace::Worker(0),
+                run: 1,
+                failures: 0,
+                last_failed_run: 0,
+                checkpoint: String::new(),
+                crashes: None,
+            }],
+            ..StepRecord::default()
+        }],
+    };
+    let stamped = StampedRecord {
+        record,
+        ..StampedRecord::default()
+    };
+    let value = serde_json::to_vec(&stamped).expect("a record");
+    platform.put(format!("hs/run/{id}"), value);
+}
+
+/// Guards against a new owner that opens connections to all workers at once, which takes a small VM so long that its
+/// heartbeats time out and the cell moves on.
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_contacts_few_workers_at_a_time() {
+    const WORKERS: usize = 400;
+    let platform = FakePlatform::default();
+    for number in 0..WORKERS {
+        platform.add_worker(&format!("w{number}"), 1_000, WorkerBehaviour::Answers);
+    }
+    let _process = Process::start(&platform).await;
+    sleep(ELECTION_TIME + Duration::from_secs(1)).await;
+    assert_eq!(platform.contacted_workers().len(), WORKERS);
+    let most = platform.state().max_first_calls;
+    assert!((2..=MAX_FIRST_CONTACTS).contains(&most), "{most} at a time");
+}
+
+/// Guards against workers that are not contacted because many others don't answer.
+#[tokio::test(start_paused = true)]
+async fn unreachable_workers_do_not_keep_others_waiting() {
+    let platform = FakePlatform::default();
+    for number in 0..200 {
+        // The first in the order, since they have more free capacity.
+        platform.add_worker(&format!("silent{number}"), 4_000, WorkerBehaviour::Silent);
+        platform.add_worker(&format!("w{number}"), 1_000, WorkerBehaviour::Answers);
+    }
+    let _process = Process::start(&platform).await;
+    sleep(ELECTION_TIME + Duration::from_millis(1_500)).await;
+    let contacted = platform.contacted_workers();
+    assert_eq!(contacted.len(), 400);
+}
+
+/// Guards against an owner that spends its processor time on connections to workers that are gone.
+#[tokio::test(start_paused = true)]
+async fn unreachable_workers_are_called_rarely() {
+    let platform = FakePlatform::default();
+    platform.add_worker("silent", 1_000, WorkerBehaviour::Silent);
+    platform.add_worker("gone", 1_000, WorkerBehaviour::Refuses);
+    let _process = Process::start(&platform).await;
+    sleep(ELECTION_TIME + Duration::from_secs(10)).await;
+    for worker in ["silent", "gone"] {
+        let calls = platform.call_times(worker, CallKind::Renewal).len();
+        // A worker that is back must not lose its lease of 7.5 s because of the pauses.
+        assert!((10..=25).contains(&calls), "{worker}: {calls} calls");
+    }
+}
+
+/// Guards against runs that are lost because their leases end before the new owner has come to their workers.
+#[tokio::test(start_paused = true)]
+async fn workers_with_runs_are_contacted_first() {
+    let platform = FakePlatform::default();
+    for number in 0..100 {
+        platform.add_worker(&format!("w{number}"), 1_000, WorkerBehaviour::Answers);
+    }
+    platform.add_worker("large", 8_000, WorkerBehaviour::Answers);
+    platform.add_worker("one-run", 1_000, WorkerBehaviour::Answers);
+    platform.add_worker("two-runs", 1_000, WorkerBehaviour::Answers);
+    put_job(&platform, 1, Some("one-run"));
+    put_job(&platform, 2, Some("two-runs"));
+    put_job(&platform, 3, Some("two-runs"));
+    let _process = Process::start(&platform).await;
+    sleep(ELECTION_TIME + Duration::from_secs(1)).await;
+    let contacted = platform.contacted_workers();
+    assert_eq!(contacted.len(), 103);
+    let first: Vec<&str> = contacted[..3].iter().map(|id| &**id).collect();
+    assert_eq!(first, ["two-runs", "one-run", "large"]);
+}
