fix: let heartbeats through while a new owner restores the jobs

What callers saw: owners that lose the cell just after they took it, since heartbeats to them got no reply within 300 ms (E8033) and their claim was not confirmed (E8003); LOST in the end. Cause: all jobs are decoded and restored without a pause, on the one thread that also answers heartbeats and confirms the claim. Ruled out: reading the pages, which are awaited one by one. The cell is advanced only after the last job, as before. Figures: with 4,000 jobs other tasks got no turn between the last page and the first call to a worker before, at least 62 asserted now (other_tasks_run_while_jobs_are_restored fails without the change).

--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -45,6 +45,7 @@
 mod store_health;
 mod supervise;
 mod takeover;
+mod work_portions;
 
 pub use config::{ClusterConfig, QueueRoute};
 pub use control::{CancelReply, Control, JobStateReply, SubmitReply};
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -197,7 +197,7 @@
         owner.configure(config);
     }
     owner.metrics.record_takeover();
-    owner.restore(takeover.state);
+    owner.restore(takeover.state).await;
     owner.update_advice_callers();
     for request in takeover.buffered {
         owner.handle_request(request);
--- a/crates/hs-control/src/owner/links.rs
+++ b/crates/hs-control/src/owner/links.rs
@@ -9,25 +9,29 @@
 use crate::feeds::{self, StoredState};
 use crate::link::{LeaseTerms, LinkEvent, LinkHandle};
 use crate::port::{Platform, RegisteredWorker, WorkerEndpoint};
+use crate::work_portions::WorkPortions;
 
 impl<P: Platform> OwnerTask<P> {
     /// Restores the state of the cell, then links the workers in the order of [`hs_cell::Cell::contact_order`], which
     /// needs the restored runs.
-    pub(super) fn restore(&mut self, state: StoredState) {
+    pub(super) async fn restore(&mut self, state: StoredState) {
         let mut endpoints = HashMap::new();
+        let mut portions = WorkPortions::default();
         for worker in state.workers {
             let (key, endpoint) = self.list_worker(worker);
             endpoints.insert(key, endpoint);
+            portions.item_done().await;
         }
         let revision = state.cell.intake_revision;
         let restored = state
             .cell
             .restore(&mut self.cell, &self.platform, self.earlier_leases_end);
-        self.planner.log = restored;
+        self.planner.log = restored.await;
         for key in self.cell.contact_order() {
             if let Some(endpoint) = endpoints.remove(&key) {
                 self.link_worker(key, endpoint);
             }
+            portions.item_done().await;
         }
         let feeds = feeds::follow(
             self.platform.clone(),
--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -12,6 +12,7 @@
 
 use crate::keys::{self, IntakeKey};
 use crate::port::{Platform, PortError, StoreItem, StorePort};
+use crate::work_portions::WorkPortions;
 
 /// Timeout of reading one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -61,6 +62,7 @@
         reads.spawn(async move { read_all(&store, &prefix).await });
     }
     let mut revision = u64::MAX;
+    let mut portions = WorkPortions::default();
     while let Some(read) = reads.join_next().await {
         let (items, read_at) = read.unwrap_or_else(|error| {
             Err(PortError::NoReply {
@@ -74,6 +76,7 @@
             if !cell.add_item(&item) {
                 EventCode::RecordUnreadable.log(format_args!("key={}", item.key));
             }
+            portions.item_done().await;
         }
     }
     cell.intake_revision = revision;
@@ -132,7 +135,10 @@
 
     /// Restores jobs and runs in a cell whose workers are already known. Returns the log of which item
     /// holds which record.
-    pub(crate) fn restore<P: Platform>(
+    ///
+    /// The cell must not be advanced before this has ended, since it does not know yet which runs the remaining
+    /// jobs have.
+    pub(crate) async fn restore<P: Platform>(
         self,
         cell: &mut Cell,
         platform: &P,
@@ -141,25 +147,26 @@
         let now = platform.now();
         let now_ms = platform.unix_ms();
         let (mut log, mut states) = RecordLog::restore(self.records);
+        let mut portions = WorkPortions::default();
         for (id, value) in self.jobs {
-            let spec = match value {
-                JobValue::Ended(outcome) => {
+            let state = states.remove(&id);
+            match (value, state) {
+                (JobValue::Ended(outcome), _) => {
                     log.forget_job(id);
-                    states.remove(&id);
                     cell.add_ended(id, outcome, now);
-                    continue;
                 }
-                JobValue::Accepted(spec) => Arc::new(spec),
-            };
-            let record = match states.remove(&id) {
-                Some(SegmentState::Ended(outcome)) => {
+                (JobValue::Accepted(_), Some(SegmentState::Ended(outcome))) => {
                     cell.add_ended(id, outcome, now);
-                    continue;
                 }
-                Some(SegmentState::Progress(record)) => record,
-                None => JobRecord::default(),
-            };
-            cell.restore(id, spec, &record, lease_end, now, now_ms);
+                (JobValue::Accepted(spec), Some(SegmentState::Progress(record))) => {
+                    cell.restore(id, Arc::new(spec), &record, lease_end, now, now_ms);
+                }
+                (JobValue::Accepted(spec), None) => {
+                    let record = JobRecord::default();
+                    cell.restore(id, Arc::new(spec), &record, lease_end, now, now_ms);
+                }
+            }
+            portions.item_done().await;
         }
         // These are records of jobs whose own items have been deleted.
         for id in states.into_keys() {
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -69,6 +69,8 @@
     first_calls: usize,
     /// Largest number of such calls at a time.
     pub max_first_calls: usize,
+    /// Number of turns that another task had since a page of the store was last read.
+    pub turns_since_page: usize,
 }
 
 /// Handle of the platform. Clones share its state.
@@ -195,7 +197,8 @@
     }
 
     async fn range(&self, prefix: &str, after: &str, _: Duration) -> Result<StorePage, PortError> {
-        let state = self.state();
+        let mut state = self.state();
+        state.turns_since_page = 0;
         let items = state.items.range(prefix.to_owned()..);
         let items = items.take_while(|(key, _)| key.starts_with(prefix));
         let mut items = items.filter(|(key, _)| key.as_str() > after);
--- a/crates/hs-control/tests/links/takeover.rs
+++ b/crates/hs-control/tests/links/takeover.rs
@@ -10,6 +10,7 @@
 use hs_metrics::MetricRegistry;
 use hs_wire::Resources;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::platform::{BORN_MS, CallKind, FakePlatform, QUEUE, WorkerBehaviour};
@@ -161,3 +162,27 @@
     let first: Vec<&str> = contacted[..3].iter().map(|id| &**id).collect();
     assert_eq!(first, ["two-runs", "one-run", "large"]);
 }
+
+/// Guards against heartbeats that time out, and a claim that is not confirmed, while a new owner restores the jobs.
+#[tokio::test]
+async fn other_tasks_run_while_jobs_are_restored() {
+    const JOBS: u64 = 4_000;
+    /// Portions of 128 jobs at most, once while they are decoded and once while they are restored.
+    const MIN_TURNS: usize = 2 * 4_000 / 128;
+    let platform = FakePlatform::default();
+    platform.add_worker("w1", 1_000, WorkerBehaviour::Answers);
+    for number in 0..JOBS {
+        put_job(&platform, number.wrapping_mul(0x9e37_79b9_7f4a_7c15), None);
+    }
+    let observed = platform.clone();
+    let _process = Process::start(&platform).await;
+    let observer = tokio::spawn(async move {
+        while observed.state().calls.is_empty() {
+            observed.state().turns_since_page += 1;
+            yield_now().await;
+        }
+    });
+    observer.await.expect("the worker is contacted");
+    let turns = platform.state().turns_since_page;
+    assert!(turns >= MIN_TURNS, "{turns} turns");
+}
