fix: keep two connections to a worker open by turns

Cause: the client used the connection that was idle for the shortest time, which is that of the renewals. The other one, for orders beside a renewal in flight, was closed after 15 s without an order, so that each start on a worker with rare starts opened another one. Connections from bursts of orders stayed open for as long. Ruled out: replies with 421 and other statuses (their connections are reused); a renewal and a start at the same time (each has its own connection and returns it). Change: the connection that was idle for longest is used, and two idle ones are kept for a peer. Figures: four calls after two at a time used one connection before, both by turns now (idle_connections_take_turns); of four connections two are kept (few_idle_connections_are_kept). Both tests fail without the change.

--- a/crates/hs-http/src/direct.rs
+++ b/crates/hs-http/src/direct.rs
@@ -1,6 +1,6 @@
 //! HTTP client for many small calls to many peers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::error::Error;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -20,10 +20,16 @@
 /// Interval at which idle connections are checked for their age.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Maximum number of idle connections to a peer: one for a call that is long-polled, and one for the others.
+pub const MAX_IDLE_CONNECTIONS: usize = 2;
+
 /// An HTTP/1.1 client whose calls read and write their connections themselves. Clones share the connections.
 ///
 /// A call takes an idle connection to its peer or opens one, and returns it after a complete reply. No
 /// task of the connection is involved, as it is in [`crate::HttpClient`].
+///
+/// A peer keeps [`MAX_IDLE_CONNECTIONS`] connections at most, which take turns. One that is only needed now and then,
+/// such as that for orders beside a call that is long-polled, thus stays open.
 #[derive(Clone, Debug, Default)]
 pub struct DirectClient {
     idle: Arc<Mutex<IdleConnections>>,
@@ -41,7 +47,8 @@
 /// Open connections that no call uses.
 #[derive(Debug, Default)]
 struct IdleConnections {
-    by_peer: HashMap<Arc<str>, Vec<IdleConnection>>,
+    /// Connections of each peer, the one that has been idle for longest first.
+    by_peer: HashMap<Arc<str>, VecDeque<IdleConnection>>,
     /// Whether the task that closes old connections runs.
     is_swept: bool,
 }
@@ -102,13 +109,14 @@
         }
     }
 
-    /// Takes the usable connection that was used last, so that the others reach their maximum age.
+    /// Takes the usable connection that has been idle for longest, so that none reaches its maximum age while there
+    /// are calls.
     fn take_idle(&self, peer: &str) -> Option<Box<Connection>> {
         let mut idle = self.lock();
         let connections = idle.by_peer.get_mut(peer)?;
-        while let Some(mut latest) = connections.pop() {
-            if latest.is_fresh() && latest.connection.is_usable() {
-                return Some(latest.connection);
+        while let Some(mut oldest) = connections.pop_front() {
+            if oldest.is_fresh() && oldest.connection.is_usable() {
+                return Some(oldest.connection);
             }
         }
         None
@@ -121,9 +129,14 @@
         };
         let mut idle = self.lock();
         match idle.by_peer.get_mut(peer) {
-            Some(connections) => connections.push(returned),
+            Some(connections) => {
+                connections.push_back(returned);
+                if connections.len() > MAX_IDLE_CONNECTIONS {
+                    connections.pop_front();
+                }
+            }
             None => {
-                idle.by_peer.insert(peer.clone(), vec![returned]);
+                idle.by_peer.insert(peer.clone(), [returned].into());
             }
         }
         if !std::mem::replace(&mut idle.is_swept, true) {
--- a/crates/hs-http/tests/direct.rs
+++ b/crates/hs-http/tests/direct.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use hs_http::direct::MAX_IDLE_CONNECTIONS;
 use hs_http::{CallError, CallReply, DirectClient, RequestHeader};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -31,6 +32,8 @@
     AnnounceClose,
     /// Delays the reply by this time.
     Delay(Duration),
+    /// Delays the reply by this time, and names the connection instead of the request.
+    NameConnection(Duration),
     /// Replies once this number of requests has arrived.
     WaitForOthers(Arc<Barrier>),
     /// Refuses connections.
@@ -61,8 +64,9 @@
         if !matches!(behaviour, PeerBehaviour::Refuse) {
             tokio::spawn(async move {
                 while let Ok((stream, _)) = listener.accept().await {
-                    counter.fetch_add(1, Ordering::Relaxed);
-                    tokio::spawn(serve(stream, behaviour.clone(), requests.clone()));
+                    let connection = counter.fetch_add(1, Ordering::Relaxed) + 1;
+                    let served = serve(stream, connection, behaviour.clone(), requests.clone());
+                    tokio::spawn(served);
                 }
             });
         }
@@ -86,7 +90,12 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, behaviour: PeerBehaviour, requests: Arc<AtomicUsize>) {
+async fn serve(
+    mut stream: TcpStream,
+    connection: usize,
+    behaviour: PeerBehaviour,
+    requests: Arc<AtomicUsize>,
+) {
     let mut buffer = [0; 4096];
     while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {
         let number = (requests.fetch_add(1, Ordering::Relaxed) + 1).to_string();
@@ -101,6 +110,10 @@
                 sleep(*delay).await;
                 whole("", &number)
             }
+            PeerBehaviour::NameConnection(delay) => {
+                sleep(*delay).await;
+                whole("", &connection.to_string())
+            }
             PeerBehaviour::WaitForOthers(barrier) => {
                 barrier.wait().await;
                 whole("", &number)
@@ -193,6 +206,43 @@
     assert_ne!(body(first), body(second));
 }
 
+/// Guards against a new connection for each order to a worker that seldom gets one: the connection for orders would
+/// reach its maximum age beside the one that is always in use for renewals.
+#[tokio::test]
+async fn idle_connections_take_turns() {
+    let peer = Peer::start(PeerBehaviour::NameConnection(Duration::from_millis(20))).await;
+    let client = DirectClient::default();
+    let (first, second) = tokio::join!(
+        peer.call(&client, CALL_TIMEOUT),
+        peer.call(&client, CALL_TIMEOUT),
+    );
+    assert_ne!(body(first), body(second));
+    let mut used = Vec::new();
+    for _ in 0..4 {
+        used.push(body(peer.call(&client, CALL_TIMEOUT).await));
+    }
+    assert_eq!(used[..2], used[2..], "{used:?}");
+    assert_ne!(used[0], used[1], "{used:?}");
+    assert_eq!(peer.connections(), 2);
+}
+
+/// Guards against memory and open connections that a burst of orders to each of a thousand workers leaves behind.
+#[tokio::test]
+async fn few_idle_connections_are_kept() {
+    let peer = Peer::start(PeerBehaviour::NameConnection(Duration::from_millis(20))).await;
+    let client = DirectClient::default();
+    let call = || async { body(peer.call(&client, CALL_TIMEOUT).await) };
+    tokio::join!(call(), call(), call(), call());
+    assert_eq!(peer.connections(), 4);
+    let mut used = Vec::new();
+    for _ in 0..6 {
+        used.push(body(peer.call(&client, CALL_TIMEOUT).await));
+    }
+    used.sort_unstable();
+    used.dedup();
+    assert_eq!(used.len(), MAX_IDLE_CONNECTIONS, "{used:?}");
+}
+
 struct ReplyCase {
     parts: &'static [&'static str],
     body: &'static str,
