fix: send the orders to a worker on one connection

Cause: each of the starts that are sent to a worker at once opened a connection, and so did each run that is to be stopped on a silent worker, every 400 ms until it answered. Ruled out: waiting behind a renewal, which has a connection of its own. Change: an order waits up to 40 ms for the earlier ones to the worker; after that it goes on another connection, so that one without an answer does not delay the others. A stop without an answer is sent again once the worker answers renewals, or after 2 s.

--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -7,9 +7,10 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{StartOrder, StartRefusal, TaskRun, WorkerKey, WorkerReport};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
 
+use self::orders::MAX_ORDERS_AT_ONCE;
 use self::renewal::RenewalTask;
 use crate::contact_permits::ContactPermits;
 use crate::metrics::ControlMetrics;
@@ -92,6 +93,7 @@
             events,
             state: Mutex::default(),
             contact: watch::Sender::new(WorkerContact::None),
+            order_turns: Semaphore::new(MAX_ORDERS_AT_ONCE),
         });
         tokio::spawn(link.run(order_receiver, cursor));
         Self {
@@ -157,6 +159,8 @@
     events: mpsc::Sender<(WorkerKey, LinkEvent)>,
     state: Mutex<LinkState>,
     contact: watch::Sender<WorkerContact>,
+    /// Turns of the orders, which share a connection.
+    order_turns: Semaphore,
 }
 
 impl<P: Platform> WorkerLink<P> {
--- a/crates/hs-control/src/link/orders.rs
+++ b/crates/hs-control/src/link/orders.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use hs_cell::{StartOrder, StartRefusal, TaskRun};
+use hs_timer::timeout;
+use tokio::sync::SemaphorePermit;
 use tokio::time::sleep;
 
-use super::{LinkEvent, RETRY_PAUSE, WorkerLink};
+use super::{LinkEvent, RETRY_PAUSE, WorkerContact, WorkerLink};
 use crate::port::{Platform, StartReply, StopReply};
 
 /// Timeout of a start or a stop.
@@ -15,13 +17,30 @@
 /// Maximum number of attempts to send a start before it is reported as unanswered or refused.
 const MAX_START_ATTEMPTS: u32 = 3;
 
+/// Maximum number of orders to a worker that are sent at a time, unless one takes longer than [`MAX_TURN_WAIT`].
+pub(super) const MAX_ORDERS_AT_ONCE: usize = 1;
+
+/// Maximum time that an order waits for the connection that earlier ones use. After that it opens another one, which
+/// costs more than the few milliseconds of an order.
+const MAX_TURN_WAIT: Duration = Duration::from_millis(40);
+
+/// Maximum time until a stop is sent again to a worker that does not answer renewals.
+const MAX_STOP_PAUSE: Duration = Duration::from_secs(2);
+
 impl<P: Platform> WorkerLink<P> {
+    /// Waits until the earlier orders to the worker have been answered, but at most [`MAX_TURN_WAIT`].
+    async fn order_turn(&self) -> Option<SemaphorePermit<'_>> {
+        let turn = timeout(MAX_TURN_WAIT, self.order_turns.acquire()).await;
+        turn.ok()?.ok()
+    }
+
     /// Sends a start until the worker answers, with a bounded number of attempts. Repeating it is safe,
     /// because a worker starts a run only once.
     pub(super) async fn send_start(self: Arc<Self>, order: StartOrder) {
         let run = order.run;
         let mut in_doubt = false;
         for _ in 0..MAX_START_ATTEMPTS {
+            let turn = self.order_turn().await;
             let Some(end_ms) = self.requested_lease_end_ms() else {
                 break;
             };
@@ -29,6 +48,7 @@
                 .platform
                 .start(&self.peer, self.fence, end_ms, &order, ORDER_TIMEOUT)
                 .await;
+            drop(turn);
             match sent {
                 Ok(StartReply::Started) => return self.emit(LinkEvent::Started(run)).await,
                 Ok(StartReply::Fenced) => return self.emit(LinkEvent::Fenced).await,
@@ -63,11 +83,13 @@
     pub(super) async fn send_stop(self: Arc<Self>, run: TaskRun) {
         self.first_contact().await;
         loop {
-            match self
+            let turn = self.order_turn().await;
+            let sent = self
                 .platform
                 .stop(&self.peer, self.fence, run, ORDER_TIMEOUT)
-                .await
-            {
+                .await;
+            drop(turn);
+            match sent {
                 Ok(StopReply::Stopped) => return self.emit(LinkEvent::Stopped(run)).await,
                 Ok(StopReply::Fenced) => return self.emit(LinkEvent::Fenced).await,
                 // The run ended with the incarnation of the worker that had it.
@@ -75,6 +97,15 @@
                 Err(error) => log::debug!("failed to stop {}: {error}", run.task),
             }
             sleep(RETRY_PAUSE).await;
+            self.answer_to_renewal().await;
         }
     }
+
+    /// Waits until the worker answers renewals, but at most [`MAX_STOP_PAUSE`]. Each of its runs that has to be
+    /// stopped would otherwise open a connection every few hundred milliseconds.
+    async fn answer_to_renewal(&self) {
+        let mut contact = self.contact.subscribe();
+        let answer = contact.wait_for(|contact| *contact == WorkerContact::Answering);
+        let _ = timeout(MAX_STOP_PAUSE, answer).await;
+    }
 }
--- /dev/null
+++ b/crates/hs-control/tests/links/orders.rs
@@ -0,0 +1,77 @@
+//! Starts and stops.
+
+use std::time::Duration;
+
+use hs_cell::{JobId, StepId, TaskRun};
+use tokio::time::sleep;
+
+use crate::platform::{CallKind, FakePlatform, WorkerBehaviour};
+use crate::process::{ELECTION_TIME, Process, put_job};
+
+/// Returns a run of a job that the store does not contain.
+fn unknown_run() -> TaskRun {
+    let step = StepId {
+        job: JobId(99),
+        occurrence: 0,
+        step: 0,
+    };
+    TaskRun {
+        task: step.task(0),
+        run: 1,
+    }
+}
+
+/// Guards against a connection for each of several starts that are sent to a worker at once.
+#[tokio::test(start_paused = true)]
+async fn starts_on_a_worker_share_a_connection() {
+    const JOBS: usize = 6;
+    let platform = FakePlatform::default();
+    platform.add_worker("w1", 1_000, WorkerBehaviour::Answers);
+    for number in 0..JOBS {
+        put_job(&platform, number as u64, None);
+    }
+    let _process = Process::start(&platform).await;
+    sleep(ELECTION_TIME + Duration::from_secs(1)).await;
+    let starts = platform.call_times("w1", CallKind::Start);
+    assert!(starts.len() >= JOBS, "{} starts", starts.len());
+    assert_eq!(platform.state().max_orders, 1);
+}
+
+/// Guards against starts that wait for the timeout of an earlier one whose connection is dead.
+#[tokio::test(start_paused = true)]
+async fn a_start_without_an_answer_delays_others_little() {
+    let platform = FakePlatform::default();
+    platform.add_worker("w1", 1_000, WorkerBehaviour::IgnoresOrders);
+    for number in 0..3 {
+        put_job(&platform, number, None);
+    }
+    let _process = Process::start(&platform).await;
+    sleep(ELECTION_TIME + Duration::from_secs(1)).await;
+    let starts = platform.call_times("w1", CallKind::Start);
+    let first = starts[..3].iter().max().copied();
+    let delay = first.map(|last| last.saturating_duration_since(starts[0]));
+    assert!(
+        delay.is_some_and(|delay| delay <= Duration::from_millis(60)),
+        "{delay:?}"
+    );
+}
+
+/// Guards against connections to a silent worker for each of its runs, several in a second.
+#[tokio::test(start_paused = true)]
+async fn a_silent_worker_gets_few_stops() {
+    let platform = FakePlatform::default();
+    platform.add_worker("w1", 1_000, WorkerBehaviour::IgnoresOrders);
+    platform.report_run("w1", unknown_run());
+    let _process = Process::start(&platform).await;
+    sleep(ELECTION_TIME + Duration::from_secs(1)).await;
+    let before = platform.call_times("w1", CallKind::Stop).len();
+    assert!(before > 0, "the run is not stopped");
+    platform.set_behaviour("w1", WorkerBehaviour::Silent);
+    sleep(Duration::from_secs(20)).await;
+    let silent = platform.call_times("w1", CallKind::Stop).len() - before;
+    assert!((5..=20).contains(&silent), "{silent} stops in 20 s");
+    platform.set_behaviour("w1", WorkerBehaviour::Answers);
+    sleep(Duration::from_millis(1_500)).await;
+    let answered = platform.call_times("w1", CallKind::Stop).len() - before - silent;
+    assert!(answered > 0, "no stop to the worker that answers again");
+}
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use hs_cell::{AdviceReply, QueueSpec, StartOrder, StepId, TaskRun, WorkerEntry, WorkerReport};
+use hs_cell::{
+    AdviceReply, QueueSpec, RunReport, StartOrder, StepId, TaskRun, WorkerEntry, WorkerReport,
+};
 use hs_control::port::{
     AdvicePort, CatalogPort, ClockPort, ConfigReply, LeaseRenewal, PortError, RegisteredWorker,
     RenewalReply, StartReply, StopReply, StoreChanges, StoreItem, StorePage, StorePort, StoreTxn,
@@ -38,6 +40,8 @@
     Silent,
     /// Refuses connections.
     Refuses,
+    /// Answers renewals, but neither starts nor stops.
+    IgnoresOrders,
 }
 
 /// A call to a worker.
@@ -63,12 +67,18 @@
     revision: u64,
     workers: Vec<RegisteredWorker>,
     behaviours: HashMap<Arc<str>, WorkerBehaviour>,
+    /// Runs that the workers report.
+    reported_runs: HashMap<Arc<str>, Vec<TaskRun>>,
     /// All calls to workers, in order.
     pub calls: Vec<Call>,
     /// Number of calls that are in flight to workers that were not called before.
     first_calls: usize,
     /// Largest number of such calls at a time.
     pub max_first_calls: usize,
+    /// Number of starts and stops that are in flight.
+    orders: usize,
+    /// Largest number of such orders at a time.
+    pub max_orders: usize,
     /// Number of turns that another task had since a page of the store was last read.
     pub turns_since_page: usize,
 }
@@ -112,6 +122,17 @@
         self.state().put(key, value);
     }
 
+    /// Changes how a worker answers.
+    pub fn set_behaviour(&self, id: &str, behaviour: WorkerBehaviour) {
+        self.state().behaviours.insert(id.into(), behaviour);
+    }
+
+    /// Makes a worker report a run.
+    pub fn report_run(&self, id: &str, run: TaskRun) {
+        let mut state = self.state();
+        state.reported_runs.entry(id.into()).or_default().push(run);
+    }
+
     /// Returns the workers in the order in which they were first called.
     pub fn contacted_workers(&self) -> Vec<Arc<str>> {
         let mut workers = Vec::new();
@@ -143,13 +164,18 @@
         let (behaviour, is_first) = behaviour;
         let answer = async {
             match behaviour {
-                WorkerBehaviour::Answers => sleep(LATENCY + wait).await,
+                WorkerBehaviour::IgnoresOrders if kind != CallKind::Renewal => {
+                    std::future::pending().await
+                }
+                WorkerBehaviour::Answers | WorkerBehaviour::IgnoresOrders => {
+                    sleep(LATENCY + wait).await
+                }
                 WorkerBehaviour::Silent => std::future::pending().await,
                 WorkerBehaviour::Refuses => {}
             }
         };
         let answered = timeout(limit, answer).await.is_ok();
-        self.state().first_calls -= usize::from(is_first);
+        self.state().end_call(kind, is_first);
         match behaviour {
             WorkerBehaviour::Refuses => Err(PortError::Refused {
                 operation: "call",
@@ -185,10 +211,17 @@
             kind,
             at: tokio::time::Instant::now().into_std(),
         });
+        self.orders += usize::from(kind != CallKind::Renewal);
+        self.max_orders = self.max_orders.max(self.orders);
         self.first_calls += usize::from(is_first);
         self.max_first_calls = self.max_first_calls.max(self.first_calls);
         (self.behaviours[worker], is_first)
     }
+
+    fn end_call(&mut self, kind: CallKind, is_first: bool) {
+        self.orders -= usize::from(kind != CallKind::Renewal);
+        self.first_calls -= usize::from(is_first);
+    }
 }
 
 impl StorePort for FakePlatform {
@@ -321,9 +354,19 @@
     ) -> Result<RenewalReply, PortError> {
         let call = self.call_worker(peer, CallKind::Renewal, renewal.wait, timeout);
         call.await?;
+        let state = self.state();
+        let runs = state.reported_runs.get(&peer.id).into_iter().flatten();
+        let running = runs.map(|run| RunReport {
+            run: *run,
+            checkpoint: String::new(),
+            percent: 0,
+        });
         Ok(RenewalReply::Report {
             clock_ms: self.unix_ms(),
-            report: WorkerReport::default(),
+            report: WorkerReport {
+                running: running.collect(),
+                ended: Vec::new(),
+            },
         })
     }
 }
--- a/crates/hs-control/tests/links/takeover.rs
+++ b/crates/hs-control/tests/links/takeover.rs
@@ -2,100 +2,15 @@
 
 use std::time::Duration;
 
-use hs_cell::{
-    CellOptions, JobId, JobRecord, JobSpec, StampedRecord, StepRecord, StepSpec, TaskPlace,
-    TaskRecord, WorkerIncarnation,
-};
-use hs_control::{Control, ControlMetrics, ControlOptions, run};
-use hs_metrics::MetricRegistry;
-use hs_wire::Resources;
-use tokio::sync::watch;
 use tokio::task::yield_now;
 use tokio::time::sleep;
 
-use crate::platform::{BORN_MS, CallKind, FakePlatform, QUEUE, WorkerBehaviour};
+use crate::platform::{CallKind, FakePlatform, WorkerBehaviour};
+use crate::process::{ELECTION_TIME, Process, put_job};
 
 /// Number of first contacts in flight that a small VM carries.
 const MAX_FIRST_CONTACTS: usize = 64;
 
-/// Time in which a process without others takes the cell over.
-const ELECTION_TIME: Duration = Duration::from_secs(1);
-
-/// A process that takes the cell over. It ends with the runtime of the test.
-struct Process {
-    _control: Control<FakePlatform>,
-    _stop: watch::Sender<bool>,
-}
-
-impl Process {
-    async fn start(platform: &FakePlatform) -> Self {
-        let options = ControlOptions {
-            node: "node-1".to_owned(),
-            peer_listen: "127.0.0.1:0".parse().expect("address"),
-            cell: CellOptions::default(),
-            takeover_delay: Duration::ZERO,
-        };
-        let metrics = ControlMetrics::new(MetricRegistry::new().expect("registry"));
-        let (stop, stopped) = watch::channel(false);
-        let control = run(platform.clone(), options, metrics, stopped).await;
-        Self {
-            _control: control.expect("a free port"),
-            _stop: stop,
-        }
-    }
-}
-
-/// Writes a job of one task to the store, which runs on the worker if there is one.
-fn put_job(platform: &FakePlatform, number: u64, worker: Option<&str>) {
-    let id = JobId(number);
-    let spec = JobSpec {
-        queue: QUEUE.into(),
-        input: "".into(),
-        steps: vec![StepSpec {
-            count: 1,
-            need: Resources {
-                cpu_milli: 100,
-                slots: 1,
-                ..Resources::ZERO
-            },
-            estimate_ms: 1_000,
-            ..StepSpec::default()
-        }],
-        schedule: None,
-        accepted_ms: BORN_MS,
-    };
-    let value = serde_json::json!({ "a": spec });
-    platform.put(format!("hs/in/job/{id}"), value.to_string().into_bytes());
-    let Some(worker) = worker else {
-        return;
-    };
-    let record = JobRecord {
-        first_occurrence: 0,
-        workers: vec![WorkerIncarnation {
-            id: worker.to_owned(),
-            started_ms: BORN_MS,
-        }],
-        steps: vec![StepRecord {
-            tasks: vec![TaskRecord {
-                index: 0,
-                place: TaskPlace::Worker(0),
-                run: 1,
-                failures: 0,
-                last_failed_run: 0,
-                checkpoint: String::new(),
-                crashes: None,
-            }],
-            ..StepRecord::default()
-        }],
-    };
-    let stamped = StampedRecord {
-        record,
-        ..StampedRecord::default()
-    };
-    let value = serde_json::to_vec(&stamped).expect("a record");
-    platform.put(format!("hs/run/{id}"), value);
-}
-
 /// Guards against a new owner that opens connections to all workers at once, which takes a small VM so long that its
 /// heartbeats time out and the cell moves on.
 #[tokio::test(start_paused = true)]
