fix: call a peer on a new connection after a call without a reply

What callers saw: workers that count as unreachable although they answer new connections, and starts that are given up after three attempts. Cause: connections may go silent for good without a reset. The one that timed out was closed, but the next call took the other idle one, which had gone silent at the same time. Ruled out: the connection that timed out (never used again, with a test since before). Change: a call without a reply in time closes the idle connections to its peer that have carried no reply since it was sent. Figures: a_new_connection_is_used_after_a_call_without_reply fails without the change (the second call has no reply within 2 s) and passes with it; 12 tests of the client pass.

--- a/crates/hs-http/src/direct.rs
+++ b/crates/hs-http/src/direct.rs
@@ -68,6 +68,9 @@
 impl DirectClient {
     /// Sends a POST request with a JSON body, once at most, and waits at most `call_timeout` for the reply.
     ///
+    /// After a call without a reply in time, the next one to the peer only uses a connection that has carried a reply
+    /// meanwhile, or a new one.
+    ///
     /// # Errors
     ///
     /// Returns [`CallError::NotSent`] if the request is invalid, no connection could be opened, or it ended
@@ -83,9 +86,13 @@
     ) -> Result<CallReply, CallError> {
         let request = request_of(peer, path, header, body);
         let request = request.map_err(|error| not_sent(operation, peer, &*error))?;
+        let sent_at = Instant::now();
         match timeout(call_timeout, self.exchange(operation, peer, request)).await {
             Ok(result) => result,
-            Err(elapsed) => Err(no_reply(operation, peer, &elapsed)),
+            Err(elapsed) => {
+                self.close_unproven(peer, sent_at);
+                Err(no_reply(operation, peer, &elapsed))
+            }
         }
     }
 
@@ -122,6 +129,15 @@
         None
     }
 
+    /// Closes the idle connections to a peer that have carried no reply since this time. What has silenced one
+    /// connection for good, without a reset, has often silenced all that were open.
+    fn close_unproven(&self, peer: &str, since: Instant) {
+        let mut idle = self.lock();
+        if let Some(connections) = idle.by_peer.get_mut(peer) {
+            connections.retain(|idle| idle.idle_since >= since);
+        }
+    }
+
     fn put_back(&self, peer: &Arc<str>, connection: Box<Connection>) {
         let returned = IdleConnection {
             connection,
--- /dev/null
+++ b/crates/hs-http/tests/direct/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the client whose calls drive their connections.
+
+mod connections;
+mod peer;
+mod replies;
