fix: call a worker again before it counts as silent

What callers saw: starts that wait while workers with room count as unreachable (E8013), although they answer. Cause: one renewal without a reply, on a connection that has gone silent or to a late owner, made the worker unreachable until the next call, which came after a pause. Ruled out: calls to workers with a timeout that does not allow for this process's own lateness: all go through hs-timer's `timeout` (hs-http's clients); the one use of tokio's in renewal.rs waits for a commit, and ends no call. Change: after the first failed call the worker is called again at once, on another connection, and is silent only if that fails too. A worker that fails each renewal but reports in between is called with the pauses of before.

--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -132,7 +132,9 @@
     None,
     /// The worker has answered.
     Answering,
-    /// The last call was not answered.
+    /// One call has failed, which a lost reply or a dead connection may explain.
+    Doubtful,
+    /// Several calls in a row have failed.
     Silent,
 }
 
--- a/crates/hs-control/src/link/renewal.rs
+++ b/crates/hs-control/src/link/renewal.rs
@@ -41,6 +41,9 @@
     answered: bool,
     /// Pause after the next failure.
     retry_pause: Duration,
+    /// Whether a renewal of the lease was answered since the worker was last doubtful. A worker that fails each
+    /// renewal but not the calls in between would otherwise be called without a pause.
+    was_renewed: bool,
 }
 
 impl<P: Platform> RenewalTask<P> {
@@ -51,6 +54,7 @@
             last_seen_end: 0,
             answered: false,
             retry_pause: RETRY_PAUSE,
+            was_renewed: true,
         }
     }
 
@@ -64,13 +68,10 @@
             };
             let renewal = self.begin_renewal(lease_end).await;
             let (reply, requested_at) = self.call(renewal).await;
-            let answered_before = self.answered;
             self.answered = matches!(reply, Ok(RenewalReply::Report { .. }));
-            if answered_before && !self.answered {
-                EventCode::WorkerUnresponsive.log(format_args!("worker={}", self.link.peer.id));
-            }
             match reply {
                 Ok(RenewalReply::Report { clock_ms, report }) => {
+                    self.was_renewed |= renewal.lease_end_ms.is_some();
                     self.handle_report(clock_ms, report, requested_at).await;
                 }
                 Ok(RenewalReply::Fenced) => return self.link.emit(LinkEvent::Fenced).await,
@@ -78,7 +79,7 @@
                 Ok(RenewalReply::OtherIncarnation) => self.handle_silence().await,
                 Err(error) => {
                     log::debug!("{error}");
-                    self.handle_silence().await;
+                    self.handle_failure().await;
                 }
             }
         }
@@ -128,7 +129,9 @@
         let contact = *link.contact.borrow();
         match contact {
             WorkerContact::None => link.permits.call(call).await,
-            WorkerContact::Answering | WorkerContact::Silent => call.await,
+            WorkerContact::Answering | WorkerContact::Doubtful | WorkerContact::Silent => {
+                call.await
+            }
         }
     }
 
@@ -152,9 +155,29 @@
         link.emit(LinkEvent::Report(report, requested_at)).await;
     }
 
+    /// Calls the worker again at once after the first failure, and considers it silent after the second.
+    async fn handle_failure(&mut self) {
+        let contact = *self.link.contact.borrow();
+        match contact {
+            WorkerContact::Answering if self.was_renewed => {
+                self.was_renewed = false;
+                self.link.contact.send_replace(WorkerContact::Doubtful);
+            }
+            WorkerContact::None
+            | WorkerContact::Answering
+            | WorkerContact::Doubtful
+            | WorkerContact::Silent => self.handle_silence().await,
+        }
+    }
+
     /// Reports the worker as unreachable, and pauses.
     async fn handle_silence(&mut self) {
-        self.link.contact.send_replace(WorkerContact::Silent);
+        match self.link.contact.send_replace(WorkerContact::Silent) {
+            WorkerContact::Answering | WorkerContact::Doubtful => {
+                EventCode::WorkerUnresponsive.log(format_args!("worker={}", self.link.peer.id));
+            }
+            WorkerContact::None | WorkerContact::Silent => {}
+        }
         self.link.emit(LinkEvent::Unreachable).await;
         sleep(self.retry_pause).await;
         self.retry_pause = (self.retry_pause * 2).min(MAX_RETRY_PAUSE);
--- a/crates/hs-control/tests/links/main.rs
+++ b/crates/hs-control/tests/links/main.rs
@@ -3,4 +3,5 @@
 mod orders;
 mod platform;
 mod process;
+mod renewals;
 mod takeover;
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -42,6 +42,8 @@
     Refuses,
     /// Answers renewals, but neither starts nor stops.
     IgnoresOrders,
+    /// Answers reports, but refuses to renew the lease.
+    RefusesLeases,
 }
 
 /// A call to a worker.
@@ -67,6 +69,8 @@
     revision: u64,
     workers: Vec<RegisteredWorker>,
     behaviours: HashMap<Arc<str>, WorkerBehaviour>,
+    /// Workers whose next reply is lost.
+    lost_replies: Vec<Arc<str>>,
     /// Runs that the workers report.
     reported_runs: HashMap<Arc<str>, Vec<TaskRun>>,
     /// All calls to workers, in order.
@@ -127,6 +131,11 @@
         self.state().behaviours.insert(id.into(), behaviour);
     }
 
+    /// Loses the reply to the next call to a worker.
+    pub fn lose_next_reply(&self, id: &str) {
+        self.state().lost_replies.push(id.into());
+    }
+
     /// Makes a worker report a run.
     pub fn report_run(&self, id: &str, run: TaskRun) {
         let mut state = self.state();
@@ -167,9 +176,9 @@
                 WorkerBehaviour::IgnoresOrders if kind != CallKind::Renewal => {
                     std::future::pending().await
                 }
-                WorkerBehaviour::Answers | WorkerBehaviour::IgnoresOrders => {
-                    sleep(LATENCY + wait).await
-                }
+                WorkerBehaviour::Answers
+                | WorkerBehaviour::IgnoresOrders
+                | WorkerBehaviour::RefusesLeases => sleep(LATENCY + wait).await,
                 WorkerBehaviour::Silent => std::future::pending().await,
                 WorkerBehaviour::Refuses => {}
             }
@@ -182,11 +191,7 @@
                 peer: worker.id.to_string(),
                 cause: "connection refused".to_owned(),
             }),
-            _ if !answered => Err(PortError::NoReply {
-                operation: "call",
-                peer: worker.id.to_string(),
-                cause: "no reply in time".to_owned(),
-            }),
+            _ if !answered => Err(no_reply(&worker.id, "no reply in time")),
             _ => Ok(()),
         }
     }
@@ -215,7 +220,15 @@
         self.max_orders = self.max_orders.max(self.orders);
         self.first_calls += usize::from(is_first);
         self.max_first_calls = self.max_first_calls.max(self.first_calls);
-        (self.behaviours[worker], is_first)
+        let lost = self.lost_replies.iter().position(|lost| lost == worker);
+        let behaviour = match lost {
+            Some(position) => {
+                self.lost_replies.remove(position);
+                WorkerBehaviour::Silent
+            }
+            None => self.behaviours[worker],
+        };
+        (behaviour, is_first)
     }
 
     fn end_call(&mut self, kind: CallKind, is_first: bool) {
@@ -224,6 +237,14 @@
     }
 }
 
+fn no_reply(worker: &str, cause: &str) -> PortError {
+    PortError::NoReply {
+        operation: "call",
+        peer: worker.to_owned(),
+        cause: cause.to_owned(),
+    }
+}
+
 impl StorePort for FakePlatform {
     async fn read(&self, key: &str, _: Duration) -> Result<Option<StoreItem>, PortError> {
         Ok(self.state().items.get(key).cloned())
@@ -355,6 +376,10 @@
         let call = self.call_worker(peer, CallKind::Renewal, renewal.wait, timeout);
         call.await?;
         let state = self.state();
+        let refuses_leases = state.behaviours[&peer.id] == WorkerBehaviour::RefusesLeases;
+        if refuses_leases && renewal.lease_end_ms.is_some() {
+            return Err(no_reply(&peer.id, "status 500"));
+        }
         let runs = state.reported_runs.get(&peer.id).into_iter().flatten();
         let running = runs.map(|run| RunReport {
             run: *run,
--- a/crates/hs-control/tests/links/process.rs
+++ b/crates/hs-control/tests/links/process.rs
@@ -18,7 +18,7 @@
 
 /// A process that takes the cell over. It ends with the runtime of the test.
 pub struct Process {
-    _control: Control<FakePlatform>,
+    pub control: Control<FakePlatform>,
     _stop: watch::Sender<bool>,
 }
 
@@ -34,7 +34,7 @@
         let (stop, stopped) = watch::channel(false);
         let control = run(platform.clone(), options, metrics, stopped).await;
         Self {
-            _control: control.expect("a free port"),
+            control: control.expect("a free port"),
             _stop: stop,
         }
     }
@@ -43,23 +43,7 @@
 /// Writes a job of one task to the store, which runs on the worker if there is one.
 pub fn put_job(platform: &FakePlatform, number: u64, worker: Option<&str>) {
     let id = JobId(number);
-    let spec = JobSpec {
-        queue: QUEUE.into(),
-        input: "".into(),
-        steps: vec![StepSpec {
-            count: 1,
-            need: Resources {
-                cpu_milli: 100,
-                slots: 1,
-                ..Resources::ZERO
-            },
-            estimate_ms: 1_000,
-            ..StepSpec::default()
-        }],
-        schedule: None,
-        accepted_ms: BORN_MS,
-    };
-    let value = serde_json::json!({ "a": spec });
+    let value = serde_json::json!({ "a": job_spec() });
     platform.put(format!("hs/in/job/{id}"), value.to_string().into_bytes());
     let Some(worker) = worker else {
         return;
@@ -90,3 +74,23 @@
     let value = serde_json::to_vec(&stamped).expect("a record");
     platform.put(format!("hs/run/{id}"), value);
 }
+
+/// Returns a job of one task.
+pub fn job_spec() -> JobSpec {
+    JobSpec {
+        queue: QUEUE.into(),
+        input: "".into(),
+        steps: vec![StepSpec {
+            count: 1,
+            need: Resources {
+                cpu_milli: 100,
+                slots: 1,
+                ..Resources::ZERO
+            },
+            estimate_ms: 1_000,
+            ..StepSpec::default()
+        }],
+        schedule: None,
+        accepted_ms: BORN_MS,
+    }
+}
