fix: do not blame a worker for a late owner

What callers saw: workers without new runs for 2 s and more, and runs that are stopped, while the owner was late. Cause: three starts without an answer stop the run and quarantine the worker, also where the reply only was not read in time; and a start that was not sent, since the owner had been too late to renew the lease, quarantined the worker as unhealthy. Ruled out: the timeout of the calls, which is extended by the process's lateness, but at most threefold. Change: an attempt that took 20 ms longer than its timeout does not count, since only the process's lateness extends it; eight attempts in all. A start that was never sent is refused as late, which quarantines nothing. The store in memory of the tests gives the writes of one transaction one revision: its claim was lost with the first record before, and the owner began again. Figures (in memory, paused clock): four late starts stopped the run before, none now (a_late_owner_sends_a_start_again fails without the change). a_start_without_an_answer_is_stopped guards the limit and passes on both. The refusal as late has no test.

--- a/crates/hs-control/src/link/orders.rs
+++ b/crates/hs-control/src/link/orders.rs
@@ -1,7 +1,7 @@
 //! Starts and stops.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hs_cell::{StartOrder, StartRefusal, TaskRun};
 use hs_timer::timeout;
@@ -14,9 +14,17 @@
 /// Timeout of a start or a stop.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Maximum number of attempts to send a start before it is reported as unanswered or refused.
+/// Maximum number of attempts to send a start before it is reported as unanswered or refused. Those during which this
+/// process was late do not count, since the reply may only not have been read in time.
 const MAX_START_ATTEMPTS: u32 = 3;
 
+/// Maximum number of attempts to send a start, including those during which this process was late.
+const MAX_ALL_START_ATTEMPTS: u32 = 8;
+
+/// Time beyond the timeout from which a failed order shows that this process was late. Timeouts are only extended by
+/// the lateness of the process.
+const MIN_LATENESS: Duration = Duration::from_millis(20);
+
 /// Maximum number of orders to a worker that are sent at a time, unless one takes longer than [`MAX_TURN_WAIT`].
 pub(super) const MAX_ORDERS_AT_ONCE: usize = 1;
 
@@ -39,11 +47,15 @@
     pub(super) async fn send_start(self: Arc<Self>, order: StartOrder) {
         let run = order.run;
         let mut in_doubt = false;
-        for _ in 0..MAX_START_ATTEMPTS {
+        let mut was_sent = false;
+        let mut failures = 0;
+        for _ in 0..MAX_ALL_START_ATTEMPTS {
             let turn = self.order_turn().await;
             let Some(end_ms) = self.requested_lease_end_ms() else {
                 break;
             };
+            let sent_at = self.platform.now();
+            was_sent = true;
             let sent = self
                 .platform
                 .start(&self.peer, self.fence, end_ms, &order, ORDER_TIMEOUT)
@@ -65,19 +77,31 @@
                 Err(error) => {
                     log::debug!("failed to start run={} {}: {error}", run.run, run.task);
                     in_doubt = in_doubt || !error.is_refused();
+                    failures += u32::from(!self.was_late_since(sent_at));
+                    if failures >= MAX_START_ATTEMPTS {
+                        break;
+                    }
                     if error.is_refused() {
                         sleep(RETRY_PAUSE).await;
                     }
                 }
             }
         }
-        let event = match in_doubt {
-            true => LinkEvent::StartUnanswered(run),
-            false => LinkEvent::StartRefused(run, StartRefusal::Unhealthy),
+        let event = match (was_sent, in_doubt) {
+            (_, true) => LinkEvent::StartUnanswered(run),
+            (true, false) => LinkEvent::StartRefused(run, StartRefusal::Unhealthy),
+            // This process was too late to renew the lease, which does not show that the worker is unhealthy.
+            (false, false) => LinkEvent::StartRefused(run, StartRefusal::Late),
         };
         self.emit(event).await;
     }
 
+    /// Returns whether this process was late during an order that has failed.
+    fn was_late_since(&self, sent_at: Instant) -> bool {
+        let elapsed = self.platform.now().saturating_duration_since(sent_at);
+        elapsed >= ORDER_TIMEOUT + MIN_LATENESS
+    }
+
     /// Sends a stop until the worker answers. Its first contact comes before, since that is limited to a number
     /// of workers at a time.
     pub(super) async fn send_stop(self: Arc<Self>, run: TaskRun) {
--- a/crates/hs-control/tests/links/main.rs
+++ b/crates/hs-control/tests/links/main.rs
@@ -4,4 +4,5 @@
 mod platform;
 mod process;
 mod renewals;
+mod store;
 mod takeover;
--- a/crates/hs-control/tests/links/orders.rs
+++ b/crates/hs-control/tests/links/orders.rs
@@ -75,3 +75,30 @@
     let answered = platform.call_times("w1", CallKind::Stop).len() - before - silent;
     assert!(answered > 0, "no stop to the worker that answers again");
 }
+
+/// Guards against a worker that is quarantined, and a run that is stopped, because the owner was late itself.
+#[tokio::test(start_paused = true)]
+async fn a_late_owner_sends_a_start_again() {
+    let platform = FakePlatform::default();
+    platform.add_worker("w1", 1_000, WorkerBehaviour::Answers);
+    put_job(&platform, 1, None);
+    platform.state().late_starts = 4;
+    let _process = Process::start(&platform).await;
+    sleep(ELECTION_TIME + Duration::from_secs(4)).await;
+    let stops = platform.call_times("w1", CallKind::Stop);
+    assert_eq!(stops.len(), 0, "the run is stopped");
+    assert!(platform.call_times("w1", CallKind::Start).len() >= 5);
+}
+
+/// Guards against a start that is repeated for long although the worker does not answer.
+#[tokio::test(start_paused = true)]
+async fn a_start_without_an_answer_is_stopped() {
+    let platform = FakePlatform::default();
+    platform.add_worker("w1", 1_000, WorkerBehaviour::IgnoresOrders);
+    put_job(&platform, 1, None);
+    let _process = Process::start(&platform).await;
+    sleep(ELECTION_TIME + Duration::from_secs(2)).await;
+    assert_eq!(platform.call_times("w1", CallKind::Start).len(), 3);
+    let stops = platform.call_times("w1", CallKind::Stop);
+    assert!(!stops.is_empty(), "the run is not stopped");
+}
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -1,32 +1,27 @@
 //! A platform in memory whose workers answer, refuse or keep silent.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use hs_cell::{
-    AdviceReply, QueueSpec, RunReport, StartOrder, StepId, TaskRun, WorkerEntry, WorkerReport,
-};
+use hs_cell::{AdviceReply, RunReport, StartOrder, StepId, TaskRun, WorkerEntry, WorkerReport};
 use hs_control::port::{
-    AdvicePort, CatalogPort, ClockPort, ConfigReply, LeaseRenewal, PortError, RegisteredWorker,
-    RenewalReply, StartReply, StopReply, StoreChanges, StoreItem, StorePage, StorePort, StoreTxn,
-    TxnReply, WorkerChanges, WorkerEndpoint, WorkerPort,
+    AdvicePort, ClockPort, LeaseRenewal, PortError, RegisteredWorker, RenewalReply, StartReply,
+    StopReply, WorkerEndpoint, WorkerPort,
 };
-use hs_control::{ClusterConfig, QueueRoute};
 use hs_wire::Resources;
 use tokio::time::{sleep, timeout};
 
-/// Name of the only queue.
-pub const QUEUE: &str = "queue";
+use crate::store::MemoryStore;
 
 /// Service of all workers.
-const SERVICE: &str = "service";
+pub const SERVICE: &str = "service";
 
 /// Time that a worker takes to answer.
 const LATENCY: Duration = Duration::from_millis(5);
 
-/// Number of items on a page of the store.
-const PAGE_ITEMS: usize = 200;
+/// Lateness of a process that reads a reply too late.
+const LATENESS: Duration = Duration::from_millis(200);
 
 /// Start time of all workers in Unix milliseconds.
 pub const BORN_MS: u64 = 1_000;
@@ -65,10 +60,11 @@
 /// State of the platform.
 #[derive(Debug, Default)]
 pub struct State {
-    items: BTreeMap<String, StoreItem>,
-    revision: u64,
-    workers: Vec<RegisteredWorker>,
+    pub store: MemoryStore,
+    pub workers: Vec<RegisteredWorker>,
     behaviours: HashMap<Arc<str>, WorkerBehaviour>,
+    /// Number of the next starts whose replies the process reads too late.
+    pub late_starts: usize,
     /// Workers whose next reply is lost.
     lost_replies: Vec<Arc<str>>,
     /// Runs that the workers report.
@@ -123,7 +119,7 @@
 
     /// Writes an item to the store.
     pub fn put(&self, key: String, value: Vec<u8>) {
-        self.state().put(key, value);
+        self.state().store.put(key, value);
     }
 
     /// Changes how a worker answers.
@@ -198,16 +194,6 @@
 }
 
 impl State {
-    fn put(&mut self, key: String, value: Vec<u8>) {
-        self.revision += 1;
-        let item = StoreItem {
-            key: key.clone(),
-            value: Some(value),
-            revision: self.revision,
-        };
-        self.items.insert(key, item);
-    }
-
     /// Records a call. Returns how the worker answers, and whether it was not called before.
     fn begin_call(&mut self, worker: &Arc<str>, kind: CallKind) -> (WorkerBehaviour, bool) {
         let is_first = !self.calls.iter().any(|call| call.worker == *worker);
@@ -231,6 +217,12 @@
         (behaviour, is_first)
     }
 
+    fn take_late_start(&mut self) -> bool {
+        let is_late = self.late_starts > 0;
+        self.late_starts -= usize::from(is_late);
+        is_late
+    }
+
     fn end_call(&mut self, kind: CallKind, is_first: bool) {
         self.orders -= usize::from(kind != CallKind::Renewal);
         self.first_calls -= usize::from(is_first);
@@ -245,104 +237,6 @@
     }
 }
 
-impl StorePort for FakePlatform {
-    async fn read(&self, key: &str, _: Duration) -> Result<Option<StoreItem>, PortError> {
-        Ok(self.state().items.get(key).cloned())
-    }
-
-    async fn range(&self, prefix: &str, after: &str, _: Duration) -> Result<StorePage, PortError> {
-        let mut state = self.state();
-        state.turns_since_page = 0;
-        let items = state.items.range(prefix.to_owned()..);
-        let items = items.take_while(|(key, _)| key.starts_with(prefix));
-        let mut items = items.filter(|(key, _)| key.as_str() > after);
-        let page: Vec<StoreItem> = items
-            .by_ref()
-            .take(PAGE_ITEMS)
-            .map(|(_, item)| item.clone())
-            .collect();
-        Ok(StorePage {
-            items: page,
-            has_more: items.next().is_some(),
-            revision: state.revision,
-        })
-    }
-
-    async fn watch(
-        &self,
-        _: &str,
-        after: u64,
-        wait: Duration,
-        _: Duration,
-    ) -> Result<StoreChanges, PortError> {
-        sleep(wait).await;
-        Ok(StoreChanges::Events(Vec::new(), after))
-    }
-
-    async fn transact(&self, txn: &StoreTxn, _: Duration) -> Result<TxnReply, PortError> {
-        let mut state = self.state();
-        let revision_of = |key: &String| state.items.get(key).map_or(0, |item| item.revision);
-        let is_met = |(key, revision): &(String, u64)| revision_of(key) == *revision;
-        if !txn.expect.iter().all(is_met) {
-            let keys = txn.expect.iter().map(|(key, _)| key);
-            let items = keys.filter_map(|key| state.items.get(key).cloned());
-            return Ok(TxnReply::Conflict(items.collect()));
-        }
-        for (key, value) in &txn.writes {
-            state.put(key.clone(), value.clone());
-        }
-        for key in &txn.deletes {
-            state.items.remove(key);
-        }
-        Ok(TxnReply::Committed(state.revision))
-    }
-}
-
-impl CatalogPort for FakePlatform {
-    async fn config(
-        &self,
-        known: Option<(u64, u64)>,
-        wait: Duration,
-        _: Duration,
-    ) -> Result<ConfigReply, PortError> {
-        if let Some((_, revision)) = known {
-            sleep(wait).await;
-            return Ok(ConfigReply::Unchanged(revision));
-        }
-        let config = ClusterConfig {
-            version: 1,
-            routes: vec![QueueRoute {
-                host: String::new(),
-                prefix: String::new(),
-                queue: QueueSpec {
-                    name: QUEUE.into(),
-                    service: SERVICE.into(),
-                    priority: 0,
-                    max_attempts: 3,
-                    stretch: 1.0,
-                    target: Duration::from_secs(1),
-                    advice: None,
-                },
-            }],
-            max_body_bytes: 1 << 10,
-        };
-        Ok(ConfigReply::Newest(Arc::new(config), 1))
-    }
-
-    async fn workers(&self, _: Duration) -> Result<(Vec<RegisteredWorker>, u64), PortError> {
-        Ok((self.state().workers.clone(), 1))
-    }
-
-    async fn worker_changes(
-        &self,
-        after: u64,
-        _: Duration,
-        _: Duration,
-    ) -> Result<WorkerChanges, PortError> {
-        Ok(WorkerChanges::Events(Vec::new(), after))
-    }
-}
-
 impl WorkerPort for FakePlatform {
     async fn start(
         &self,
@@ -352,6 +246,12 @@
         _: &StartOrder,
         timeout: Duration,
     ) -> Result<StartReply, PortError> {
+        let is_late = self.state().take_late_start();
+        if is_late {
+            let call = self.call_worker(peer, CallKind::Start, timeout + LATENESS, timeout * 2);
+            call.await?;
+            return Err(no_reply(&peer.id, "no reply in time"));
+        }
         let call = self.call_worker(peer, CallKind::Start, Duration::ZERO, timeout);
         call.await.map(|()| StartReply::Started)
     }
--- a/crates/hs-control/tests/links/process.rs
+++ b/crates/hs-control/tests/links/process.rs
@@ -11,7 +11,8 @@
 use hs_wire::Resources;
 use tokio::sync::watch;
 
-use crate::platform::{BORN_MS, FakePlatform, QUEUE};
+use crate::platform::{BORN_MS, FakePlatform};
+use crate::store::QUEUE;
 
 /// Time in which a process without others takes the cell over.
 pub const ELECTION_TIME: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/hs-control/tests/links/store.rs
@@ -0,0 +1,151 @@
+//! The store and the catalog of the platform.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hs_cell::QueueSpec;
+use hs_control::port::{
+    CatalogPort, ConfigReply, PortError, RegisteredWorker, StoreChanges, StoreItem, StorePage,
+    StorePort, StoreTxn, TxnReply, WorkerChanges,
+};
+use hs_control::{ClusterConfig, QueueRoute};
+use tokio::time::sleep;
+
+use crate::platform::{FakePlatform, SERVICE};
+
+/// Name of the only queue.
+pub const QUEUE: &str = "queue";
+
+/// Number of items on a page of the store.
+const PAGE_ITEMS: usize = 200;
+
+/// Items of the store. All writes of a transaction have the same revision.
+#[derive(Debug, Default)]
+pub struct MemoryStore {
+    items: BTreeMap<String, StoreItem>,
+    revision: u64,
+}
+
+impl MemoryStore {
+    /// Writes an item in a transaction of its own.
+    pub fn put(&mut self, key: String, value: Vec<u8>) {
+        self.revision += 1;
+        self.write(key, value);
+    }
+
+    fn write(&mut self, key: String, value: Vec<u8>) {
+        let item = StoreItem {
+            key: key.clone(),
+            value: Some(value),
+            revision: self.revision,
+        };
+        self.items.insert(key, item);
+    }
+
+    fn page(&self, prefix: &str, after: &str) -> StorePage {
+        let items = self.items.range(prefix.to_owned()..);
+        let items = items.take_while(|(key, _)| key.starts_with(prefix));
+        let mut items = items.filter(|(key, _)| key.as_str() > after);
+        let page = items.by_ref().take(PAGE_ITEMS);
+        StorePage {
+            items: page.map(|(_, item)| item.clone()).collect(),
+            has_more: items.next().is_some(),
+            revision: self.revision,
+        }
+    }
+
+    fn transact(&mut self, txn: &StoreTxn) -> TxnReply {
+        let revision_of = |key: &String| self.items.get(key).map_or(0, |item| item.revision);
+        let is_met = |(key, revision): &(String, u64)| revision_of(key) == *revision;
+        if !txn.expect.iter().all(is_met) {
+            let keys = txn.expect.iter().map(|(key, _)| key);
+            let items = keys.filter_map(|key| self.items.get(key).cloned());
+            return TxnReply::Conflict(items.collect());
+        }
+        self.revision += 1;
+        for (key, value) in &txn.writes {
+            self.write(key.clone(), value.clone());
+        }
+        for key in &txn.deletes {
+            self.items.remove(key);
+        }
+        TxnReply::Committed(self.revision)
+    }
+
+    fn get(&self, key: &str) -> Option<StoreItem> {
+        self.items.get(key).cloned()
+    }
+}
+
+impl StorePort for FakePlatform {
+    async fn read(&self, key: &str, _: Duration) -> Result<Option<StoreItem>, PortError> {
+        Ok(self.state().store.get(key))
+    }
+
+    async fn range(&self, prefix: &str, after: &str, _: Duration) -> Result<StorePage, PortError> {
+        let mut state = self.state();
+        state.turns_since_page = 0;
+        Ok(state.store.page(prefix, after))
+    }
+
+    async fn watch(
+        &self,
+        _: &str,
+        after: u64,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<StoreChanges, PortError> {
+        sleep(wait).await;
+        Ok(StoreChanges::Events(Vec::new(), after))
+    }
+
+    async fn transact(&self, txn: &StoreTxn, _: Duration) -> Result<TxnReply, PortError> {
+        Ok(self.state().store.transact(txn))
+    }
+}
+
+impl CatalogPort for FakePlatform {
+    async fn config(
+        &self,
+        known: Option<(u64, u64)>,
+        wait: Duration,
+        _: Duration,
+    ) -> Result<ConfigReply, PortError> {
+        if let Some((_, revision)) = known {
+            sleep(wait).await;
+            return Ok(ConfigReply::Unchanged(revision));
+        }
+        let config = ClusterConfig {
+            version: 1,
+            routes: vec![QueueRoute {
+                host: String::new(),
+                prefix: String::new(),
+                queue: QueueSpec {
+                    name: QUEUE.into(),
+                    service: SERVICE.into(),
+                    priority: 0,
+                    max_attempts: 3,
+                    stretch: 1.0,
+                    target: Duration::from_secs(1),
+                    advice: None,
+                },
+            }],
+            max_body_bytes: 1 << 10,
+        };
+        Ok(ConfigReply::Newest(Arc::new(config), 1))
+    }
+
+    async fn workers(&self, _: Duration) -> Result<(Vec<RegisteredWorker>, u64), PortError> {
+        Ok((self.state().workers.clone(), 1))
+    }
+
+    async fn worker_changes(
+        &self,
+        after: u64,
+        _: Duration,
+        _: Duration,
+    ) -> Result<WorkerChanges, PortError> {
+        Ok(WorkerChanges::Events(Vec::new(), after))
+    }
+}
