fix: let a task run alone before its last start

Cause: crashes more than 10 s after the start make no task run alone, since such runs are rarely at fault, but the fifth one gives the task up. A long task that shared five workers with deadly ones was therefore given up. Ruled out: tasks whose workers crash early in the run (alone from the third crash on). What remains can only be told apart by further starts alone, which the bound on starts excludes: a task that loses a fifth worker on which it is alone. Gangs that do not fit with their suspects alone keep the limit as well. Change: from the fourth crash on, early in the run or not, a task runs alone until it is cleared. The limit of five stays, so a deadly task is still started at most twice after the third crash.

--- a/crates/hs-cell/src/crash_history.rs
+++ b/crates/hs-cell/src/crash_history.rs
@@ -10,13 +10,14 @@
 //! - From [`CONFIRMED_SUSPECT_CRASHES`] it waits for a worker of its own.
 //! - With [`GIVE_UP_CRASHES`], of which it was alone in [`GIVE_UP_ALONE_CRASHES`], it is given up.
 //! - With [`MAX_CRASHES`] it is given up in any case. It comes to that if no worker can be set aside for it, or if
-//!   it takes long to crash its workers.
+//!   it takes long to crash its workers. From [`LAST_START_CRASHES`] it runs alone however long that took, so that
+//!   the last crash is not that of a neighbour.
 //!
 //! A deadly task that shares its first three workers is thus started twice more at most. A task that others
 //! brought down is not given up, since no worker crashes while it is alone there, and it is cleared meanwhile.
 //!
 //! Workers also crash for other reasons, often many at a time. Runs that have lasted for [`EARLY_RUN_TIME`] are
-//! rarely at fault and many tasks have such runs, so no task has to run alone because of those crashes.
+//! rarely at fault and many tasks have such runs, so only the last start has to be alone because of those crashes.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -31,6 +32,10 @@
 /// Number of crashes from which a task only runs alone.
 const CONFIRMED_SUSPECT_CRASHES: u32 = 3;
 
+/// Number of crashes, early in the run or not, from which a task only runs alone. Its next crash is the last, and must
+/// not be that of a neighbour.
+const LAST_START_CRASHES: u32 = MAX_CRASHES - 1;
+
 /// Number of crashes after which a task may be given up.
 const GIVE_UP_CRASHES: u32 = 4;
 
@@ -193,11 +198,15 @@
 
     /// Returns how the task may share a worker. Lost workers count like crashed ones until they return.
     pub(crate) fn isolation(&self) -> Isolation {
-        let lost = |loss: &&Loss| loss.crash.is_early();
-        let early_losses = self.losses.iter().filter(lost).count();
-        let early_losses = u32::try_from(early_losses).unwrap_or(u32::MAX);
-        match self.early_crashes.saturating_add(early_losses) {
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let early_losses = self.losses.iter().filter(|loss| loss.crash.is_early());
+        let early = self
+            .early_crashes
+            .saturating_add(count(early_losses.count()));
+        let all = self.crashes.saturating_add(count(self.losses.len()));
+        match early {
             CONFIRMED_SUSPECT_CRASHES.. => Isolation::Required,
+            _ if all >= LAST_START_CRASHES => Isolation::Required,
             SUSPECT_CRASHES.. => Isolation::Preferred,
             _ if self.is_empty() => Isolation::Unneeded,
             _ => Isolation::Apart,
--- a/crates/hs-cell/tests/cell/crashes.rs
+++ b/crates/hs-cell/tests/cell/crashes.rs
@@ -27,7 +27,7 @@
 /// Largest number of workers that may crash under one task: two starts may follow the third crash.
 const MAX_CRASHES: u32 = 5;
 
-fn task(number: u64, index: u16) -> TaskId {
+pub fn task(number: u64, index: u16) -> TaskId {
     let step = StepId {
         job: id(number),
         occurrence: 0,
@@ -50,20 +50,20 @@
     }
 }
 
-fn queues() -> Vec<hs_cell::QueueSpec> {
+pub fn queues() -> Vec<hs_cell::QueueSpec> {
     vec![
         queue("check", 0, 3),
         advised_queue("plan", 1, Duration::from_millis(20)),
     ]
 }
 
-fn rounds(world: &mut World, count: usize) {
+pub fn rounds(world: &mut World, count: usize) {
     for _ in 0..count {
         world.fault_free_round(ROUND_TIME);
     }
 }
 
-fn has_failed(world: &World, id: JobId) -> bool {
+pub fn has_failed(world: &World, id: JobId) -> bool {
     world.state(id) == Some(JobState::Ended(JobOutcome::Failed))
 }
 
@@ -75,7 +75,7 @@
 }
 
 /// Runs rounds until a task runs.
-fn await_start(world: &mut World, task: TaskId) -> usize {
+pub fn await_start(world: &mut World, task: TaskId) -> usize {
     for _ in 0..GIVE_UP_ROUNDS {
         if let Some(number) = worker_of(world, task) {
             return number;
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod fixture;
 mod fuzz;
+mod late_crashes;
 mod patterns;
 mod readiness;
 mod record_log;
