--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -19,6 +19,7 @@
 mod capacity;
 mod cell;
 mod census;
+mod contact_order;
 mod crash_history;
 mod crashes;
 mod dirty_jobs;
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -11,6 +11,7 @@
 mod fixture;
 mod fuzz;
 mod job_counts;
+mod late_crashes;
 mod owner_processor;
 mod patterns;
 mod readiness;
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -18,6 +18,7 @@
 mod claim_writer;
 mod commits;
 mod config;
+mod contact_permits;
 mod control;
 mod election;
 mod end_waiters;
@@ -44,6 +45,7 @@
 mod store_health;
 mod supervise;
 mod takeover;
+mod work_portions;
 
 pub use config::{ClusterConfig, QueueRoute};
 pub use control::{CancelReply, Control, JobStateReply, SubmitReply};
--- /dev/null
+++ b/crates/hs-control/tests/links/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the links of an owner to its workers, on a platform in memory.
+
+mod orders;
+mod platform;
+mod process;
+mod renewals;
+mod store;
+mod takeover;
--- a/crates/hs-http/src/direct.rs
+++ b/crates/hs-http/src/direct.rs
@@ -1,6 +1,6 @@
 //! HTTP client for many small calls to many peers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::error::Error;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -20,10 +20,16 @@
 /// Interval at which idle connections are checked for their age.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Maximum number of idle connections to a peer: one for a call that is long-polled, and one for the others.
+pub const MAX_IDLE_CONNECTIONS: usize = 2;
+
 /// An HTTP/1.1 client whose calls read and write their connections themselves. Clones share the connections.
 ///
 /// A call takes an idle connection to its peer or opens one, and returns it after a complete reply. No
 /// task of the connection is involved, as it is in [`crate::HttpClient`].
+///
+/// A peer keeps [`MAX_IDLE_CONNECTIONS`] connections at most, which take turns. One that is only needed now and then,
+/// such as that for orders beside a call that is long-polled, thus stays open.
 #[derive(Clone, Debug, Default)]
 pub struct DirectClient {
     idle: Arc<Mutex<IdleConnections>>,
@@ -41,7 +47,8 @@
 /// Open connections that no call uses.
 #[derive(Debug, Default)]
 struct IdleConnections {
-    by_peer: HashMap<Arc<str>, Vec<IdleConnection>>,
+    /// Connections of each peer, the one that has been idle for longest first.
+    by_peer: HashMap<Arc<str>, VecDeque<IdleConnection>>,
     /// Whether the task that closes old connections runs.
     is_swept: bool,
 }
@@ -61,6 +68,9 @@
 impl DirectClient {
     /// Sends a POST request with a JSON body, once at most, and waits at most `call_timeout` for the reply.
     ///
+    /// After a call without a reply in time, the next one to the peer only uses a connection that has carried a reply
+    /// meanwhile, or a new one.
+    ///
     /// # Errors
     ///
     /// Returns [`CallError::NotSent`] if the request is invalid, no connection could be opened, or it ended
@@ -76,9 +86,13 @@
     ) -> Result<CallReply, CallError> {
         let request = request_of(peer, path, header, body);
         let request = request.map_err(|error| not_sent(operation, peer, &*error))?;
+        let sent_at = Instant::now();
         match timeout(call_timeout, self.exchange(operation, peer, request)).await {
             Ok(result) => result,
-            Err(elapsed) => Err(no_reply(operation, peer, &elapsed)),
+            Err(elapsed) => {
+                self.close_unproven(peer, sent_at);
+                Err(no_reply(operation, peer, &elapsed))
+            }
         }
     }
 
@@ -102,18 +116,28 @@
         }
     }
 
-    /// Takes the usable connection that was used last, so that the others reach their maximum age.
+    /// Takes the usable connection that has been idle for longest, so that none reaches its maximum age while there
+    /// are calls.
     fn take_idle(&self, peer: &str) -> Option<Box<Connection>> {
         let mut idle = self.lock();
         let connections = idle.by_peer.get_mut(peer)?;
-        while let Some(mut latest) = connections.pop() {
-            if latest.is_fresh() && latest.connection.is_usable() {
-                return Some(latest.connection);
+        while let Some(mut oldest) = connections.pop_front() {
+            if oldest.is_fresh() && oldest.connection.is_usable() {
+                return Some(oldest.connection);
             }
         }
         None
     }
 
+    /// Closes the idle connections to a peer that have carried no reply since this time. What has silenced one
+    /// connection for good, without a reset, has often silenced all that were open.
+    fn close_unproven(&self, peer: &str, since: Instant) {
+        let mut idle = self.lock();
+        if let Some(connections) = idle.by_peer.get_mut(peer) {
+            connections.retain(|idle| idle.idle_since >= since);
+        }
+    }
+
     fn put_back(&self, peer: &Arc<str>, connection: Box<Connection>) {
         let returned = IdleConnection {
             connection,
@@ -121,9 +145,14 @@
         };
         let mut idle = self.lock();
         match idle.by_peer.get_mut(peer) {
-            Some(connections) => connections.push(returned),
+            Some(connections) => {
+                connections.push_back(returned);
+                if connections.len() > MAX_IDLE_CONNECTIONS {
+                    connections.pop_front();
+                }
+            }
             None => {
-                idle.by_peer.insert(peer.clone(), vec![returned]);
+                idle.by_peer.insert(peer.clone(), [returned].into());
             }
         }
         if !std::mem::replace(&mut idle.is_swept, true) {
