fix: give each step of a long backlog a turn after a change

A step behind thousands that cannot start had its turn only after some seconds, although workers had room for it: 256 steps a pass have their turns, and without further events passes are 100 ms apart.

A change that may allow a placement now lets passes follow each other, at their usual interval, until each waiting step has had its turn. Short backlogs are not affected, since each pass visits all their steps.

The test fails on the code before this commit: a step behind 5,000 that fit on no worker does not start in 25 rounds of 50 ms.

--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -103,7 +103,7 @@
             return AdviceAttempt::Blocked;
         }
         if self.advice_window.is_pass_over() {
-            self.request_pass();
+            self.pass_requested = true;
             return AdviceAttempt::Blocked;
         }
         // Naming workers takes long, so that requests that are not admitted are ruled out before.
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -16,10 +16,10 @@
 use crate::job_record::JobOutcome;
 use crate::job_spec::JobSpec;
 use crate::pass_budget::{PassBudget, PassWork};
+use crate::passes::StepTurns;
 use crate::queue_spec::QueueSpec;
 use crate::ready_steps::ReadySteps;
 use crate::reserve::Reservation;
-use crate::step_order::OrderKey;
 use crate::ticket_holders::TicketHolders;
 use crate::ticket_margin::TicketMargin;
 use crate::worker::Worker;
@@ -107,8 +107,7 @@
     pub(crate) pass_budget: PassBudget,
     /// Work of the current pass, or else of the last one.
     pub(crate) pass_work: PassWork,
-    /// Last step that had its turn in a pass; `None` if the first one is next.
-    pub(crate) last_turn: Option<OrderKey>,
+    pub(crate) turns: StepTurns,
     pub(crate) reservations: Vec<Reservation>,
     /// CPU that the earlier single-task steps of the current pass are expected to use, by worker.
     pub(crate) expected_use: SecondaryMap<WorkerKey, u32>,
@@ -145,7 +144,7 @@
             pass_interval: Duration::ZERO,
             pass_budget: PassBudget::default(),
             pass_work: PassWork::default(),
-            last_turn: None,
+            turns: StepTurns::default(),
             reservations: Vec::new(),
             expected_use: SecondaryMap::new(),
             vacated_workers: Vec::new(),
--- a/crates/hs-cell/src/passes.rs
+++ b/crates/hs-cell/src/passes.rs
@@ -39,6 +39,16 @@
 /// Maximum number of steps that change their timeliness in a pass. After a takeover thousands do so at once.
 const MAX_TIMELINESS_UPDATES: usize = 500;
 
+/// Turns of the steps of a long backlog.
+#[derive(Debug, Default)]
+pub(crate) struct StepTurns {
+    /// Last step that had its turn; `None` if the first one is next.
+    last: Option<OrderKey>,
+    /// Number of steps that are to have a turn since something has changed that may allow their placement.
+    due: usize,
+    has_changed: bool,
+}
+
 /// Step that a pass is to visit, and the reason.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct PlannedVisit {
@@ -56,6 +66,7 @@
     spent: [u64; PassShare::COUNT],
     /// Last step that has had its turn.
     last_turn: Option<OrderKey>,
+    turn_count: usize,
     /// Whether a step has missed its turn.
     missed_turn: bool,
 }
@@ -77,6 +88,7 @@
         self.missed_turn |= !is_visited;
         if !self.missed_turn {
             self.last_turn = Some(key);
+            self.turn_count += 1;
         }
     }
 }
@@ -134,6 +146,7 @@
     /// Requests a scheduling pass, since something has changed that may allow a placement.
     pub(crate) fn request_pass(&mut self) {
         self.pass_requested = true;
+        self.turns.has_changed = true;
     }
 
     /// Visits the planned steps in order, as far as the budget allows.
@@ -144,7 +157,8 @@
         let mut progress = PassProgress {
             active_steps: ActiveSteps::new(self.free_index.total_cpu_milli()),
             spent: [0; PassShare::COUNT],
-            last_turn: self.last_turn,
+            last_turn: self.turns.last,
+            turn_count: 0,
             missed_turn: false,
         };
         for visits in visits.chunk_by(|a, b| a.key == b.key) {
@@ -154,16 +168,29 @@
                 self.visit_step(visits[0].key, &mut progress.active_steps, now);
                 progress.spent[share as usize] += self.pass_work.units() - earlier_work;
             } else if visits.iter().any(|visit| progress.is_useful(visit)) {
-                self.request_pass();
+                self.pass_requested = true;
             }
             if visits.iter().any(|visit| visit.share == PassShare::Turns) {
                 progress.record_turn(visits[0].key, share.is_some());
             }
         }
-        self.last_turn = match is_last_round && !progress.missed_turn {
+        self.turns.last = match is_last_round && !progress.missed_turn {
             true => None,
             false => progress.last_turn,
         };
+        self.record_turns(progress.turn_count);
+    }
+
+    /// Requests a further pass until each step has had its turn since the last change.
+    fn record_turns(&mut self, count: usize) {
+        if std::mem::take(&mut self.turns.has_changed) {
+            self.turns.due = self.ready_steps.len();
+        }
+        self.turns.due = match self.ready_steps.len() <= MAX_SHORT_BACKLOG {
+            true => 0,
+            false => self.turns.due.saturating_sub(count),
+        };
+        self.pass_requested |= self.turns.due > 0;
     }
 
     /// Returns the visits of the next pass in the order of the steps.
@@ -189,7 +216,7 @@
         let holders = self.ticket_holders.iter().take(MAX_HOLDERS);
         let holders = holders.filter_map(|id| self.ready_steps.key(id));
         visits.extend(holders.map(|key| visit(key, PassShare::Holders)));
-        let turns = self.ready_steps.after(self.last_turn).take(MAX_TURNS);
+        let turns = self.ready_steps.after(self.turns.last).take(MAX_TURNS);
         visits.extend(turns.map(|(key, _)| visit(key, PassShare::Turns)));
         visits.sort_unstable();
         visits
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -12,6 +12,7 @@
 mod fuzz;
 mod job_counts;
 mod owner_processor;
+mod pass_turns;
 mod patterns;
 mod readiness;
 mod record_log;
