--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -13,6 +13,7 @@
 mod job_counts;
 mod late_crashes;
 mod owner_processor;
+mod pass_turns;
 mod patterns;
 mod readiness;
 mod record_log;
