fix: escape control characters in event lines

Callers and operators would see: a name in a heartbeat, a VM list or an error text with a line break and the text of an event made a second log line, which looked like an event of the process itself.

Cause: event fields were written as they came. Names come from other processes and are not checked.

Ruled out: checking the names at each place where they are read. There are many, and error texts of other servers are in the fields too.

Change: control characters in the fields of an event are written as escapes, so that an event is one line.

Test: hs-event, `an_event_is_one_line`. It fails if the search for control characters finds none.

--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::escape::EscapedFields;
+
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $text:literal;)*) => {
         /// Kind of a log event.
@@ -177,9 +179,10 @@
 
 impl EventCode {
     /// Writes one log line with the number, the text and `fields`, which are written as
-    /// `name=value`.
+    /// `name=value`. Control characters in them are escaped.
     pub fn log(self, fields: fmt::Arguments<'_>) {
         let level = self.level();
+        let fields = EscapedFields(fields);
         log::log!(target: "hornbeamshunt", level, "E{} {} {fields}", self.number(), self.text());
     }
 }
--- a/crates/hs-event/src/lib.rs
+++ b/crates/hs-event/src/lib.rs
@@ -4,5 +4,6 @@
 //! operators can search by number. `docs/events.md` lists all events. Payloads are never logged.
 
 mod code;
+mod escape;
 
 pub use code::EventCode;
