fix: follow the VM list beside odd entries

What users saw: another writer left one odd entry among those of the workers (very deeply nested, a number too large, a port out of range), and the processes stopped following the list. Here, workers that were added or that left were not noticed, and a process that started got no list at all.

Cause: the list was decoded as a whole. One entry that was not a VM entry, or one of a new role, failed all others at each reading. An entry that did decode could do harm as well: two entries of one id with different addresses replaced the link to the worker at each reconciliation, two ids with one address made two links that took the lease from each other, and an id that does not fit into a ledger record left an order without a runner.

Ruled out: a stack overflow or a panic in the decoder; lists and objects nested 100,000 deep were decoded on a thread with 512 KiB of stack. Dropping an entry that can't be used: the VM would count as gone, its lease would be released, and its work stopped and started elsewhere. Using either of two contradictory entries: a process that chose the other one would take running work for lost.

Change: entries are split from the list without being interpreted, and decoded one by one. A VM whose entry can't be used keeps its last known entry, as leaving unless the odd entry says that it is live. It stays in the list that peers get, and does not count as gone. An odd rack or capacity does not make an entry unusable. Each unusable entry is logged once (E3006).

--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -71,6 +71,8 @@
     WorkerEjected = 3004, Warn, "worker ejected after failures";
     /// An ejected worker was readmitted after a successful probe.
     WorkerReadmitted = 3005, Info, "worker readmitted after a probe";
+    /// An entry of the VM list can't be used.
+    VmUnusable = 3006, Warn, "VM list entry not usable";
     /// A peer became live.
     PeerJoined = 4001, Info, "peer live";
     /// A peer stopped sending heartbeats.
--- a/crates/hs-node/src/ledger/resolve.rs
+++ b/crates/hs-node/src/ledger/resolve.rs
@@ -81,7 +81,7 @@
         }
         let now = shared.platform.clock().now();
         let list = shared.vms.borrow().clone();
-        let is_unlisted = list.version > 0 && !list.vms.iter().any(|vm| vm.id == worker.name);
+        let is_unlisted = list.version > 0 && !list.contains(&worker.name);
         unlisted_since = is_unlisted.then(|| unlisted_since.unwrap_or(now));
         if unlisted_since
             .is_some_and(|since| now.saturating_duration_since(since) >= UNLISTED_WORKER_TIMEOUT)
--- a/crates/hs-node/src/port/vms.rs
+++ b/crates/hs-node/src/port/vms.rs
@@ -41,7 +41,7 @@
         let reply = call.await?;
         match reply.status {
             200 => {
-                let list = reply.json().map(Some);
+                let list = VmList::decode(&reply.body).map(Some);
                 list.map_err(|error| PortError::unreadable(operation, &self.peer, error))
             }
             304 => Ok(None),
--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -8,11 +8,12 @@
 use hs_event::EventCode;
 use hs_peer::message::{PullReply, PullRequest};
 use hs_peer::{ManifestState, OfferOutcome};
-use hs_wire::{VmList, VmRole};
+use hs_wire::VmList;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 use super::startup::{PeerManifest, StartupReads};
+use super::vm_lists::VmLists;
 use super::{SyncHandle, SyncMessage};
 use crate::manifest::{MANIFEST_KEY, ManifestView};
 use crate::placer::PlacerMessage;
@@ -43,16 +44,10 @@
     handle: SyncHandle,
     receiver: TaskInbox<mpsc::UnboundedReceiver<SyncMessage>>,
     manifest_sender: watch::Sender<Option<Arc<ManifestView>>>,
-    vms_sender: watch::Sender<Arc<VmList>>,
+    vm_lists: VmLists,
     state: ManifestState,
     startup: StartupReads,
     pending_pulls: HashSet<String>,
-    /// Newest VM list of a peer, kept while the first read from the platform has neither ended nor
-    /// failed: a peer may show a VM that has left or is leaving as live.
-    kept_vm_list: Option<VmList>,
-    is_vm_list_pending: bool,
-    /// Version of the last VM list that was not applied because it names no entry VM.
-    rejected_vm_list: Option<u64>,
     /// Manifest revision and number of local members that were last sent to the placer.
     sent_to_placer: Option<(u64, u32)>,
 }
@@ -66,18 +61,14 @@
         manifest_sender: watch::Sender<Option<Arc<ManifestView>>>,
         vms_sender: watch::Sender<Arc<VmList>>,
     ) -> Self {
-        let is_vm_list_pending = vms_sender.borrow().version == 0;
         Self {
             shared,
             handle,
             receiver,
             manifest_sender,
-            vms_sender,
+            vm_lists: VmLists::new(vms_sender),
             state: ManifestState::default(),
             startup: StartupReads::default(),
-            kept_vm_list: None,
-            is_vm_list_pending,
-            rejected_vm_list: None,
             pending_pulls: HashSet::new(),
             sent_to_placer: None,
         }
@@ -133,11 +124,8 @@
                 self.startup.store_ended();
                 self.use_best_of_peers();
             }
-            SyncMessage::VmListRead(list) => {
-                self.apply_vm_list(list);
-                self.end_first_vm_list_read();
-            }
-            SyncMessage::VmListMissing => self.end_first_vm_list_read(),
+            SyncMessage::VmListRead(list) => self.vm_lists.offer_of_platform(list),
+            SyncMessage::VmListMissing => self.vm_lists.end_first_read(),
         }
     }
 
@@ -159,8 +147,8 @@
 
     fn apply_pull(&mut self, peer: &str, reply: PullReply) {
         if !reply.vm_list_json.is_empty() {
-            match serde_json::from_str(&reply.vm_list_json) {
-                Ok(list) => self.offer_vm_list_of_peer(list),
+            match VmList::decode(reply.vm_list_json.as_bytes()) {
+                Ok(list) => self.vm_lists.offer_of_peer(list),
                 Err(error) => log::warn!("cannot parse the VM list of peer {peer}: {error}"),
             }
         }
@@ -206,10 +194,8 @@
                 self.update_placer();
             }
             OfferOutcome::Conflict => {
-                log_rejected(
-                    source,
-                    &format!("revision {revision} is in force with another text"),
-                );
+                let cause = format!("revision {revision} is in force with another text");
+                log_rejected(source, &cause);
             }
             OfferOutcome::Stale | OfferOutcome::Same => {}
         }
@@ -231,38 +217,6 @@
             .placer
             .send(PlacerMessage::Manifest { view, members });
     }
-
-    /// Applies the VM list of a peer if it is newer. During the first read from the platform it is
-    /// kept until that has ended.
-    fn offer_vm_list_of_peer(&mut self, list: VmList) {
-        let kept = self.kept_vm_list.as_ref().map_or(0, |kept| kept.version);
-        if !self.is_vm_list_pending {
-            self.apply_vm_list(list);
-        } else if list.version > kept {
-            self.kept_vm_list = Some(list);
-        }
-    }
-
-    fn end_first_vm_list_read(&mut self) {
-        self.is_vm_list_pending = false;
-        if let Some(list) = self.kept_vm_list.take() {
-            self.apply_vm_list(list);
-        }
-    }
-
-    /// Applies a VM list if it is newer. A list without any entry VM is certainly wrong, because
-    /// this process runs on an entry VM. Without its workers, the process would release their
-    /// leases, and their tasks would be stopped and started elsewhere.
-    fn apply_vm_list(&mut self, list: VmList) {
-        if list.version <= self.vms_sender.borrow().version {
-            return;
-        }
-        if list.vms.iter().any(|vm| vm.role == VmRole::Entry) {
-            let _ = self.vms_sender.send(Arc::new(list));
-        } else if self.rejected_vm_list.replace(list.version) != Some(list.version) {
-            log::warn!("VM list {} names no entry VM and is ignored", list.version);
-        }
-    }
 }
 
 fn log_rejected(source: &str, cause: &dyn std::fmt::Display) {
--- a/crates/hs-node/tests/faults/harness.rs
+++ b/crates/hs-node/tests/faults/harness.rs
@@ -54,6 +54,8 @@
     pub vm_list_delay_ms: u64,
     /// Peer listener of the process; `None` for a new one.
     pub peer_listener: Option<TcpListener>,
+    /// Address of another VM list, which the process reads instead of that of the stand-in.
+    pub vm_list: Option<SocketAddr>,
 }
 
 impl Default for HarnessOptions {
@@ -66,6 +68,7 @@
             store_delay_ms: 0,
             vm_list_delay_ms: 0,
             peer_listener: None,
+            vm_list: None,
         }
     }
 }
@@ -114,7 +117,8 @@
         let peer = peer_listener.local_addr().expect("address");
         vms.push(vm("e0", peer, VmRole::Entry, Resources::ZERO));
         vms.extend(options.peers);
-        let (listener, vm_list) = listen().await;
+        let (listener, standin) = listen().await;
+        let vm_list = options.vm_list.unwrap_or(standin);
         let list = VmsOptions {
             lag_ms: 0,
             vms: vms.clone(),
--- a/crates/hs-node/tests/faults/startup.rs
+++ b/crates/hs-node/tests/faults/startup.rs
@@ -87,6 +87,7 @@
     let old = VmList {
         version: 1,
         vms: vec![vm("e0", address, VmRole::Entry, Resources::ZERO)],
+        ..VmList::default()
     };
     let pull = PullReply {
         vm_list_version: 1,
--- a/crates/hs-peer/benches/membership.rs
+++ b/crates/hs-peer/benches/membership.rs
@@ -54,7 +54,14 @@
     };
     let mut membership = Membership::new(options, now);
     let vms = (0..size).map(vm).collect();
-    membership.set_vm_list(&VmList { version: 1, vms }, now);
+    membership.set_vm_list(
+        &VmList {
+            version: 1,
+            vms,
+            ..VmList::default()
+        },
+        now,
+    );
     for number in 1..size {
         membership.handle_heartbeat(&heartbeat(number), now);
     }
--- a/crates/hs-peer/tests/peer/membership.rs
+++ b/crates/hs-peer/tests/peer/membership.rs
@@ -146,7 +146,14 @@
         }
         SetVmList(version, ids) => {
             let vms = ids.iter().map(|id| vm(id, "a", VmState::Live)).collect();
-            membership.set_vm_list(&VmList { version, vms }, *now)
+            membership.set_vm_list(
+                &VmList {
+                    version,
+                    vms,
+                    ..VmList::default()
+                },
+                *now,
+            )
         }
     }
 }
@@ -235,7 +242,14 @@
     remote_heartbeat.data_centre = "x".to_owned();
     let names = ["aa", "ab", "ac", "x1", "x2", "x3", "x4", "x5"];
     let vms = names.map(|id| vm(id, &id[..1], VmState::Live)).into();
-    membership.set_vm_list(&VmList { version: 1, vms }, start);
+    membership.set_vm_list(
+        &VmList {
+            version: 1,
+            vms,
+            ..VmList::default()
+        },
+        start,
+    );
     membership.handle_heartbeat(&remote_heartbeat, start);
     let mut counts = BTreeMap::new();
     for step in 0..80 {
--- a/crates/hs-peer/tests/peer/rendezvous.rs
+++ b/crates/hs-peer/tests/peer/rendezvous.rs
@@ -93,7 +93,14 @@
         let states = [VmState::Live, VmState::Leaving];
         let state = |id: &String| states[usize::from(ids[..count].contains(id))];
         let vms = ids.iter().map(|id| vm(id, "a", state(id))).collect();
-        membership.set_vm_list(&VmList { version: 1, vms }, now);
+        membership.set_vm_list(
+            &VmList {
+                version: 1,
+                vms,
+                ..VmList::default()
+            },
+            now,
+        );
         let mut owners = owners(&membership, &names("worker-#", 48)).into_iter();
         assert!(owners.all(|id| state(&id) == VmState::Live || count == 4));
         for partition in 0..4 {
--- a/crates/hs-standin/src/vms.rs
+++ b/crates/hs-standin/src/vms.rs
@@ -48,6 +48,7 @@
     let first = VmList {
         version: 1,
         vms: options.vms,
+        ..VmList::default()
     };
     let state = Arc::new(Mutex::new(VmsState {
         lists: VecDeque::from([(Instant::now(), first)]),
@@ -112,7 +113,11 @@
     /// Adds a list that readers get after the lag, and returns its version.
     fn replace_list(&mut self, vms: Vec<VmEntry>, now: Instant) -> u64 {
         let version = self.lists.back().map_or(0, |(_, list)| list.version) + 1;
-        let list = VmList { version, vms };
+        let list = VmList {
+            version,
+            vms,
+            ..VmList::default()
+        };
         self.lists.push_back((now + self.lag, list));
         version
     }
--- a/crates/hs-standin/tests/vms.rs
+++ b/crates/hs-standin/tests/vms.rs
@@ -40,7 +40,15 @@
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         let list: VmList = vms.get("/vms").await;
         let vms = vec![entry(id)];
-        assert_eq!(list, VmList { version, vms }, "after {wait_ms} ms");
+        assert_eq!(
+            list,
+            VmList {
+                version,
+                vms,
+                ..VmList::default()
+            },
+            "after {wait_ms} ms"
+        );
     }
 }
 
--- a/crates/hs-wire/src/resources.rs
+++ b/crates/hs-wire/src/resources.rs
@@ -31,6 +31,15 @@
         connections: 0,
     };
 
+    /// The largest amount in every dimension.
+    pub const MAX: Self = Self {
+        cpu_milli: u32::MAX,
+        memory_mib: u32::MAX,
+        accelerators: u32::MAX,
+        slots: u32::MAX,
+        connections: u32::MAX,
+    };
+
     /// Returns the amounts in a fixed order: CPU, memory, accelerators, slots, connections.
     pub fn dimensions(self) -> [u32; 5] {
         [
--- a/crates/hs-wire/src/vms.rs
+++ b/crates/hs-wire/src/vms.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Resources;
+use crate::{Resources, lenient};
 
 /// Role of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -33,23 +33,47 @@
     pub addr: String,
     /// Name of the data centre.
     pub data_centre: String,
-    /// Name of the rack; empty for entry VMs.
-    #[serde(default)]
+    /// Name of the rack; empty for entry VMs, and if it can't be read.
+    #[serde(default, deserialize_with = "lenient::or_default")]
     pub rack: String,
     /// Role of the VM.
     pub role: VmRole,
     /// Lifecycle state of the VM.
     pub state: VmState,
-    /// Declared capacity of a worker.
-    #[serde(default)]
+    /// Declared capacity of a worker; [`Resources::MAX`] if it can't be read, so that no work is
+    /// refused because of it. The capacity that counts is that of the lease.
+    #[serde(default, deserialize_with = "lenient::or_unbounded")]
     pub capacity: Resources,
 }
 
-/// The VM list, which may be some seconds old. A VM that is no longer listed does not run any more.
+/// A listed VM whose entry can't be used.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct UnusableVm {
+    /// Name of the VM; empty if the entry shows none.
+    pub id: String,
+    /// Whether the entry shows that the VM is live. Otherwise the VM may be leaving.
+    #[serde(default)]
+    pub is_live: bool,
+    /// Why the entry can't be used.
+    #[serde(default)]
+    pub cause: String,
+}
+
+/// The VM list, which may be some seconds old. A VM that is not listed does not run any more.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VmList {
     /// Version, which increases with each change.
     pub version: u64,
     /// All VMs that are live or leaving.
     pub vms: Vec<VmEntry>,
+    /// VMs whose entries can't be used. They may still run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unusable: Vec<UnusableVm>,
+}
+
+impl VmList {
+    /// Returns whether a VM is in the list, with an entry that can be used or not.
+    pub fn contains(&self, id: &str) -> bool {
+        self.vms.iter().any(|vm| vm.id == id) || self.unusable.iter().any(|vm| vm.id == id)
+    }
 }
