fix: use a worker beside an odd task in its list

Operators would see: a worker that lists one task with an odd field (a negative amount, an unknown phase or resource, deep nesting) stayed out of use, since no lease call succeeded, and nothing was logged.

Cause: the reply to a lease call was decoded as a whole. A task reply with an odd run time failed as well, so that work that had ended stayed open.

Ruled out: leaving out a task that can't be decoded. A task that a reply lacks counts as one that never ran, and is started again.

Change: tasks are decoded one by one. One that can't be decoded is neither adopted nor reported as absent; if it shows no id, no task that the reply lacks counts as absent. Replies and tasks that can't be decoded are logged once for each worker (E3007).

Tests: faults/worker_replies. `an_odd_task_does_not_hide_the_others` fails if a task that can't be decoded fails the reply. `an_odd_run_time_does_not_hide_a_result` decodes replies with odd run times.

--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -73,6 +73,8 @@
     WorkerReadmitted = 3005, Info, "worker readmitted after a probe";
     /// An entry of the VM list can't be used.
     VmUnusable = 3006, Warn, "VM list entry not usable";
+    /// A reply of a worker, or a task in it, can't be decoded.
+    WorkerUnreadable = 3007, Warn, "worker reply not readable";
     /// A peer became live.
     PeerJoined = 4001, Info, "peer live";
     /// A peer stopped sending heartbeats.
--- a/crates/hs-node/src/link/worker_link.rs
+++ b/crates/hs-node/src/link/worker_link.rs
@@ -42,6 +42,8 @@
     placer: PlacerHandle,
     commands: mpsc::Receiver<LinkCommand>,
     lease: Option<HeldLease>,
+    /// What the last reply did not show because it could not be decoded, as it was logged.
+    unreadable: Option<String>,
 }
 
 impl<P: Platform> WorkerLink<P> {
@@ -62,6 +64,7 @@
             placer,
             commands,
             lease: None,
+            unreadable: None,
         }
     }
 
@@ -157,8 +160,11 @@
                     fence: grant.fence,
                     task: grant.tasks.iter().find(|view| view.id == task).cloned(),
                 };
+                let is_definite = resolved.task.is_some() || !grant.may_list(&task);
                 self.apply_renewal(grant, requested_at, vec![task], true);
-                let _ = reply.send(Some(resolved));
+                if is_definite {
+                    let _ = reply.send(Some(resolved));
+                }
             }
             Err(error) => self.check_lease(&error),
         }
@@ -170,10 +176,12 @@
         &mut self,
         mut grant: LeaseGrant,
         requested_at: Instant,
-        queried: Vec<WorkId>,
+        mut queried: Vec<WorkId>,
         fence_raised: bool,
     ) {
         let known: Vec<TaskView> = std::mem::take(&mut grant.tasks);
+        // A task without a readable answer is not one that the worker does not know.
+        queried.retain(|id| known.iter().any(|view| view.id == *id) || !grant.may_list(id));
         let held = self.lease.as_ref().map(|lease| &lease.grant);
         let expected_fence = held.and_then(|held| held.fence.checked_add(u64::from(fence_raised)));
         let is_resized = held.is_some_and(|held| held.capacity != grant.capacity);
@@ -284,10 +292,38 @@
         }
     }
 
-    async fn call(&self, request: &LeaseRequest) -> Result<LeaseGrant, PortError> {
-        self.platform
-            .workers()
-            .lease(&self.worker.addr, request, CALL_TIMEOUT)
-            .await
+    async fn call(&mut self, request: &LeaseRequest) -> Result<LeaseGrant, PortError> {
+        let workers = self.platform.workers();
+        let call = workers.lease(&self.worker.addr, request, CALL_TIMEOUT);
+        let result = call.await;
+        match &result {
+            Ok(grant) if grant.unreadable.is_empty() => self.unreadable = None,
+            Ok(grant) => self.log_unreadable_tasks(grant),
+            Err(error @ PortError::Unreadable { .. }) => self.log_unreadable("reply", error),
+            Err(PortError::Call(_) | PortError::Refused { .. }) => {}
+        }
+        result
+    }
+
+    fn log_unreadable_tasks(&mut self, grant: &LeaseGrant) {
+        let Some(first) = grant.unreadable.first() else {
+            return;
+        };
+        let id = first.id.as_ref().map_or("unknown", |id| &id.0);
+        self.log_unreadable(&format!("task {id:.64}"), &first.cause);
+    }
+
+    /// Logs that a reply or a part of it can't be decoded, unless the last such line was about the
+    /// same part.
+    fn log_unreadable(&mut self, part: &str, cause: &dyn std::fmt::Display) {
+        if self.unreadable.as_deref() == Some(part) {
+            return;
+        }
+        self.unreadable = Some(part.to_owned());
+        EventCode::WorkerUnreadable.log(format_args!(
+            "worker={} part=\"{part}\" cause=\"{:.200}\"",
+            self.worker.id,
+            cause.to_string()
+        ));
     }
 }
--- a/crates/hs-node/tests/faults/placer.rs
+++ b/crates/hs-node/tests/faults/placer.rs
@@ -49,6 +49,7 @@
             capacity: slots(SLOTS),
             draining: false,
             tasks,
+            unreadable: Vec::new(),
             usage: WorkerUsage::default(),
         },
     };
--- a/crates/hs-node/tests/faults/worker_replies.rs
+++ b/crates/hs-node/tests/faults/worker_replies.rs
@@ -16,6 +16,7 @@
 use crate::damage::mutate;
 use crate::fake_peer::connect;
 use crate::harness::{CALL_TIMEOUT, Harness, HarnessOptions, listen, start_worker, vm};
+use crate::log_lines;
 
 /// Time for which the worker sends malformed replies: about ten lease calls.
 const FAULT_TIME: Duration = Duration::from_millis(1500);
@@ -27,6 +28,10 @@
     Lease(Value),
     /// Removes the incarnation and the tasks from the replies to lease calls.
     OptionalFields,
+    /// Adds this JSON text to the tasks in the replies to lease calls.
+    ExtraTask(String),
+    /// Replaces the phase of each task in the replies to lease calls.
+    TaskPhases,
     /// Damages every reply at random.
     Random,
 }
@@ -79,7 +84,19 @@
                         }
                         body = value.to_string().into_bytes();
                     }
-                    Damage::Lease(_) | Damage::OptionalFields => {}
+                    Damage::ExtraTask(task) if request.path == "/lease" => {
+                        let text = String::from_utf8_lossy(&body);
+                        let text = text.replacen("\"tasks\":[", &format!("\"tasks\":[{task},"), 1);
+                        body = text.replacen(",]", "]", 1).into_bytes();
+                    }
+                    Damage::TaskPhases if request.path == "/lease" => {
+                        let text = String::from_utf8_lossy(&body);
+                        body = text.replace("\"phase\":\"", "\"phase\":\"odd").into_bytes();
+                    }
+                    Damage::Lease(_)
+                    | Damage::OptionalFields
+                    | Damage::ExtraTask(_)
+                    | Damage::TaskPhases => {}
                 }
             }
             HttpReply::bytes(reply.status, "application/json", body)
@@ -231,6 +248,85 @@
     assert_eq!(log.0.len(), 1, "{log:?}");
 }
 
+/// Guards against one odd task in the list of a worker that keeps the whole worker out of use: each
+/// reply to a lease call failed to decode.
+#[tokio::test]
+async fn an_odd_task_does_not_hide_the_others() {
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let task = |resources: &str| {
+        format!("{{\"id\":\"t\",\"phase\":\"running\",\"resources\":{resources}}}")
+    };
+    let cases = [
+        ("nested", deep),
+        ("number", "1e400".to_owned()),
+        ("negative amount", task("{\"slots\":-1}")),
+        ("amount out of range", task("{\"slots\":4294967296}")),
+        ("unknown resource", task("{\"tickets\":1}")),
+        (
+            "unknown phase",
+            "{\"id\":\"t\",\"phase\":\"odd\",\"resources\":{}}".to_owned(),
+        ),
+    ];
+    log_lines::keep();
+    for (name, odd) in cases {
+        let (_stop, stopped) = watch::channel(false);
+        let is_on = Arc::new(AtomicBool::new(true));
+        let (worker, _) = damaging_worker(Damage::ExtraTask(odd), is_on, stopped).await;
+        let options = HarnessOptions {
+            workers: vec![worker],
+            ..HarnessOptions::default()
+        };
+        let harness = Harness::start(options).await;
+        let fence = harness.status().await["workers"][0]["fence"].clone();
+        tokio::time::sleep(FAULT_TIME).await;
+        harness.assert_serves(name).await;
+        let status = harness.status().await;
+        assert_eq!(status["workers"][0]["fence"], fence, "{name}: {status}");
+    }
+    let lines = log_lines::with(&["E3007", "part=\"task t\""]);
+    assert_eq!(lines.len(), 4, "one line for each worker: {lines:?}");
+}
+
+/// Guards against a running task that is started again because the worker's entry about it can't be
+/// decoded, as if the worker did not know the task.
+#[tokio::test]
+async fn a_task_that_cant_be_decoded_is_not_absent() {
+    let (_stop, stopped) = watch::channel(false);
+    let is_on = Arc::new(AtomicBool::new(false));
+    let (worker, inner) = damaging_worker(Damage::TaskPhases, is_on.clone(), stopped).await;
+    let options = HarnessOptions {
+        workers: vec![worker],
+        ..HarnessOptions::default()
+    };
+    let harness = Harness::start(options).await;
+    let switches = &harness.switches;
+    switches.hides_start_replies.store(true, Ordering::Relaxed);
+    switches.fails_task_queries.store(true, Ordering::Relaxed);
+    is_on.store(true, Ordering::Relaxed);
+    let submit = harness.submit("k", "batch", 9000, "sleep=3000");
+    let repair = async {
+        tokio::time::sleep(FAULT_TIME).await;
+        is_on.store(false, Ordering::Relaxed);
+    };
+    let (reply, ()) = tokio::join!(submit, repair);
+    assert_eq!(reply.outcome, Outcome::Done, "{reply:?}");
+    let log = harness.worker_log(&inner).await;
+    assert_eq!(log.0.len(), 1, "{log:?}");
+}
+
+/// Guards against work that stays open because its worker reports an odd run time, which no decision
+/// depends on.
+#[tokio::test]
+async fn an_odd_run_time_does_not_hide_a_result() {
+    for ran_ms in ["-1", "1e400", "18446744073709551616", "null"] {
+        let text = format!(
+            "{{\"id\":\"t\",\"phase\":\"done\",\"resources\":{{}},\"result\":\"r\",\"ran_ms\":{ran_ms}}}"
+        );
+        let view: hs_wire::TaskView = serde_json::from_str(&text).expect(ran_ms);
+        assert_eq!((view.result.as_str(), view.ran_ms), ("r", 0), "{ran_ms}");
+    }
+}
+
 /// Guards against the outcome of one task that is taken for that of another, because a worker
 /// answers a query with the wrong task.
 #[tokio::test]
--- a/crates/hs-standin/src/worker/state.rs
+++ b/crates/hs-standin/src/worker/state.rs
@@ -96,6 +96,7 @@
             capacity: self.options.capacity,
             draining,
             tasks,
+            unreadable: Vec::new(),
             usage: self.reported_usage(now),
         })
     }
--- a/crates/hs-wire/src/lib.rs
+++ b/crates/hs-wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! All types are serialised as JSON bodies. The crate does no I/O, so an additional adapter for a
 //! worker, a store or a VM list only needs these types and one of the traits in `hs-node`.
 
+mod lease_decode;
 mod lenient;
 pub mod outcome;
 pub mod resources;
@@ -20,5 +21,5 @@
 pub use work::{WorkClass, WorkId};
 pub use worker::{
     ErrorBody, LeaseGrant, LeaseRequest, StartReply, StartRequest, StopMode, StopRequest,
-    TaskPhase, TaskView, WorkerUsage,
+    TaskPhase, TaskView, UnreadableTask, WorkerUsage,
 };
--- a/crates/hs-wire/src/worker.rs
+++ b/crates/hs-wire/src/worker.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Resources, WorkId};
+use crate::lease_decode::RawGrant;
+use crate::{Resources, WorkId, lenient};
 
 /// Body of `POST /lease`, which acquires, renews or releases the lease of a worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -27,28 +28,48 @@
 
 /// Reply (200) to a lease request that was granted. While another owner holds a valid lease, the
 /// reply is 409.
+///
+/// A task that can't be decoded is listed in `unreadable` and does not affect the others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "RawGrant")]
 pub struct LeaseGrant {
     /// Fencing token that start requests have to carry.
     pub fence: u64,
     /// Incarnation of the worker. It changes when the worker restarts and loses its tasks.
-    #[serde(default)]
     pub incarnation: u64,
     /// Granted duration in milliseconds, starting at the grant.
     pub ttl_ms: u64,
     /// Total capacity of the worker.
     pub capacity: Resources,
     /// Whether the worker refuses new starts.
-    #[serde(default)]
     pub draining: bool,
     /// The requested tasks that the worker knows.
-    #[serde(default)]
     pub tasks: Vec<TaskView>,
+    /// Listed tasks that can't be decoded.
+    #[serde(skip_serializing)]
+    pub unreadable: Vec<UnreadableTask>,
     /// Resource usage, which may be some seconds old.
-    #[serde(default)]
     pub usage: WorkerUsage,
 }
 
+impl LeaseGrant {
+    /// Returns whether an entry that can't be decoded may be about this task. The task must not be
+    /// taken for one that the worker does not know.
+    pub fn may_list(&self, id: &WorkId) -> bool {
+        let mut unreadable = self.unreadable.iter();
+        unreadable.any(|task| task.id.as_ref().is_none_or(|other| other == id))
+    }
+}
+
+/// A task in a reply that can't be decoded.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnreadableTask {
+    /// Id of the task, or `None` if the entry shows none.
+    pub id: Option<WorkId>,
+    /// Why the entry can't be decoded.
+    pub cause: String,
+}
+
 /// Body of `POST /start`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StartRequest {
@@ -119,8 +140,8 @@
     /// Result of the task; empty until the task has ended.
     #[serde(default)]
     pub result: String,
-    /// Run time of the task in milliseconds.
-    #[serde(default)]
+    /// Run time of the task in milliseconds; zero if it can't be decoded.
+    #[serde(default, deserialize_with = "lenient::or_default")]
     pub ran_ms: u64,
 }
 
