fix: take a ledger partition over beside an odd record

Callers would see: one odd record in the store value of a partition (deep nesting, a time out of range, a text in place of a number) kept the partition without an owner, and all of its durable work `unknown`.

Cause: the value was decoded as a whole. Some odd records did decode and were worse: one without tasks was answered `not_run`, a placed task that had lost its state counted as waiting and was started again, and two records of one key were both run.

Ruled out: leaving out a record that can't be used. Its key would be new, its work would run a second time, and the next write would remove it from the store.

Change: records are decoded one by one. One that can't be decoded, has no task, contradicts itself, has a counter out of range or shares its key is kept in the value unchanged. It is not run, and a submission or query of its key is answered `unknown`; without a readable customer or key this holds for each key without a record that may be its own. Each is logged at the takeover (E6008). A value whose other fields can't be decoded is refused as before.

Tests: hs-ledger ledger/odd_record (a table, and random damage) and faults/odd_store with a real process. The store of the simulation now also requires that no record that an owner wrote is refused.

--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -97,6 +97,8 @@
     WriteReadBack = 6005, Warn, "store write without reply, read back";
     /// The ownership of a ledger partition was released.
     PartitionReleased = 6006, Info, "ledger partition given up";
+    /// A record of a ledger partition can't be used.
+    RecordDamaged = 6008, Error, "ledger record not usable";
     /// A replica of a service was started.
     ReplicaStarted = 7001, Info, "service replica started";
     /// A replica of a service was stopped because it is no longer required.
--- a/crates/hs-ledger/src/admit.rs
+++ b/crates/hs-ledger/src/admit.rs
@@ -41,6 +41,9 @@
         /// Record of the key.
         record: RecordKey,
     },
+    /// Nothing was recorded, because the key may have a record that can't be used. The reply is
+    /// `unknown`.
+    Unreadable,
     /// Nothing was recorded.
     ///
     /// With `KeyReused`, the reply is `not_run`; it may be sent once the value that
@@ -62,6 +65,9 @@
                 false => Admission::Refused(NotRunReason::KeyReused),
             };
         }
+        if self.may_have_unreadable(&submission.customer, &submission.key) {
+            return Admission::Unreadable;
+        }
         if self.is_releasing {
             return Admission::Refused(NotRunReason::ShuttingDown);
         }
--- a/crates/hs-ledger/src/flush.rs
+++ b/crates/hs-ledger/src/flush.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::image::{RECORDS_END, close_records};
 use crate::write_state::{PendingWrite, WriteState};
 use crate::{FlushOutcome, LedgerPartition, PartitionImage, ReadBackOutcome, RecordKey};
 
@@ -16,9 +17,6 @@
 /// Maximum delay before a failed write is retried.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
 
-/// End of an encoded store value, after the last record.
-const RECORDS_END: &[u8] = b"]}";
-
 /// Write to the store that the caller has to make.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LedgerFlush {
@@ -189,7 +187,7 @@
             }
             body.extend_from_slice(&entry.encoded);
         }
-        body.extend_from_slice(RECORDS_END);
+        close_records(&mut body, !self.records.is_empty(), &self.unreadable);
         body
     }
 }
--- a/crates/hs-ledger/src/image.rs
+++ b/crates/hs-ledger/src/image.rs
@@ -1,15 +1,16 @@
 //! Store value of a partition.
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
+use crate::image_decode::decode_image;
 use crate::task::is_false;
-use crate::{ImageError, LedgerRecord, OwnerAddress};
+use crate::{ImageError, LedgerRecord, OwnerAddress, UnreadableRecord};
 
-/// Maximum of the counters of a record, half of their range.
-const MAX_SMALL_COUNTER: u64 = u32::MAX as u64 / 2;
+/// End of an encoded store value, after the last record.
+pub(crate) const RECORDS_END: &[u8] = b"]}";
 
 /// Store value of a partition, which is encoded as JSON.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct PartitionImage {
     /// Number of takeovers up to this value; each raises it by one.
     pub epoch: u64,
@@ -20,46 +21,31 @@
     /// Sequence number of the value, which each write raises.
     pub seq: u64,
     /// Whether the owner has released the partition, so that a candidate can take over at once.
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(skip_serializing_if = "is_false")]
     pub released: bool,
     /// Open records, and closed ones whose retention is not over.
     pub records: Vec<LedgerRecord>,
+    /// Records that can't be used. They follow the others in the encoded value, unchanged.
+    #[serde(skip)]
+    pub unreadable: Vec<UnreadableRecord>,
 }
 
 impl PartitionImage {
     /// Maximum size of a store value in bytes.
     pub const MAX_BYTES: usize = 1_000_000;
 
-    /// Decodes a store value.
+    /// Decodes a store value. A record that can't be used is in [`PartitionImage::unreadable`] and
+    /// does not affect the others.
     ///
     /// # Errors
     ///
-    /// Returns an error if the value is not a partition, is larger than the store allows, or has a
-    /// counter that is about to overflow.
+    /// Returns an error if the value is not a partition, is larger than the store allows, or has an
+    /// epoch or a sequence number that is about to overflow.
     pub fn decode(body: &[u8]) -> Result<Self, ImageError> {
-        if body.len() > Self::MAX_BYTES {
-            return Err(ImageError::TooLarge {
-                size: body.len(),
-                limit: Self::MAX_BYTES,
-            });
+        match body.len() > Self::MAX_BYTES {
+            true => Err(too_large(body)),
+            false => decode_image(body),
         }
-        let image: Self = serde_json::from_slice(body)?;
-        image.check_counters()?;
-        Ok(image)
-    }
-
-    /// Checks the counters that an owner raises. No partition reaches half of their range, so a
-    /// higher value was not written by an owner.
-    fn check_counters(&self) -> Result<(), ImageError> {
-        check_counter("epoch", self.epoch, u64::MAX / 2)?;
-        check_counter("sequence number", self.seq, u64::MAX / 2)?;
-        for record in &self.records {
-            check_counter("salt", record.salt.into(), MAX_SMALL_COUNTER)?;
-            for task in &record.tasks {
-                check_counter("attempt", task.attempt.into(), MAX_SMALL_COUNTER)?;
-            }
-        }
-        Ok(())
     }
 
     /// Encodes the store value.
@@ -68,20 +54,35 @@
     ///
     /// Returns an error if the value is larger than the store allows.
     pub fn encode(&self) -> Result<Vec<u8>, ImageError> {
-        let body = serde_json::to_vec(self)?;
-        if body.len() > Self::MAX_BYTES {
-            return Err(ImageError::TooLarge {
-                size: body.len(),
-                limit: Self::MAX_BYTES,
-            });
+        let mut body = serde_json::to_vec(self)?;
+        body.truncate(body.len() - RECORDS_END.len());
+        close_records(&mut body, !self.records.is_empty(), &self.unreadable);
+        match body.len() > Self::MAX_BYTES {
+            true => Err(too_large(&body)),
+            false => Ok(body),
+        }
+    }
+}
+
+/// Appends the unreadable records and the end of the value to an encoded value that ends behind its
+/// last record.
+pub(crate) fn close_records(
+    body: &mut Vec<u8>,
+    mut has_records: bool,
+    unreadable: &[UnreadableRecord],
+) {
+    for record in unreadable {
+        if std::mem::replace(&mut has_records, true) {
+            body.push(b',');
         }
-        Ok(body)
+        body.extend_from_slice(record.text.as_bytes());
     }
+    body.extend_from_slice(RECORDS_END);
 }
 
-fn check_counter(counter: &'static str, value: u64, max: u64) -> Result<(), ImageError> {
-    match value <= max {
-        true => Ok(()),
-        false => Err(ImageError::CounterRange { counter, value }),
+fn too_large(body: &[u8]) -> ImageError {
+    ImageError::TooLarge {
+        size: body.len(),
+        limit: PartitionImage::MAX_BYTES,
     }
 }
--- a/crates/hs-ledger/src/partition.rs
+++ b/crates/hs-ledger/src/partition.rs
@@ -10,7 +10,9 @@
 use crate::long_results::LongResults;
 use crate::size::{encode, record_size_bytes};
 use crate::write_state::WriteState;
-use crate::{LedgerOptions, LedgerOwner, LedgerRecord, OwnerAddress, PartitionImage, Stamp};
+use crate::{
+    LedgerOptions, LedgerOwner, LedgerRecord, OwnerAddress, PartitionImage, Stamp, UnreadableRecord,
+};
 
 new_key_type! {
     /// Identifies a record of a [`LedgerPartition`] in memory.
@@ -67,6 +69,8 @@
     pub(crate) index: HashMap<u64, SmallVec<[RecordKey; 1]>>,
     /// Result of [`Self::size_bytes`].
     pub(crate) size_bytes: usize,
+    /// Records that can't be used. Each write contains them unchanged.
+    pub(crate) unreadable: Vec<UnreadableRecord>,
     pub(crate) long_results: LongResults,
     /// Stamp of the last change.
     pub(crate) last_stamp: Stamp,
@@ -111,6 +115,7 @@
             records: SlotMap::with_key(),
             index: HashMap::new(),
             size_bytes: 0,
+            unreadable: image.unreadable,
             long_results: LongResults::default(),
             // The takeover is the first change. Every record taken over gets its stamp, so that
             // replies wait for the first flush.
@@ -125,6 +130,8 @@
             is_lost: false,
         };
         partition.size_bytes = partition.encode_without_records(u64::MAX, true).len();
+        let unreadable = partition.unreadable.iter();
+        partition.size_bytes += unreadable.map(|it| it.text.len() + 1).sum::<usize>();
         for record in image.records {
             partition.insert(RecordEntry::new(record, partition.last_stamp));
         }
@@ -197,6 +204,7 @@
             seq,
             released,
             records: Vec::new(),
+            unreadable: Vec::new(),
         })
     }
 
--- a/crates/hs-ledger/tests/ledger/main.rs
+++ b/crates/hs-ledger/tests/ledger/main.rs
@@ -8,6 +8,7 @@
 mod damage;
 mod fixture;
 mod linear;
+mod odd_record;
 mod process;
 mod records;
 mod simulation;
--- a/crates/hs-ledger/tests/ledger/records.rs
+++ b/crates/hs-ledger/tests/ledger/records.rs
@@ -184,6 +184,7 @@
         let found = match ledger.admit(&submission, &spec(1, false), NOW_MS + case.late_ms) {
             Admission::New { .. } => ("new", None),
             Admission::Existing { record } => ("existing", ledger.reply(record).reason),
+            Admission::Unreadable => ("unreadable", None),
             Admission::Refused(reason) => ("refused", Some(reason)),
         };
         assert_eq!(found, case.expected, "{}", case.name);
--- a/crates/hs-ledger/tests/ledger/simulation.rs
+++ b/crates/hs-ledger/tests/ledger/simulation.rs
@@ -143,6 +143,7 @@
         let record = match process.ledger.admit(&submission, &spec, self.now_ms) {
             Admission::New { record, .. } | Admission::Existing { record } => Some(record),
             Admission::Refused(NotRunReason::KeyReused) => None,
+            Admission::Unreadable => panic!("every record was written by an owner"),
             Admission::Refused(_) => return,
         };
         let (call, key) = (self.calls, submission.key);
--- a/crates/hs-ledger/tests/ledger/store.rs
+++ b/crates/hs-ledger/tests/ledger/store.rs
@@ -25,6 +25,7 @@
         }
         let image = PartitionImage::decode(body).unwrap();
         assert!(image.encode().unwrap() == body, "encoding is not stable");
+        assert_eq!(image.unreadable, [], "a record of an owner");
         if let Some(old) = &self.image {
             check_succession(old, &image);
         }
--- a/crates/hs-ledger/tests/ledger/writes.rs
+++ b/crates/hs-ledger/tests/ledger/writes.rs
@@ -116,6 +116,7 @@
                 assert_eq!(ledger.reply(record).reason, Some(NotRunReason::LedgerFull));
                 refused += 1;
             }
+            Admission::Unreadable => panic!("every record was written by an owner"),
             Admission::Refused(reason) => {
                 assert_eq!(reason, NotRunReason::LedgerFull);
                 break;
--- a/crates/hs-node/src/ledger/calls.rs
+++ b/crates/hs-node/src/ledger/calls.rs
@@ -69,6 +69,7 @@
                 owned.answer_if_final(record);
                 self.answer_if_store_down(record);
             }
+            Admission::Unreadable => answer_unreadable(&submission.key, reply),
             Admission::Refused(NotRunReason::KeyReused) => {
                 let waiter = CommitWaiter::KeyReused {
                     key: submission.key.clone(),
@@ -177,6 +178,9 @@
             Some(record) if is_fresh || !owned.is_open(record) => {
                 owned.answer_at_commit(record, reply);
             }
+            None if owned.partition.may_have_unreadable(customer, key) => {
+                answer_unreadable(key, reply);
+            }
             None if is_fresh => {
                 let _ = reply.send(LedgerAnswer::NoRecord);
             }
@@ -214,3 +218,9 @@
         }
     }
 }
+
+/// Answers that the state of a key is not known, because its record can't be read.
+fn answer_unreadable(key: &str, reply: oneshot::Sender<LedgerAnswer>) {
+    let work_reply = WorkReply::unknown(key, "the record of the key can't be read");
+    let _ = reply.send(LedgerAnswer::Reply(work_reply));
+}
--- a/crates/hs-node/src/ledger/partition_task.rs
+++ b/crates/hs-node/src/ledger/partition_task.rs
@@ -20,6 +20,9 @@
 /// Maximum time between two runs of [`PartitionTask::advance`].
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
+/// Maximum number of log lines about unreadable records at a takeover.
+const MAX_REPORTS: usize = 20;
+
 /// A store revision that a candidate has read, and when it first read it.
 pub(super) struct SeenRevision {
     pub(super) revision: u64,
@@ -189,6 +192,15 @@
             owned.partition.epoch(),
             owned.partition.len(),
         ));
+        for record in owned.partition.unreadable().iter().take(MAX_REPORTS) {
+            EventCode::RecordDamaged.log(format_args!(
+                "partition={} customer={:.64} key={:.64} cause=\"{:.200}\"",
+                self.number,
+                record.customer.as_deref().unwrap_or_default(),
+                record.key.as_deref().unwrap_or_default(),
+                record.cause,
+            ));
+        }
         self.owner = Some(self.shared.settings.peer_address().to_string());
         self.shared.ledger.set_owned(self.number, true);
         self.resume_open_tasks();
--- a/crates/hs-node/tests/faults/main.rs
+++ b/crates/hs-node/tests/faults/main.rs
@@ -7,6 +7,7 @@
 mod follow;
 mod harness;
 mod log_lines;
+mod odd_store;
 mod panics;
 mod peer_messages;
 mod placer;
--- a/crates/hs-wire/src/lenient.rs
+++ b/crates/hs-wire/src/lenient.rs
@@ -30,7 +30,7 @@
 }
 
 /// Decodes one field of a JSON object, or returns `None` if there is no such field of the type.
-pub(crate) fn field<T: DeserializeOwned>(object: &str, name: &str) -> Option<T> {
+pub fn field<T: DeserializeOwned>(object: &str, name: &str) -> Option<T> {
     let fields: HashMap<String, &RawValue> = serde_json::from_str(object).ok()?;
     serde_json::from_str(fields.get(name)?.get()).ok()
 }
--- a/crates/hs-wire/src/lib.rs
+++ b/crates/hs-wire/src/lib.rs
@@ -5,7 +5,7 @@
 //! worker, a store or a VM list only needs these types and one of the traits in `hs-node`.
 
 mod lease_decode;
-mod lenient;
+pub mod lenient;
 pub mod outcome;
 pub mod resources;
 pub mod submission;
