fix: log repeated bad input once

Operators would see: a peer that offers a manifest or a VM list that can't be used caused one line for each of its heartbeats, a ledger value that can't be decoded one for each reading, and a VM list of the platform that can't be decoded none at all. An error reply could put megabytes into a line.

Cause: each reading was judged on its own.

Ruled out: logging at a fixed interval. A change of the cause would be seen late or not at all.

Change: a rejected manifest (E5002), a VM list (E3008, new) and a ledger value (E6007, new) are logged when their source shows another cause than before. The message of an error reply is cut off after 200 characters.

Tests: `unusable_offers_of_a_peer_are_logged_once` (faults/peer_messages) fails if each finding counts as new. `an_unreadable_value_is_logged_once_and_kept` (faults/odd_store) requires one line, that the value is not overwritten, and that its repair is noticed.

--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -75,6 +75,8 @@
     VmUnusable = 3006, Warn, "VM list entry not usable";
     /// A reply of a worker, or a task in it, can't be decoded.
     WorkerUnreadable = 3007, Warn, "worker reply not readable";
+    /// A VM list can't be decoded.
+    VmListUnreadable = 3008, Warn, "VM list not readable";
     /// A peer became live.
     PeerJoined = 4001, Info, "peer live";
     /// A peer stopped sending heartbeats.
@@ -97,6 +99,8 @@
     WriteReadBack = 6005, Warn, "store write without reply, read back";
     /// The ownership of a ledger partition was released.
     PartitionReleased = 6006, Info, "ledger partition given up";
+    /// The store value of a ledger partition can't be decoded.
+    PartitionUnreadable = 6007, Error, "ledger partition not readable";
     /// A record of a ledger partition can't be used.
     RecordDamaged = 6008, Error, "ledger record not usable";
     /// A replica of a service was started.
--- a/crates/hs-node/src/ledger/candidate.rs
+++ b/crates/hs-node/src/ledger/candidate.rs
@@ -60,11 +60,21 @@
             Some(_) => self.read_back(found),
             None => self.check_current_owner(found),
         };
-        if let Err(error) = result {
-            log::error!(
-                "cannot decode the value of ledger partition {}: {error}",
+        match result {
+            Ok(()) => self.unreadable = None,
+            Err(error) => self.log_unreadable(&error),
+        }
+    }
+
+    /// Logs that the store value can't be decoded, once for each cause. It is read once a second.
+    fn log_unreadable(&mut self, error: &ImageError) {
+        let cause = error.to_string();
+        if self.unreadable.as_ref() != Some(&cause) {
+            EventCode::PartitionUnreadable.log(format_args!(
+                "partition={} cause=\"{cause:.200}\"",
                 self.number
-            );
+            ));
+            self.unreadable = Some(cause);
         }
     }
 
--- a/crates/hs-node/src/ledger/partition_task.rs
+++ b/crates/hs-node/src/ledger/partition_task.rs
@@ -40,6 +40,8 @@
     pub(super) last_seen: Option<SeenRevision>,
     pub(super) next_read: Instant,
     pub(super) is_reading: bool,
+    /// Why the store value could not be decoded when it was last read, as it was logged.
+    pub(super) unreadable: Option<String>,
     /// Set once the release of the partition is requested; notified when it is complete.
     pub(super) release_done: Option<oneshot::Sender<()>>,
 }
@@ -62,6 +64,7 @@
             last_seen: None,
             next_read,
             is_reading: false,
+            unreadable: None,
             release_done: None,
         }
     }
--- a/crates/hs-node/src/lib.rs
+++ b/crates/hs-node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod peer;
 pub mod placer;
 pub mod port;
+mod repeat_filter;
 pub mod run;
 pub mod service;
 pub mod shared;
--- a/crates/hs-node/src/port/error.rs
+++ b/crates/hs-node/src/port/error.rs
@@ -4,6 +4,9 @@
 use hs_wire::ErrorBody;
 use thiserror::Error;
 
+/// Maximum length of a server's message in characters. The body of an error may be megabytes long.
+const MAX_MESSAGE_CHARS: usize = 200;
+
 /// Error of a call to the store, the VM list or a worker.
 #[derive(Debug, Error)]
 pub enum PortError {
@@ -59,6 +62,7 @@
             Ok(body) => body.message,
             Err(_) => String::from_utf8_lossy(&reply.body).into_owned(),
         };
+        let message: String = message.chars().take(MAX_MESSAGE_CHARS).collect();
         let peer = peer.to_owned();
         match reply.status {
             status @ (400..=499 | 503) => Self::Refused {
--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -17,7 +17,8 @@
 use super::{SyncHandle, SyncMessage};
 use crate::manifest::{MANIFEST_KEY, ManifestView};
 use crate::placer::PlacerMessage;
-use crate::port::{ClockPort, Platform, StorePort, VmPort};
+use crate::port::{ClockPort, Platform, PortError, StorePort, VmPort};
+use crate::repeat_filter::RepeatFilter;
 use crate::shared::NodeShared;
 use crate::supervise::TaskInbox;
 
@@ -38,6 +39,9 @@
 /// Timeout of one read from the platform or one pull from a peer.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Source of the VM list in log lines, unless it is a peer.
+const PLATFORM: &str = "platform";
+
 /// Publishes the current manifest and VM list to the other tasks of this process.
 pub struct SyncTask<P: Platform> {
     shared: Arc<NodeShared<P>>,
@@ -48,6 +52,10 @@
     state: ManifestState,
     startup: StartupReads,
     pending_pulls: HashSet<String>,
+    /// Logged reasons for which manifests were not applied, by source.
+    rejections: RepeatFilter,
+    /// Peers whose VM list could not be decoded, with the cause.
+    unreadable_lists: RepeatFilter,
     /// Manifest revision and number of local members that were last sent to the placer.
     sent_to_placer: Option<(u64, u32)>,
 }
@@ -70,6 +78,8 @@
             state: ManifestState::default(),
             startup: StartupReads::default(),
             pending_pulls: HashSet::new(),
+            rejections: RepeatFilter::default(),
+            unreadable_lists: RepeatFilter::default(),
             sent_to_placer: None,
         }
     }
@@ -115,7 +125,7 @@
             SyncMessage::ManifestRead(value) => {
                 match String::from_utf8(value.body) {
                     Ok(text) => self.offer_manifest("store", text),
-                    Err(error) => log_rejected("store", &error),
+                    Err(error) => self.log_rejected("store", &error),
                 }
                 self.startup.store_ended();
                 self.use_best_of_peers();
@@ -148,8 +158,13 @@
     fn apply_pull(&mut self, peer: &str, reply: PullReply) {
         if !reply.vm_list_json.is_empty() {
             match VmList::decode(reply.vm_list_json.as_bytes()) {
-                Ok(list) => self.vm_lists.offer_of_peer(list),
-                Err(error) => log::warn!("cannot parse the VM list of peer {peer}: {error}"),
+                Ok(list) => {
+                    self.unreadable_lists.forget(peer);
+                    self.vm_lists.offer_of_peer(list);
+                }
+                Err(error) => {
+                    log_unreadable_list(&mut self.unreadable_lists, peer, &error.to_string());
+                }
             }
         }
         if !reply.manifest_json.is_empty() {
@@ -182,11 +197,12 @@
     fn offer_manifest(&mut self, source: &str, text: String) {
         let manifest = match parse_manifest(&text) {
             Ok(manifest) => manifest,
-            Err(error) => return log_rejected(source, &error),
+            Err(error) => return self.log_rejected(source, &error),
         };
         let revision = manifest.revision;
         match self.state.offer(revision, &text) {
             OfferOutcome::Applied => {
+                self.rejections.forget(source);
                 let view = Arc::new(ManifestView::new(manifest, text));
                 EventCode::ManifestApplied.log(format_args!("revision={revision} source={source}"));
                 let _ = self.manifest_sender.send(Some(view));
@@ -195,12 +211,21 @@
             }
             OfferOutcome::Conflict => {
                 let cause = format!("revision {revision} is in force with another text");
-                log_rejected(source, &cause);
+                self.log_rejected(source, &cause);
             }
             OfferOutcome::Stale | OfferOutcome::Same => {}
         }
     }
 
+    /// Logs why a manifest is not applied, once for each cause: a peer may offer it again with each
+    /// heartbeat.
+    fn log_rejected(&mut self, source: &str, cause: &dyn std::fmt::Display) {
+        let cause = cause.to_string();
+        if self.rejections.is_new(source, &cause) {
+            EventCode::ManifestRejected.log(format_args!("source={source} cause={cause}"));
+        }
+    }
+
     /// Sends the manifest and the number of local members to the placer if one of them has changed.
     /// Membership snapshots arrive with every heartbeat, and the cost of applying a policy in the
     /// placer grows with the number of customers.
@@ -219,8 +244,11 @@
     }
 }
 
-fn log_rejected(source: &str, cause: &dyn std::fmt::Display) {
-    EventCode::ManifestRejected.log(format_args!("source={source} cause={cause}"));
+/// Logs that the VM list of a source can't be decoded, unless the last list had the same defect.
+fn log_unreadable_list(filter: &mut RepeatFilter, source: &str, cause: &str) {
+    if filter.is_new(source, cause) {
+        EventCode::VmListUnreadable.log(format_args!("source={source} cause=\"{cause:.200}\""));
+    }
 }
 
 /// Reads the manifest from the store: continuously while this process is the watcher, otherwise at
@@ -254,10 +282,18 @@
 /// Reads the VM list: once a second while this process is the watcher, otherwise at the fallback
 /// interval.
 pub(crate) async fn read_vms<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
+    let mut unreadable = RepeatFilter::default();
     loop {
         let known = shared.vms.borrow().version;
         let result = shared.platform.vms().list(known, READ_TIMEOUT).await;
         let succeeded = result.is_ok();
+        match &result {
+            Ok(_) => unreadable.forget(PLATFORM),
+            Err(error @ PortError::Unreadable { .. }) => {
+                log_unreadable_list(&mut unreadable, PLATFORM, &error.to_string());
+            }
+            Err(PortError::Call(_) | PortError::Refused { .. }) => {}
+        }
         handle.send(match result {
             Ok(Some(list)) => SyncMessage::VmListRead(list),
             Ok(None) | Err(_) => SyncMessage::VmListMissing,
--- a/crates/hs-node/tests/faults/odd_store.rs
+++ b/crates/hs-node/tests/faults/odd_store.rs
@@ -1,5 +1,7 @@
 //! Tests of store values that another writer damaged.
 
+use std::time::Duration;
+
 use hs_ledger::partition_of;
 use hs_wire::Outcome;
 use hyper::Method;
@@ -8,6 +10,9 @@
 use crate::log_lines;
 use crate::platform::Switches;
 
+/// Time in which a candidate reads a partition at least twice.
+const READ_TIME: Duration = Duration::from_millis(3500);
+
 /// Number of partitions.
 const PARTITIONS: u32 = 4;
 
@@ -70,3 +75,23 @@
     let lines = log_lines::with(&["E6008", &format!("key={odd_key}")]);
     assert_eq!(lines.len(), 1, "{lines:?}");
 }
+
+/// Guards against a log line at each reading of a value that can't be decoded, and against a process
+/// that overwrites it.
+#[tokio::test]
+async fn an_unreadable_value_is_logged_once_and_kept() {
+    log_lines::keep();
+    let value = "[".repeat(10_000);
+    let harness = start_with_value(value.clone()).await;
+    tokio::time::sleep(READ_TIME).await;
+    let peer = harness.store.to_string();
+    let path = format!("/kv/ledger/{DAMAGED}");
+    let call = harness.client.get("test", &peer, &path, CALL_TIMEOUT);
+    assert_eq!(call.await.expect("store").body, value.as_bytes());
+    let lines = log_lines::with(&["E6007", &format!("partition={DAMAGED}")]);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    let path = format!("/kv/ledger/{DAMAGED}?if_revision=1");
+    put(&harness, &path, value_with("")).await;
+    harness.wait_until_owned().await;
+    harness.assert_serves("afterwards").await;
+}
--- a/crates/hs-node/tests/faults/peer_messages.rs
+++ b/crates/hs-node/tests/faults/peer_messages.rs
@@ -14,6 +14,8 @@
 
 use crate::fake_peer::{FakePeer, PeerReplies, connect, heartbeat};
 use crate::harness::{Harness, HarnessOptions, listen};
+use crate::log_lines;
+use crate::platform::Switches;
 
 /// Texts that are no valid name, address, task or JSON body.
 fn odd_texts() -> Vec<String> {
@@ -227,3 +229,37 @@
     assert_eq!(gang.outcome, Outcome::Done, "{gang:?}");
     harness.assert_serves("afterwards").await;
 }
+
+/// Guards against a log line for each heartbeat of a peer that offers a manifest and a VM list that
+/// can't be used.
+#[tokio::test]
+async fn unusable_offers_of_a_peer_are_logged_once() {
+    log_lines::keep();
+    let replies = PeerReplies {
+        pull: Some(PullReply {
+            manifest_revision: 9,
+            manifest_json: "{ \"customers\": 1e400 }".to_owned(),
+            vm_list_version: 9,
+            vm_list_json: "{\"version\":18446744073709551616,\"vms\":[]}".to_owned(),
+        }),
+        ..PeerReplies::default()
+    };
+    let peer = FakePeer::start(listen().await.0, replies);
+    let options = HarnessOptions {
+        peers: vec![peer.vm()],
+        ..HarnessOptions::default()
+    };
+    let harness = Harness::launch(options, Switches::new()).await;
+    let mut newer = heartbeat(peer.address);
+    newer.manifest_revision = 9;
+    newer.vm_list_version = 9;
+    for _ in 0..10 {
+        let _ = connect(harness.peer).heartbeat(newer.clone()).await;
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+    let source = format!("source={}", peer.address);
+    for event in ["E5002", "E3008"] {
+        let lines = log_lines::with(&[event, &source]);
+        assert_eq!(lines.len(), 1, "{lines:?}");
+    }
+}
