test: a worker with an id that the ledger can't store

Callers would see: an order that was placed on a worker with an id of more than 43 bytes stayed accepted without an end, because the placement could not be recorded and its runner stopped.

--- a/crates/hs-node/tests/faults/vm_list.rs
+++ b/crates/hs-node/tests/faults/vm_list.rs
@@ -232,3 +232,39 @@
         assert!(log.0.is_empty(), "{name}: {log:?}");
     }
 }
+
+/// Guards against an order that is never started, because the ledger has no room for the id of the
+/// worker that was chosen for it.
+#[tokio::test]
+async fn a_worker_with_a_long_id_gets_no_order() {
+    let mut list = TextList::start().await;
+    let w0 = list.worker("w0").await;
+    let long = list.worker(&"x".repeat(60)).await;
+    list.publish(1, &[&w0, &long], &[]);
+    let harness = list.start_process(&w0).await;
+    tokio::time::sleep(FOLLOW_TIME).await;
+    let submit = |number| {
+        let harness = &harness;
+        async move {
+            harness
+                .submit(&format!("k{number}"), "order", 4000, "sleep=300")
+                .await
+        }
+    };
+    let (k0, k1, k2, k3, k4, k5, k6, k7, k8, k9) = tokio::join!(
+        submit(0),
+        submit(1),
+        submit(2),
+        submit(3),
+        submit(4),
+        submit(5),
+        submit(6),
+        submit(7),
+        submit(8),
+        submit(9),
+    );
+    for reply in [k0, k1, k2, k3, k4, k5, k6, k7, k8, k9] {
+        assert_eq!(reply.outcome, Outcome::Done, "{reply:?}");
+    }
+    assert_eq!(names(&harness.status().await), ["w0"]);
+}
