fix: move partitions before a test pauses their owner

What was seen: `not_run::late_duplicate_of_a_paused_process` failed beside load with "no key late0- has an accepted owner".

Cause: the set-up. The process that the test pauses is started first. If the others start later than its first readings of the store, it takes over all partitions, which have no owner yet, and keeps them as it should. The test looked for a key of another owner and found none.

Ruled out: a fault in ownership. All four partitions had one owner; none was without one. Waiting longer does not help, since no live owner gives a partition up.

What the test requires is unchanged.

Test: with a pause of 4 s between the starts of the processes (not committed), the test failed with this message before the change, and passes with it.

--- a/crates/hornbeamshunt/tests/promises/not_run.rs
+++ b/crates/hornbeamshunt/tests/promises/not_run.rs
@@ -9,8 +9,8 @@
 use tokio::time::sleep;
 
 use crate::cluster::{
-    Caller, EntryNode, KeyAudit, TestPlatform, eventually, key_owned_by, partition_owner, publish,
-    run_test, submission, submit_until_final,
+    Caller, EntryNode, KeyAudit, TestPlatform, eventually, find_key_owned_by, key_owned_by,
+    move_all_partitions_to, partition_owner, publish, run_test, submission, submit_until_final,
 };
 
 const MANIFEST: &str = r#"{
@@ -275,25 +275,44 @@
     reply
 }
 
+/// Returns a key whose partition is owned by a process other than `node`. On a busy machine the process
+/// that starts first owns all partitions, and keeps them; they are then moved to the process `other`.
+async fn key_not_owned_by(
+    nodes: &mut [EntryNode],
+    node: usize,
+    other: usize,
+    prefix: &str,
+) -> String {
+    let accepts = |owner: usize| owner != node;
+    if let Some(key) = find_key_owned_by(nodes, prefix, accepts).await {
+        return key;
+    }
+    move_all_partitions_to(nodes, other, 1).await;
+    key_owned_by(nodes, prefix, accepts).await
+}
+
 /// Guards against a duplicate that a paused entry process forwards after another process has replied
 /// "not run" to the caller.
 #[test]
 fn late_duplicate_of_a_paused_process() {
     run_test(async {
         let mut platform = TestPlatform::start(1, slots(1)).await;
-        let nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
-        let paused = 0;
+        let mut nodes = EntryNode::start_all(&mut platform, 3, MANIFEST).await;
+        let (paused, other) = (0, 1);
         let mut answered = Vec::new();
         for turn in 0..2 {
-            let key = key_owned_by(&nodes, &format!("late{turn}-"), |node| node != paused).await;
+            let prefix = format!("late{turn}-");
+            let key = key_not_owned_by(&mut nodes, paused, other, &prefix).await;
             let mut audit = order(&key, 300, "sleep=20");
-            occupy(&platform, &nodes[1], &format!("busy{turn}"), 1500).await;
+            occupy(&platform, &nodes[other], &format!("busy{turn}"), 1500).await;
             // The first submission waits in the listener of the paused process.
             nodes[paused].signal("STOP");
             let (entry, work) = (nodes[paused].caller, audit.work.clone());
             let late = tokio::spawn(async move { Caller::default().submit(entry, &work).await });
             sleep(Duration::from_millis(50)).await;
-            audit.replies.push(refused_at(&nodes[1], &audit.work).await);
+            audit
+                .replies
+                .push(refused_at(&nodes[other], &audit.work).await);
             sleep(Duration::from_millis(1500)).await;
             nodes[paused].signal("CONT");
             audit.replies.extend(late.await.expect("the late call"));
