fix: free only the amounts of a task that ends

Callers would see: a worker that is given more tasks than it has room for, and a customer above its quota, after a running task of an odd size (up to 2^32 - 1 of a resource) was adopted from the worker's list and ended.

Cause: the sums of what a worker and a customer use were saturating 32-bit amounts. The adopted task raised a sum to its largest value, and its end subtracted the whole amount, with what the other tasks still held.

Ruled out: limiting an adopted task to the capacity of its worker. Several such tasks, or a worker with an odd capacity, reach the largest value as well.

Change: what is used is summed in 64 bits, which the largest amounts of four billion tasks do not fill. It is limited to 32 bits only where it is compared with a capacity or a quota.

--- a/crates/hs-core/src/customer_account.rs
+++ b/crates/hs-core/src/customer_account.rs
@@ -3,6 +3,7 @@
 use hs_wire::Resources;
 use smallvec::SmallVec;
 
+use crate::resource_sum::ResourceSum;
 use crate::shape_queue::LaneKey;
 use crate::{CustomerPolicy, WorkBand};
 
@@ -14,7 +15,7 @@
     /// Whether the current policy lists the customer.
     pub(crate) in_policy: bool,
     /// Resources allocated to the customer's tasks.
-    pub(crate) used: Resources,
+    pub(crate) used: ResourceSum,
     /// Number of queued work items by band.
     pub(crate) queued: [u32; 4],
     /// Start tag (virtual start time) of the next work item by band.
@@ -34,7 +35,7 @@
         Self {
             policy,
             in_policy: true,
-            used: Resources::ZERO,
+            used: ResourceSum::default(),
             queued: [0; 4],
             start_tags: [0; 4],
             parked: SmallVec::new(),
@@ -46,12 +47,12 @@
     /// Returns whether the quota admits `amount` in addition to the current usage.
     pub(crate) fn quota_admits(&self, amount: Resources) -> bool {
         let quota = self.policy.quota;
-        quota.is_none_or(|quota| self.used.saturating_add(amount).fits(quota))
+        quota.is_none_or(|quota| self.used.clamped().saturating_add(amount).fits(quota))
     }
 
     /// Returns whether the customer has queued or running work.
     pub(crate) fn has_work(&self) -> bool {
-        self.used != Resources::ZERO || self.queued != [0; 4]
+        !self.used.is_zero() || self.queued != [0; 4]
     }
 
     /// Returns whether the quota admits `amount` when the customer uses nothing.
--- a/crates/hs-core/src/decide.rs
+++ b/crates/hs-core/src/decide.rs
@@ -126,9 +126,7 @@
         let (band, need) = (record.request.band, record.request.resources);
         let (tag, submitted) = (record.request.tag, record.submitted);
         let account = &mut self.accounts[record.request.customer];
-        account.used = account
-            .used
-            .saturating_add(need.saturating_mul(workers.len() as u32));
+        account.used.add(need, workers.len() as u32);
         let customer = record.request.customer;
         self.update_active_weight(customer);
         for (task, worker) in workers.iter().enumerate() {
--- a/crates/hs-core/src/margin.rs
+++ b/crates/hs-core/src/margin.rs
@@ -42,8 +42,7 @@
         let weight_limit = weight * 3;
         let held = account.used.dimensions().into_iter().zip(totals);
         held.into_iter().any(|(held, (capacity, _))| {
-            u64::from(held).saturating_mul(2 * self.active_weight)
-                > capacity.saturating_mul(weight_limit)
+            held.saturating_mul(2 * self.active_weight) > capacity.saturating_mul(weight_limit)
         })
     }
 
--- a/crates/hs-core/src/submit.rs
+++ b/crates/hs-core/src/submit.rs
@@ -26,7 +26,7 @@
             },
         );
         if let Some(account) = self.accounts.get_mut(customer) {
-            account.used = account.used.saturating_add(need);
+            account.used.add(need, 1);
             self.update_active_weight(customer);
         }
         self.pool.allocate(worker, band, need, (work, 0));
@@ -116,7 +116,7 @@
             self.work_records.remove(work);
         }
         if let Some(account) = self.accounts.get_mut(customer) {
-            account.used = account.used.saturating_sub(need);
+            account.used.subtract(need);
             self.update_active_weight(customer);
             self.unpark(customer);
         }
--- a/crates/hs-core/src/worker_record.rs
+++ b/crates/hs-core/src/worker_record.rs
@@ -2,6 +2,7 @@
 
 use hs_wire::Resources;
 
+use crate::resource_sum::ResourceSum;
 use crate::{WorkBand, WorkKey, WorkerSpec, WorkerState};
 
 /// A worker with the resources allocated to its tasks.
@@ -17,7 +18,7 @@
     /// probe.
     pub(crate) withheld: bool,
     /// Resources allocated to tasks, by band.
-    used: [Resources; 4],
+    used: [ResourceSum; 4],
     /// Number of running tasks of band `Long`.
     long_tasks: u32,
     /// Capacity reserved for queued work.
@@ -36,7 +37,7 @@
             rack,
             state: WorkerState::Active,
             withheld: false,
-            used: [Resources::ZERO; 4],
+            used: [ResourceSum::default(); 4],
             long_tasks: 0,
             reserved: Resources::ZERO,
             highest_excluded_band: WorkBand::Long,
@@ -46,7 +47,7 @@
 
     /// Returns the resources allocated to all tasks.
     pub(crate) fn used(&self) -> Resources {
-        let [urgent, short, normal, long] = self.used;
+        let [urgent, short, normal, long] = self.used.map(ResourceSum::clamped);
         let short = urgent.saturating_add(short);
         short.saturating_add(normal).saturating_add(long)
     }
@@ -54,7 +55,9 @@
     /// Returns the resources allocated to tasks of a band and the lower ones.
     pub(crate) fn used_at_or_below(&self, band: WorkBand) -> Resources {
         let used = self.used[band as usize..].iter();
-        used.fold(Resources::ZERO, |sum, used| sum.saturating_add(*used))
+        used.fold(Resources::ZERO, |sum, used| {
+            sum.saturating_add(used.clamped())
+        })
     }
 
     /// Returns whether the worker may get new work.
@@ -115,8 +118,7 @@
 
     /// Allocates resources to a task.
     pub(crate) fn allocate(&mut self, band: WorkBand, need: Resources, task: (WorkKey, u16)) {
-        let used = &mut self.used[band as usize];
-        *used = used.saturating_add(need);
+        self.used[band as usize].add(need, 1);
         self.long_tasks += u32::from(band == WorkBand::Long);
         self.tasks.push(task);
     }
@@ -127,8 +129,7 @@
             return;
         };
         self.tasks.swap_remove(position);
-        let used = &mut self.used[band as usize];
-        *used = used.saturating_sub(need);
+        self.used[band as usize].subtract(need);
         self.long_tasks -= u32::from(band == WorkBand::Long);
     }
 }
