--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::escape::EscapedFields;
+
 macro_rules! events {
     ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $text:literal;)*) => {
         /// Kind of a log event.
@@ -69,6 +71,12 @@
     WorkerEjected = 3004, Warn, "worker ejected after failures";
     /// An ejected worker was readmitted after a successful probe.
     WorkerReadmitted = 3005, Info, "worker readmitted after a probe";
+    /// An entry of the VM list can't be used.
+    VmUnusable = 3006, Warn, "VM list entry not usable";
+    /// A reply of a worker, or a task in it, can't be decoded.
+    WorkerUnreadable = 3007, Warn, "worker reply not readable";
+    /// A VM list can't be decoded.
+    VmListUnreadable = 3008, Warn, "VM list not readable";
     /// A peer became live.
     PeerJoined = 4001, Info, "peer live";
     /// A peer stopped sending heartbeats.
@@ -91,6 +99,10 @@
     WriteReadBack = 6005, Warn, "store write without reply, read back";
     /// The ownership of a ledger partition was released.
     PartitionReleased = 6006, Info, "ledger partition given up";
+    /// The store value of a ledger partition can't be decoded.
+    PartitionUnreadable = 6007, Error, "ledger partition not readable";
+    /// A record of a ledger partition can't be used.
+    RecordDamaged = 6008, Error, "ledger record not usable";
     /// A replica of a service was started.
     ReplicaStarted = 7001, Info, "service replica started";
     /// A replica of a service was stopped because it is no longer required.
@@ -177,9 +189,10 @@
 
 impl EventCode {
     /// Writes one log line with the number, the text and `fields`, which are written as
-    /// `name=value`.
+    /// `name=value`. Control characters in them are escaped.
     pub fn log(self, fields: fmt::Arguments<'_>) {
         let level = self.level();
+        let fields = EscapedFields(fields);
         log::log!(target: "hornbeamshunt", level, "E{} {} {fields}", self.number(), self.text());
     }
 }
--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -8,15 +8,17 @@
 use hs_event::EventCode;
 use hs_peer::message::{PullReply, PullRequest};
 use hs_peer::{ManifestState, OfferOutcome};
-use hs_wire::{VmList, VmRole};
+use hs_wire::VmList;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 use super::startup::{PeerManifest, StartupReads};
+use super::vm_lists::VmLists;
 use super::{SyncHandle, SyncMessage};
 use crate::manifest::{MANIFEST_KEY, ManifestView};
 use crate::placer::PlacerMessage;
-use crate::port::{ClockPort, Platform, StorePort, VmPort};
+use crate::port::{ClockPort, Platform, PortError, StorePort, VmPort};
+use crate::repeat_filter::RepeatFilter;
 use crate::shared::NodeShared;
 use crate::supervise::TaskInbox;
 
@@ -37,22 +39,23 @@
 /// Timeout of one read from the platform or one pull from a peer.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Source of the VM list in log lines, unless it is a peer.
+const PLATFORM: &str = "platform";
+
 /// Publishes the current manifest and VM list to the other tasks of this process.
 pub struct SyncTask<P: Platform> {
     shared: Arc<NodeShared<P>>,
     handle: SyncHandle,
     receiver: TaskInbox<mpsc::UnboundedReceiver<SyncMessage>>,
     manifest_sender: watch::Sender<Option<Arc<ManifestView>>>,
-    vms_sender: watch::Sender<Arc<VmList>>,
+    vm_lists: VmLists,
     state: ManifestState,
     startup: StartupReads,
     pending_pulls: HashSet<String>,
-    /// Newest VM list of a peer, kept while the first read from the platform has neither ended nor
-    /// failed: a peer may show a VM that has left or is leaving as live.
-    kept_vm_list: Option<VmList>,
-    is_vm_list_pending: bool,
-    /// Version of the last VM list that was not applied because it names no entry VM.
-    rejected_vm_list: Option<u64>,
+    /// Logged reasons for which manifests were not applied, by source.
+    rejections: RepeatFilter,
+    /// Peers whose VM list could not be decoded, with the cause.
+    unreadable_lists: RepeatFilter,
     /// Manifest revision and number of local members that were last sent to the placer.
     sent_to_placer: Option<(u64, u32)>,
 }
@@ -66,19 +69,17 @@
         manifest_sender: watch::Sender<Option<Arc<ManifestView>>>,
         vms_sender: watch::Sender<Arc<VmList>>,
     ) -> Self {
-        let is_vm_list_pending = vms_sender.borrow().version == 0;
         Self {
             shared,
             handle,
             receiver,
             manifest_sender,
-            vms_sender,
+            vm_lists: VmLists::new(vms_sender),
             state: ManifestState::default(),
             startup: StartupReads::default(),
-            kept_vm_list: None,
-            is_vm_list_pending,
-            rejected_vm_list: None,
             pending_pulls: HashSet::new(),
+            rejections: RepeatFilter::default(),
+            unreadable_lists: RepeatFilter::default(),
             sent_to_placer: None,
         }
     }
@@ -124,7 +125,7 @@
             SyncMessage::ManifestRead(value) => {
                 match String::from_utf8(value.body) {
                     Ok(text) => self.offer_manifest("store", text),
-                    Err(error) => log_rejected("store", &error),
+                    Err(error) => self.log_rejected("store", &error),
                 }
                 self.startup.store_ended();
                 self.use_best_of_peers();
@@ -133,11 +134,8 @@
                 self.startup.store_ended();
                 self.use_best_of_peers();
             }
-            SyncMessage::VmListRead(list) => {
-                self.apply_vm_list(list);
-                self.end_first_vm_list_read();
-            }
-            SyncMessage::VmListMissing => self.end_first_vm_list_read(),
+            SyncMessage::VmListRead(list) => self.vm_lists.offer_of_platform(list),
+            SyncMessage::VmListMissing => self.vm_lists.end_first_read(),
         }
     }
 
@@ -159,9 +157,14 @@
 
     fn apply_pull(&mut self, peer: &str, reply: PullReply) {
         if !reply.vm_list_json.is_empty() {
-            match serde_json::from_str(&reply.vm_list_json) {
-                Ok(list) => self.offer_vm_list_of_peer(list),
-                Err(error) => log::warn!("cannot parse the VM list of peer {peer}: {error}"),
+            match VmList::decode(reply.vm_list_json.as_bytes()) {
+                Ok(list) => {
+                    self.unreadable_lists.forget(peer);
+                    self.vm_lists.offer_of_peer(list);
+                }
+                Err(error) => {
+                    log_unreadable_list(&mut self.unreadable_lists, peer, &error.to_string());
+                }
             }
         }
         if !reply.manifest_json.is_empty() {
@@ -194,11 +197,12 @@
     fn offer_manifest(&mut self, source: &str, text: String) {
         let manifest = match parse_manifest(&text) {
             Ok(manifest) => manifest,
-            Err(error) => return log_rejected(source, &error),
+            Err(error) => return self.log_rejected(source, &error),
         };
         let revision = manifest.revision;
         match self.state.offer(revision, &text) {
             OfferOutcome::Applied => {
+                self.rejections.forget(source);
                 let view = Arc::new(ManifestView::new(manifest, text));
                 EventCode::ManifestApplied.log(format_args!("revision={revision} source={source}"));
                 let _ = self.manifest_sender.send(Some(view));
@@ -206,15 +210,22 @@
                 self.update_placer();
             }
             OfferOutcome::Conflict => {
-                log_rejected(
-                    source,
-                    &format!("revision {revision} is in force with another text"),
-                );
+                let cause = format!("revision {revision} is in force with another text");
+                self.log_rejected(source, &cause);
             }
             OfferOutcome::Stale | OfferOutcome::Same => {}
         }
     }
 
+    /// Logs why a manifest is not applied, once for each cause: a peer may offer it again with each
+    /// heartbeat.
+    fn log_rejected(&mut self, source: &str, cause: &dyn std::fmt::Display) {
+        let cause = cause.to_string();
+        if self.rejections.is_new(source, &cause) {
+            EventCode::ManifestRejected.log(format_args!("source={source} cause={cause}"));
+        }
+    }
+
     /// Sends the manifest and the number of local members to the placer if one of them has changed.
     /// Membership snapshots arrive with every heartbeat, and the cost of applying a policy in the
     /// placer grows with the number of customers.
@@ -231,42 +242,13 @@
             .placer
             .send(PlacerMessage::Manifest { view, members });
     }
-
-    /// Applies the VM list of a peer if it is newer. During the first read from the platform it is
-    /// kept until that has ended.
-    fn offer_vm_list_of_peer(&mut self, list: VmList) {
-        let kept = self.kept_vm_list.as_ref().map_or(0, |kept| kept.version);
-        if !self.is_vm_list_pending {
-            self.apply_vm_list(list);
-        } else if list.version > kept {
-            self.kept_vm_list = Some(list);
-        }
-    }
-
-    fn end_first_vm_list_read(&mut self) {
-        self.is_vm_list_pending = false;
-        if let Some(list) = self.kept_vm_list.take() {
-            self.apply_vm_list(list);
-        }
-    }
-
-    /// Applies a VM list if it is newer. A list without any entry VM is certainly wrong, because
-    /// this process runs on an entry VM. Without its workers, the process would release their
-    /// leases, and their tasks would be stopped and started elsewhere.
-    fn apply_vm_list(&mut self, list: VmList) {
-        if list.version <= self.vms_sender.borrow().version {
-            return;
-        }
-        if list.vms.iter().any(|vm| vm.role == VmRole::Entry) {
-            let _ = self.vms_sender.send(Arc::new(list));
-        } else if self.rejected_vm_list.replace(list.version) != Some(list.version) {
-            log::warn!("VM list {} names no entry VM and is ignored", list.version);
-        }
-    }
 }
 
-fn log_rejected(source: &str, cause: &dyn std::fmt::Display) {
-    EventCode::ManifestRejected.log(format_args!("source={source} cause={cause}"));
+/// Logs that the VM list of a source can't be decoded, unless the last list had the same defect.
+fn log_unreadable_list(filter: &mut RepeatFilter, source: &str, cause: &str) {
+    if filter.is_new(source, cause) {
+        EventCode::VmListUnreadable.log(format_args!("source={source} cause=\"{cause:.200}\""));
+    }
 }
 
 /// Reads the manifest from the store: continuously while this process is the watcher, otherwise at
@@ -300,10 +282,18 @@
 /// Reads the VM list: once a second while this process is the watcher, otherwise at the fallback
 /// interval.
 pub(crate) async fn read_vms<P: Platform>(shared: Arc<NodeShared<P>>, handle: SyncHandle) {
+    let mut unreadable = RepeatFilter::default();
     loop {
         let known = shared.vms.borrow().version;
         let result = shared.platform.vms().list(known, READ_TIMEOUT).await;
         let succeeded = result.is_ok();
+        match &result {
+            Ok(_) => unreadable.forget(PLATFORM),
+            Err(error @ PortError::Unreadable { .. }) => {
+                log_unreadable_list(&mut unreadable, PLATFORM, &error.to_string());
+            }
+            Err(PortError::Call(_) | PortError::Refused { .. }) => {}
+        }
         handle.send(match result {
             Ok(Some(list)) => SyncMessage::VmListRead(list),
             Ok(None) | Err(_) => SyncMessage::VmListMissing,
