refactor: open the connections between processes through a port

A simulation of several processes needs their gRPC in memory: with TCP, the kernel decides when a message arrives. `NetworkPort` opens listeners and connections; `tcp_network` is the implementation that the platform uses. A type parameter on the pool of connections was ruled out, since it would spread to each task that makes a call. The pool keeps one function that opens a channel, so a call costs what it did.

`ClockPort::record_work` tells a simulated clock about work. The owner calls it after a scheduling pass, with the number of waiting steps as a stand-in for the work of the pass.

--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -30,6 +30,7 @@
 mod metrics;
 mod notify;
 mod owner;
+mod peer_connector;
 mod peer_listener;
 mod peers;
 pub mod port;
@@ -40,6 +41,7 @@
 mod store_health;
 mod supervise;
 mod takeover;
+pub mod tcp_network;
 
 pub use config::{ClusterConfig, QueueRoute};
 pub use control::{CancelReply, Control, JobStateReply, SubmitReply};
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -459,6 +459,8 @@
         let last_pass_at = self.cell.last_pass_at();
         self.cell.advance(now, self.platform.unix_ms());
         if self.cell.last_pass_at() != last_pass_at {
+            self.platform
+                .record_work(self.cell.waiting_steps() as u64 + 1);
             let cost = self.platform.now().saturating_duration_since(now);
             self.cell.record_pass_cost(cost);
             self.load.record_pass(cost);
--- a/crates/hs-control/src/peer_listener.rs
+++ b/crates/hs-control/src/peer_listener.rs
@@ -9,21 +9,23 @@
 use hyper::server::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
-use tokio::net::{TcpListener, TcpStream};
 
 use crate::control::Control;
 use crate::message::cell_server::CellServer;
-use crate::port::Platform;
+use crate::port::{ListenerPort, NetworkPort, Platform};
 use crate::server::PeerServer;
 
 type PeerService<P> = TowerToHyperService<CellServer<PeerServer<P>>>;
 
 /// Accepts and serves connections until the listener fails.
-pub(crate) async fn serve<P: Platform>(control: Control<P>, listener: TcpListener) {
+pub(crate) async fn serve<P: Platform>(
+    control: Control<P>,
+    mut listener: <P as NetworkPort>::Listener,
+) {
     let service = TowerToHyperService::new(CellServer::new(PeerServer { control }));
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok(stream) => {
                 tokio::spawn(serve_connection(stream, service.clone()));
             }
             Err(error) if concerns_one_connection(&error) => {
@@ -50,10 +52,10 @@
     )
 }
 
-async fn serve_connection<P: Platform>(stream: TcpStream, service: PeerService<P>) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("failed to set up a connection: {error}");
-    }
+async fn serve_connection<P: Platform>(
+    stream: <P as NetworkPort>::Stream,
+    service: PeerService<P>,
+) {
     let mut builder = http2::Builder::new(TokioExecutor::new());
     // All calls of a process use one connection.
     builder
--- a/crates/hs-control/src/peers.rs
+++ b/crates/hs-control/src/peers.rs
@@ -9,9 +9,8 @@
 use tonic::transport::{Channel, Endpoint};
 
 use crate::message::cell_client::CellClient;
-
-/// Timeout for opening a connection to a peer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+use crate::peer_connector::ChannelOpener;
+use crate::port::NetworkPort;
 
 /// Why a call to a peer failed.
 #[derive(Debug, Error)]
@@ -45,12 +44,21 @@
 }
 
 /// Open connections by address. A connection is replaced after a failed call.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct PeerPool {
+    opener: ChannelOpener,
     channels: Arc<Mutex<HashMap<Arc<str>, Channel>>>,
 }
 
 impl PeerPool {
+    /// Builds a pool without connections, which opens them through a network.
+    pub(crate) fn new<N: NetworkPort>(network: N) -> Self {
+        Self {
+            opener: ChannelOpener::new(network),
+            channels: Arc::default(),
+        }
+    }
+
     /// Makes a call that must complete within `call_timeout`.
     ///
     /// # Errors
@@ -100,10 +108,7 @@
             peer: address.to_owned(),
             cause: error.to_string(),
         })?;
-        let channel = endpoint
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .connect_lazy();
+        let channel = self.opener.open(&endpoint);
         channels.insert(address.into(), channel.clone());
         Ok(channel)
     }
--- a/crates/hs-control/src/port.rs
+++ b/crates/hs-control/src/port.rs
@@ -1,11 +1,14 @@
 //! The interface between the control tasks and the platform: one trait for each external service.
 
 use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hs_cell::{AdviceReply, StartOrder, StartRefusal, StepId, TaskRun, WorkerEntry, WorkerReport};
 use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::config::ClusterConfig;
 
@@ -301,9 +304,47 @@
 
     /// Returns the wall-clock time in Unix milliseconds.
     fn unix_ms(&self) -> u64;
+
+    /// Tells a simulated clock how much work the process has just done, in the unit of the work. A real clock
+    /// has moved on meanwhile.
+    fn record_work(&self, _amount: u64) {}
+}
+
+/// Connections to the other processes of the cell.
+pub trait NetworkPort: Clone + Send + Sync + 'static {
+    /// A connection.
+    type Stream: AsyncRead + AsyncWrite + Send + Unpin + 'static;
+
+    /// A listener for connections from other processes.
+    type Listener: ListenerPort<Stream = Self::Stream>;
+
+    /// Opens a listener.
+    fn listen(
+        &self,
+        address: SocketAddr,
+    ) -> impl Future<Output = io::Result<Self::Listener>> + Send;
+
+    /// Opens a connection to the listener at an address. If nothing listens there, the kind of the error is
+    /// [`io::ErrorKind::ConnectionRefused`].
+    fn connect(&self, address: &str) -> impl Future<Output = io::Result<Self::Stream>> + Send;
+}
+
+/// A listener of a [`NetworkPort`].
+pub trait ListenerPort: Send + 'static {
+    /// A connection.
+    type Stream;
+
+    /// Waits for the next connection.
+    fn accept(&mut self) -> impl Future<Output = io::Result<Self::Stream>> + Send;
 }
 
 /// Everything that a process needs from its platform.
-pub trait Platform: StorePort + CatalogPort + WorkerPort + AdvicePort + ClockPort {}
+pub trait Platform:
+    StorePort + CatalogPort + WorkerPort + AdvicePort + ClockPort + NetworkPort
+{
+}
 
-impl<T: StorePort + CatalogPort + WorkerPort + AdvicePort + ClockPort> Platform for T {}
+impl<T: StorePort + CatalogPort + WorkerPort + AdvicePort + ClockPort + NetworkPort> Platform
+    for T
+{
+}
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -7,7 +7,6 @@
 
 use hs_cell::CellOptions;
 use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -74,7 +73,7 @@
     stop: watch::Receiver<bool>,
 ) -> Result<Control<P>, RunError> {
     let address = options.peer_listen;
-    let listener = TcpListener::bind(address).await;
+    let listener = platform.listen(address).await;
     let listener = listener.map_err(|cause| RunError::Listen { address, cause })?;
     let (config_sender, config) = watch::channel(None);
     let (ownership_sender, ownership) = watch::channel(Ownership::Unknown);
@@ -87,7 +86,7 @@
         started_ms: platform.unix_ms(),
         config,
         ownership,
-        peers: PeerPool::default(),
+        peers: PeerPool::new(platform.clone()),
         store_health: store_health.clone(),
         metrics,
         owner_last_seen,
