fix: go on accepting peers after an error of the listener

An error such as too many open files ended the listener for other processes for good (E8105), although the cause may pass a moment later: an owner would go on without heartbeats from new members, and a process that can't be reached keeps the cell. It is logged once (E8107), and the listener tries again each 0.1 s. E8105 remains for the own interface.

--- a/crates/hs-control/src/peer_listener.rs
+++ b/crates/hs-control/src/peer_listener.rs
@@ -4,36 +4,47 @@
 //! layers, which take about a tenth of the processor time of a call.
 
 use std::io;
+use std::time::Duration;
 
 use hs_event::EventCode;
 use hyper::server::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
+use tokio::time::sleep;
 
 use crate::control::Control;
 use crate::message::cell_server::CellServer;
 use crate::port::{ListenerPort, NetworkPort, Platform};
 use crate::server::PeerServer;
 
+/// Pause after an error that concerns the listener, such as too many open files. Without one the listener would
+/// fail again at once for as long as the cause lasts.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 type PeerService<P> = TowerToHyperService<CellServer<PeerServer<P>>>;
 
-/// Accepts and serves connections until the listener fails.
+/// Accepts and serves connections.
 pub(crate) async fn serve<P: Platform>(
     control: Control<P>,
     mut listener: <P as NetworkPort>::Listener,
 ) {
     let service = TowerToHyperService::new(CellServer::new(PeerServer { control }));
+    let mut is_failing = false;
     loop {
         match listener.accept().await {
             Ok(stream) => {
+                is_failing = false;
                 tokio::spawn(serve_connection(stream, service.clone()));
             }
             Err(error) if concerns_one_connection(&error) => {
                 log::debug!("failed to accept a connection: {error}");
             }
             Err(error) => {
-                EventCode::PeerListenerEnded.log(format_args!("cause=\"{error}\""));
-                return;
+                if !is_failing {
+                    EventCode::PeerAcceptFailed.log(format_args!("cause=\"{error}\""));
+                }
+                is_failing = true;
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -173,6 +173,8 @@
     PeerListenerEnded = 8105, Error, "peer listener ended";
     /// A task of the process panicked. It is started again.
     TaskPanicked = 8106, Error, "task panicked";
+    /// The listener for other processes could not accept a connection. It goes on after a pause.
+    PeerAcceptFailed = 8107, Warn, "peer connection not accepted";
 }
 
 impl EventCode {
