refactor: poll the sources of the control tasks in a fixed order

With a fixed order alone a source that is always ready would keep the others waiting, so each round of the owner now takes what has arrived from all of them: links, events, advice and requests.

--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -309,6 +309,7 @@
             std::future::pending::<OwnerEnd>().await
         };
         let end = tokio::select! {
+            biased;
             end = owner::run(inputs) => end,
             end = release => end,
         };
--- a/crates/hs-control/src/members.rs
+++ b/crates/hs-control/src/members.rs
@@ -1,7 +1,7 @@
 //! The processes that send heartbeats to the owner.
 
 use hs_event::EventCode;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -26,7 +26,7 @@
 /// The live processes other than the owner, by the name of their VM.
 #[derive(Debug, Default)]
 pub(crate) struct MemberTable {
-    members: HashMap<String, Member>,
+    members: BTreeMap<String, Member>,
 }
 
 impl MemberTable {
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -210,30 +210,34 @@
         if let Some(end) = owner.end.take() {
             return end;
         }
+        // Each round takes what has arrived from all of them, so that none waits for the others.
         tokio::select! {
-            Some((key, event)) = link_receiver.recv() => {
-                owner.handle_link_event(key, event);
-                while let Ok((key, event)) = link_receiver.try_recv() {
-                    owner.handle_link_event(key, event);
-                }
-            }
+            biased;
+            _ = ticks.tick() => owner.handle_tick(),
+            Some((key, event)) = link_receiver.recv() => owner.handle_link_event(key, event),
             Some(event) = event_receiver.recv() => owner.handle_event(event),
             Some(end) = advice_receiver.recv() => owner.handle_advice_end(end),
-            Some(request) = requests.recv() => {
-                owner.handle_request(request);
-                while let Ok(request) = requests.try_recv() {
-                    owner.handle_request(request);
-                }
-            }
+            Some(request) = requests.recv() => owner.handle_request(request),
             Ok(()) = config.changed() => {
                 let config = config.borrow_and_update().clone();
                 if let Some(config) = config {
                     owner.configure(&config);
                 }
             }
-            _ = ticks.tick() => owner.handle_tick(),
             () = sleep(SCHEDULING_RETRY_DELAY), if owner.cell.wants_pass() => {}
         }
+        while let Ok((key, event)) = link_receiver.try_recv() {
+            owner.handle_link_event(key, event);
+        }
+        while let Ok(event) = event_receiver.try_recv() {
+            owner.handle_event(event);
+        }
+        while let Ok(end) = advice_receiver.try_recv() {
+            owner.handle_advice_end(end);
+        }
+        while let Ok(request) = requests.try_recv() {
+            owner.handle_request(request);
+        }
     }
 }
 
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -166,6 +166,7 @@
             ));
         }
         tokio::select! {
+            biased;
             () = sleep(READINESS_INTERVAL) => {}
             _ = stop.changed() => {}
         }
--- a/crates/hs-control/src/takeover.rs
+++ b/crates/hs-control/src/takeover.rs
@@ -88,6 +88,7 @@
             });
         }
         tokio::select! {
+            biased;
             read = &mut reading, if state.is_none() => match read {
                 Ok(read) => state = Some(read),
                 Err(error) => return Err(OwnerEnd::Unreadable(error.to_string())),
