test(control): simulate processes with slow processors

Each simulated process now runs the real control tasks on a runtime of its own whose clock the simulation moves. What it does costs processor time of its VM, and a process that has used more than has passed is left out until the simulation has caught up: its timers fire late and it reads replies late. The store, the registry, the advice service and the workers are simulated, and an oracle checks what they see.

Time is charged by call, byte and scheduling pass, not measured, so a seed gives the same run again.

--- /dev/null
+++ b/crates/hs-control/tests/simulation/main.rs
@@ -0,0 +1,23 @@
+//! Deterministic simulation of processes with slow processors: the real control tasks, each process on a runtime
+//! of its own whose clock the simulation moves, in a world of simulated services and workers.
+//!
+//! A case that fails prints its cluster, which has the seed.
+
+mod advice;
+mod calm;
+mod cpu;
+mod determinism;
+mod faults;
+mod handover;
+mod incident;
+mod load;
+mod network;
+mod observer;
+mod peer_client;
+mod platform;
+mod process;
+mod registry;
+mod simulation;
+mod store;
+mod worker;
+mod world;
--- /dev/null
+++ b/crates/hs-control/tests/simulation/worker.rs
@@ -0,0 +1,339 @@
+//! Simulated workers: runs, leases on their own clock, ends with numbers, and the highest fence they have seen.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hs_cell::{
+    EndReport, RunEnd, RunReport, StartOrder, StartRefusal, TaskId, TaskRun, WorkerEntry,
+    WorkerReport,
+};
+use hs_control::port::{LeaseRenewal, PortError, RenewalReply, StartReply, StopReply};
+
+use crate::advice::is_valid_ticket;
+use crate::world::{Reply, World};
+
+/// Time that a worker takes for a call.
+const SERVICE_TIME: Duration = Duration::from_micros(500);
+
+/// A run in progress.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    cpu_milli: u32,
+    started_at: Duration,
+    duration: Duration,
+}
+
+/// A renewal that waits for the end of a run.
+#[derive(Debug)]
+struct ParkedRenewal {
+    id: u64,
+    fence: u64,
+    reply: Reply<RenewalReply>,
+}
+
+/// One worker.
+#[derive(Debug, Default)]
+pub struct SimWorker {
+    pub id: Arc<str>,
+    /// Start of the process in Unix milliseconds.
+    pub started_ms: u64,
+    pub cpu_milli: u32,
+    /// Whether the process is running.
+    pub up: bool,
+    /// Whether calls reach the worker. Those that don't are not answered.
+    pub reachable: bool,
+    /// Reading of the worker's clock at the beginning of the simulation in milliseconds.
+    pub clock_offset_ms: u64,
+    fence: u64,
+    lease_end: Duration,
+    running: BTreeMap<TaskRun, Run>,
+    ended: Vec<EndReport>,
+    last_end: u64,
+    last_ended_runs: BTreeMap<TaskId, u32>,
+    parked: Vec<ParkedRenewal>,
+    renewal_count: u64,
+}
+
+/// What an order says about its sender.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderSender {
+    /// Number of the process, and of its start.
+    pub process: (usize, u32),
+    pub fence: u64,
+    /// Incarnation of the worker that the order is meant for.
+    pub started_ms: u64,
+}
+
+/// Why a worker does not process an order.
+enum Rejection {
+    Fenced,
+    OtherIncarnation,
+}
+
+impl SimWorker {
+    /// Builds a worker that is up, from its registry entry.
+    pub fn new(entry: &WorkerEntry, clock_offset_ms: u64) -> Self {
+        Self {
+            id: entry.id.clone(),
+            started_ms: entry.started_ms,
+            cpu_milli: entry.capacity.cpu_milli,
+            up: true,
+            reachable: true,
+            clock_offset_ms,
+            ..Self::default()
+        }
+    }
+
+    /// Checks the sender of an order, and keeps its fence.
+    fn admit(&mut self, sender: OrderSender) -> Result<(), Rejection> {
+        if sender.started_ms != self.started_ms {
+            return Err(Rejection::OtherIncarnation);
+        }
+        if sender.fence < self.fence {
+            return Err(Rejection::Fenced);
+        }
+        self.fence = sender.fence;
+        Ok(())
+    }
+
+    fn clock_ms(&self, now: Duration) -> u64 {
+        self.clock_offset_ms + u64::try_from(now.as_millis()).expect("a simulation is short")
+    }
+
+    fn used_cpu_milli(&self) -> u32 {
+        self.running.values().map(|run| run.cpu_milli).sum()
+    }
+
+    fn has_ended(&self, run: TaskRun) -> bool {
+        let last = self.last_ended_runs.get(&run.task);
+        last.is_some_and(|last| run.run <= *last)
+    }
+
+    fn note_ended(&mut self, run: TaskRun) {
+        let last = self.last_ended_runs.entry(run.task).or_default();
+        *last = run.run.max(*last);
+    }
+
+    fn report(&self, now: Duration) -> RenewalReply {
+        let running = self.running.iter().map(|(run, state)| {
+            let elapsed = (now - state.started_at).as_secs_f64();
+            let percent = 100.0 * elapsed / state.duration.as_secs_f64();
+            RunReport {
+                run: *run,
+                checkpoint: String::new(),
+                percent: percent.min(99.0) as u8,
+            }
+        });
+        RenewalReply::Report {
+            clock_ms: self.clock_ms(now),
+            report: WorkerReport {
+                running: running.collect(),
+                ended: self.ended.clone(),
+            },
+        }
+    }
+
+    /// Returns the number of runs in progress.
+    pub fn run_count(&self) -> usize {
+        self.running.len()
+    }
+}
+
+impl World {
+    /// Carries a call to a worker, which `operation` carries out unless the worker is down or unreachable.
+    pub fn worker_call<T: Send + 'static>(
+        &mut self,
+        number: usize,
+        reply: Reply<T>,
+        operation: impl FnOnce(&mut World, Reply<T>) + Send + 'static,
+    ) {
+        let worker = &self.workers[number];
+        if !worker.reachable {
+            return self.observer.keep_unanswered(reply);
+        }
+        if !worker.up {
+            let error = PortError::Refused {
+                operation: "worker call",
+                peer: worker.id.to_string(),
+                cause: "connection refused".to_owned(),
+            };
+            return self.reply(reply, Err(error));
+        }
+        let done_at = self.now + SERVICE_TIME;
+        self.at(done_at, move |world| operation(world, reply));
+    }
+
+    /// Processes a start order.
+    pub fn start_run(
+        &mut self,
+        number: usize,
+        sender: OrderSender,
+        lease_end_ms: u64,
+        order: &StartOrder,
+    ) -> StartReply {
+        let now = self.now;
+        let run = order.run;
+        let worker = &mut self.workers[number];
+        match worker.admit(sender) {
+            Ok(()) => {}
+            Err(Rejection::Fenced) => return StartReply::Fenced,
+            Err(Rejection::OtherIncarnation) => {
+                return StartReply::Refused(StartRefusal::OtherLife);
+            }
+        }
+        self.observer.acted(sender, number);
+        if worker.running.contains_key(&run) {
+            return StartReply::Started;
+        }
+        if worker.has_ended(run) {
+            return StartReply::Refused(StartRefusal::Old);
+        }
+        if lease_end_ms <= worker.clock_ms(now) {
+            return StartReply::Refused(StartRefusal::Late);
+        }
+        let job = self.observer.job(run.task.job());
+        if job.is_advised {
+            let ticket = order.ticket.as_deref().unwrap_or_default();
+            if !is_valid_ticket(ticket, run.task.step, &worker.id, now) {
+                return StartReply::Refused(StartRefusal::Ticket);
+            }
+        }
+        if worker.used_cpu_milli() + job.cpu_milli > worker.cpu_milli {
+            self.observer.capacity_exceeded(number, run);
+            return StartReply::Refused(StartRefusal::Room);
+        }
+        let state = Run {
+            cpu_milli: job.cpu_milli,
+            started_at: now,
+            duration: job.duration,
+        };
+        worker.running.insert(run, state);
+        let started_ms = worker.started_ms;
+        self.observer.started(now, number, run);
+        self.extend_lease(number, lease_end_ms);
+        self.at(now + job.duration, move |world| {
+            if world.workers[number].started_ms == started_ms {
+                world.end_run(number, run, RunEnd::Done);
+            }
+        });
+        StartReply::Started
+    }
+
+    /// Processes a stop order.
+    pub fn stop_run(&mut self, number: usize, sender: OrderSender, run: TaskRun) -> StopReply {
+        match self.workers[number].admit(sender) {
+            Ok(()) => {}
+            Err(Rejection::Fenced) => return StopReply::Fenced,
+            Err(Rejection::OtherIncarnation) => return StopReply::OtherIncarnation,
+        }
+        self.observer.acted(sender, number);
+        self.end_run(number, run, RunEnd::Stopped);
+        self.workers[number].note_ended(run);
+        StopReply::Stopped
+    }
+
+    /// Processes a lease renewal. Without news the reply may wait.
+    pub fn renew_lease(
+        &mut self,
+        number: usize,
+        sender: OrderSender,
+        renewal: LeaseRenewal,
+        reply: Reply<RenewalReply>,
+    ) {
+        match self.workers[number].admit(sender) {
+            Ok(()) => {}
+            Err(Rejection::Fenced) => return self.reply(reply, Ok(RenewalReply::Fenced)),
+            Err(Rejection::OtherIncarnation) => {
+                return self.reply(reply, Ok(RenewalReply::OtherIncarnation));
+            }
+        }
+        self.observer.acted(sender, number);
+        if let Some(end_ms) = renewal.lease_end_ms {
+            self.extend_lease(number, end_ms);
+        }
+        self.forget_ends(number, renewal.acknowledged);
+        let worker = &mut self.workers[number];
+        if !worker.ended.is_empty() || renewal.wait.is_zero() {
+            let report = worker.report(self.now);
+            return self.reply(reply, Ok(report));
+        }
+        worker.renewal_count += 1;
+        let id = worker.renewal_count;
+        worker.parked.push(ParkedRenewal {
+            id,
+            fence: sender.fence,
+            reply,
+        });
+        let end = self.now + renewal.wait;
+        self.at(end, move |world| world.answer_parked(number, Some(id)));
+    }
+
+    /// Answers the renewal with this ID, or all that wait.
+    fn answer_parked(&mut self, number: usize, id: Option<u64>) {
+        let worker = &mut self.workers[number];
+        let is_due = |parked: &ParkedRenewal| id.is_none_or(|id| id == parked.id);
+        let parked = std::mem::take(&mut worker.parked);
+        let (due, waiting) = parked.into_iter().partition(is_due);
+        worker.parked = waiting;
+        for parked in due {
+            let worker = &self.workers[number];
+            let answer = match parked.fence < worker.fence {
+                true => RenewalReply::Fenced,
+                false => worker.report(self.now),
+            };
+            self.reply(parked.reply, Ok(answer));
+        }
+    }
+
+    fn forget_ends(&mut self, number: usize, acknowledged: u64) {
+        let ended = std::mem::take(&mut self.workers[number].ended);
+        let (forgotten, kept): (Vec<_>, Vec<_>) = ended
+            .into_iter()
+            .partition(|end| end.number <= acknowledged);
+        self.workers[number].ended = kept;
+        for end in forgotten {
+            self.observer.acknowledged(end.run, end.end);
+        }
+    }
+
+    fn extend_lease(&mut self, number: usize, lease_end_ms: u64) {
+        let worker = &mut self.workers[number];
+        let end = Duration::from_millis(lease_end_ms.saturating_sub(worker.clock_offset_ms));
+        if end <= worker.lease_end {
+            return;
+        }
+        worker.lease_end = end;
+        self.at(end, move |world| world.check_lease(number));
+    }
+
+    fn check_lease(&mut self, number: usize) {
+        let worker = &self.workers[number];
+        if self.now < worker.lease_end {
+            return;
+        }
+        let runs: Vec<TaskRun> = worker.running.keys().copied().collect();
+        for run in runs {
+            self.end_run(number, run, RunEnd::Lapsed);
+        }
+    }
+
+    fn end_run(&mut self, number: usize, run: TaskRun, end: RunEnd) {
+        let worker = &mut self.workers[number];
+        if worker.running.remove(&run).is_none() {
+            return;
+        }
+        worker.note_ended(run);
+        worker.last_end += 1;
+        worker.ended.push(EndReport {
+            number: worker.last_end,
+            run,
+            end,
+            checkpoint: String::new(),
+        });
+        self.observer.ended(self.now, number, run, end);
+        if self.workers[number].reachable {
+            self.answer_parked(number, None);
+        }
+    }
+}
