--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -34,6 +34,7 @@
 mod notify;
 mod owner;
 mod owner_status;
+mod peer_connector;
 mod peer_listener;
 mod peers;
 pub mod port;
@@ -45,6 +46,7 @@
 mod store_health;
 mod supervise;
 mod takeover;
+pub mod tcp_network;
 mod work_portions;
 
 pub use config::{ClusterConfig, QueueRoute};
--- a/crates/hs-control/src/members.rs
+++ b/crates/hs-control/src/members.rs
@@ -1,7 +1,7 @@
 //! The processes that send heartbeats to the owner.
 
 use hs_event::EventCode;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -43,7 +43,7 @@
 /// The live processes other than the owner, by the name of their VM.
 #[derive(Debug, Default)]
 pub(crate) struct MemberTable {
-    members: HashMap<Arc<str>, Member>,
+    members: BTreeMap<Arc<str>, Member>,
     /// Whether a process has joined or was removed since the last call of [`MemberTable::take_changed`].
     changed: bool,
 }
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -9,6 +9,7 @@
 
 use hs_event::EventCode;
 use std::collections::HashMap;
+use std::iter;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -225,40 +226,46 @@
         if platform.now().saturating_duration_since(round_began_at) >= LONG_ROUND {
             yield_now().await;
         }
+        // Each round takes what has arrived from all of them, so that none waits for the others.
         tokio::select! {
-            Some((key, event)) = link_receiver.recv() => {
-                owner.handle_link_event(key, event);
-                for _ in 1..MAX_EVENTS_PER_ROUND {
-                    let Ok((key, event)) = link_receiver.try_recv() else {
-                        break;
-                    };
-                    owner.handle_link_event(key, event);
-                }
-            }
+            biased;
+            _ = ticks.tick() => owner.handle_tick(),
+            Some((key, event)) = link_receiver.recv() => owner.handle_link_event(key, event),
             Some(event) = writer_receiver.recv() => owner.handle_writer_event(event),
             Some(event) = feed_receiver.recv() => owner.handle_feed_event(event),
             Some(end) = advice_receiver.recv() => owner.handle_advice_end(end),
-            Some(request) = requests.recv() => {
-                owner.handle_request(request);
-                for _ in 1..MAX_EVENTS_PER_ROUND {
-                    let Ok(request) = requests.try_recv() else {
-                        break;
-                    };
-                    owner.handle_request(request);
-                }
-            }
-            Ok(()) = config.changed() => {
-                let config = config.borrow_and_update().clone();
-                if let Some(config) = config {
-                    owner.configure(&config);
-                }
-            }
-            _ = ticks.tick() => owner.handle_tick(),
+            Some(request) = requests.recv() => owner.handle_request(request),
+            Ok(()) = config.changed() => config.mark_changed(),
             () = sleep(SCHEDULING_RETRY_DELAY), if owner.cell.wants_pass() => {}
         }
+        if config.has_changed().unwrap_or(false)
+            && let Some(config) = &*config.borrow_and_update()
+        {
+            owner.configure(config);
+        }
+        for (key, event) in take_received(&mut link_receiver) {
+            owner.handle_link_event(key, event);
+        }
+        for event in take_received(&mut writer_receiver) {
+            owner.handle_writer_event(event);
+        }
+        for event in take_received(&mut feed_receiver) {
+            owner.handle_feed_event(event);
+        }
+        for end in take_received(&mut advice_receiver) {
+            owner.handle_advice_end(end);
+        }
+        for request in take_received(&mut requests) {
+            owner.handle_request(request);
+        }
     }
 }
 
+/// Takes the events that have arrived, at most [`MAX_EVENTS_PER_ROUND`].
+fn take_received<T>(receiver: &mut mpsc::Receiver<T>) -> impl Iterator<Item = T> + '_ {
+    iter::from_fn(|| receiver.try_recv().ok()).take(MAX_EVENTS_PER_ROUND)
+}
+
 impl<P: Platform> OwnerTask<P> {
     fn configure(&mut self, config: &ClusterConfig) {
         let queues = config.routes.iter().map(|route| route.queue.clone());
@@ -323,6 +330,8 @@
         let last_pass_at = self.cell.last_pass_at();
         self.cell.advance(now, self.platform.unix_ms());
         if self.cell.last_pass_at() != last_pass_at {
+            self.platform
+                .record_work(self.cell.waiting_steps() as u64 + 1);
             let cost = self.platform.now().saturating_duration_since(now);
             self.cell.record_pass_cost(cost);
             self.load.record_pass(cost);
--- a/crates/hs-control/src/takeover.rs
+++ b/crates/hs-control/src/takeover.rs
@@ -35,6 +35,7 @@
     tokio::pin!(reading);
     loop {
         tokio::select! {
+            biased;
             read = &mut reading => return match read {
                 Ok(state) => Ok(TakeoverState { state, buffered }),
                 Err(error) => Err(OwnerEnd::Unreadable(error.to_string())),
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -1,15 +1,19 @@
 //! A platform in memory whose workers answer, refuse or keep silent.
 
 use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use hs_cell::{AdviceReply, RunReport, StartOrder, StepId, TaskRun, WorkerEntry, WorkerReport};
 use hs_control::port::{
-    AdvicePort, ClockPort, LeaseRenewal, PortError, RegisteredWorker, RenewalReply, StartReply,
-    StopReply, WorkerEndpoint, WorkerPort,
+    AdvicePort, ClockPort, LeaseRenewal, NetworkPort, PortError, RegisteredWorker, RenewalReply,
+    StartReply, StopReply, WorkerEndpoint, WorkerPort,
 };
+use hs_control::tcp_network;
 use hs_wire::Resources;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
 use crate::store::MemoryStore;
@@ -307,6 +311,19 @@
     }
 }
 
+impl NetworkPort for FakePlatform {
+    type Stream = TcpStream;
+    type Listener = TcpListener;
+
+    async fn listen(&self, address: SocketAddr) -> io::Result<TcpListener> {
+        tcp_network::listen(address).await
+    }
+
+    async fn connect(&self, address: &str) -> io::Result<TcpStream> {
+        tcp_network::connect(address).await
+    }
+}
+
 impl ClockPort for FakePlatform {
     fn now(&self) -> Instant {
         tokio::time::Instant::now().into_std()
