--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -39,9 +39,6 @@
 /// that are full now.
 const KNOWN_CAPACITY_FACTOR: u32 = 2;
 
-/// Free capacity for which tickets are renewed, as a multiple of what the step needs.
-const RENEWAL_CAPACITY_FACTOR: f64 = 1.5;
-
 /// Minimum fixed time of a request at which it names more workers than the step is expected to need. Naming
 /// them then takes less time than a second request.
 const MIN_BASE_COST_FOR_EXTRA_WORKERS: Duration = Duration::from_millis(25);
@@ -81,9 +78,9 @@
 
 /// Number of further tasks of a step that fit on a worker.
 #[derive(Clone, Copy, Debug)]
-struct FreeCapacity {
-    key: WorkerKey,
-    fits: u32,
+pub(crate) struct FreeCapacity {
+    pub key: WorkerKey,
+    pub fits: u32,
 }
 
 impl Cell {
@@ -168,25 +165,6 @@
         requested
     }
 
-    /// Returns the workers with room for the step whose tickets are not valid until `time`.
-    fn tickets_that_end_before(
-        &self,
-        id: StepId,
-        allowed: &[FreeCapacity],
-        time: Instant,
-    ) -> Vec<WorkerKey> {
-        let Some(step) = self.jobs.get(&id.job).and_then(|job| job.step(id)) else {
-            return Vec::new();
-        };
-        let with_room = allowed.iter().filter(|worker| worker.fits > 0);
-        let ends_before = |key: &WorkerKey| {
-            let ticket = step.advice.any_ticket(*key);
-            ticket.is_none_or(|ticket| ticket.until < time)
-        };
-        let keys = with_room.map(|worker| worker.key);
-        keys.filter(ends_before).collect()
-    }
-
     fn is_gang(&self, id: StepId) -> bool {
         let job = self.jobs.get(&id.job);
         let spec = job.and_then(|job| job.step_spec(id));
@@ -335,42 +313,6 @@
         let share = queue.and_then(|queue| self.allowed_shares.get(queue));
         share.copied().unwrap_or_default().share()
     }
-
-    /// Returns the allowed workers whose tickets have to be renewed: those on which the step can start now,
-    /// or those that are reserved for it, if the ticket of one of them expires soon.
-    fn tickets_to_renew(
-        &self,
-        id: StepId,
-        allowed: &[FreeCapacity],
-        enough: u32,
-        need: AdviceNeed,
-        now: Instant,
-    ) -> Vec<WorkerKey> {
-        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
-        let Some(step) = step else {
-            return Vec::new();
-        };
-        let spec = need.spec;
-        let reservation = self.reservations.iter().find(|r| r.step == id);
-        let wanted: Vec<WorkerKey> = match reservation {
-            // A ticket has to be valid when the resources become free, but not long before.
-            Some(reservation) if reservation.start_at > now + spec.ticket_validity / 2 => {
-                Vec::new()
-            }
-            Some(reservation) => reservation.workers.clone(),
-            None => workers_with_free_capacity(allowed, enough, need.wanted),
-        };
-        let ends_within = |key: WorkerKey, time: Duration| {
-            let ticket = step.advice.any_ticket(key);
-            ticket.is_some_and(|ticket| now + time >= ticket.until)
-        };
-        let soon = spec.cost(wanted.len()) + self.ticket_margin.of_renewal();
-        if !wanted.iter().any(|key| ends_within(*key, soon)) {
-            return Vec::new();
-        }
-        let old = |key: &WorkerKey| ends_within(*key, soon.max(spec.ticket_validity / 2));
-        wanted.into_iter().filter(old).collect()
-    }
 }
 
 /// Orders workers by the tasks that fit on them, those with the most first, and those with equally many in an
@@ -389,32 +331,6 @@
     workers
 }
 
-/// Returns the workers with the most free capacity, as many as fit [`RENEWAL_CAPACITY_FACTOR`] times the
-/// `wanted` tasks, since other steps may take some of it meanwhile. Returns none if fewer than `enough` tasks
-/// fit on all of them.
-fn workers_with_free_capacity(
-    allowed: &[FreeCapacity],
-    enough: u32,
-    wanted: u32,
-) -> Vec<WorkerKey> {
-    let mut free: Vec<FreeCapacity> = allowed.iter().copied().filter(|w| w.fits > 0).collect();
-    free.sort_by_key(|worker| std::cmp::Reverse(worker.fits));
-    let target = (f64::from(wanted) * RENEWAL_CAPACITY_FACTOR).ceil() as u32;
-    let mut total_fits = 0u32;
-    let mut workers = Vec::new();
-    for worker in free {
-        if total_fits >= target {
-            break;
-        }
-        total_fits = total_fits.saturating_add(worker.fits);
-        workers.push(worker.key);
-    }
-    match total_fits >= enough {
-        true => workers,
-        false => Vec::new(),
-    }
-}
-
 fn total_fits(workers: &[FreeCapacity]) -> u32 {
     let fits = workers.iter().map(|worker| worker.fits);
     fits.fold(0, u32::saturating_add)
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -46,6 +46,7 @@
 mod step_order;
 mod ticket_holders;
 mod ticket_margin;
+mod ticket_renewal;
 mod worker;
 mod worker_events;
 
