fix: limit the length of the line about a rejected manifest

Operators would see: one log line with every finding of a rejected manifest, tens of kilobytes for a thousand odd entries.

Cause: the line contained the whole error of the validation. Ruled out: leaving findings out of the error itself, which `check` shows to people.

Change: the line contains the first 1,000 characters.

Test: `unusable_offers_of_a_peer_are_logged_once`.

--- a/crates/hs-node/src/sync/task.rs
+++ b/crates/hs-node/src/sync/task.rs
@@ -39,6 +39,10 @@
 /// Timeout of one read from the platform or one pull from a peer.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Maximum length of the reason for which a manifest is not applied, in characters. A manifest may have
+/// thousands of findings; `check` shows them all.
+const MAX_CAUSE_CHARS: usize = 1000;
+
 /// Source of the VM list in log lines, unless it is a peer.
 const PLATFORM: &str = "platform";
 
@@ -220,7 +224,7 @@
     /// Logs why a manifest is not applied, once for each cause: a peer may offer it again with each
     /// heartbeat.
     fn log_rejected(&mut self, source: &str, cause: &dyn std::fmt::Display) {
-        let cause = cause.to_string();
+        let cause: String = cause.to_string().chars().take(MAX_CAUSE_CHARS).collect();
         if self.rejections.is_new(source, &cause) {
             EventCode::ManifestRejected.log(format_args!("source={source} cause={cause}"));
         }
--- a/crates/hs-node/tests/faults/peer_messages.rs
+++ b/crates/hs-node/tests/faults/peer_messages.rs
@@ -17,6 +17,9 @@
 use crate::log_lines;
 use crate::platform::Switches;
 
+/// Length of a log line that people can read, in bytes.
+const MAX_LINE_BYTES: usize = 1200;
+
 /// Texts that are no valid name, address, task or JSON body.
 fn odd_texts() -> Vec<String> {
     let texts = [
@@ -231,14 +234,14 @@
 }
 
 /// Guards against a log line for each heartbeat of a peer that offers a manifest and a VM list that
-/// can't be used.
+/// can't be used, and against one line with thousands of findings.
 #[tokio::test]
 async fn unusable_offers_of_a_peer_are_logged_once() {
     log_lines::keep();
     let replies = PeerReplies {
         pull: Some(PullReply {
             manifest_revision: 9,
-            manifest_json: "{ \"customers\": 1e400 }".to_owned(),
+            manifest_json: format!("{{ \"customers\": [{}] }}", "1e400,".repeat(1000)),
             vm_list_version: 9,
             vm_list_json: "{\"version\":18446744073709551616,\"vms\":[]}".to_owned(),
         }),
@@ -261,5 +264,10 @@
     for event in ["E5002", "E3008"] {
         let lines = log_lines::with(&[event, &source]);
         assert_eq!(lines.len(), 1, "{lines:?}");
+        assert!(
+            lines[0].len() < MAX_LINE_BYTES,
+            "{event}: {}",
+            lines[0].len()
+        );
     }
 }
