fix: cut off long texts of unusable VM list entries

Operators and peers would see: an odd entry with a text of a megabyte is quoted in the list that peers fetch, and kept in memory by each process.

Cause: the decoder's message quotes the text, and the id was kept whole. Ruled out: dropping the id, by which the last known entry of the VM is found; the id of a VM has at most 43 bytes.

Change: the cause has at most 200 characters, and the id of an unusable entry 64.

Test: hs-wire, `long_texts_of_an_entry_are_cut_off`, which failed with an id of 2,097,152 bytes.

--- a/crates/hs-wire/src/vm_decode.rs
+++ b/crates/hs-wire/src/vm_decode.rs
@@ -12,6 +12,13 @@
 /// worker in 64 bytes, and an incarnation has up to 20 digits.
 const MAX_ID_BYTES: usize = 43;
 
+/// Maximum length of the cause for which an entry can't be used, in characters. The decoder quotes
+/// texts of the entry, which may be megabytes long, and peers get the cause with the list.
+const MAX_CAUSE_CHARS: usize = 200;
+
+/// Maximum length of the id of an entry that can't be used, in characters; that of a VM is shorter.
+const MAX_SHOWN_ID_CHARS: usize = 64;
+
 /// The list with entries that are not interpreted yet.
 #[derive(Deserialize)]
 struct RawList<'a> {
@@ -140,10 +147,11 @@
         Err(error) => error.to_string(),
     };
     let state: Option<VmState> = lenient::field(text, "state");
+    let id: String = lenient::field(text, "id").unwrap_or_default();
     Err(UnusableVm {
-        id: lenient::field(text, "id").unwrap_or_default(),
+        id: id.chars().take(MAX_SHOWN_ID_CHARS).collect(),
         is_live: state == Some(VmState::Live),
-        cause,
+        cause: cause.chars().take(MAX_CAUSE_CHARS).collect(),
     })
 }
 
--- a/crates/hs-wire/tests/wire/vm_list.rs
+++ b/crates/hs-wire/tests/wire/vm_list.rs
@@ -241,6 +241,18 @@
     assert!(passed_on.contains("x"));
 }
 
+/// Guards against an odd entry that makes the list that peers get, or a log line, as long as itself.
+#[test]
+fn long_texts_of_an_entry_are_cut_off() {
+    let long = format!("\"{}\"", "é".repeat(1 << 20));
+    for field in ["id", "addr", "role", "state"] {
+        let list = decode(list_around(&with_field(field, &long)));
+        let vm = &list.unusable[0];
+        assert!(vm.id.len() <= 128, "{field}: {}", vm.id.len());
+        assert!(vm.cause.len() <= 400, "{field}: {}", vm.cause.len());
+    }
+}
+
 /// Guards against odd entries of any kind that hide the good ones or end the process.
 #[test]
 fn good_entries_hold_beside_random_ones() {
