test(control): check that late writes of a former owner have no effect

The oracle saw what workers refuse, but not a write to the store by a process that had lost the cell: with the condition on the claim removed, no case failed. It now checks the fence of each claim that is written, and a store that receives the calls of an owner three seconds late is a case of its own. It fails without the condition.

--- a/crates/hs-control/tests/simulation/faults.rs
+++ b/crates/hs-control/tests/simulation/faults.rs
@@ -101,6 +101,25 @@
     assert_all_end(&mut simulation, Duration::from_secs(20));
 }
 
+/// Transactions of a former owner that reach the store after another process has taken the cell over.
+#[test]
+fn late_writes_of_a_former_owner_have_no_effect() {
+    let mut simulation = loaded_cluster();
+    let owner = simulation.owner().expect("the cell has an owner");
+    let begin = simulation.now();
+    let late = StoreFault::Late(Duration::from_secs(3));
+    simulation.world.lock().store.set_fault(owner, late);
+    simulation.run_for(Duration::from_secs(1));
+    simulation
+        .world
+        .lock()
+        .store
+        .set_fault(owner, StoreFault::None);
+    simulation.run_for(Duration::from_secs(4));
+    assert_eq!(simulation.world.lock().observer.takeovers_since(begin), 1);
+    assert_all_end(&mut simulation, Duration::from_secs(20));
+}
+
 /// A store that refuses one process after the other, or does not answer it.
 #[test]
 fn a_store_that_fails_for_one_process_loses_no_job() {
--- a/crates/hs-control/tests/simulation/observer.rs
+++ b/crates/hs-control/tests/simulation/observer.rs
@@ -161,6 +161,10 @@
 
     fn claimed(&mut self, now: Duration, claim: StoredClaim) {
         let last = self.last_claim.replace(claim.clone());
+        if let Some(last) = last.as_ref().filter(|last| last.fence > claim.fence) {
+            let text = format!("{} writes under {} after {last:?}", claim.node, claim.fence);
+            self.violate(text);
+        }
         if last.is_none_or(|last| last.fence != claim.fence) {
             self.note(
                 now,
--- a/crates/hs-control/tests/simulation/store.rs
+++ b/crates/hs-control/tests/simulation/store.rs
@@ -29,6 +29,8 @@
     Refusing,
     /// They take effect, and are not answered.
     ReplyLost,
+    /// They reach the store after this time.
+    Late(Duration),
 }
 
 /// Content of the store, and its faults.
@@ -39,8 +41,6 @@
     history: Vec<StoreItem>,
     /// Faults of the processes that have any.
     faults: BTreeMap<usize, StoreFault>,
-    /// Time that each call takes in addition.
-    pub extra_time: Duration,
 }
 
 impl SimStore {
@@ -144,9 +144,14 @@
         reply: Reply<T>,
         operation: impl FnOnce(&mut World) -> T + Send + 'static,
     ) {
-        let done_at = self.now + SERVICE_TIME + self.store.extra_time;
-        match self.store.fault(process) {
-            StoreFault::None => self.at(done_at, move |world| {
+        let fault = self.store.fault(process);
+        let delay = match fault {
+            StoreFault::Late(delay) => delay,
+            _ => Duration::ZERO,
+        };
+        let done_at = self.now + SERVICE_TIME + delay;
+        match fault {
+            StoreFault::None | StoreFault::Late(_) => self.at(done_at, move |world| {
                 let result = operation(world);
                 world.reply(reply, Ok(result));
             }),
