--- a/crates/hs-control/src/port.rs
+++ b/crates/hs-control/src/port.rs
@@ -305,8 +305,8 @@
     /// Returns the wall-clock time in Unix milliseconds.
     fn unix_ms(&self) -> u64;
 
-    /// Tells a simulated clock how much work the process has just done, in the unit of the work. A real clock
-    /// has moved on meanwhile.
+    /// Tells a simulated clock how much work the process has just done, in looks at a worker of a scheduling pass.
+    /// A real clock has moved on meanwhile.
     fn record_work(&self, _amount: u64) {}
 }
 
--- a/crates/hs-control/src/speed.rs
+++ b/crates/hs-control/src/speed.rs
@@ -20,6 +20,9 @@
 /// Number of bytes that one measurement hashes. A whole core takes about 50 us.
 const WORK_BYTES: usize = 64 << 10;
 
+/// Work of a measurement in the unit of [`ClockPort::record_work`].
+const RECORDED_WORK: u64 = 330;
+
 /// Number of bytes that are hashed at a time.
 const BLOCK_BYTES: usize = 1 << 10;
 
@@ -41,7 +44,7 @@
         }
         self.measured_at = Some(now);
         do_fixed_work();
-        clock.record_work(WORK_BYTES as u64);
+        clock.record_work(RECORDED_WORK);
         self.work_times.rotate_right(1);
         self.work_times[0] = Some(clock.now().saturating_duration_since(now));
     }
--- a/crates/hs-control/tests/simulation/cpu.rs
+++ b/crates/hs-control/tests/simulation/cpu.rs
@@ -7,7 +7,7 @@
 pub const POLL_WORK: u64 = 2;
 
 /// Duration of a unit of work on a whole core in nanoseconds.
-const NANOS_PER_WORK: f64 = 1000.0;
+pub const NANOS_PER_WORK: u64 = 1000;
 
 /// Clock of a process, which work moves ahead of the time of the simulation. The process is not run until the
 /// simulation has caught up, so its timers fire late and it reads replies late.
@@ -30,7 +30,7 @@
 
     /// Changes the share of a core.
     pub fn set_core_share(&self, core_share: f64) {
-        let ns_per_work = (NANOS_PER_WORK / core_share) as u64;
+        let ns_per_work = (NANOS_PER_WORK as f64 / core_share) as u64;
         self.ns_per_work.store(ns_per_work, Ordering::Relaxed);
     }
 
--- a/crates/hs-control/tests/simulation/platform.rs
+++ b/crates/hs-control/tests/simulation/platform.rs
@@ -15,6 +15,7 @@
 use hs_timer::timeout;
 use tokio::sync::oneshot;
 
+use crate::cpu::NANOS_PER_WORK;
 use crate::network::{MeteredStream, SimListener};
 use crate::process::ProcessIdentity;
 use crate::worker::OrderSender;
@@ -32,9 +33,9 @@
 /// Work of decoding an item of the store or an entry of the registry.
 const ITEM_WORK: u64 = 10;
 
-/// Work in the unit of [`ClockPort::record_work`]. A pass over 7,000 waiting steps took 70 to 90 ms on half a
-/// core.
-const RECORDED_WORK: u64 = 5;
+/// Duration of a unit of [`ClockPort::record_work`] on a whole core in nanoseconds. A pass over 7,000 waiting steps
+/// without a bound did 225,000 units, and took 70 to 90 ms on half a core.
+const NANOS_PER_RECORDED_WORK: u64 = 150;
 
 /// Client of all services, for one process.
 #[derive(Clone)]
@@ -149,7 +150,9 @@
     }
 
     fn record_work(&self, amount: u64) {
-        self.process.cpu.charge(amount * RECORDED_WORK);
+        self.process
+            .cpu
+            .charge(amount * NANOS_PER_RECORDED_WORK / NANOS_PER_WORK);
     }
 }
 
