fix: count only workers that can get runs as free capacity

What callers would see: later steps ask for advice that cannot help them, and the requests of the steps before them wait (SHORT, LOST). Cause: the index of free CPU held every worker that was ever listed. A registry entry of another writer may claim 4,294,967 cores; nothing answers at its address, but its CPU counted in the bound on the active steps, and it came first among the emptiest workers. Silent and draining workers counted as well. Ruled out: runs on such a worker (accepts_runs refuses it); a change for reachable workers, since full ones and those without a lease stay in the index, from which gangs name them. Change: the index holds workers that are listed, answer and do not drain. The total counts those that also hold a lease, which is accepts_runs without its time-dependent parts. Each change of these goes through change_worker.

--- a/crates/hs-cell/src/free_index.rs
+++ b/crates/hs-cell/src/free_index.rs
@@ -1,4 +1,4 @@
-//! Index of the workers by free CPU, so that a step finds workers without looking at all of them.
+//! Index of the reachable workers by free CPU, so that a step finds workers without looking at all of them.
 
 use std::collections::BTreeSet;
 use std::ops::Bound;
@@ -10,11 +10,14 @@
 use crate::cell::Cell;
 use crate::worker::{Slot, Worker};
 
-/// Workers ordered by their free CPU.
+/// Reachable workers ordered by their free CPU.
+///
+/// Workers that drain, are not listed or do not answer are left out: nothing can be placed on them, so what they
+/// have free is no capacity, and an entry of a worker that does not exist may claim any amount.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FreeIndex {
     workers: BTreeSet<FreeEntry>,
-    /// Free CPU of all workers in thousandths of a core.
+    /// Free CPU of the available workers in thousandths of a core.
     total_cpu_milli: u64,
 }
 
@@ -25,20 +28,45 @@
     key: WorkerKey,
 }
 
-impl FreeIndex {
-    fn insert(&mut self, entry: FreeEntry) {
-        if self.workers.insert(entry) {
-            self.total_cpu_milli += u64::from(entry.cpu_milli);
-        }
+/// What the index holds about a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct IndexedWorker {
+    entry: FreeEntry,
+    /// Free CPU that the worker adds to the total. A reachable worker without a lease adds none.
+    counted_cpu_milli: u64,
+}
+
+impl IndexedWorker {
+    /// Returns `None` if the worker is not in the index.
+    fn new(key: WorkerKey, worker: &Worker) -> Option<Self> {
+        let cpu_milli = worker.free().cpu_milli;
+        let counted_cpu_milli = match worker.is_available() {
+            true => u64::from(cpu_milli),
+            false => 0,
+        };
+        worker.is_reachable().then_some(Self {
+            entry: FreeEntry { cpu_milli, key },
+            counted_cpu_milli,
+        })
     }
+}
 
-    fn remove(&mut self, entry: FreeEntry) {
-        if self.workers.remove(&entry) {
-            self.total_cpu_milli -= u64::from(entry.cpu_milli);
+impl FreeIndex {
+    fn replace(&mut self, before: Option<IndexedWorker>, after: Option<IndexedWorker>) {
+        if before == after {
+            return;
+        }
+        if let Some(before) = before {
+            self.workers.remove(&before.entry);
+            self.total_cpu_milli -= before.counted_cpu_milli;
+        }
+        if let Some(after) = after {
+            self.workers.insert(after.entry);
+            self.total_cpu_milli += after.counted_cpu_milli;
         }
     }
 
-    /// Returns the free CPU of all workers in thousandths of a core.
+    /// Returns the free CPU of the available workers in thousandths of a core.
     pub(crate) fn total_cpu_milli(&self) -> u64 {
         self.total_cpu_milli
     }
@@ -63,42 +91,33 @@
     }
 }
 
-fn entry_of(key: WorkerKey, worker: &Worker) -> FreeEntry {
-    FreeEntry {
-        cpu_milli: worker.free().cpu_milli,
-        key,
-    }
-}
-
 /// Changes of workers that keep the index up to date.
 impl Cell {
     pub(crate) fn insert_worker(&mut self, worker: Worker) -> WorkerKey {
         let key = self.workers.insert(worker);
-        self.free_index.insert(entry_of(key, &self.workers[key]));
+        let indexed = IndexedWorker::new(key, &self.workers[key]);
+        self.free_index.replace(None, indexed);
         key
     }
 
     pub(crate) fn take_worker(&mut self, key: WorkerKey) -> Option<Worker> {
         let worker = self.workers.remove(key)?;
-        self.free_index.remove(entry_of(key, &worker));
+        self.free_index
+            .replace(IndexedWorker::new(key, &worker), None);
         Some(worker)
     }
 
-    /// Changes a worker in a way that may affect its free resources.
+    /// Changes a worker in a way that may affect its free resources, or whether it is available.
     pub(crate) fn change_worker<T>(
         &mut self,
         key: WorkerKey,
         change: impl FnOnce(&mut Worker) -> T,
     ) -> Option<T> {
         let worker = self.workers.get_mut(key)?;
-        let before = worker.free().cpu_milli;
+        let before = IndexedWorker::new(key, worker);
         let result = change(worker);
-        let after = worker.free().cpu_milli;
-        if before != after {
-            let entry = |cpu_milli| FreeEntry { cpu_milli, key };
-            self.free_index.remove(entry(before));
-            self.free_index.insert(entry(after));
-        }
+        self.free_index
+            .replace(before, IndexedWorker::new(key, worker));
         Some(result)
     }
 
--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -116,7 +116,7 @@
     /// Marks a worker as no longer listed by the registry. Its runs count as ended when its lease expires.
     pub fn worker_unlisted(&mut self, id: &str) {
         if let Some(&key) = self.workers_by_id.get(id) {
-            self.workers[key].listed = false;
+            self.change_worker(key, |worker| worker.listed = false);
         }
     }
 
@@ -133,10 +133,10 @@
 
     /// Extends the lease of a worker after a renewal was sent, whether or not it arrives.
     pub fn lease_renewed(&mut self, key: WorkerKey, lease_end: Instant) {
-        if let Some(worker) = self.workers.get_mut(key) {
+        self.change_worker(key, |worker| {
             worker.lease_end = worker.lease_end.max(lease_end);
             worker.has_lease = true;
-        }
+        });
     }
 
     /// Releases the runs of workers whose leases have expired, and removes those that are not listed.
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -243,8 +243,24 @@
             }
             None => true,
         };
-        let has_lease = self.has_lease && now < self.lease_end;
-        self.listed && self.reported && !self.entry.draining && has_lease && is_healthy
+        self.is_available() && now < self.lease_end && is_healthy
+    }
+
+    /// Returns whether the registry lists the worker, it answers this owner, and it does not drain.
+    pub(crate) fn is_reachable(&self) -> bool {
+        self.listed && self.reported && !self.entry.draining
+    }
+
+    /// Returns whether the worker may get runs, apart from the conditions that depend on the time: the end of the
+    /// lease and a quarantine.
+    pub(crate) fn is_available(&self) -> bool {
+        self.is_reachable() && self.has_lease
+    }
+
+    /// Records that a report has arrived. Returns whether it is the first one since the worker was unreachable.
+    pub(crate) fn mark_reported(&mut self, reported_at: Instant) -> bool {
+        self.reported_at = Some(reported_at);
+        !std::mem::replace(&mut self.reported, true)
     }
 
     /// Returns whether the worker is quarantined after failures, or on probation after that.
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -80,9 +80,7 @@
 
     /// Marks a worker as unreachable. It gets no new runs until it has reported again.
     pub fn worker_unreachable(&mut self, key: WorkerKey) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.reported = false;
-        }
+        self.change_worker(key, |worker| worker.reported = false);
     }
 
     /// Processes the report of a worker that was requested at `requested_at`.
@@ -93,20 +91,17 @@
         requested_at: Instant,
         now: Instant,
     ) {
-        let Some(worker) = self.workers.get_mut(key) else {
+        // An owner that was paused may process a report long after the worker has sent it.
+        let reported_at = now.min(requested_at + MAX_REPORT_DELAY);
+        let marked = self.change_worker(key, |worker| worker.mark_reported(reported_at));
+        let Some(is_first_report) = marked else {
             return;
         };
-        let is_first_report = !worker.reported;
-        worker.reported = true;
-        // An owner that was paused may process a report long after the worker has sent it.
-        worker.reported_at = Some(now.min(requested_at + MAX_REPORT_DELAY));
         if is_first_report {
+            let worker = &mut self.workers[key];
             // From this report on no earlier owner can renew the lease.
             worker.lease_end = worker.lease_end.min(now + self.options.max_lease());
-        }
-        if is_first_report {
-            let entry = &self.workers[key].entry;
-            let (id, started_ms) = (entry.id.clone(), entry.started_ms);
+            let (id, started_ms) = (worker.entry.id.clone(), worker.entry.started_ms);
             self.settle_losses(&id, started_ms, true);
         }
         for end in report.ended {
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -12,4 +12,5 @@
 mod records;
 mod regressions;
 mod shrinking;
+mod unavailable_capacity;
 mod world;
