fix: escape keys and IDs of other writers in log lines

What operators would see: log lines that no process wrote, since a key or an ID with a line break went into the log as it is. Cause: E8012 and E8103 write keys of the store, which any program can choose. Ruled out: keys of this program, which consist of fixed prefixes and hexadecimal numbers.

--- a/crates/hs-control/src/owner/feed.rs
+++ b/crates/hs-control/src/owner/feed.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hs_event::EventCode;
+use hs_event::{EventCode, LogText};
 
 use super::OwnerTask;
 use crate::feeds::FeedEvent;
@@ -18,7 +18,7 @@
                     match change {
                         WorkerChange::Registered(worker) => self.add_worker(worker),
                         WorkerChange::Removed(id) => {
-                            EventCode::WorkerUnlisted.log(format_args!("worker={id}"));
+                            EventCode::WorkerUnlisted.log(format_args!("worker={}", LogText(&id)));
                             self.cell.worker_unlisted(&id);
                         }
                     }
@@ -50,11 +50,11 @@
             Some(IntakeKey::Job(id)) if !self.cell.has_job(id) => match JobValue::parse(value) {
                 Some(JobValue::Accepted(spec)) => self.add_job(id, Arc::new(spec), "store"),
                 Some(JobValue::Ended(_)) => {}
-                None => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
+                None => EventCode::RecordUnreadable.log(format_args!("key={}", LogText(&item.key))),
             },
             Some(IntakeKey::Cancel(id)) => self.cancel(id),
             Some(IntakeKey::Job(_)) => {}
-            None => EventCode::RecordUnreadable.log(format_args!("key={}", item.key)),
+            None => EventCode::RecordUnreadable.log(format_args!("key={}", LogText(&item.key))),
         }
     }
 }
--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -1,6 +1,6 @@
 //! Restores the state of a cell from the store.
 
-use hs_event::EventCode;
+use hs_event::{EventCode, LogText};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -72,7 +72,7 @@
         revision = revision.min(read_at);
         for item in items {
             if !cell.add_item(&item) {
-                EventCode::RecordUnreadable.log(format_args!("key={}", item.key));
+                EventCode::RecordUnreadable.log(format_args!("key={}", LogText(&item.key)));
             }
         }
     }
