--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -173,6 +173,8 @@
     PeerListenerEnded = 8105, Error, "peer listener ended";
     /// A task of the process panicked. It is started again.
     TaskPanicked = 8106, Error, "task panicked";
+    /// An item in a reply of the store cannot be decoded, and the others are used.
+    ItemUnreadable = 8107, Warn, "store item unreadable";
 }
 
 impl EventCode {
