fix: refuse registry entries that name no usable worker

What callers would see: nothing at first. The owner calls an address that does not exist ten times a second for ever; a log line may be one that no process wrote. Operators saw no line about an entry that was dropped. Cause: any text was taken as an address (a port of 65536 or 0, no host, a line break) and as an ID, which goes into a header of each call and into log lines. An entry that could not be decoded was dropped without a line, although docs/platform.md promises one. Ruled out: an entry that ends the process. Depths of 10,000 and 100,000, 1e400, -1, 2^64, wrong types, duplicate fields and bytes that are not UTF-8 are refused by the decoder. E8012 is only written for a worker that was listed.

--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -113,11 +113,13 @@
         }
     }
 
-    /// Marks a worker as no longer listed by the registry. Its runs count as ended when its lease expires.
-    pub fn worker_unlisted(&mut self, id: &str) {
-        if let Some(&key) = self.workers_by_id.get(id) {
-            self.change_worker(key, |worker| worker.listed = false);
-        }
+    /// Marks a worker as no longer listed by the registry. Its runs count as ended when its lease expires. Returns
+    /// whether it was listed.
+    pub fn worker_unlisted(&mut self, id: &str) -> bool {
+        let key = self.workers_by_id.get(id).copied();
+        let was_listed = key
+            .and_then(|key| self.change_worker(key, |w| std::mem::replace(&mut w.listed, false)));
+        was_listed.unwrap_or(false)
     }
 
     /// Returns the IDs and keys of the workers that the registry lists.
--- a/crates/hs-control/src/owner/feed.rs
+++ b/crates/hs-control/src/owner/feed.rs
@@ -18,8 +18,9 @@
                     match change {
                         WorkerChange::Registered(worker) => self.add_worker(worker),
                         WorkerChange::Removed(id) => {
-                            EventCode::WorkerUnlisted.log(format_args!("worker={}", LogText(&id)));
-                            self.cell.worker_unlisted(&id);
+                            if self.cell.worker_unlisted(&id) {
+                                EventCode::WorkerUnlisted.log(format_args!("worker={id}"));
+                            }
                         }
                     }
                 }
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -115,6 +115,8 @@
     WorkerUnlisted = 8012, Info, "worker left the registry";
     /// A lease renewal got no reply.
     WorkerUnresponsive = 8013, Info, "worker does not answer";
+    /// A registry entry does not describe a worker that can be used.
+    EntryUnusable = 8014, Warn, "registry entry names no worker";
     /// The owner added a job to its queue.
     JobQueued = 8021, Info, "job queued";
     /// The end of a job was written to the store.
