fix: pause between reads of an unreadable first configuration

What callers would see: a process that uses up the calls that the store allows all processes, so that jobs are refused. Cause: without a known configuration the read does not wait for changes, and the loop paused after errors only. An unreadable configuration is no error, since the one in effect stays. Ruled out: a later configuration that is unreadable; its watch waits for the next change. It is still accepted or rejected as a whole.

--- a/crates/hs-control/src/config.rs
+++ b/crates/hs-control/src/config.rs
@@ -77,9 +77,11 @@
                     sender.send_replace(Some(config));
                 }
             }
-            Ok(ConfigReply::Unchanged(revision)) => {
-                known = known.map(|(version, old)| (version, revision.max(old)));
-            }
+            Ok(ConfigReply::Unchanged(revision)) => match &mut known {
+                Some((_, old)) => *old = revision.max(*old),
+                // The configuration is unreadable, and without a known one the call does not wait for changes.
+                None => sleep(RETRY_PAUSE).await,
+            },
             Ok(ConfigReply::Unknown) => {
                 known = None;
                 sleep(RETRY_PAUSE).await;
