--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -80,43 +80,39 @@
 
     /// Marks a worker as unreachable. It gets no new runs until it has reported again.
     pub fn worker_unreachable(&mut self, key: WorkerKey) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.reported = false;
-        }
+        self.change_worker(key, |worker| worker.reported = false);
     }
 
     /// Processes the report of a worker that was requested at `requested_at`.
     pub fn worker_reported(
         &mut self,
         key: WorkerKey,
-        report: WorkerReport,
+        mut report: WorkerReport,
         requested_at: Instant,
         now: Instant,
     ) {
-        let Some(worker) = self.workers.get_mut(key) else {
+        // An owner that was paused may process a report long after the worker has sent it.
+        let reported_at = now.min(requested_at + MAX_REPORT_DELAY);
+        let marked = self.change_worker(key, |worker| worker.mark_reported(reported_at));
+        let Some(is_first_report) = marked else {
             return;
         };
-        let is_first_report = !worker.reported;
-        worker.reported = true;
-        // An owner that was paused may process a report long after the worker has sent it.
-        worker.reported_at = Some(now.min(requested_at + MAX_REPORT_DELAY));
         if is_first_report {
+            let worker = &mut self.workers[key];
             // From this report on no earlier owner can renew the lease.
             worker.lease_end = worker.lease_end.min(now + self.options.max_lease());
-        }
-        if is_first_report {
-            let entry = &self.workers[key].entry;
-            let (id, started_ms) = (entry.id.clone(), entry.started_ms);
+            let (id, started_ms) = (worker.entry.id.clone(), worker.entry.started_ms);
             self.settle_losses(&id, started_ms, true);
         }
-        for end in report.ended {
+        for end in std::mem::take(&mut report.ended) {
             self.apply_end(key, end, now);
         }
+        self.workers[key].skip_ends(&report.skipped_ends);
         for run in &report.running {
             self.apply_running(key, run, now);
             self.clear_if_harmless(key, run.run, now);
         }
-        self.release_absent_runs(key, &report.running, requested_at);
+        self.release_absent_runs(key, &report, requested_at);
         let acknowledged = self.workers[key].acknowledgeable_end();
         if is_first_report || acknowledged > 0 {
             self.effects
@@ -196,28 +192,6 @@
         }
     }
 
-    /// Releases runs that are missing from a report, if the worker knew them before it was requested.
-    fn release_absent_runs(
-        &mut self,
-        key: WorkerKey,
-        running: &[RunReport],
-        requested_at: Instant,
-    ) {
-        let worker = &self.workers[key];
-        let absent = |run: &TaskRun, slot: &Slot| {
-            slot.visible_since.is_some_and(|since| since < requested_at)
-                && !running.iter().any(|report| report.run == *run)
-        };
-        let slots = worker.slots.iter();
-        let gone: Vec<TaskRun> = slots
-            .filter(|(run, slot)| absent(run, slot))
-            .map(|(run, _)| *run)
-            .collect();
-        for run in gone {
-            self.release_run(key, run);
-        }
-    }
-
     /// Releases the resources of a run that has ended without a result, and requeues its task.
     pub(crate) fn release_run(&mut self, key: WorkerKey, run: TaskRun) {
         self.release(key, run);
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -219,7 +219,8 @@
     fn to_worker_clock_ms(&self, end: Instant) -> Option<u64> {
         let clock = self.with_state(|state| state.clock)?;
         let until_end = end.saturating_duration_since(clock.read_at);
-        Some(clock.clock_ms + u64::try_from(until_end.as_millis()).ok()?)
+        let until_end_ms = u64::try_from(until_end.as_millis()).ok()?;
+        clock.clock_ms.checked_add(until_end_ms)
     }
 
     /// Returns the end of the lease that the last renewal asked for, on the worker's clock, or `None` if
--- a/crates/hs-control/src/link/renewal.rs
+++ b/crates/hs-control/src/link/renewal.rs
@@ -30,6 +30,14 @@
 /// Longest time that a renewal is delayed until the reported ends of runs have been recorded.
 const MAX_RECORD_WAIT: Duration = Duration::from_millis(400);
 
+/// A call that was answered.
+#[derive(Clone, Copy, Debug)]
+struct RenewalCall {
+    requested_at: Instant,
+    /// How long the worker was allowed to delay its reply.
+    wait: Duration,
+}
+
 /// The task of a link that renews the lease of its worker.
 pub(super) struct RenewalTask<P> {
     link: Arc<WorkerLink<P>>,
@@ -72,7 +80,11 @@
             match reply {
                 Ok(RenewalReply::Report { clock_ms, report }) => {
                     self.was_renewed |= renewal.lease_end_ms.is_some();
-                    self.handle_report(clock_ms, report, requested_at).await;
+                    let call = RenewalCall {
+                        wait: renewal.wait,
+                        requested_at,
+                    };
+                    self.handle_report(clock_ms, report, call).await;
                 }
                 Ok(RenewalReply::Fenced) => return self.link.emit(LinkEvent::Fenced).await,
                 // The registry will list the new incarnation.
@@ -135,7 +147,7 @@
         }
     }
 
-    async fn handle_report(&mut self, clock_ms: u64, report: WorkerReport, requested_at: Instant) {
+    async fn handle_report(&mut self, clock_ms: u64, report: WorkerReport, call: RenewalCall) {
         let link = &self.link;
         let read_at = link.platform.now();
         link.with_state(|state| state.clock = Some(WorkerClock { clock_ms, read_at }));
@@ -150,9 +162,18 @@
                 run.task, run.run, link.peer.id
             ));
         }
-        let last = report.ended.iter().map(|end| end.number).max();
-        self.last_seen_end = self.last_seen_end.max(last.unwrap_or(0));
-        link.emit(LinkEvent::Report(report, requested_at)).await;
+        let numbers = report.ended.iter().map(|end| end.number);
+        let numbers = numbers.chain(report.skipped_ends.iter().copied());
+        let last = numbers.max().unwrap_or(0);
+        let is_early = last <= self.last_seen_end && read_at < call.requested_at + call.wait / 2;
+        self.last_seen_end = self.last_seen_end.max(last);
+        link.emit(LinkEvent::Report(report, call.requested_at))
+            .await;
+        if is_early {
+            // The worker retains an end without a readable number, which can't be acknowledged, and therefore
+            // answers each renewal at once.
+            sleep(RETRY_PAUSE).await;
+        }
     }
 
     /// Calls the worker again at once after the first failure, and considers it silent after the second.
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -295,6 +295,7 @@
             report: WorkerReport {
                 running: running.collect(),
                 ended: Vec::new(),
+                ..WorkerReport::default()
             },
         })
     }
--- a/crates/hs-control/tests/simulation/worker.rs
+++ b/crates/hs-control/tests/simulation/worker.rs
@@ -130,6 +130,7 @@
             report: WorkerReport {
                 running: running.collect(),
                 ended: self.ended.clone(),
+                ..WorkerReport::default()
             },
         }
     }
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -127,6 +127,8 @@
     WorkerUnlisted = 8012, Info, "worker left the registry";
     /// A lease renewal got no reply.
     WorkerUnresponsive = 8013, Info, "worker does not answer";
+    /// A registry entry does not describe a worker that can be used.
+    EntryUnusable = 8014, Warn, "registry entry names no worker";
     /// The owner added a job to its queue.
     JobQueued = 8021, Info, "job queued";
     /// The end of a job was written to the store.
@@ -185,8 +187,12 @@
     PeerListenerEnded = 8105, Error, "peer listener ended";
     /// A task of the process panicked. It is started again.
     TaskPanicked = 8106, Error, "task panicked";
+    /// An item in a reply of the store cannot be decoded, and the others are used.
+    ItemUnreadable = 8107, Warn, "store item unreadable";
+    /// A row in a reply of a worker or of the advice service cannot be decoded, and the others are used.
+    RowUnreadable = 8108, Warn, "row of a reply unreadable";
     /// The listener for other processes could not accept a connection. It goes on after a pause.
-    PeerAcceptFailed = 8107, Warn, "peer connection not accepted";
+    PeerAcceptFailed = 8109, Warn, "peer connection not accepted";
 }
 
 impl EventCode {
