--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -1,6 +1,6 @@
 //! State of workers: registry entry, lease, allocations and quarantine.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -189,7 +189,7 @@
     /// Whether this owner has renewed the lease. Starts carry the end of that lease.
     pub has_lease: bool,
     pub used: Resources,
-    pub slots: HashMap<TaskRun, Slot>,
+    pub slots: BTreeMap<TaskRun, Slot>,
     /// Number of the last processed end.
     pub last_seen_end: u64,
     /// Numbers of processed ends that are not committed to the store yet.
@@ -221,7 +221,7 @@
             lease_end,
             has_lease: false,
             used: Resources::ZERO,
-            slots: HashMap::new(),
+            slots: BTreeMap::new(),
             last_seen_end: 0,
             unrecorded_ends: BTreeSet::new(),
             consecutive_failures: 0,
@@ -267,7 +267,7 @@
     }
 
     /// Removes all runs.
-    pub(crate) fn take_slots(&mut self) -> HashMap<TaskRun, Slot> {
+    pub(crate) fn take_slots(&mut self) -> BTreeMap<TaskRun, Slot> {
         self.used = Resources::ZERO;
         self.isolated_runs = 0;
         std::mem::take(&mut self.slots)
