--- a/crates/hs-cell/src/record_log.rs
+++ b/crates/hs-cell/src/record_log.rs
@@ -6,7 +6,7 @@
 //! wherever it is. Segments without a current row are deleted, and the outcomes of jobs that ended in a
 //! segment are written to the job items when transactions have free entries.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::job_record::JobOutcome;
 use crate::segment::{RecordStamp, SegmentRow, SegmentState, StampedRecord};
@@ -37,7 +37,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct StoredRecords {
     /// Records that have their own items.
-    pub records: HashMap<JobId, StampedRecord>,
+    pub records: BTreeMap<JobId, StampedRecord>,
     /// Segments, ordered by their stamps.
     pub segments: BTreeMap<RecordStamp, Vec<SegmentRow>>,
 }
@@ -46,9 +46,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct RecordLog {
     /// Jobs that have a record item, whether it is current or not.
-    items: HashSet<JobId>,
+    items: BTreeSet<JobId>,
     /// Segment that holds the current row of a job.
-    row_segments: HashMap<JobId, RecordStamp>,
+    row_segments: BTreeMap<JobId, RecordStamp>,
     /// Jobs whose current rows are in a segment, by segment.
     segments: BTreeMap<RecordStamp, BTreeSet<JobId>>,
     /// Outcomes that are only in a segment, and have yet to be written to the job items.
@@ -68,10 +68,10 @@
 
 impl RecordLog {
     /// Rebuilds the log from the store. Returns it with the current state of each job in it.
-    pub fn restore(stored: StoredRecords) -> (Self, HashMap<JobId, SegmentState>) {
+    pub fn restore(stored: StoredRecords) -> (Self, BTreeMap<JobId, SegmentState>) {
         let mut log = Self::default();
-        let mut stamps: HashMap<JobId, RecordStamp> = HashMap::new();
-        let mut states: HashMap<JobId, SegmentState> = HashMap::new();
+        let mut stamps: BTreeMap<JobId, RecordStamp> = BTreeMap::new();
+        let mut states: BTreeMap<JobId, SegmentState> = BTreeMap::new();
         for (job, stamped) in stored.records {
             log.items.insert(job);
             stamps.insert(job, stamped.stamp);
--- a/crates/hs-cell/tests/cell/record_log.rs
+++ b/crates/hs-cell/tests/cell/record_log.rs
@@ -1,6 +1,6 @@
 //! Random batches written through the record log, compared to a map of the current states as the model.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use hs_cell::{
     JobId, JobOutcome, JobRecord, LogWrites, RecordLog, RecordRow, RecordStamp, SegmentState,
@@ -48,7 +48,7 @@
 #[derive(Default)]
 struct FakeStore {
     records: StoredRecords,
-    outcomes: HashMap<JobId, JobOutcome>,
+    outcomes: BTreeMap<JobId, JobOutcome>,
 }
 
 impl FakeStore {
@@ -69,7 +69,7 @@
     }
 
     /// Restores the log and the states of jobs as a new owner does.
-    fn restore(&self) -> (RecordLog, HashMap<JobId, SegmentState>) {
+    fn restore(&self) -> (RecordLog, BTreeMap<JobId, SegmentState>) {
         let (mut log, mut states) = RecordLog::restore(self.records.clone());
         for (job, outcome) in &self.outcomes {
             log.forget_job(*job);
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -5,7 +5,7 @@
 mod report;
 
 use hs_event::EventCode;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -119,7 +119,7 @@
     lease: Duration,
     /// Time at which all leases that an earlier owner granted have certainly ended.
     earlier_leases_end: Instant,
-    links: HashMap<WorkerKey, LinkHandle>,
+    links: BTreeMap<WorkerKey, LinkHandle>,
     advice_dispatcher: AdviceDispatcher<P>,
     members: MemberTable,
     end_waiters: EndWaiters,
@@ -170,7 +170,7 @@
         earlier_leases_end: started
             + MAX_LEASE_PAST_CONFIRMATION.mul_f64(CLOCK_DRIFT_FACTOR)
             + EARLIER_LEASE_MARGIN,
-        links: HashMap::new(),
+        links: BTreeMap::new(),
         members: takeover.members,
         end_waiters: EndWaiters::default(),
         release: None,
--- a/crates/hs-control/src/peer_listener.rs
+++ b/crates/hs-control/src/peer_listener.rs
@@ -71,6 +71,8 @@
     // All calls of a process use one connection.
     builder
         .timer(TokioTimer::new())
+        // Peers don't read it, and the time of day would change the size of replies.
+        .auto_date_header(false)
         .max_concurrent_streams(None);
     if let Err(error) = builder
         .serve_connection(TokioIo::new(stream), service)
