--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -8,7 +8,7 @@
 mod requests;
 
 use hs_event::EventCode;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::iter;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -118,7 +118,7 @@
     lease: Duration,
     /// Time at which all leases that an earlier owner granted have certainly ended.
     earlier_leases_end: Instant,
-    links: HashMap<WorkerKey, LinkHandle>,
+    links: BTreeMap<WorkerKey, LinkHandle>,
     contact_permits: ContactPermits,
     advice_dispatcher: AdviceDispatcher<P>,
     status: OwnerStatus,
@@ -179,7 +179,7 @@
         earlier_leases_end: started
             + MAX_LEASE_PAST_CONFIRMATION.mul_f64(CLOCK_DRIFT_FACTOR)
             + EARLIER_LEASE_MARGIN,
-        links: HashMap::new(),
+        links: BTreeMap::new(),
         contact_permits: ContactPermits::default(),
         status: inputs.status,
         end_waiters: EndWaiters::default(),
