--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -3,21 +3,21 @@
 mod commit;
 mod effects;
 mod feed;
+mod inbox;
 mod links;
 mod report;
 mod requests;
 
 use hs_event::EventCode;
 use std::collections::BTreeMap;
-use std::iter;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hs_cell::{Cell, CellOptions, WorkerKey};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinSet, yield_now};
-use tokio::time::{MissedTickBehavior, interval, sleep};
 
+use self::inbox::{OwnerInbox, tick_timer};
 use crate::advice_dispatcher::{AdviceDispatcher, AdvicePartEnd};
 use crate::claim_writer::{ClaimKeeper, ClaimWriter, WriteOrder};
 use crate::commits::CommitPlanner;
@@ -39,9 +39,6 @@
 /// Interval at which the cell is advanced to the current time even if nothing happens.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Delay after which the cell is advanced again if it has postponed a scheduling pass.
-const SCHEDULING_RETRY_DELAY: Duration = Duration::from_millis(4);
-
 /// Interval at which the gauges of the cell's size are updated.
 const CELL_METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -51,10 +48,6 @@
 /// Maximum number of transactions that may wait for the claim writer. The owner orders one at a time.
 const MAX_WRITE_ORDERS: usize = 1;
 
-/// Maximum number of events of one kind that are handled before the cell is advanced and other tasks of the
-/// process get their turn.
-const MAX_EVENTS_PER_ROUND: usize = 64;
-
 /// Duration of a round after which the other tasks of the process get their turn, even if further events wait.
 /// The runtime would otherwise let the owner task handle up to 128 events in a row.
 const LONG_ROUND: Duration = Duration::from_millis(2);
@@ -159,10 +152,18 @@
         Err(end) => return end,
     };
     let read_at = platform.now();
-    let (feed_events, mut feed_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
-    let (link_events, mut link_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
-    let (advice_ends, mut advice_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
-    let mut config = inputs.config;
+    let (feed_events, feed_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
+    let (link_events, link_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
+    let (advice_ends, advice_receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
+    let mut inbox = OwnerInbox {
+        link_events: link_receiver,
+        writer_events: writer_receiver,
+        feed_events: feed_receiver,
+        advice_ends: advice_receiver,
+        requests,
+        config: inputs.config,
+        ticks: tick_timer(),
+    };
     let mut owner = OwnerTask {
         advice_dispatcher: AdviceDispatcher::new(platform.clone(), inputs.peers, advice_ends),
         cell: Cell::new(inputs.options),
@@ -194,9 +195,7 @@
         end: None,
         platform: platform.clone(),
     };
-    if let Some(config) = &*config.borrow_and_update() {
-        owner.configure(config);
-    }
+    inbox.apply_config(&mut owner);
     owner.metrics.record_takeover();
     owner.restore(takeover.state).await;
     owner.update_advice_callers();
@@ -215,8 +214,6 @@
             .saturating_duration_since(read_at)
             .as_millis(),
     ));
-    let mut ticks = interval(TICK_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let round_began_at = platform.now();
         owner.advance();
@@ -226,46 +223,11 @@
         if platform.now().saturating_duration_since(round_began_at) >= LONG_ROUND {
             yield_now().await;
         }
-        // Each round takes what has arrived from all of them, so that none waits for the others.
-        tokio::select! {
-            biased;
-            _ = ticks.tick() => owner.handle_tick(),
-            Some((key, event)) = link_receiver.recv() => owner.handle_link_event(key, event),
-            Some(event) = writer_receiver.recv() => owner.handle_writer_event(event),
-            Some(event) = feed_receiver.recv() => owner.handle_feed_event(event),
-            Some(end) = advice_receiver.recv() => owner.handle_advice_end(end),
-            Some(request) = requests.recv() => owner.handle_request(request),
-            Ok(()) = config.changed() => config.mark_changed(),
-            () = sleep(SCHEDULING_RETRY_DELAY), if owner.cell.wants_pass() => {}
-        }
-        if config.has_changed().unwrap_or(false)
-            && let Some(config) = &*config.borrow_and_update()
-        {
-            owner.configure(config);
-        }
-        for (key, event) in take_received(&mut link_receiver) {
-            owner.handle_link_event(key, event);
-        }
-        for event in take_received(&mut writer_receiver) {
-            owner.handle_writer_event(event);
-        }
-        for event in take_received(&mut feed_receiver) {
-            owner.handle_feed_event(event);
-        }
-        for end in take_received(&mut advice_receiver) {
-            owner.handle_advice_end(end);
-        }
-        for request in take_received(&mut requests) {
-            owner.handle_request(request);
-        }
+        inbox.await_event(&mut owner).await;
+        inbox.handle_received(&mut owner);
     }
 }
 
-/// Takes the events that have arrived, at most [`MAX_EVENTS_PER_ROUND`].
-fn take_received<T>(receiver: &mut mpsc::Receiver<T>) -> impl Iterator<Item = T> + '_ {
-    iter::from_fn(|| receiver.try_recv().ok()).take(MAX_EVENTS_PER_ROUND)
-}
-
 impl<P: Platform> OwnerTask<P> {
     fn configure(&mut self, config: &ClusterConfig) {
         let queues = config.routes.iter().map(|route| route.queue.clone());
