fix: charge a pass before its duration is taken

The simulated clock learned the work of a pass after the pass had been measured, so passes cost nothing in the simulation and their budget never shrank. A real clock is not affected.

--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -292,12 +292,10 @@
         let last_pass_at = self.cell.last_pass_at();
         self.cell.advance(now, self.platform.unix_ms());
         if self.cell.last_pass_at() != last_pass_at {
-            self.platform
-                .record_work(self.cell.waiting_steps() as u64 + 1);
+            self.platform.record_work(self.cell.last_pass_work());
             let cost = self.platform.now().saturating_duration_since(now);
             self.cell.record_pass_cost(cost);
             self.load.record_pass(cost);
-            self.platform.record_work(self.cell.last_pass_work());
         }
         for effect in self.cell.take_effects() {
             self.apply_effect(effect);
