fix: end a handover as a handover

After the last write of a handover the owner task planned another one. The claim writer had ended, so the task ended as if it had lost the claim: E8003 in place of E8006, and no cooldown of the slow process, which could take the cell back. Found by a review, which printed the end of the task in the simulated handover; takeovers alone don't show it. Nothing is planned any more once the end is known.

--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -15,7 +15,7 @@
 impl<P: Platform> OwnerTask<P> {
     /// Orders the next transaction, unless one is in flight or there is nothing to write.
     pub(super) fn begin_commit(&mut self) {
-        if self.committing {
+        if self.committing || self.end.is_some() {
             return;
         }
         let now = self.platform.now();
