fix: apply renewals that have arrived before leases expire

After a pause of nearly a lease, leases could count as expired while the events of their renewals still waited in the queue, and their runs would have started elsewhere for the rest of the lease. Found by a review, not seen.

--- a/crates/hs-control/src/owner/inbox.rs
+++ b/crates/hs-control/src/owner/inbox.rs
@@ -61,12 +61,15 @@
         }
     }
 
-    /// Handles the events of all kinds that have arrived, a bounded number of each.
+    /// Handles the events of all kinds that have arrived, a bounded number of each. Those of links are bounded by the
+    /// capacity of their queue.
     pub(super) fn handle_received<P: Platform>(&mut self, owner: &mut OwnerTask<P>) {
         if self.config.has_changed().unwrap_or(false) {
             self.apply_config(owner);
         }
-        for (key, event) in take_received(&mut self.link_events) {
+        // All of them are handled, since a lease that was renewed must not count as expired because the event
+        // still waits.
+        while let Ok((key, event)) = self.link_events.try_recv() {
             owner.handle_link_event(key, event);
         }
         for event in take_received(&mut self.writer_events) {
