refactor: go through waiting steps, requests and callers in a fixed order

The order of hash maps decided in which order tickets, requests in flight, waiting callers and links were visited.

--- a/crates/hs-cell/src/advice_window.rs
+++ b/crates/hs-cell/src/advice_window.rs
@@ -4,7 +4,7 @@
 //! and the order of the steps has changed. Each request also costs the owner processor time, which a backlog
 //! would otherwise use up with requests alone.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use crate::StepId;
@@ -31,7 +31,7 @@
 pub(crate) struct AdviceWindow {
     /// Number of processes that send requests, if it is known.
     callers: Option<usize>,
-    requests: HashMap<StepId, RequestInFlight>,
+    requests: BTreeMap<StepId, RequestInFlight>,
     /// Requests in the order in which they were sent, with some that have been answered.
     by_age: VecDeque<(Instant, StepId)>,
     /// Expected duration of all requests of each class.
--- a/crates/hs-cell/src/attempts.rs
+++ b/crates/hs-cell/src/attempts.rs
@@ -69,7 +69,8 @@
     pub(crate) fn fail_exhausted_jobs(&mut self, queue: &Arc<str>) {
         let is_in_queue = |job: &Job| job.spec.as_ref().is_some_and(|spec| spec.queue == *queue);
         let jobs = self.jobs.iter().filter(|(_, job)| is_in_queue(job));
-        let ids: Vec<JobId> = jobs.map(|(id, _)| *id).collect();
+        let mut ids: Vec<JobId> = jobs.map(|(id, _)| *id).collect();
+        ids.sort_unstable();
         for id in ids {
             self.fail_if_exhausted(id);
         }
--- a/crates/hs-cell/src/ready_steps.rs
+++ b/crates/hs-cell/src/ready_steps.rs
@@ -3,7 +3,7 @@
 //! A scheduling pass only looks at a part of a long backlog. The order is therefore kept between the passes, and
 //! a step moves when it changes its timeliness, the time of which is known from the beginning.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::time::Instant;
 
@@ -21,7 +21,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ReadySteps {
     groups: BTreeMap<GroupKey, StepGroup>,
-    keys: HashMap<StepId, OrderKey>,
+    keys: BTreeMap<StepId, OrderKey>,
     /// Last times at which steps have their present timeliness.
     changes: BTreeSet<(Instant, StepId)>,
     /// Steps whose queue is not configured.
@@ -84,7 +84,7 @@
 
     /// Returns the first `limit` steps of each priority.
     pub(crate) fn first_of_priorities(&self, limit: usize) -> Vec<(OrderKey, ReadyStep)> {
-        let mut left: HashMap<u8, usize> = HashMap::new();
+        let mut left: BTreeMap<u8, usize> = BTreeMap::new();
         let mut first = Vec::new();
         for group in &self.groups {
             let left = left.entry(group.0.1).or_insert(limit);
--- a/crates/hs-cell/src/ticket_holders.rs
+++ b/crates/hs-cell/src/ticket_holders.rs
@@ -3,7 +3,7 @@
 //! Tickets expire within seconds, so steps whose advice was just answered come before those that were visited
 //! with their tickets before.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use crate::StepId;
 
@@ -19,7 +19,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct TicketHolders {
     turns: BTreeMap<HolderTurn, StepId>,
-    by_step: HashMap<StepId, HolderTurn>,
+    by_step: BTreeMap<StepId, HolderTurn>,
     last_number: u64,
 }
 
--- a/crates/hs-control/src/end_waiters.rs
+++ b/crates/hs-control/src/end_waiters.rs
@@ -1,6 +1,6 @@
 //! Callers that wait for jobs to end.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use hs_cell::{JobId, JobState};
 use tokio::sync::oneshot;
@@ -12,7 +12,7 @@
 /// The waiting callers, by job.
 #[derive(Debug, Default)]
 pub(crate) struct EndWaiters {
-    waiting: HashMap<JobId, Vec<oneshot::Sender<JobState>>>,
+    waiting: BTreeMap<JobId, Vec<oneshot::Sender<JobState>>>,
 }
 
 impl EndWaiters {
--- a/crates/hs-control/src/owner/links.rs
+++ b/crates/hs-control/src/owner/links.rs
@@ -1,6 +1,6 @@
 //! The workers of the cell: their restoration at a takeover, their links, and what the links report.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use hs_cell::WorkerKey;
 use hs_event::EventCode;
@@ -15,7 +15,7 @@
     /// Restores the state of the cell, then links the workers in the order of [`hs_cell::Cell::contact_order`], which
     /// needs the restored runs.
     pub(super) async fn restore(&mut self, state: StoredState) {
-        let mut endpoints = HashMap::new();
+        let mut endpoints = BTreeMap::new();
         let mut portions = WorkPortions::default();
         for worker in state.workers {
             let (key, endpoint) = self.list_worker(worker);
