fix: acknowledge no end by the number of a row that can't be read

One unreadable row of ends with a number too large, such as 1,000,000, made the cell ignore all later ends of the worker and acknowledge them. Their runs were then missing from the report, so finished work was started again. Found by a review with a test of the cell.

The number of an unreadable row is not used any more: such an end is acknowledged with the next one that can be read.

--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -52,10 +52,8 @@
     pub running: Vec<RunReport>,
     /// Ends that the worker still retains.
     pub ended: Vec<EndReport>,
-    /// Whether runs may be in progress that `running` lacks, since they could not be identified.
+    /// Whether runs may be in progress, or have ended, that both lists lack, since their rows could not be read.
     pub is_partial: bool,
-    /// Numbers of further ends that the worker retains, whose runs are unknown. They may be acknowledged.
-    pub skipped_ends: Vec<u64>,
 }
 
 /// Report on a run that is in progress.
@@ -267,12 +265,6 @@
         !std::mem::replace(&mut self.reported, true)
     }
 
-    /// Lets ends that belong to no known run be acknowledged, together with those before them.
-    pub(crate) fn skip_ends(&mut self, numbers: &[u64]) {
-        let last = numbers.iter().copied().max().unwrap_or(0);
-        self.last_seen_end = self.last_seen_end.max(last);
-    }
-
     /// Returns whether the worker is quarantined after failures, or on probation after that.
     pub(crate) fn is_quarantined_or_on_probation(&self, now: Instant) -> bool {
         self.quarantined_until
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -107,7 +107,6 @@
         for end in std::mem::take(&mut report.ended) {
             self.apply_end(key, end, now);
         }
-        self.workers[key].skip_ends(&report.skipped_ends);
         for run in &report.running {
             self.apply_running(key, run, now);
             self.clear_if_harmless(key, run.run, now);
--- a/crates/hs-control/src/link/renewal.rs
+++ b/crates/hs-control/src/link/renewal.rs
@@ -163,15 +163,14 @@
             ));
         }
         let numbers = report.ended.iter().map(|end| end.number);
-        let numbers = numbers.chain(report.skipped_ends.iter().copied());
         let last = numbers.max().unwrap_or(0);
         let is_early = last <= self.last_seen_end && read_at < call.requested_at + call.wait / 2;
         self.last_seen_end = self.last_seen_end.max(last);
         link.emit(LinkEvent::Report(report, call.requested_at))
             .await;
         if is_early {
-            // The worker retains an end without a readable number, which can't be acknowledged, and therefore
-            // answers each renewal at once.
+            // The worker retains an end that can't be read and is not acknowledged, and therefore answers each
+            // renewal at once.
             sleep(RETRY_PAUSE).await;
         }
     }
