fix: bound the rate of handovers

The time of a short piece of work does not show a quota: where a VM's processor share is one, a process with nothing to do measures a whole core, and two equal processes could hand the cell to each other every 3 s. An owner to which the cell was handed over now keeps it for at least 15 s.

--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -304,6 +304,11 @@
     }
 
     async fn acquire_and_own(&mut self, observed: &ObservedClaim) {
+        let successor = observed
+            .value
+            .as_ref()
+            .and_then(|claim| claim.successor.as_deref());
+        let by_handover = successor == Some(&*self.context.node);
         let claim = ClaimValue {
             fence: 0,
             sequence: 0,
@@ -342,6 +347,7 @@
                 confirmation,
                 owner_last_seen: self.owner_last_seen.clone(),
             },
+            by_handover,
             status,
             metrics: self.context.metrics.clone(),
             requests,
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -25,6 +25,7 @@
 use crate::contact_permits::ContactPermits;
 use crate::end_waiters::EndWaiters;
 use crate::feeds::FeedEvent;
+use crate::handover::OwnershipStart;
 use crate::lag::LagMeter;
 use crate::link::{LinkEvent, LinkHandle, MAX_LEASE_PAST_CONFIRMATION};
 use crate::load::LoadMeter;
@@ -70,6 +71,8 @@
     pub options: CellOptions,
     pub config: watch::Receiver<Option<Arc<ClusterConfig>>>,
     pub keeper: ClaimKeeper,
+    /// Whether the former owner has handed the cell over to this process.
+    pub by_handover: bool,
     pub status: OwnerStatus,
     pub metrics: ControlMetrics,
     pub requests: mpsc::Receiver<OwnerRequest>,
@@ -120,7 +123,7 @@
     release: Option<oneshot::Sender<()>>,
     lag: LagMeter,
     speed: SpeedMeter,
-    owned_since: Instant,
+    ownership_start: OwnershipStart,
     load: LoadMeter,
     feed_events: mpsc::Sender<FeedEvent>,
     link_events: mpsc::Sender<(WorkerKey, LinkEvent)>,
@@ -187,7 +190,10 @@
         release: None,
         lag: LagMeter::default(),
         speed: SpeedMeter::default(),
-        owned_since: started,
+        ownership_start: OwnershipStart {
+            at: started,
+            by_handover: inputs.by_handover,
+        },
         load: LoadMeter::default(),
         feed_events,
         link_events,
--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -41,7 +41,7 @@
             return None;
         }
         let members = self.status.members();
-        handover::successor(&members, self.speed.work_time(), self.owned_since, now)
+        handover::successor(&members, self.speed.work_time(), self.ownership_start, now)
     }
 
     pub(super) fn handle_writer_event(&mut self, event: WriterEvent) {
