fix: stop confirming the claim of an owner that makes no rounds

One that waits for ever would keep the cell for ever. Found by a review, not seen; a panic was covered. The claim writer now stops confirming 30 s after the last round of the owner task, and another process takes the cell over as after any loss of the owner.

--- a/crates/hs-control/src/claim_writer.rs
+++ b/crates/hs-control/src/claim_writer.rs
@@ -18,6 +18,10 @@
 /// considers the owner cut off from the store once the last confirmation is 600 ms old.
 const CLAIM_CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time without a round of the owner task after which the claim is no longer confirmed, so that another process takes the
+/// cell over. It covers the reading and restoring of a large state on a slow VM.
+const MAX_OWNER_SILENCE: Duration = Duration::from_secs(30);
+
 /// A transaction that the owner wants to have written.
 #[derive(Debug, Default)]
 pub(crate) struct WriteOrder {
@@ -60,6 +64,8 @@
     pub platform: P,
     pub keeper: ClaimKeeper,
     pub orders: mpsc::Receiver<WriteOrder>,
+    /// Time of the last round of the owner task.
+    pub last_round: watch::Receiver<Instant>,
     pub events: mpsc::Sender<WriterEvent>,
 }
 
@@ -76,6 +82,10 @@
             let order = match timeout(until_due, self.orders.recv()).await {
                 Ok(Some(order)) => Some(order),
                 Ok(None) => return,
+                Err(_) if self.is_owner_silent() => {
+                    last_written_at = self.platform.now();
+                    continue;
+                }
                 Err(_) => None,
             };
             let event = self.write(order).await;
@@ -95,6 +105,11 @@
         }
     }
 
+    fn is_owner_silent(&self) -> bool {
+        let last_round = *self.last_round.borrow();
+        self.platform.now().saturating_duration_since(last_round) >= MAX_OWNER_SILENCE
+    }
+
     /// Writes a transaction, which only confirms the claim if there is no order. Returns what the owner has to
     /// be told.
     async fn write(&mut self, order: Option<WriteOrder>) -> Option<WriterEvent> {
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -107,6 +107,8 @@
     confirmation: watch::Receiver<Instant>,
     planner: CommitPlanner,
     write_orders: mpsc::Sender<WriteOrder>,
+    /// Publishes the time of the last round to the claim writer.
+    last_round: watch::Sender<Instant>,
     /// Whether a transaction is in flight.
     committing: bool,
     metrics: ControlMetrics,
@@ -140,11 +142,13 @@
     let confirmation = inputs.keeper.confirmation.subscribe();
     let mut background_tasks = JoinSet::new();
     let (write_orders, orders) = mpsc::channel(MAX_WRITE_ORDERS);
+    let (last_round, rounds) = watch::channel(started);
     let (writer_events, mut writer_receiver) = mpsc::channel(MAX_WRITE_ORDERS);
     let writer = ClaimWriter {
         platform: platform.clone(),
         keeper: inputs.keeper,
         orders,
+        last_round: rounds,
         events: writer_events,
     };
     background_tasks.spawn(writer.run());
@@ -175,6 +179,7 @@
         confirmation,
         planner: CommitPlanner::new(fence),
         write_orders,
+        last_round,
         committing: false,
         metrics: inputs.metrics,
         cell_measured_at: started,
@@ -295,6 +300,7 @@
     /// one is in flight.
     fn advance(&mut self) {
         let now = self.platform.now();
+        self.last_round.send_replace(now);
         let last_pass_at = self.cell.last_pass_at();
         self.cell.advance(now, self.platform.unix_ms());
         if self.cell.last_pass_at() != last_pass_at {
