--- a/crates/hs-control/src/commits.rs
+++ b/crates/hs-control/src/commits.rs
@@ -25,9 +25,8 @@
 /// Maximum number of expired jobs that are deleted in one transaction; each takes two entries.
 const MAX_DELETED_JOBS: usize = 10;
 
-/// Interval at which the jobs are searched for expired ones, unless the last search found more than a
-/// transaction takes. A search visits all jobs whose state is kept, and without a limit each event of an
-/// idle cell would cause one.
+/// Interval at which expired jobs are looked for, unless the last look found more than a transaction takes. Without a
+/// limit each event of an idle cell would cause a transaction of its own for a few of them.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Contents of a transaction of the owner, except for the claim.
