--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -83,7 +83,11 @@
 /// Builds an object from pairs of names and values.
 pub fn object<const N: usize>(fields: [(&str, Json); N]) -> Json {
     let fields = fields.into_iter();
-    Json::Object(fields.map(|(name, value)| (name.to_owned(), value)).collect())
+    Json::Object(
+        fields
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect(),
+    )
 }
 
 impl fmt::Display for Json {
@@ -221,7 +225,9 @@
         let length = rest.iter().take_while(|byte| is_part(byte)).count();
         let text = std::str::from_utf8(&rest[..length]).unwrap_or_default();
         self.at += length;
-        let number = text.parse().map_err(|_| format!("no value at {}", self.at))?;
+        let number = text
+            .parse()
+            .map_err(|_| format!("no value at {}", self.at))?;
         Ok(Json::Number(number))
     }
 
