--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] || exit 2
-exec target/review/standin rolling-crashes review/5
+exec target/review/standin cancelled-before review/5
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -41,7 +41,7 @@
         "many-ends" => cases::many_ends(record, is_troubled),
         "lost-cancellation" => cases::lost_cancellation(record, is_troubled),
         "stuck-gang" => cases::stuck_gang(record, is_troubled),
-        "rolling-crashes" => cases::rolling_crashes(record, is_troubled),
+        "cancelled-before" => cases::cancelled_before(record, is_troubled),
         "removed-route" => cases::removed_route(record, is_troubled),
         _ => Err(format!("unknown case {case}")),
     }
