fix: keep cancellations that come before their jobs

Cause: the owner ignored the cancellation of a job that it did not know, and relied on the order of changes in its watch. After the store has dropped its history the intake is read in the order of the keys, cancellations first. The owner did not know the job, since the process that learned from a conflict that its first write was done told nobody.

Ruled out: the cancellation is lost on its way (it reached the owner twice).

Change: the cell keeps the cancellation of an unknown job for the retention of outcomes, and ends the job when it comes; the outcome is recorded, and items of cancellations without a job are deleted after that time. A submission that finds its job in the store tells the owner, also where the owner writes for another process. Cancellations are noted once, so that a transaction does not delete an item twice.

Evidence: without the change the two new simulation tests fail (a start at 6.14 s of a job cancelled at 2.02 s; no start within a second), and with the cancellation not kept both tests of early_cancellations fail (Queued instead of Cancelled).

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -10,6 +10,7 @@
 use crate::advice::AllowedShare;
 use crate::advice_window::AdviceWindow;
 use crate::dirty_jobs::DirtyJobs;
+use crate::early_cancellations::EarlyCancellations;
 use crate::effect::CellEffect;
 use crate::free_index::FreeIndex;
 use crate::job::{Job, Occurrence};
@@ -74,6 +75,17 @@
     Ended(JobOutcome),
 }
 
+/// What became of a job that was to be added.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AddedJob {
+    /// The cell already knew the job.
+    Known,
+    /// The job is in its queue.
+    Queued,
+    /// The job ends at once, since its cancellation came first.
+    Cancelled,
+}
+
 /// State machine of a cell: its jobs, queues and workers.
 #[derive(Debug)]
 pub struct Cell {
@@ -84,6 +96,7 @@
     unfinished_jobs: usize,
     /// Jobs whose outcomes are stored, by the time from which they may be deleted.
     expiring_jobs: BTreeSet<(Instant, JobId)>,
+    pub(crate) early_cancellations: EarlyCancellations,
     pub(crate) workers: SlotMap<WorkerKey, Worker>,
     pub(crate) free_index: FreeIndex,
     /// Latest incarnation of each worker, by worker ID.
@@ -128,6 +141,7 @@
             jobs: HashMap::new(),
             unfinished_jobs: 0,
             expiring_jobs: BTreeSet::new(),
+            early_cancellations: EarlyCancellations::default(),
             workers: SlotMap::with_key(),
             free_index: FreeIndex::default(),
             workers_by_id: HashMap::new(),
@@ -173,14 +187,24 @@
         self.request_pass();
     }
 
-    /// Adds an accepted job. Returns `false` if the cell already knows the job.
-    pub fn add_job(&mut self, id: JobId, spec: Arc<JobSpec>, now: Instant, now_ms: u64) -> bool {
+    /// Adds an accepted job, unless the cell already knows it.
+    pub fn add_job(
+        &mut self,
+        id: JobId,
+        spec: Arc<JobSpec>,
+        now: Instant,
+        now_ms: u64,
+    ) -> AddedJob {
         if self.jobs.contains_key(&id) {
-            return false;
+            return AddedJob::Known;
         }
         self.insert_unfinished(id, Job::new(spec));
+        if self.take_cancellation(id) {
+            self.end_job(id, JobOutcome::Cancelled);
+            return AddedJob::Cancelled;
+        }
         self.begin_due_occurrences(id, now, now_ms);
-        true
+        AddedJob::Queued
     }
 
     /// Adds a job that has ended and whose outcome is stored.
@@ -205,9 +229,11 @@
         self.jobs.contains_key(&id)
     }
 
-    /// Cancels a job whose cancellation is already in the store. Returns whether the cell knows the job.
-    pub fn cancel(&mut self, id: JobId) -> bool {
+    /// Cancels a job whose cancellation is already in the store. Returns whether the cell knows the job; if not, the
+    /// cancellation is kept until the job is added.
+    pub fn cancel(&mut self, id: JobId, now: Instant) -> bool {
         let Some(job) = self.jobs.get(&id) else {
+            self.keep_cancellation(id, now);
             return false;
         };
         if job.outcome.is_none() {
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -24,6 +24,7 @@
 mod crash_history;
 mod crashes;
 mod dirty_jobs;
+mod early_cancellations;
 mod effect;
 mod expected_use;
 mod free_index;
@@ -55,7 +56,7 @@
 pub use advice::AdviceReply;
 pub use advice_callers::AdviceCaller;
 pub use advice_queue::{AdvicePart, AdviceQueue};
-pub use cell::{Cell, CellOptions, JobState};
+pub use cell::{AddedJob, Cell, CellOptions, JobState};
 pub use census::{AdviceWait, StepWait, WorkerCensus};
 pub use effect::{
     AdviceRequest, CellBatch, CellEffect, CrashEvent, RecordRow, StartOrder, TaskRun,
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod backlog_drain;
 mod batch_order;
 mod crashes;
+mod early_cancellations;
 mod fixture;
 mod fuzz;
 mod job_counts;
--- a/crates/hs-control/src/commits.rs
+++ b/crates/hs-control/src/commits.rs
@@ -1,5 +1,6 @@
 //! Plans the contents of the owner's transactions, which are written to the store one at a time.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use hs_event::EventCode;
@@ -51,7 +52,8 @@
     pub log: RecordLog,
     /// Stamp of the last planned transaction.
     last_stamp: RecordStamp,
-    cancelled: Vec<JobId>,
+    /// Applied cancellations whose items are not deleted yet.
+    cancelled: BTreeSet<JobId>,
     /// Time before which the jobs are not searched for expired ones.
     next_expiry_check: Option<Instant>,
 }
@@ -62,7 +64,7 @@
         Self {
             log: RecordLog::default(),
             last_stamp: RecordStamp { fence, sequence: 0 },
-            cancelled: Vec::new(),
+            cancelled: BTreeSet::new(),
             next_expiry_check: None,
         }
     }
@@ -70,7 +72,7 @@
     /// Notes that a cancellation has been applied. Its item can be deleted, because the job will be
     /// recorded as cancelled.
     pub(crate) fn note_cancelled(&mut self, id: JobId) {
-        self.cancelled.push(id);
+        self.cancelled.insert(id);
     }
 
     /// Plans a transaction with the next changes of the cell. If there are none, it deletes items that
@@ -106,9 +108,13 @@
                 self.log.forget_job(id);
                 planned.deletes.extend([keys::job(id), keys::cancel(id)]);
             }
+            let expired = cell.take_expired_cancellations(now, free_entries(planned));
+            planned
+                .deletes
+                .extend(expired.into_iter().map(keys::cancel));
         }
         while free_entries(planned) > 0
-            && let Some(id) = self.cancelled.pop()
+            && let Some(id) = self.cancelled.pop_first()
         {
             planned.deletes.push(keys::cancel(id));
         }
--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{JobId, JobOutcome, JobSpec, JobState};
+use hs_event::EventCode;
 use tokio::sync::watch;
 
 use crate::config::ClusterConfig;
@@ -115,7 +116,10 @@
                 self.notify.send(Notice::Job(id, Arc::new(spec), value));
                 SubmitReply::Accepted
             }
-            IntakeResult::AlreadyExists => SubmitReply::Accepted,
+            IntakeResult::AlreadyExists(stored) => {
+                self.notify_stored_job(id, stored);
+                SubmitReply::Accepted
+            }
             IntakeResult::Refused => SubmitReply::Refused,
             IntakeResult::Unknown => SubmitReply::Unknown,
         }
@@ -132,7 +136,7 @@
             .store_row(keys::cancel(id), b"{}", id, true, timeout)
             .await
         {
-            IntakeResult::Stored | IntakeResult::AlreadyExists => {
+            IntakeResult::Stored | IntakeResult::AlreadyExists(_) => {
                 self.notify.send(Notice::Cancel(id));
                 CancelReply::Cancelled
             }
@@ -193,6 +197,18 @@
         }
     }
 
+    /// Tells the owner of a job that was found in the store. The process that wrote it may not have learned that its
+    /// write was done, and then has told nobody.
+    pub(crate) fn notify_stored_job(&self, id: JobId, value: Vec<u8>) {
+        match JobValue::parse(&value) {
+            Some(JobValue::Accepted(spec)) => {
+                self.notify.send(Notice::Job(id, Arc::new(spec), value));
+            }
+            Some(JobValue::Ended(_)) => {}
+            None => EventCode::RecordUnreadable.log(format_args!("key={}", keys::job(id))),
+        }
+    }
+
     /// Creates a row on behalf of a peer that could not write it to the store.
     pub(crate) async fn accept_for_peer(
         &self,
--- a/crates/hs-control/src/intake.rs
+++ b/crates/hs-control/src/intake.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::sleep;
 
-use crate::port::{ClockPort, StorePort, StoreTxn, TxnReply};
+use crate::port::{ClockPort, StoreItem, StorePort, StoreTxn, TxnReply};
 use crate::store_health::StoreHealth;
 
 /// Maximum number of rows in one transaction. Each takes two entries, a condition and a write, of the
@@ -29,12 +29,12 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// The result of creating a row.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum IntakeResult {
     /// The row is in the store.
     Stored,
-    /// The row already existed.
-    AlreadyExists,
+    /// The row already existed, with this value. An earlier attempt without a reply may have written it.
+    AlreadyExists(Vec<u8>),
     /// The row is not in the store and will not be written by this call.
     Refused,
     /// The row may have been written, or may still be written later.
@@ -50,6 +50,13 @@
     reply: oneshot::Sender<IntakeResult>,
 }
 
+/// A row that the store already has, with the stored value.
+#[derive(Debug)]
+struct PresentRow {
+    row: IntakeRow,
+    value: Vec<u8>,
+}
+
 /// Handle of the intake task, which batches rows into transactions.
 #[derive(Clone, Debug)]
 pub(crate) struct IntakeHandle {
@@ -135,7 +142,7 @@
             false => IntakeResult::Refused,
         };
         for row in expired {
-            answer(row, result);
+            answer(row, result.clone());
         }
         rows = left;
         if rows.is_empty() {
@@ -151,8 +158,7 @@
                 return;
             }
             Ok(TxnReply::Conflict(items)) => {
-                let found = |row: &IntakeRow| items.iter().any(|item| item.key == row.key);
-                let (present, left): (Vec<_>, Vec<_>) = rows.into_iter().partition(found);
+                let (present, left) = split_present(rows, items);
                 if present.is_empty() {
                     log::warn!(
                         "store reports a conflict without an item, rows={}",
@@ -160,8 +166,8 @@
                     );
                     sleep(RETRY_PAUSE).await;
                 }
-                for row in present {
-                    answer(row, IntakeResult::AlreadyExists);
+                for PresentRow { row, value } in present {
+                    answer(row, IntakeResult::AlreadyExists(value));
                 }
                 rows = left;
             }
@@ -178,6 +184,25 @@
     }
 }
 
+/// Separates the rows that a conflict shows in the store.
+fn split_present(
+    rows: Vec<IntakeRow>,
+    mut items: Vec<StoreItem>,
+) -> (Vec<PresentRow>, Vec<IntakeRow>) {
+    let mut present = Vec::new();
+    let mut left = Vec::new();
+    for row in rows {
+        match items.iter_mut().find(|item| item.key == row.key) {
+            Some(item) => present.push(PresentRow {
+                row,
+                value: item.value.take().unwrap_or_default(),
+            }),
+            None => left.push(row),
+        }
+    }
+    (present, left)
+}
+
 fn answer(row: IntakeRow, result: IntakeResult) {
     // The receiver is gone if the client has disconnected; the row stays as it is.
     let _ = row.reply.send(result);
--- a/crates/hs-control/src/owner/requests.rs
+++ b/crates/hs-control/src/owner/requests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hs_cell::{JobId, JobSpec, JobState};
+use hs_cell::{AddedJob, JobId, JobSpec, JobState};
 use hs_event::EventCode;
 
 use super::OwnerTask;
@@ -15,22 +15,27 @@
         let now_ms = self.platform.unix_ms();
         let queue = spec.queue.clone();
         let steps = spec.steps.len();
-        if self.cell.add_job(id, spec, now, now_ms) {
-            EventCode::JobQueued.log(format_args!(
+        match self.cell.add_job(id, spec, now, now_ms) {
+            AddedJob::Known => {}
+            AddedJob::Queued => EventCode::JobQueued.log(format_args!(
                 "job={id} queue={queue} steps={steps} source={source}"
-            ));
+            )),
+            AddedJob::Cancelled => self.job_cancelled(id),
         }
     }
 
     pub(super) fn cancel(&mut self, id: JobId) {
-        if self.cell.cancel(id) {
-            EventCode::JobCancelled.log(format_args!("job={id}"));
-            self.planner.note_cancelled(id);
-        } else {
-            log::debug!("cancellation of unknown job {id}");
+        match self.cell.cancel(id, self.platform.now()) {
+            true => self.job_cancelled(id),
+            false => EventCode::CancellationKept.log(format_args!("job={id}")),
         }
     }
 
+    fn job_cancelled(&mut self, id: JobId) {
+        EventCode::JobCancelled.log(format_args!("job={id}"));
+        self.planner.note_cancelled(id);
+    }
+
     pub(super) fn handle_request(&mut self, request: OwnerRequest) {
         // Sending a reply fails if the caller stopped waiting, which needs no handling.
         match request {
--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -173,7 +173,7 @@
             log.forget_job(id);
         }
         for id in self.cancelled {
-            cell.cancel(id);
+            cell.cancel(id, now);
         }
         log
     }
--- a/crates/hs-control/src/server.rs
+++ b/crates/hs-control/src/server.rs
@@ -155,7 +155,13 @@
                 self.control.notify.send(notice);
                 AcceptResult::Stored
             }
-            IntakeResult::AlreadyExists => AcceptResult::Stored,
+            IntakeResult::AlreadyExists(stored) => {
+                match notice {
+                    Notice::Job(id, _, _) => self.control.notify_stored_job(id, stored),
+                    Notice::Cancel(_) => self.control.notify.send(notice),
+                }
+                AcceptResult::Stored
+            }
             IntakeResult::Refused => AcceptResult::Refused,
             IntakeResult::Unknown => AcceptResult::Unknown,
         };
--- a/crates/hs-control/tests/simulation/main.rs
+++ b/crates/hs-control/tests/simulation/main.rs
@@ -5,6 +5,7 @@
 
 mod advice;
 mod calm;
+mod cancellations;
 mod cpu;
 mod determinism;
 mod faults;
--- a/crates/hs-control/tests/simulation/store.rs
+++ b/crates/hs-control/tests/simulation/store.rs
@@ -39,6 +39,10 @@
     items: BTreeMap<String, (Vec<u8>, u64)>,
     revision: u64,
     history: Vec<StoreItem>,
+    /// Revision up to which the history was dropped.
+    dropped_revision: u64,
+    /// Whether watches show no changes.
+    pub is_deaf: bool,
     /// Faults of the processes that have any.
     faults: BTreeMap<usize, StoreFault>,
 }
@@ -103,12 +107,24 @@
 
     /// Returns the changes of items with a prefix after a revision.
     pub fn changes(&self, prefix: &str, after: u64) -> StoreChanges {
+        if self.is_deaf {
+            return StoreChanges::Events(Vec::new(), after);
+        }
+        if after < self.dropped_revision {
+            return StoreChanges::Compacted;
+        }
         let first = self.history.partition_point(|item| item.revision <= after);
         let later = self.history[first..].iter();
         let events = later.filter(|item| item.key.starts_with(prefix)).cloned();
         StoreChanges::Events(events.collect(), self.revision)
     }
 
+    /// Drops the history, so that watches have to start over.
+    pub fn drop_history(&mut self) {
+        self.history.clear();
+        self.dropped_revision = self.revision;
+    }
+
     /// Executes a transaction.
     pub fn transact(&mut self, txn: &StoreTxn) -> TxnReply {
         let entries = txn.expect.len() + txn.writes.len() + txn.deletes.len();
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -139,6 +139,8 @@
     JobInDoubt = 8024, Info, "job in doubt";
     /// A cancellation of a job took effect.
     JobCancelled = 8025, Info, "job cancelled";
+    /// The owner does not know the job of a cancellation, which it keeps until the job comes.
+    CancellationKept = 8026, Info, "cancellation of an unknown job kept";
     /// A process started to send heartbeats to the owner.
     MemberJoined = 8031, Info, "member joined";
     /// This process found the owner and sends heartbeats to it.
