fix: conclude nothing from a report that may lack ends

Cause: a worker lists at most 500 unacknowledged ends. A run that was neither in progress nor among them was released as gone, and its task started again.

Ruled out: the lease of the worker expired (no E8012, and its ends were applied); the worker lost the ends (it lists them in its next report).

Change: a report has a scope in place of the flag for unreadable rows. One with as many ends as a worker lists at a time releases no run, and a run that it lacks does not count as stalled.

--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -71,5 +71,5 @@
 pub use record_log::{LogWrites, RecordLog, StoredRecords};
 pub use segment::{RecordStamp, SegmentRow, SegmentState, StampedRecord};
 pub use worker::{
-    EndReport, RunEnd, RunReport, StartRefusal, WorkerEntry, WorkerKey, WorkerReport,
+    EndReport, ReportScope, RunEnd, RunReport, StartRefusal, WorkerEntry, WorkerKey, WorkerReport,
 };
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -52,8 +52,20 @@
     pub running: Vec<RunReport>,
     /// Ends that the worker still retains.
     pub ended: Vec<EndReport>,
-    /// Whether runs may be in progress, or have ended, that both lists lack, since their rows could not be read.
-    pub is_partial: bool,
+    /// What a run that both lists lack may have come to.
+    pub scope: ReportScope,
+}
+
+/// Scope of a worker's report, which says what follows from a run that it lacks.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ReportScope {
+    /// The lists name all runs and all retained ends. A run that they lack is gone.
+    #[default]
+    Complete,
+    /// A row could not be read. A run that the lists lack may be in progress, or have ended.
+    UnreadableRows,
+    /// The worker retains more ends than it lists at a time. A run that the lists lack may have ended in any way.
+    MoreEnds,
 }
 
 /// Report on a run that is in progress.
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -113,6 +113,7 @@
             self.clear_if_harmless(key, run.run, now);
         }
         self.release_absent_runs(key, &report, requested_at);
+        self.excuse_absent_runs(key, &report, now);
         let acknowledged = self.workers[key].acknowledgeable_end();
         if is_first_report || acknowledged > 0 {
             self.effects
--- a/crates/hs-cell/tests/cell/odd_reports.rs
+++ b/crates/hs-cell/tests/cell/odd_reports.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use hs_cell::{Cell, CellEffect, CellOptions, TaskRun, WorkerKey, WorkerReport};
+use hs_cell::{
+    Cell, CellEffect, CellOptions, EndReport, JobOutcome, JobState, ReportScope, RunEnd, TaskRun,
+    WorkerKey, WorkerReport,
+};
 
 use crate::fixture::{entry, id, job, queue, step};
 
@@ -60,20 +63,56 @@
     }
 }
 
-/// Guards against a second run of a task whose first one is in progress, but in a row that could not be read.
+/// Guards against a second run of a task whose first one is in progress, or has ended, but not in a row that the owner
+/// has read.
 #[test]
 fn a_partial_report_ends_no_run() {
-    for (is_partial, starts_again) in [(true, false), (false, true)] {
+    for (scope, starts_again) in [
+        (ReportScope::UnreadableRows, false),
+        (ReportScope::MoreEnds, false),
+        (ReportScope::Complete, true),
+    ] {
         let mut small = SmallCell::new();
         small.start();
         small.report(WorkerReport {
-            is_partial,
+            scope,
             ..WorkerReport::default()
         });
-        assert_eq!(small.next_start().is_some(), starts_again, "{is_partial}");
+        assert_eq!(small.next_start().is_some(), starts_again, "{scope:?}");
     }
 }
 
+/// Guards against a second run of a task that was stopped and has succeeded before, which a report without room for
+/// all ends does not show yet. The worker is not blamed meanwhile.
+#[test]
+fn a_stopped_run_waits_for_the_ends_that_a_report_lacks() {
+    let mut small = SmallCell::new();
+    let run = small.start();
+    let lacks_ends = || WorkerReport {
+        scope: ReportScope::MoreEnds,
+        ..WorkerReport::default()
+    };
+    let limit = small.now + Duration::from_secs(6);
+    while small.now < limit {
+        small.cell.lease_renewed(small.worker, small.now + LEASE);
+        small.report(lacks_ends());
+        small.cell.stop_confirmed(small.worker, run, small.now);
+        assert_eq!(small.next_start(), None);
+    }
+    small.report(WorkerReport {
+        ended: vec![EndReport {
+            number: 1,
+            run,
+            end: RunEnd::Done,
+            checkpoint: String::new(),
+        }],
+        ..WorkerReport::default()
+    });
+    assert_eq!(small.next_start(), None);
+    let state = small.cell.state(id(1));
+    assert_eq!(state, Some(JobState::Ended(JobOutcome::Completed)));
+}
+
 /// Guards against a task that waits for ever for a run that is gone, while another row of its worker can't be read.
 #[test]
 fn a_confirmed_stop_ends_a_run_that_partial_reports_lack() {
@@ -81,7 +120,7 @@
     let run = small.start();
     let stall = Instant::now() + Duration::from_secs(6);
     let partial = || WorkerReport {
-        is_partial: true,
+        scope: ReportScope::UnreadableRows,
         ..WorkerReport::default()
     };
     while small.now < stall {
--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -9,8 +9,8 @@
 use hs_cell::{
     AdviceReply, Cell, CellBatch, CellEffect, CellOptions, CrashEvent, EndReport, JobId,
     JobOutcome, JobRecord, JobSpec, JobState, LogWrites, QueueSpec, RecordLog, RecordRow,
-    RecordStamp, RunEnd, RunReport, SegmentState, StartOrder, StartRefusal, StoredRecords, TaskId,
-    TaskPlace, TaskRun, WorkerEntry, WorkerKey, WorkerReport,
+    RecordStamp, ReportScope, RunEnd, RunReport, SegmentState, StartOrder, StartRefusal,
+    StoredRecords, TaskId, TaskPlace, TaskRun, WorkerEntry, WorkerKey, WorkerReport,
 };
 use hs_wire::Resources;
 
@@ -83,6 +83,9 @@
     worker: usize,
 }
 
+/// Maximum number of ends in a report. It is small, so that reports lack some.
+const MAX_LISTED_ENDS: usize = 2;
+
 /// Maximum number of entries of a transaction. It is small, so that segments are used.
 const MAX_TRANSACTION_ENTRIES: usize = 5;
 
@@ -669,8 +672,11 @@
                     percent,
                 })
                 .collect(),
-            ended: worker.ended.clone(),
-            ..WorkerReport::default()
+            ended: worker.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            scope: match worker.ended.len() > MAX_LISTED_ENDS {
+                true => ReportScope::MoreEnds,
+                false => ReportScope::Complete,
+            },
         };
         for end in taken {
             match end.end {
--- a/crates/hs-control/tests/simulation/faults.rs
+++ b/crates/hs-control/tests/simulation/faults.rs
@@ -9,7 +9,7 @@
 use crate::observer::JobPlan;
 use crate::peer_client;
 use crate::process::SimProcess;
-use crate::simulation::Simulation;
+use crate::simulation::{ClusterPlan, Simulation};
 use crate::store::StoreFault;
 
 /// A job of one task that takes 20 s on one core.
@@ -20,6 +20,14 @@
     is_advised: false,
 };
 
+/// A job of more tasks than the ends that a worker lists at a time.
+const SMALL_TASKS: JobPlan = JobPlan {
+    tasks: 800,
+    cpu_milli: 1,
+    duration: Duration::from_secs(5),
+    is_advised: false,
+};
+
 /// Bytes that are no HTTP/2 connection.
 const GARBAGE: &[u8] = b"\x00\xff\x16\x03\x01 GET / HTTP/9 \r\n\r\n \xc3\x28 \x80\x81\x82";
 
@@ -68,6 +76,28 @@
     assert_eq!(world.observer.starts.len(), 20);
 }
 
+/// Tasks that run again although they are done, because their worker has more ends than it lists at a time.
+#[test]
+fn tasks_whose_ends_are_not_listed_yet_do_not_run_again() {
+    let plan = ClusterPlan {
+        workers: 1,
+        ..calm_cluster()
+    };
+    let mut simulation = Simulation::start(&plan);
+    simulation.run_for(Duration::from_secs(2));
+    simulation.submit(SMALL_TASKS);
+    simulation.run_for(Duration::from_secs(3));
+    assert_eq!(simulation.run_count(), usize::from(SMALL_TASKS.tasks));
+    simulation.world.lock().workers[0].reachable = false;
+    simulation.run_for(Duration::from_millis(5500));
+    assert_eq!(simulation.run_count(), 0);
+    simulation.world.lock().workers[0].reachable = true;
+    assert_all_end(&mut simulation, Duration::from_secs(10));
+    let world = simulation.world.lock();
+    let tasks = usize::from(SMALL_TASKS.tasks);
+    assert_eq!(world.observer.starts.len(), tasks);
+}
+
 /// An owner that acts on an expired claim after a pause in which another process took the cell over.
 #[test]
 fn a_paused_owner_does_not_act_on_an_expired_claim() {
--- a/crates/hs-control/tests/simulation/worker.rs
+++ b/crates/hs-control/tests/simulation/worker.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hs_cell::{
-    EndReport, RunEnd, RunReport, StartOrder, StartRefusal, TaskId, TaskRun, WorkerEntry,
-    WorkerReport,
+    EndReport, ReportScope, RunEnd, RunReport, StartOrder, StartRefusal, TaskId, TaskRun,
+    WorkerEntry, WorkerReport,
 };
 use hs_control::port::{LeaseRenewal, PortError, RenewalReply, StartReply, StopReply};
 
@@ -16,6 +16,9 @@
 /// Time that a worker takes for a call.
 const SERVICE_TIME: Duration = Duration::from_micros(500);
 
+/// Maximum number of ends in a report.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// A run in progress.
 #[derive(Clone, Copy, Debug)]
 struct Run {
@@ -129,8 +132,11 @@
             clock_ms: self.clock_ms(now),
             report: WorkerReport {
                 running: running.collect(),
-                ended: self.ended.clone(),
-                ..WorkerReport::default()
+                ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+                scope: match self.ended.len() > MAX_LISTED_ENDS {
+                    true => ReportScope::MoreEnds,
+                    false => ReportScope::Complete,
+                },
             },
         }
     }
