fix: fail a reading of the state that is cut off

A page of the store without items that says more follow ended the reading as if it were complete. At a takeover the new owner would not know the jobs behind it, which then wait for the next one.

Not seen in operation.

Change: such a page is an error, and the reading is repeated like after any other.

Evidence: a_page_that_is_cut_off_hides_no_jobs fails without the change (40 of 40 jobs never start) and passes with it.

--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -84,6 +84,11 @@
 }
 
 /// Reads all items with a prefix, and returns them with a revision up to which no change is missing.
+///
+/// # Errors
+///
+/// Returns the store's error if a page can't be read, or has no items although more should follow: what was read so far
+/// must not be taken for everything.
 pub(crate) async fn read_all<S: StorePort>(
     store: &S,
     prefix: &str,
@@ -94,10 +99,18 @@
         let after = items.last().map_or("", |item| item.key.as_str());
         let page = store.range(prefix, after, PAGE_TIMEOUT).await?;
         revision.get_or_insert(page.revision);
-        let empty = page.items.is_empty();
+        let is_empty = page.items.is_empty();
         items.extend(page.items);
-        if !page.has_more || empty {
-            return Ok((items, revision.unwrap_or(0)));
+        match (page.has_more, is_empty) {
+            (false, _) => return Ok((items, revision.unwrap_or(0))),
+            (true, false) => {}
+            (true, true) => {
+                return Err(PortError::NoReply {
+                    operation: "state read",
+                    peer: "store".to_owned(),
+                    cause: format!("a page of {prefix} has no items, and more follow"),
+                });
+            }
         }
     }
 }
--- a/crates/hs-control/tests/simulation/faults.rs
+++ b/crates/hs-control/tests/simulation/faults.rs
@@ -5,7 +5,7 @@
 
 use tokio::io::AsyncWriteExt;
 
-use crate::calm::{SHORT_JOBS, calm_cluster};
+use crate::calm::{SHORT_JOB, SHORT_JOBS, calm_cluster};
 use crate::observer::JobPlan;
 use crate::peer_client;
 use crate::process::SimProcess;
@@ -150,6 +150,16 @@
     assert_all_end(&mut simulation, Duration::from_secs(20));
 }
 
+/// Jobs that a new owner does not see, because a page of the store was cut off.
+#[test]
+fn a_page_that_is_cut_off_hides_no_jobs() {
+    let mut simulation = Simulation::new(&calm_cluster());
+    simulation.store_jobs(40, SHORT_JOB);
+    simulation.world.lock().store.cut_pages = 30;
+    simulation.start_processes();
+    assert_all_end(&mut simulation, Duration::from_secs(10));
+}
+
 /// A store that refuses one process after the other, or does not answer it.
 #[test]
 fn a_store_that_fails_for_one_process_loses_no_job() {
--- a/crates/hs-control/tests/simulation/store.rs
+++ b/crates/hs-control/tests/simulation/store.rs
@@ -41,6 +41,8 @@
     history: Vec<StoreItem>,
     /// Revision up to which the history was dropped.
     dropped_revision: u64,
+    /// Number of the next pages that are cut off before their first item.
+    pub cut_pages: u32,
     /// Whether watches show no changes.
     pub is_deaf: bool,
     /// Faults of the processes that have any.
@@ -87,7 +89,15 @@
     }
 
     /// Reads a page of the items with a prefix.
-    pub fn range(&self, prefix: &str, after: &str) -> StorePage {
+    pub fn range(&mut self, prefix: &str, after: &str) -> StorePage {
+        if self.cut_pages > 0 {
+            self.cut_pages -= 1;
+            return StorePage {
+                items: Vec::new(),
+                has_more: true,
+                revision: self.revision,
+            };
+        }
         let start = match after {
             "" => Bound::Included(prefix.to_owned()),
             after => Bound::Excluded(after.to_owned()),
