fix: store the cancellation of an unknown job before it is answered

Cause: the 410 was given from the absence of the job's row, and nothing remembered it. The submission found its condition "must not exist" fulfilled.

Ruled out: a lost notice (there was none); a write that the store carried out late (the request had not been read).

Change: the cancellation is stored in any case, and 410 is answered once it is.

--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -43,7 +43,7 @@
 pub enum CancelReply {
     /// The cancellation is stored, or the job has already ended.
     Cancelled,
-    /// There is no such job.
+    /// There is no such job. The cancellation is stored, in case that a submission is still on its way.
     NoJob,
     /// It is not known whether the cancellation was stored.
     Unknown,
@@ -125,20 +125,23 @@
         }
     }
 
-    /// Stores the cancellation of a job, unless the job is unknown or has ended.
+    /// Stores the cancellation of a job, unless the job has ended.
+    ///
+    /// The cancellation of an unknown job is stored too: a submission may still be on its way, in a process that stands
+    /// still or in a write without a reply, and then must not cause a run.
     pub async fn cancel(&self, id: JobId, timeout: Duration) -> CancelReply {
-        match self.state(id, Duration::ZERO).await {
-            JobStateReply::NoJob => return CancelReply::NoJob,
+        let reply = match self.state(id, Duration::ZERO).await {
             JobStateReply::State(JobState::Ended(_)) => return CancelReply::Cancelled,
-            JobStateReply::State(_) | JobStateReply::Unknown => {}
-        }
+            JobStateReply::NoJob => CancelReply::NoJob,
+            JobStateReply::State(_) | JobStateReply::Unknown => CancelReply::Cancelled,
+        };
         match self
             .store_row(keys::cancel(id), b"{}", id, true, timeout)
             .await
         {
             IntakeResult::Stored | IntakeResult::AlreadyExists(_) => {
                 self.notify.send(Notice::Cancel(id));
-                CancelReply::Cancelled
+                reply
             }
             IntakeResult::Refused | IntakeResult::Unknown => CancelReply::Unknown,
         }
--- a/crates/hs-control/tests/simulation/cancellations.rs
+++ b/crates/hs-control/tests/simulation/cancellations.rs
@@ -62,3 +62,31 @@
     assert_eq!(simulation.world.lock().observer.accepted_jobs(), 1);
     assert_eq!(simulation.run_count(), 1);
 }
+
+/// A job that runs although its cancellation was answered, because its submission waited meanwhile in a process that
+/// stood still. The next owner has to know of the cancellation too.
+#[test]
+fn a_job_that_is_stored_after_its_cancellation_was_answered_does_not_run() {
+    for is_owner_killed in [false, true] {
+        let mut simulation = calm_simulation();
+        let owner = simulation.owner().expect("the cell has an owner");
+        let follower = simulation.follower();
+        let resumes_at = simulation.now() + PAUSE;
+        simulation.processes[follower].pause_until(resumes_at);
+        let id = simulation.submit_to(follower, LONG_JOB);
+        simulation.run_for(Duration::from_millis(500));
+        simulation.cancel_at(owner, id);
+        simulation.run_for(Duration::from_millis(500));
+        let answers = simulation.world.lock().observer.answered_cancellations();
+        assert_eq!(answers, 1);
+        if is_owner_killed {
+            simulation.kill_owner();
+        }
+        simulation.run_for(PAUSE * 2);
+        println!("{}", simulation.summary());
+        assert_eq!(simulation.run_count(), 0);
+        let world = simulation.world.lock();
+        assert_eq!(world.observer.accepted_jobs(), 1);
+        assert_eq!(world.observer.unfinished_jobs(), 0);
+    }
+}
--- a/crates/hs-control/tests/simulation/observer.rs
+++ b/crates/hs-control/tests/simulation/observer.rs
@@ -141,6 +141,11 @@
         self.cancelled_at.entry(id).or_insert(now);
     }
 
+    /// Returns the number of jobs whose cancellation was answered.
+    pub fn answered_cancellations(&self) -> usize {
+        self.cancelled_at.len()
+    }
+
     /// Keeps the sender of a reply that is not sent, so that the caller waits.
     pub fn keep_unanswered<T: Any + Send>(&mut self, reply: T) {
         self.unanswered.push(Box::new(reply));
