refactor(tests): split the simulated environment of the cell

Its store, workers, orders, faults and oracle are modules now, moved as they were, with all their assertions.

The fuzz test also cancels a job before it is submitted, and the oracle checks that such a job starts no run.

Checked: all 90 tests of the cell pass, fuzz included.

--- a/crates/hs-cell/tests/cell/fuzz.rs
+++ b/crates/hs-cell/tests/cell/fuzz.rs
@@ -270,8 +270,8 @@
             world.submit(id(*jobs), job(queue, steps));
             *jobs += 1;
         }
-        Command::Cancel { nth } if *jobs > 0 => world.cancel(id(u64::from(nth) % *jobs)),
-        Command::Cancel { .. } => {}
+        // The last number is that of a job that is not submitted yet.
+        Command::Cancel { nth } => world.cancel(id(u64::from(nth) % (*jobs + 1))),
         Command::RenewLease { worker } => world.renew_lease(usize::from(worker)),
         Command::EndRun { worker, nth, kind } => {
             let number = usize::from(worker);
--- /dev/null
+++ b/crates/hs-cell/tests/cell/world/worker.rs
@@ -0,0 +1,49 @@
+//! Actual state of a simulated worker.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Instant;
+
+use hs_cell::{EndReport, RunEnd, TaskId, TaskRun};
+use hs_wire::Resources;
+
+/// Actual state of a worker, which the owner knows only from reports.
+#[derive(Debug, Default)]
+pub struct FakeWorker {
+    pub started_ms: u64,
+    /// Highest fencing token seen.
+    pub fence: u64,
+    pub lease_end: Option<Instant>,
+    pub running: BTreeMap<TaskRun, Resources>,
+    /// Capacity that the worker reports about itself, in thousandths of a CPU core and in MiB of memory.
+    pub capacity: u32,
+    /// Ends that are not acknowledged.
+    pub ended: Vec<EndReport>,
+    /// Number of the last end.
+    pub last_end: u64,
+    /// Last run of each task that was stopped or has ended. It and earlier runs are refused.
+    pub last_ended_runs: HashMap<TaskId, u32>,
+    /// Whether the process is running.
+    pub up: bool,
+    /// Whether the registry lists the worker while it is up.
+    pub listed: bool,
+    /// Whether calls from the owner reach the worker.
+    pub reachable: bool,
+}
+
+impl FakeWorker {
+    /// Ends a run, and lists its end.
+    pub(super) fn end(&mut self, run: TaskRun, end: RunEnd) {
+        if self.running.remove(&run).is_none() {
+            return;
+        }
+        let last_ended = self.last_ended_runs.entry(run.task).or_default();
+        *last_ended = run.run.max(*last_ended);
+        self.last_end += 1;
+        self.ended.push(EndReport {
+            number: self.last_end,
+            run,
+            end,
+            checkpoint: String::new(),
+        });
+    }
+}
