refactor: separate the end of following and of ownership from the election

The election module had over 400 lines, and its longest function also handled the end of the owner task. The end has a function of its own, and the reasons for no longer following an owner a module. A doc comment in stalls.rs said the same thing twice. No behaviour changes.

--- a/crates/hs-cell/src/stalls.rs
+++ b/crates/hs-cell/src/stalls.rs
@@ -6,8 +6,7 @@
 use crate::cell::Cell;
 
 impl Cell {
-    /// Stops runs that make no progress according to the last report of their worker, although their workers report them as running, and quarantines the
-    /// workers.
+    /// Stops runs that make no progress by the last report of their worker, and quarantines the workers.
     pub(crate) fn stop_stalled_runs(&mut self, now: Instant) {
         let mut stalled = Vec::new();
         for (key, worker) in &self.workers {
--- a/crates/hs-control/src/election.rs
+++ b/crates/hs-control/src/election.rs
@@ -16,6 +16,7 @@
 
 use crate::claim::{self, ClaimValue, ObservedClaim};
 use crate::claim_writer::ClaimKeeper;
+use crate::follow_end::FollowEnd;
 use crate::message::BeatRequest;
 use crate::owner::{self, OwnerEnd, OwnerInputs};
 use crate::owner_status::OwnerStatus;
@@ -366,6 +367,11 @@
             end = release => end,
         };
         self.set_ownership(Ownership::Unknown);
+        self.handle_owner_end(end).await;
+    }
+
+    /// Logs why this process does not own the cell any more, and keeps it from acquiring it again too soon.
+    async fn handle_owner_end(&mut self, end: OwnerEnd) {
         match end {
             OwnerEnd::Released => EventCode::CellReleased.log(format_args!("")),
             OwnerEnd::TooSlow {
@@ -388,16 +394,3 @@
         }
     }
 }
-
-/// Why an owner is no longer followed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum FollowEnd {
-    /// The process does not own the cell.
-    NotOwner,
-    /// The process does not answer.
-    NoReply,
-    /// The process can't confirm its claim, so it may be cut off from the store.
-    Unconfirmed,
-    /// The process has exited.
-    Exited,
-}
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -23,6 +23,7 @@
 mod election;
 mod end_waiters;
 mod feeds;
+mod follow_end;
 mod handover;
 mod intake;
 mod keys;
