--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -35,7 +35,12 @@
 
 impl Fleet {
     /// Prepares machines on loopback addresses of their own. `store` gives each machine's address of the store.
-    pub fn new(count: usize, store: impl Fn(usize) -> String) -> Self {
+    /// `advice` gives that of its advice service, if there is one.
+    pub fn new(
+        count: usize,
+        store: impl Fn(usize) -> String,
+        advice: impl Fn(usize) -> Option<String>,
+    ) -> Self {
         let deploy = std::fs::read_to_string("deploy/system.toml").expect("deploy/system.toml");
         let run = deploy
             .lines()
@@ -81,6 +86,7 @@
                 ),
                 ("heartbeatMs", num(1500)),
                 ("orders", text("call")),
+                ("advice", advice(number).map_or(Json::Null, text)),
                 (
                     "bounds",
                     table([
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! the workers and the clients. `cases CASE RECORD` runs a case; it exits with 1 if the rule was broken, 0 if it held,
 //! and 2 if the case couldn't run. With TROUBLE=0 in the environment it leaves out the disruption.
 
+mod advice;
 mod fleet;
 mod http;
 mod json;
@@ -25,7 +26,7 @@
         "hold" => scenario::hold(trouble, path),
         "filled" => scenario::filled(trouble, path),
         "silent" => scenario::silent(trouble, path),
-        "given-up" => scenario::given_up(trouble, path),
+        "advised" => scenario::advised(trouble, path),
         _ => {
             eprintln!("no case {case}");
             2
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use crate::advice::{self, Tickets};
 use crate::http::{Reply, Request, Server};
 use crate::json::{Json, num, table, text};
 use crate::record::{Event, Record};
@@ -72,6 +73,8 @@
     lives: Mutex<u32>,
     /// Number of starts that are being answered.
     starting: AtomicU32,
+    /// Tickets that starts have to carry, if the queues have advice.
+    tickets: Option<Tickets>,
     store: Arc<Store>,
     record: Record,
 }
@@ -149,6 +152,7 @@
         service: &str,
         store: &Arc<Store>,
         record: &Record,
+        tickets: Option<Tickets>,
     ) -> Arc<Self> {
         let worker = Arc::new(Self {
             id: format!("i-{number:08x}"),
@@ -161,6 +165,7 @@
             server: Mutex::new(None),
             lives: Mutex::new(0),
             starting: AtomicU32::new(0),
+            tickets,
             store: store.clone(),
             record: record.clone(),
         });
@@ -451,6 +456,12 @@
         if body.get("untilMs").u64()? <= life.clock_ms() {
             return Some(refusal(life, "late"));
         }
+        let ticket = body.get("ticket").str();
+        if let Some(tickets) = &self.tickets
+            && !advice::is_valid(tickets, ticket, &task, &self.id)
+        {
+            return Some(refusal(life, "ticket"));
+        }
         life.extend(body);
         let fills = spec.starts_with("fill=");
         let work = spec.split_once('=').and_then(|(_, ms)| ms.parse().ok());
