--- a/crates/hs-cell/benches/placement.rs
+++ b/crates/hs-cell/benches/placement.rs
@@ -271,6 +271,7 @@
             steps: vec![step],
             schedule: None,
             accepted_ms: 0,
+            team: None,
         });
         self.job_kinds.insert(id, kind);
         let began = Instant::now();
--- a/crates/hs-cell/src/job_spec.rs
+++ b/crates/hs-cell/src/job_spec.rs
@@ -28,6 +28,9 @@
     pub schedule: Option<JobSchedule>,
     /// Time of acceptance in Unix milliseconds.
     pub accepted_ms: u64,
+    /// Team that the job is accounted to; `None` if its deployment has no teams.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<Arc<str>>,
 }
 
 /// Schedule of a recurring job.
@@ -85,6 +88,9 @@
     /// Maximum number of long-running tasks that the scheduler may make unavailable at a time.
     #[serde(skip_serializing_if = "is_default")]
     pub may_miss: u16,
+    /// Name of what the tasks run. Tasks of the same image behave alike.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub image: Option<Arc<str>>,
 }
 
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -48,6 +48,7 @@
 mod segment;
 mod stalls;
 mod step_order;
+mod team_spec;
 mod ticket_holders;
 mod ticket_margin;
 mod ticket_renewal;
@@ -72,6 +73,7 @@
 pub use queue_spec::{AdviceSpec, QueueSpec};
 pub use record_log::{LogWrites, RecordLog, StoredRecords};
 pub use segment::{RecordStamp, SegmentRow, SegmentState, StampedRecord};
+pub use team_spec::TeamSpec;
 pub use worker::{
     EndReport, ReportScope, RunEnd, RunReport, StartRefusal, WorkerEntry, WorkerKey, WorkerReport,
 };
--- a/crates/hs-cell/tests/cell/fixture.rs
+++ b/crates/hs-cell/tests/cell/fixture.rs
@@ -61,6 +61,7 @@
         steps,
         schedule: None,
         accepted_ms: 0,
+        team: None,
     })
 }
 
--- a/crates/hs-control/src/config.rs
+++ b/crates/hs-control/src/config.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hs_cell::QueueSpec;
+use hs_cell::{QueueSpec, TeamSpec};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -27,8 +27,32 @@
     pub version: u64,
     /// Queues, and which requests go to each.
     pub routes: Vec<QueueRoute>,
+    /// Teams; empty if the deployment has none.
+    pub teams: Vec<TeamConfig>,
+    /// Limits of client requests.
+    pub limits: RequestLimits,
+}
+
+/// A team and the keys of its clients.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TeamConfig {
+    /// Keys that the team's calls carry.
+    pub keys: Vec<Arc<str>>,
+    /// Settings of the team that the cell schedules by.
+    pub spec: TeamSpec,
+}
+
+/// Limits of client requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RequestLimits {
     /// Largest accepted request body in bytes.
     pub max_body_bytes: usize,
+    /// Largest accepted request head in bytes; `None` if the configuration sets no limit.
+    pub max_head_bytes: Option<usize>,
+    /// Maximum time for a request head to arrive; `None` if the configuration sets no limit.
+    pub head_timeout: Option<Duration>,
+    /// Time after which an idle connection is closed; `None` if the configuration sets no limit.
+    pub idle_timeout: Option<Duration>,
 }
 
 /// A queue and the requests that go to it.
@@ -38,6 +62,8 @@
     pub host: String,
     /// Prefix of the path in the requests.
     pub prefix: String,
+    /// Whether calls need no key of a team.
+    pub public: bool,
     /// Settings of the queue.
     pub queue: QueueSpec,
 }
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -50,7 +50,7 @@
 pub mod tcp_network;
 mod work_portions;
 
-pub use config::{ClusterConfig, QueueRoute};
+pub use config::{ClusterConfig, QueueRoute, RequestLimits, TeamConfig};
 pub use control::{CancelReply, Control, JobStateReply, SubmitReply};
 pub use metrics::ControlMetrics;
 pub use run::{ControlOptions, RunError, run};
--- a/crates/hs-control/tests/links/process.rs
+++ b/crates/hs-control/tests/links/process.rs
@@ -93,5 +93,6 @@
         }],
         schedule: None,
         accepted_ms: BORN_MS,
+        team: None,
     }
 }
--- a/crates/hs-control/tests/links/store.rs
+++ b/crates/hs-control/tests/links/store.rs
@@ -9,7 +9,7 @@
     CatalogPort, ConfigReply, PortError, RegisteredWorker, StoreChanges, StoreItem, StorePage,
     StorePort, StoreTxn, TxnReply, WorkerChanges,
 };
-use hs_control::{ClusterConfig, QueueRoute};
+use hs_control::{ClusterConfig, QueueRoute, RequestLimits};
 use tokio::time::sleep;
 
 use crate::platform::{FakePlatform, SERVICE};
@@ -121,6 +121,7 @@
             routes: vec![QueueRoute {
                 host: String::new(),
                 prefix: String::new(),
+                public: false,
                 queue: QueueSpec {
                     name: QUEUE.into(),
                     service: SERVICE.into(),
@@ -131,7 +132,11 @@
                     advice: None,
                 },
             }],
-            max_body_bytes: 1 << 10,
+            teams: Vec::new(),
+            limits: RequestLimits {
+                max_body_bytes: 1 << 10,
+                ..RequestLimits::default()
+            },
         };
         Ok(ConfigReply::Newest(Arc::new(config), 1))
     }
--- a/crates/hs-control/tests/simulation/load.rs
+++ b/crates/hs-control/tests/simulation/load.rs
@@ -53,5 +53,6 @@
         steps: vec![step],
         schedule: None,
         accepted_ms: unix_ms_at(now),
+        team: None,
     }
 }
--- a/crates/hs-control/tests/simulation/registry.rs
+++ b/crates/hs-control/tests/simulation/registry.rs
@@ -5,7 +5,7 @@
 
 use hs_cell::{AdviceSpec, QueueSpec, WorkerEntry};
 use hs_control::port::{ConfigReply, RegisteredWorker, WorkerChange, WorkerChanges};
-use hs_control::{ClusterConfig, QueueRoute};
+use hs_control::{ClusterConfig, QueueRoute, RequestLimits};
 use hs_wire::Resources;
 
 use crate::world::{Reply, World};
@@ -110,12 +110,17 @@
     let routes = queues.map(|queue| QueueRoute {
         host: queue.name.to_string(),
         prefix: "/".to_owned(),
+        public: false,
         queue,
     });
     Arc::new(ClusterConfig {
         version: 1,
         routes: routes.into(),
-        max_body_bytes: 100_000,
+        teams: Vec::new(),
+        limits: RequestLimits {
+            max_body_bytes: 100_000,
+            ..RequestLimits::default()
+        },
     })
 }
 
