refactor(share): move quotas, resource sums and virtual time out of the placement core

Cause: the cell needs quotas and exact sums of resources for its teams, which only hs-core has, for its customers. Change: a crate hs-share, without I/O, has ResourceSum, ResourceQuota and VirtualClock; hs-core uses them. A quota counts per dimension, so that the cap of a team, in which zero is no limit, is one too. The largest amount stays no limit. Measured: the tests of hs-core pass unchanged; those of hs-share cover the limits and the order by weight.

--- a/crates/hs-core/src/band_queue.rs
+++ b/crates/hs-core/src/band_queue.rs
@@ -4,6 +4,7 @@
 use std::collections::binary_heap::PeekMut;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
+use hs_share::VirtualClock;
 use hs_wire::Resources;
 use slotmap::SlotMap;
 
@@ -48,7 +49,7 @@
 #[derive(Debug)]
 pub(crate) struct BandQueue {
     band: WorkBand,
-    virtual_time: u64,
+    virtual_clock: VirtualClock,
     shapes: SlotMap<ShapeKey, ShapeQueue>,
     shape_keys: HashMap<WorkShape, ShapeKey>,
     /// Shapes that may fit, ordered by start tag and sequence number of their first lane. As in
@@ -63,7 +64,7 @@
     pub(crate) fn new(band: WorkBand) -> Self {
         Self {
             band,
-            virtual_time: 0,
+            virtual_clock: VirtualClock::default(),
             shapes: SlotMap::with_key(),
             shape_keys: HashMap::new(),
             ready: BTreeSet::new(),
@@ -82,7 +83,8 @@
     ) -> LaneKey {
         let band = self.band as usize;
         if account.queued[band] == 0 {
-            account.start_tags[band] = account.start_tags[band].max(self.virtual_time);
+            let tag = &mut account.start_tags[band];
+            *tag = self.virtual_clock.activated_tag(*tag);
         }
         account.queued[band] += 1;
         let shape = WorkShape::of(request);
@@ -212,12 +214,9 @@
     /// Advances the start tag of a customer whose work was placed, by the cost divided by its
     /// weight.
     pub(crate) fn charge(&mut self, cost: u64, account: &mut CustomerAccount) {
+        let weight = account.policy.weight;
         let tag = &mut account.start_tags[self.band as usize];
-        // The new tag starts from the virtual time instead of the customer's old tag, so that a
-        // customer gets no credit for the time in which its work did not fit. It would otherwise
-        // keep all other customers waiting until the credit is used up.
-        self.virtual_time = self.virtual_time.max(*tag);
-        *tag = self.virtual_time + (cost / u64::from(account.policy.weight.max(1))).max(1);
+        *tag = self.virtual_clock.charge(*tag, cost, weight);
     }
 
     /// Records that an item of a lane was cancelled or refused. It stays in the lane as a stale
--- a/crates/hs-core/src/customer_account.rs
+++ b/crates/hs-core/src/customer_account.rs
@@ -1,9 +1,9 @@
 //! Quota, usage and queue state of one customer.
 
+use hs_share::{ResourceQuota, ResourceSum};
 use hs_wire::Resources;
 use smallvec::SmallVec;
 
-use crate::resource_sum::ResourceSum;
 use crate::shape_queue::LaneKey;
 use crate::{CustomerPolicy, WorkBand};
 
@@ -46,8 +46,7 @@
 
     /// Returns whether the quota admits `amount` in addition to the current usage.
     pub(crate) fn quota_admits(&self, amount: Resources) -> bool {
-        let quota = self.policy.quota;
-        quota.is_none_or(|quota| self.used.clamped().saturating_add(amount).fits(quota))
+        self.quota().admits(self.used, amount)
     }
 
     /// Returns whether the customer has queued or running work.
@@ -57,6 +56,11 @@
 
     /// Returns whether the quota admits `amount` when the customer uses nothing.
     pub(crate) fn quota_admits_when_idle(&self, amount: Resources) -> bool {
-        self.policy.quota.is_none_or(|quota| amount.fits(quota))
+        self.quota().admits(ResourceSum::default(), amount)
+    }
+
+    fn quota(&self) -> ResourceQuota {
+        let quota = self.policy.quota;
+        quota.map_or(ResourceQuota::UNLIMITED, ResourceQuota::at_most)
     }
 }
--- a/crates/hs-core/src/lib.rs
+++ b/crates/hs-core/src/lib.rs
@@ -21,7 +21,6 @@
 mod margin;
 mod outlier;
 mod reservation;
-mod resource_sum;
 mod run_times;
 mod shape_queue;
 mod straggler;
--- a/crates/hs-core/src/worker_record.rs
+++ b/crates/hs-core/src/worker_record.rs
@@ -1,8 +1,8 @@
 //! Allocations and reservations on one worker.
 
+use hs_share::ResourceSum;
 use hs_wire::Resources;
 
-use crate::resource_sum::ResourceSum;
 use crate::{WorkBand, WorkKey, WorkerSpec, WorkerState};
 
 /// A worker with the resources allocated to its tasks.
--- /dev/null
+++ b/crates/hs-share/tests/share/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the rules, each as a table of cases.
+
+mod clocks;
+mod quotas;
