feat(cell): keep teams under their caps

Cause: nothing read the caps of teams, so a team could use any part of the cluster.

Change: each slot of a worker carries its team, and the functions that change slots count usage by team. A step starts only what fits under the cap: a gang as a whole, other steps in waves. A step without room is parked by team, asks for no advice and reserves nothing, and returns once its team's usage falls or its cap changes. The stored end of a job names its team and the runs that had not ended, so that a new owner counts them before their workers report. Without a team the stored form is as before.

--- a/crates/hs-cell/src/batches.rs
+++ b/crates/hs-cell/src/batches.rs
@@ -65,7 +65,7 @@
             batch.starts.append(&mut job.pending_starts);
             batch.ends.append(&mut job.pending_ends);
             let row = match job.outcome {
-                Some(outcome) => RecordRow::Finished(id, outcome),
+                Some(outcome) => RecordRow::Finished(id, self.job_end(id, outcome)),
                 None => RecordRow::Progress(id, self.job_record(id)),
             };
             task_count += row.task_count();
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -14,6 +14,7 @@
 use crate::effect::CellEffect;
 use crate::free_index::FreeIndex;
 use crate::job::{Job, Occurrence};
+use crate::job_end::JobEnd;
 use crate::job_record::JobOutcome;
 use crate::job_spec::JobSpec;
 use crate::options::CellOptions;
@@ -22,6 +23,8 @@
 use crate::queue_spec::QueueSpec;
 use crate::ready_steps::ReadySteps;
 use crate::reserve::Reservation;
+use crate::team_steps::RoomyTeams;
+use crate::team_usage::TeamUsage;
 use crate::ticket_holders::TicketHolders;
 use crate::ticket_margin::TicketMargin;
 use crate::worker::Worker;
@@ -60,6 +63,8 @@
 pub struct Cell {
     pub(crate) options: CellOptions,
     pub(crate) queues: HashMap<Arc<str>, QueueSpec>,
+    pub(crate) team_usage: TeamUsage,
+    pub(crate) roomy_teams: RoomyTeams,
     pub(crate) jobs: HashMap<JobId, Job>,
     /// Number of jobs that have not ended.
     unfinished_jobs: usize,
@@ -107,6 +112,8 @@
         Self {
             options,
             queues: HashMap::new(),
+            team_usage: TeamUsage::default(),
+            roomy_teams: RoomyTeams::new(),
             jobs: HashMap::new(),
             unfinished_jobs: 0,
             expiring_jobs: BTreeSet::new(),
@@ -167,7 +174,8 @@
         if self.jobs.contains_key(&id) {
             return AddedJob::Known;
         }
-        self.insert_unfinished(id, Job::new(spec));
+        let team = spec.team.as_ref().map(|team| self.team_usage.intern(team));
+        self.insert_unfinished(id, Job::new(spec, team));
         if self.take_cancellation(id) {
             self.end_job(id, JobOutcome::Cancelled);
             return AddedJob::Cancelled;
@@ -177,9 +185,11 @@
     }
 
     /// Adds a job that has ended and whose outcome is stored.
-    pub fn add_ended(&mut self, id: JobId, outcome: JobOutcome, now: Instant) {
+    pub fn add_ended(&mut self, id: JobId, end: impl Into<JobEnd>, now: Instant) {
+        let end = end.into();
         let delete_at = now + self.options.status_retention;
-        let ended = Job::ended(outcome, delete_at);
+        let team = end.team.as_ref().map(|team| self.team_usage.intern(team));
+        let ended = Job::ended(end.outcome, team, delete_at);
         if let Entry::Vacant(entry) = self.jobs.entry(id) {
             entry.insert(ended);
             self.expiring_jobs.insert((delete_at, id));
@@ -249,7 +259,12 @@
 
     /// Returns the number of steps with waiting tasks.
     pub fn waiting_steps(&self) -> usize {
-        self.ready_steps.len()
+        self.ready_steps.len() + self.ready_steps.parked.len()
+    }
+
+    /// Returns the number of steps that wait since their teams have no room under their caps.
+    pub fn parked_steps(&self) -> usize {
+        self.ready_steps.parked.len()
     }
 
     /// Begins due occurrences, expires leases, stops stalled runs and places waiting tasks.
--- a/crates/hs-cell/src/effect.rs
+++ b/crates/hs-cell/src/effect.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::job_record::{JobOutcome, JobRecord};
+use crate::job_end::JobEnd;
+use crate::job_record::JobRecord;
 use crate::queue_spec::AdviceSpec;
 use crate::{JobId, StepId, TaskId, WorkerKey};
 
@@ -102,8 +103,8 @@
 pub enum RecordRow {
     /// Current progress of an unfinished job.
     Progress(JobId, JobRecord),
-    /// Outcome of an ended job.
-    Finished(JobId, JobOutcome),
+    /// End of a job.
+    Finished(JobId, JobEnd),
 }
 
 impl RecordRow {
--- a/crates/hs-cell/src/free_index.rs
+++ b/crates/hs-cell/src/free_index.rs
@@ -1,6 +1,6 @@
 //! Index of the reachable workers by free CPU, so that a step finds workers without looking at all of them.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 
 use slotmap::Key;
@@ -104,6 +104,9 @@
         let worker = self.workers.remove(key)?;
         self.free_index
             .replace(IndexedWorker::new(key, &worker), None);
+        for slot in worker.slots.values() {
+            self.remove_usage(slot);
+        }
         Some(worker)
     }
 
@@ -122,10 +125,39 @@
     }
 
     pub(crate) fn allocate(&mut self, key: WorkerKey, run: TaskRun, slot: Slot) {
-        self.change_worker(key, |worker| worker.allocate(run, slot));
+        let (team, need) = (slot.team, slot.need);
+        if let Some(old) = self.change_worker(key, |worker| worker.allocate(run, slot)) {
+            self.team_usage.add(team, need);
+            if let Some(old) = old {
+                self.remove_usage(&old);
+            }
+        }
     }
 
     pub(crate) fn release(&mut self, key: WorkerKey, run: TaskRun) -> Option<Slot> {
-        self.change_worker(key, |worker| worker.release(run))?
+        let slot = self.change_worker(key, |worker| worker.release(run))??;
+        self.remove_usage(&slot);
+        Some(slot)
+    }
+
+    /// Removes all runs from a worker.
+    pub(crate) fn take_slots(&mut self, key: WorkerKey) -> BTreeMap<TaskRun, Slot> {
+        let slots = self.change_worker(key, Worker::take_slots);
+        let slots = slots.unwrap_or_default();
+        for slot in slots.values() {
+            self.remove_usage(slot);
+        }
+        slots
+    }
+
+    /// Removes a run from the usage of its team, whose steps may start now.
+    fn remove_usage(&mut self, slot: &Slot) {
+        let Some(team) = slot.team else {
+            return;
+        };
+        self.team_usage.remove(team, slot.need);
+        if self.ready_steps.parked.has_steps_of(team) {
+            self.request_pass();
+        }
     }
 }
--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -90,8 +90,7 @@
     }
 
     fn inherit_runs(&mut self, earlier: WorkerKey, key: WorkerKey, now: Instant) {
-        let slots = self.change_worker(earlier, Worker::take_slots);
-        let slots = slots.unwrap_or_default();
+        let slots = self.take_slots(earlier);
         let lease_end = self.workers[earlier].lease_end;
         let stale_lease_end = now + self.stale_lease_of(&slots);
         let worker = &mut self.workers[key];
--- a/crates/hs-cell/src/isolation.rs
+++ b/crates/hs-cell/src/isolation.rs
@@ -111,6 +111,17 @@
         waiting
     }
 
+    /// Keeps at most this many tasks, those that are the easiest to place first.
+    fn truncate(&mut self, max_tasks: u64) {
+        let mut left = usize::try_from(max_tasks).unwrap_or(usize::MAX);
+        self.shared.truncate(left);
+        left -= self.shared.len();
+        for tasks in [&mut self.apart, &mut self.preferred, &mut self.required] {
+            tasks.truncate(left);
+            left -= tasks.len();
+        }
+    }
+
     fn len(&self) -> usize {
         self.shared.len() + self.apart.len() + self.preferred.len() + self.required.len()
     }
@@ -132,8 +143,11 @@
     ) -> Option<IsolationPlan> {
         let job = self.jobs.get(&order.step.job)?;
         let spec = job.step_spec(order.step)?;
-        let waiting = WaitingTasks::of(job.step(order.step)?, now);
+        let mut waiting = WaitingTasks::of(job.step(order.step)?, now);
         let demand = StepDemand::new(order.step, spec, order.priority);
+        if !spec.gang {
+            waiting.truncate(self.team_room(job).max_tasks(demand.need));
+        }
         if spec.gang {
             return self.plan_gang(order, demand, advice, waiting, now);
         }
--- a/crates/hs-cell/src/job.rs
+++ b/crates/hs-cell/src/job.rs
@@ -8,6 +8,7 @@
 use crate::dirty_jobs::DirtyPlace;
 use crate::job_record::JobOutcome;
 use crate::job_spec::{JobSpec, StepSpec};
+use crate::team_usage::TeamKey;
 use crate::{JobId, StepId, TaskRun, WorkerKey};
 
 /// State of a job.
@@ -15,6 +16,8 @@
 pub(crate) struct Job {
     /// Specification; dropped when the outcome is stored.
     pub spec: Option<Arc<JobSpec>>,
+    /// Team that the runs are counted for. It stays when the specification is dropped.
+    pub team: Option<TeamKey>,
     pub outcome: Option<JobOutcome>,
     /// Whether the outcome is in the store, so that clients may be told about it.
     pub outcome_stored: bool,
@@ -85,9 +88,10 @@
 }
 
 impl Job {
-    pub(crate) fn new(spec: Arc<JobSpec>) -> Self {
+    pub(crate) fn new(spec: Arc<JobSpec>, team: Option<TeamKey>) -> Self {
         Self {
             spec: Some(spec),
+            team,
             outcome: None,
             outcome_stored: false,
             started: false,
@@ -101,9 +105,10 @@
         }
     }
 
-    pub(crate) fn ended(outcome: JobOutcome, delete_at: Instant) -> Self {
+    pub(crate) fn ended(outcome: JobOutcome, team: Option<TeamKey>, delete_at: Instant) -> Self {
         Self {
             spec: None,
+            team,
             outcome: Some(outcome),
             outcome_stored: true,
             started: true,
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -32,9 +32,11 @@
 mod incarnations;
 mod isolation;
 mod job;
+mod job_end;
 mod job_record;
 mod job_spec;
 mod options;
+mod parked_steps;
 mod pass_budget;
 mod passes;
 mod placement;
@@ -49,6 +51,8 @@
 mod stalls;
 mod step_order;
 mod team_spec;
+mod team_steps;
+mod team_usage;
 mod ticket_holders;
 mod ticket_margin;
 mod ticket_renewal;
@@ -64,6 +68,7 @@
     AdviceRequest, CellBatch, CellEffect, CrashEvent, RecordRow, StartOrder, TaskRun,
 };
 pub use ids::{IdError, JobId, StepId, TaskId};
+pub use job_end::{JobEnd, StoppingRun};
 pub use job_record::{
     CrashRecord, JobOutcome, JobRecord, LossRecord, StepRecord, TaskPlace, TaskRecord,
     WorkerIncarnation,
@@ -73,7 +78,7 @@
 pub use queue_spec::{AdviceSpec, QueueSpec};
 pub use record_log::{LogWrites, RecordLog, StoredRecords};
 pub use segment::{RecordStamp, SegmentRow, SegmentState, StampedRecord};
-pub use team_spec::TeamSpec;
+pub use team_spec::{CapExceeded, TeamSpec};
 pub use worker::{
     EndReport, ReportScope, RunEnd, RunReport, StartRefusal, WorkerEntry, WorkerKey, WorkerReport,
 };
--- a/crates/hs-cell/src/passes.rs
+++ b/crates/hs-cell/src/passes.rs
@@ -30,6 +30,9 @@
 /// Number of steps at the front of each priority of a longer backlog. No more of them are active.
 const FRONT_STEPS: usize = 256;
 
+/// Maximum number of times that a pass parks the steps at the front of the priorities before it visits what is there.
+const MAX_PARKING_ROUNDS: usize = 16;
+
 /// Maximum number of steps that a pass visits since they hold tickets.
 const MAX_HOLDERS: usize = 256;
 
@@ -116,7 +119,10 @@
             .update_timeliness(now, MAX_TIMELINESS_UPDATES);
         self.pass_work.add_looks(moved);
         self.expected_use.clear();
+        self.return_parked_steps();
+        self.park_front_steps();
         self.visit_steps(now);
+        self.review_roomy_teams();
     }
 
     /// Records the duration of the last call of [`Cell::advance`] as that of the scheduling pass. To be called
@@ -222,8 +228,30 @@
         visits
     }
 
+    /// Parks steps of teams without room that would be visited for nothing, so that those behind them are visited.
+    fn park_front_steps(&mut self) {
+        if !self.team_usage.is_limited() || self.ready_steps.len() <= FRONT_STEPS {
+            return;
+        }
+        for _ in 0..MAX_PARKING_ROUNDS {
+            let front = self.ready_steps.first_of_priorities(FRONT_STEPS);
+            let has_no_room = |id: &StepId| self.missing_room(*id).is_some();
+            let ids = front.into_iter().map(|(key, _)| key.step);
+            let blocked: Vec<StepId> = ids.filter(has_no_room).collect();
+            if blocked.is_empty() {
+                return;
+            }
+            for id in blocked {
+                self.park_if_blocked(id);
+            }
+        }
+    }
+
     fn visit_step(&mut self, key: OrderKey, active_steps: &mut ActiveSteps, now: Instant) {
         let id = key.step;
+        if self.park_if_blocked(id) {
+            return;
+        }
         self.pass_work.add_visit();
         self.place_step(key, active_steps, now);
         if !self.has_waiting_tasks(id) {
@@ -248,7 +276,8 @@
     /// Lets the next passes visit a step that holds tickets.
     pub(crate) fn hold_tickets(&mut self, id: StepId) {
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
-        if step.is_some_and(|step| step.queued && !step.advice.tickets.is_empty()) {
+        let is_parked = self.ready_steps.parked.contains(id);
+        if step.is_some_and(|step| step.queued && !step.advice.tickets.is_empty()) && !is_parked {
             self.ticket_holders.add_answered(id);
         }
     }
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -187,6 +187,7 @@
         job.pending_starts.push((key, run));
         let slot = Slot {
             need,
+            team: job.team,
             phase: SlotPhase::Recording,
             visible_since: None,
             percent: 0,
--- a/crates/hs-cell/src/ready_steps.rs
+++ b/crates/hs-cell/src/ready_steps.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use crate::cell::Cell;
+use crate::parked_steps::{ParkedSteps, StartNeed};
 use crate::step_order::{OrderKey, ReadyStep, Timeliness};
 use crate::{JobId, StepId};
 
@@ -26,6 +27,8 @@
     changes: BTreeSet<(Instant, StepId)>,
     /// Steps whose queue is not configured.
     unconfigured: BTreeSet<StepId>,
+    /// Steps whose teams have no room for them. They have no place in the order.
+    pub(crate) parked: ParkedSteps,
 }
 
 fn group_key(key: OrderKey) -> GroupKey {
@@ -46,6 +49,7 @@
 }
 
 impl ReadySteps {
+    /// Returns the number of steps that are not parked.
     pub(crate) fn len(&self) -> usize {
         self.keys.len() + self.unconfigured.len()
     }
@@ -103,6 +107,14 @@
             && let Some(&(until, id)) = self.changes.first()
             && until < now
         {
+            if let Some((step, key, start_need)) = self.parked.remove(id) {
+                self.remove_change(&step, key.timeliness);
+                let timeliness = step.limits.timeliness(now);
+                self.parked.insert(step, timeliness, start_need);
+                self.add_change(&step, timeliness);
+                moved += 1;
+                continue;
+            }
             let Some(step) = self.remove(id) else {
                 self.changes.pop_first();
                 continue;
@@ -123,31 +135,63 @@
         let group = self.groups.entry(group_key(key)).or_default();
         group.insert(place_in_group(key), step);
         self.keys.insert(step.id, key);
+        self.add_change(&step, timeliness);
+    }
+
+    fn add_change(&mut self, step: &ReadyStep, timeliness: Timeliness) {
         if let Some(until) = step.limits.last_time_of(timeliness) {
             self.changes.insert((until, step.id));
         }
     }
 
+    fn remove_change(&mut self, step: &ReadyStep, timeliness: Timeliness) {
+        if let Some(until) = step.limits.last_time_of(timeliness) {
+            self.changes.remove(&(until, step.id));
+        }
+    }
+
+    /// Takes a step out of the order until its team has room.
+    pub(crate) fn park(&mut self, id: StepId, start_need: StartNeed) {
+        let key = self.key(id);
+        if let Some((key, step)) = key.zip(self.remove(id)) {
+            self.parked.insert(step, key.timeliness, start_need);
+            self.add_change(&step, key.timeliness);
+        }
+    }
+
+    /// Returns a parked step to its place in the order.
+    pub(crate) fn unpark(&mut self, id: StepId) {
+        if let Some((step, key, _)) = self.parked.remove(id) {
+            self.remove_change(&step, key.timeliness);
+            self.insert_as(step, key.timeliness);
+        }
+    }
+
     fn remove(&mut self, id: StepId) -> Option<ReadyStep> {
         self.unconfigured.remove(&id);
+        if let Some((step, key, _)) = self.parked.remove(id) {
+            self.remove_change(&step, key.timeliness);
+            return Some(step);
+        }
         let key = self.keys.remove(&id)?;
         let group = self.groups.get_mut(&group_key(key))?;
         let step = group.remove(&place_in_group(key))?;
         if group.is_empty() {
             self.groups.remove(&group_key(key));
         }
-        if let Some(until) = step.limits.last_time_of(key.timeliness) {
-            self.changes.remove(&(until, id));
-        }
+        self.remove_change(&step, key.timeliness);
         Some(step)
     }
 
     fn take_ids(&mut self) -> Vec<StepId> {
         let earlier = std::mem::take(self);
+        let parked = earlier.parked.ids();
         earlier
             .keys
-            .into_keys()
-            .chain(earlier.unconfigured)
+            .keys()
+            .copied()
+            .chain(earlier.unconfigured.iter().copied())
+            .chain(parked)
             .collect()
     }
 }
@@ -202,7 +246,9 @@
         match self.ready_step(id) {
             Some(step) => {
                 self.ready_steps.insert(step);
-                self.hold_tickets(id);
+                if !self.park_if_blocked(id) {
+                    self.hold_tickets(id);
+                }
             }
             None => {
                 self.ready_steps.unconfigured.insert(id);
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -87,7 +87,8 @@
             .iter()
             .map(|incarnation| self.restore_worker(incarnation, lease_end))
             .collect();
-        let mut job = Job::new(spec.clone());
+        let team = spec.team.as_ref().map(|team| self.team_usage.intern(team));
+        let mut job = Job::new(spec.clone(), team);
         job.first_occurrence = record.first_occurrence;
         job.next_occurrence = record.first_occurrence;
         let last = record.steps.iter().map(|step| step.occurrence).max();
@@ -141,6 +142,7 @@
         // The start of a recorded placement may never have been sent; the report of the worker shows that.
         let has_ended = |task: &TaskRecord| task.place == TaskPlace::Done || task.failures > 0;
         job.started |= record.done || record.tasks.iter().any(has_ended);
+        let team = job.team;
         let Some(step) = job.step_mut(id) else {
             return;
         };
@@ -170,6 +172,7 @@
                 };
                 let slot = Slot {
                     need,
+                    team,
                     phase: SlotPhase::Running,
                     visible_since: Some(now),
                     percent: 0,
@@ -185,7 +188,11 @@
 
     /// Returns the worker of a recorded incarnation, or its successor, whose first report shows what runs
     /// there. A worker that is not in the registry is added as unlisted.
-    fn restore_worker(&mut self, incarnation: &WorkerIncarnation, lease_end: Instant) -> WorkerKey {
+    pub(crate) fn restore_worker(
+        &mut self,
+        incarnation: &WorkerIncarnation,
+        lease_end: Instant,
+    ) -> WorkerKey {
         if let Some(&key) = self.workers_by_id.get(incarnation.id.as_str()) {
             return key;
         }
--- a/crates/hs-cell/src/record_log.rs
+++ b/crates/hs-cell/src/record_log.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::job_record::JobOutcome;
+use crate::job_end::JobEnd;
 use crate::segment::{RecordStamp, SegmentRow, SegmentState, StampedRecord};
 use crate::{JobId, RecordRow};
 
@@ -26,7 +26,7 @@
     /// Jobs whose record items are deleted.
     pub dropped_records: Vec<JobId>,
     /// Outcomes to write to the job items.
-    pub outcomes: Vec<(JobId, JobOutcome)>,
+    pub outcomes: Vec<(JobId, JobEnd)>,
     /// Segment to create.
     pub segment: Option<(RecordStamp, Vec<SegmentRow>)>,
     /// Segments to delete.
@@ -52,7 +52,7 @@
     /// Jobs whose current rows are in a segment, by segment.
     segments: BTreeMap<RecordStamp, BTreeSet<JobId>>,
     /// Outcomes that are only in a segment, and have yet to be written to the job items.
-    unwritten_outcomes: VecDeque<(JobId, JobOutcome)>,
+    unwritten_outcomes: VecDeque<(JobId, JobEnd)>,
 }
 
 impl LogWrites {
@@ -89,7 +89,7 @@
             }
         }
         let ended = states.iter().filter_map(|(job, state)| match state {
-            SegmentState::Ended(outcome) => Some((*job, *outcome)),
+            SegmentState::Ended(end) => Some((*job, end.clone())),
             SegmentState::Progress(_) => None,
         });
         log.unwritten_outcomes = ended.collect();
@@ -112,10 +112,10 @@
         let mut overflow = Vec::new();
         for row in rows {
             match row {
-                RecordRow::Finished(job, outcome)
+                RecordRow::Finished(job, end)
                     if fits || writes.entry_count() + self.entry_cost(row) <= outcome_entries =>
                 {
-                    self.add_outcome(&mut writes, *job, *outcome);
+                    self.add_outcome(&mut writes, *job, end.clone());
                 }
                 RecordRow::Progress(job, record) if fits => {
                     let record = record.clone();
@@ -148,8 +148,8 @@
         if let Some((stamp, rows)) = writes.segment {
             for row in rows {
                 self.set_current_row(row.job, stamp);
-                if let SegmentState::Ended(outcome) = row.state {
-                    self.unwritten_outcomes.push_back((row.job, outcome));
+                if let SegmentState::Ended(end) = row.state {
+                    self.unwritten_outcomes.push_back((row.job, end));
                 }
             }
         }
@@ -184,15 +184,15 @@
         }
     }
 
-    fn add_outcome(&self, writes: &mut LogWrites, job: JobId, outcome: JobOutcome) {
-        writes.outcomes.push((job, outcome));
+    fn add_outcome(&self, writes: &mut LogWrites, job: JobId, end: JobEnd) {
+        writes.outcomes.push((job, end));
         if self.items.contains(&job) {
             writes.dropped_records.push(job);
         }
     }
 
     fn clean_up(&mut self, writes: &mut LogWrites, entries: usize) {
-        while let Some((job, outcome)) = self.unwritten_outcomes.front().copied() {
+        while let Some((job, end)) = self.unwritten_outcomes.front().cloned() {
             let cost = 1 + usize::from(self.items.contains(&job));
             if writes.entry_count() + cost > entries {
                 break;
@@ -200,7 +200,7 @@
             self.unwritten_outcomes.pop_front();
             // This transaction may already write the outcome of the job again.
             if !writes.outcomes.iter().any(|(other, _)| *other == job) {
-                self.add_outcome(writes, job, outcome);
+                self.add_outcome(writes, job, end);
             }
         }
         let empty = self.segments.iter().filter(|(_, jobs)| jobs.is_empty());
--- a/crates/hs-cell/src/reserve.rs
+++ b/crates/hs-cell/src/reserve.rs
@@ -94,6 +94,19 @@
         self.reservations = reservations;
     }
 
+    /// Drops the reservation of a step, if it has one.
+    pub(crate) fn drop_reservation(&mut self, id: StepId) {
+        let reservation = self.reservations.iter().position(|r| r.step == id);
+        let Some(reservation) = reservation.map(|index| self.reservations.remove(index)) else {
+            return;
+        };
+        for key in reservation.workers {
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.reserved_by = None;
+            }
+        }
+    }
+
     fn mark_reserved(&mut self, reservation: &Reservation) {
         for key in &reservation.workers {
             if let Some(worker) = self.workers.get_mut(*key) {
--- a/crates/hs-cell/src/segment.rs
+++ b/crates/hs-cell/src/segment.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::IdError;
-use crate::job_record::{JobOutcome, JobRecord};
+use crate::job_end::JobEnd;
+use crate::job_record::JobRecord;
 use crate::{JobId, RecordRow};
 
 /// Logical timestamp of a write, ordered over the writes of all owners; later writes compare greater.
@@ -41,7 +42,7 @@
     Progress(JobRecord),
     /// The job has ended.
     #[serde(rename = "e")]
-    Ended(JobOutcome),
+    Ended(JobEnd),
 }
 
 /// Row of a segment: the state of one job.
@@ -62,9 +63,9 @@
                 job: *job,
                 state: SegmentState::Progress(record.clone()),
             },
-            RecordRow::Finished(job, outcome) => Self {
+            RecordRow::Finished(job, end) => Self {
                 job: *job,
-                state: SegmentState::Ended(*outcome),
+                state: SegmentState::Ended(end.clone()),
             },
         }
     }
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -8,6 +8,7 @@
 use slotmap::new_key_type;
 
 use crate::isolation::Vacating;
+use crate::team_usage::TeamKey;
 use crate::{StepId, TaskId, TaskRun};
 
 new_key_type! {
@@ -152,6 +153,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Slot {
     pub need: Resources,
+    /// Team that the run is counted for.
+    pub team: Option<TeamKey>,
     pub phase: SlotPhase,
     /// Time from which the worker knows the run. A report requested later without the run proves that it is
     /// gone.
@@ -307,13 +310,14 @@
         self.entry.capacity.saturating_sub(self.used)
     }
 
-    pub(crate) fn allocate(&mut self, run: TaskRun, slot: Slot) {
+    /// Adds a run. Returns the slot that it had before, if any.
+    pub(crate) fn allocate(&mut self, run: TaskRun, slot: Slot) -> Option<Slot> {
         self.used = self.used.saturating_add(slot.need);
         self.isolated_runs += u32::from(slot.is_isolated);
-        if let Some(old) = self.slots.insert(run, slot) {
-            self.used = self.used.saturating_sub(old.need);
-            self.isolated_runs -= u32::from(old.is_isolated);
-        }
+        let old = self.slots.insert(run, slot)?;
+        self.used = self.used.saturating_sub(old.need);
+        self.isolated_runs -= u32::from(old.is_isolated);
+        Some(old)
     }
 
     /// Removes all runs.
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -150,6 +150,7 @@
         let need = job.and_then(|job| Some(job.step_spec(run.task.step)?.allocated_resources()));
         let slot = Slot {
             need: need.unwrap_or(worker.entry.capacity),
+            team: job.and_then(|job| job.team),
             phase: SlotPhase::Running,
             visible_since: Some(now),
             percent: report.percent,
--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -6,6 +6,7 @@
 mod oracle;
 mod orders;
 mod store;
+mod teams;
 mod worker;
 
 use std::collections::{BTreeSet, HashMap};
@@ -19,6 +20,7 @@
 
 use self::faults::WORKER_RETURN_TIME;
 use self::store::FakeStore;
+use self::teams::FakeTeams;
 use self::worker::FakeWorker;
 use crate::fixture::{WORKER_CPU, cpu, entry};
 
@@ -83,6 +85,7 @@
     /// End of the lease requested by the last renewal, by worker number. Starts request the same one.
     requested_lease_ends: Vec<Option<Instant>>,
     queues: Vec<QueueSpec>,
+    teams: FakeTeams,
     /// Whether a new owner has the configuration before its first worker reports.
     pub has_config: bool,
     log: RecordLog,
@@ -143,6 +146,7 @@
             last_renewal_answered: vec![false; workers],
             requested_lease_ends: vec![None; workers],
             queues,
+            teams: FakeTeams::default(),
             has_config: true,
             log: RecordLog::default(),
             sequence: 0,
@@ -224,6 +228,7 @@
     /// Lets the owner read the configuration, as it does some time after its start.
     pub fn read_config(&mut self) {
         self.has_config = true;
+        self.cell.configure_teams(self.teams.specs());
         self.cell.configure(self.queues.clone());
     }
 
--- a/crates/hs-cell/tests/cell/world/orders.rs
+++ b/crates/hs-cell/tests/cell/world/orders.rs
@@ -55,6 +55,7 @@
         worker.running.insert(run, need);
         self.start_count += 1;
         self.check_start(run);
+        self.check_cap(run.task);
         if !self.deadly.contains(&run.task) {
             return Ok(());
         }
--- a/crates/hs-control/src/commits.rs
+++ b/crates/hs-control/src/commits.rs
@@ -126,8 +126,8 @@
         for (id, record) in &self.log.records {
             push_json(&mut self.writes, keys::progress(*id), record);
         }
-        for (id, outcome) in &self.log.outcomes {
-            let value: JobValue = JobValue::Ended(*outcome);
+        for (id, end) in &self.log.outcomes {
+            let value: JobValue = JobValue::Ended(end.clone());
             push_json(&mut self.writes, keys::job(*id), &value);
         }
         if let Some((stamp, rows)) = &self.log.segment {
--- a/crates/hs-control/src/config.rs
+++ b/crates/hs-control/src/config.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hs_cell::{QueueSpec, TeamSpec};
+use hs_cell::{CapExceeded, JobSpec, QueueSpec, TeamSpec};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -75,6 +75,17 @@
         let routes = self.routes.iter().filter(matches);
         routes.max_by_key(|route| route.prefix.len())
     }
+
+    /// Checks that a job can run under the cap of its team. A job without a known team has no limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first step that cannot run, however little else the team runs.
+    pub fn check_cap(&self, job: &JobSpec) -> Result<(), CapExceeded> {
+        let mut teams = self.teams.iter().map(|team| &team.spec);
+        let team = teams.find(|team| Some(&team.name) == job.team.as_ref());
+        team.map_or(Ok(()), |team| team.check_job(job))
+    }
 }
 
 /// Watches the configuration and publishes each newer version. An older version never replaces a newer
--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -243,7 +243,7 @@
 
     async fn stored_state(&self, id: JobId, value: Option<&[u8]>) -> JobStateReply {
         match value.and_then(JobValue::parse) {
-            Some(JobValue::Ended(outcome)) => JobStateReply::State(JobState::Ended(outcome)),
+            Some(JobValue::Ended(end)) => JobStateReply::State(JobState::Ended(end.outcome)),
             Some(JobValue::Accepted(_)) => {
                 // Segments are not read here, so a job whose progress is in a segment is reported as
                 // queued until the owner answers.
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -244,6 +244,8 @@
 
 impl<P: Platform> OwnerTask<P> {
     fn configure(&mut self, config: &ClusterConfig) {
+        let teams = config.teams.iter().map(|team| team.spec.clone());
+        self.cell.configure_teams(teams);
         let queues = config.routes.iter().map(|route| route.queue.clone());
         self.cell.configure(queues);
     }
--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -58,8 +58,8 @@
         self.cell.record_commit_time(end.duration);
         self.planner.log.committed(end.log);
         for row in &end.batch.rows {
-            if let RecordRow::Finished(id, outcome) = row {
-                EventCode::JobEnded.log(format_args!("job={id} outcome={outcome:?}"));
+            if let RecordRow::Finished(id, end) = row {
+                EventCode::JobEnded.log(format_args!("job={id} outcome={:?}", end.outcome));
             }
         }
         let ended: Vec<JobId> = end.batch.finished().collect();
--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -4,9 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{
-    Cell, JobId, JobOutcome, JobRecord, JobSpec, RecordLog, SegmentState, StoredRecords,
-};
+use hs_cell::{Cell, JobEnd, JobId, JobRecord, JobSpec, RecordLog, SegmentState, StoredRecords};
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
 
@@ -25,7 +23,7 @@
     Accepted(Spec),
     /// The job has ended.
     #[serde(rename = "e")]
-    Ended(JobOutcome),
+    Ended(JobEnd),
 }
 
 impl JobValue {
@@ -164,12 +162,12 @@
         for (id, value) in self.jobs {
             let state = states.remove(&id);
             match (value, state) {
-                (JobValue::Ended(outcome), _) => {
+                (JobValue::Ended(end), _) => {
                     log.forget_job(id);
-                    cell.add_ended(id, outcome, now);
+                    cell.restore_ended(id, end, lease_end, now);
                 }
-                (JobValue::Accepted(_), Some(SegmentState::Ended(outcome))) => {
-                    cell.add_ended(id, outcome, now);
+                (JobValue::Accepted(_), Some(SegmentState::Ended(end))) => {
+                    cell.restore_ended(id, end, lease_end, now);
                 }
                 (JobValue::Accepted(spec), Some(SegmentState::Progress(record))) => {
                     cell.restore(id, Arc::new(spec), &record, lease_end, now, now_ms);
