feat(cell): keep the runs of ended jobs while they count for a team

Cause: an end that is written again, to free old segments, would no longer name the runs that were still being stopped.

Change: the occurrences of an ended job with a team stay while a run is placed.

--- a/crates/hs-cell/benches/placement.rs
+++ b/crates/hs-cell/benches/placement.rs
@@ -3,7 +3,8 @@
 //! The load grows with the workers: short jobs, wide gangs and wide steps of single tasks, all of queues that
 //! need advice. Workers, store and advice service answer without faults. Prints the mean time that the cell
 //! takes for each started task, and the longest call of [`Cell::advance`]; then the median time of a scheduling
-//! pass over a backlog of steps that can't start.
+//! pass over a backlog of steps that can't start; then the same for jobs of many teams, with ample caps and with caps
+//! that bind.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -11,7 +12,8 @@
 
 use hs_cell::{
     AdviceReply, AdviceRequest, AdviceSpec, Cell, CellEffect, CellOptions, EndReport, JobId,
-    JobSpec, QueueSpec, RunEnd, RunReport, StepSpec, TaskRun, WorkerEntry, WorkerKey, WorkerReport,
+    JobSpec, QueueSpec, RunEnd, RunReport, StepSpec, TaskRun, TeamSpec, WorkerEntry, WorkerKey,
+    WorkerReport,
 };
 use hs_wire::Resources;
 
@@ -36,6 +38,21 @@
 /// Number of workers beside a backlog.
 const BACKLOG_WORKERS: u32 = 1100;
 
+/// Numbers of teams and of workers of the passes with teams.
+const TEAM_COUNT: u64 = 800;
+const TEAM_WORKERS: u32 = 3300;
+
+/// Backlog of the passes with teams.
+const TEAM_BACKLOG: u32 = 4000;
+
+/// Caps of the teams in thousandths of a core. A gang needs 576 cores, and the workers have 264 for each team.
+const TEAM_CAPS: [(&str, u64, u32); 4] = [
+    ("no teams", 0, 0),
+    ("no caps", TEAM_COUNT, 0),
+    ("ample caps", TEAM_COUNT, 10_000_000),
+    ("caps that bind", TEAM_COUNT, 300_000),
+];
+
 /// Number of passes over a backlog that are measured.
 const BACKLOG_PASSES: u32 = 200;
 
@@ -130,6 +147,8 @@
     workers: HashMap<WorkerKey, SimWorker>,
     job_kinds: HashMap<JobId, usize>,
     worker_count: u32,
+    /// Number of teams that the jobs belong to in turn; 0 for jobs without a team.
+    team_count: u64,
     starts: u64,
     /// Time taken by the cell.
     busy: Duration,
@@ -138,7 +157,12 @@
 
 impl LoadedCell {
     fn new(worker_count: u32) -> Self {
+        Self::with_teams(worker_count, 0, 0)
+    }
+
+    fn with_teams(worker_count: u32, team_count: u64, cap_milli: u32) -> Self {
         let mut loaded = Self {
+            team_count,
             cell: Cell::new(CellOptions::default()),
             now: Instant::now(),
             events: BTreeMap::new(),
@@ -151,6 +175,12 @@
             busy: Duration::ZERO,
             longest_advance: Duration::ZERO,
         };
+        let teams = (0..team_count).map(|number| TeamSpec {
+            name: format!("t{number}").into(),
+            weight: 1.0,
+            cap: cpu(cap_milli),
+        });
+        loaded.cell.configure_teams(teams);
         loaded.cell.configure(queues());
         let now = loaded.now;
         for number in 0..worker_count {
@@ -271,7 +301,7 @@
             steps: vec![step],
             schedule: None,
             accepted_ms: 0,
-            team: None,
+            team: self.team_of_next_job(),
         });
         self.job_kinds.insert(id, kind);
         let began = Instant::now();
@@ -279,6 +309,11 @@
         self.busy += began.elapsed();
     }
 
+    fn team_of_next_job(&self) -> Option<Arc<str>> {
+        let number = self.job_count.checked_rem(self.team_count)?;
+        Some(format!("t{number}").into())
+    }
+
     fn report(&mut self, key: WorkerKey) {
         let worker = self.workers.entry(key).or_default();
         let running = worker.running.iter().map(|run| RunReport {
@@ -362,8 +397,7 @@
 }
 
 /// Returns the median time of a pass over a backlog of this many jobs on workers that are in use.
-fn backlog_pass(jobs: u32) -> Duration {
-    let mut loaded = LoadedCell::new(BACKLOG_WORKERS);
+fn backlog_pass(mut loaded: LoadedCell, jobs: u32) -> Duration {
     loaded.run_for(WARM_UP);
     for number in 0..jobs {
         let kind = usize::try_from(number % 8).unwrap_or(0) / 7;
@@ -394,7 +428,13 @@
     }
     println!("backlog   us/pass");
     for jobs in BACKLOG_SIZES {
-        let pass = backlog_pass(jobs);
+        let pass = backlog_pass(LoadedCell::new(BACKLOG_WORKERS), jobs);
         println!("{jobs:>7}  {:>8.1}", pass.as_secs_f64() * 1e6);
     }
+    println!("us/pass   of {TEAM_COUNT} teams on {TEAM_WORKERS} workers");
+    for (name, team_count, cap_milli) in TEAM_CAPS {
+        let loaded = LoadedCell::with_teams(TEAM_WORKERS, team_count, cap_milli);
+        let pass = backlog_pass(loaded, TEAM_BACKLOG);
+        println!("{:>7.1}   {name}", pass.as_secs_f64() * 1e6);
+    }
 }
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -311,7 +311,10 @@
             job.outcome_stored = true;
             job.delete_at = Some(delete_at);
             job.spec = None;
-            job.occurrences = Vec::new();
+            // The end may be written again, and names the runs that count for the team then.
+            if job.team.is_none() || job.placed_runs(id).is_empty() {
+                job.occurrences = Vec::new();
+            }
             self.expiring_jobs.insert((delete_at, id));
         }
     }
--- a/crates/hs-cell/tests/cell/teams.rs
+++ b/crates/hs-cell/tests/cell/teams.rs
@@ -191,6 +191,7 @@
         Cancelled,
         CancelledAndRecorded,
         CancelledAndCutOff,
+        CancelledByEarlierVersion,
     }
     let cases = [
         Earlier::Recorded,
@@ -199,6 +200,7 @@
         Earlier::Cancelled,
         Earlier::CancelledAndRecorded,
         Earlier::CancelledAndCutOff,
+        Earlier::CancelledByEarlierVersion,
     ];
     for earlier in cases {
         println!("case: {earlier:?}");
@@ -214,10 +216,11 @@
             world.finish_write();
             world.advance_cell();
         }
-        if matches!(
+        let is_cancelled = !matches!(
             earlier,
-            Earlier::Cancelled | Earlier::CancelledAndRecorded | Earlier::CancelledAndCutOff
-        ) {
+            Earlier::Recorded | Earlier::Started | Earlier::StartedWithoutReply
+        );
+        if is_cancelled {
             let (number, _) = world.placed(id(1))[0];
             world.cancel(id(1));
             world.advance_without_stops();
@@ -229,6 +232,11 @@
             if earlier == Earlier::CancelledAndCutOff {
                 world.workers[number].reachable = false;
             }
+            // Only the report of the worker shows the run.
+            if earlier == Earlier::CancelledByEarlierVersion {
+                let (_, end) = world.store.jobs.get_mut(&id(1)).expect("it is stored");
+                end.as_mut().expect("it has ended").stopping.clear();
+            }
         }
         world.replace_owner(true);
         world.delayed_start_percent = 0;
