feat(control): let the best VM take the cell over

Cause: the takeover delay considered the share of a core alone. After the partition of an owner with 0.5 core and 200 Mbit/s, a VM with 0.3 core and 10 Mbit/s took the cell over although three VMs like the former owner were up.

Change: a rank is computed from the settings and measurements of a VM, in classes and against what the owner needs at the number of workers. Heartbeats carry it, and the replies carry the best one. A process delays a takeover if it knows of a better one, and not if all are alike. An owner whose commits are slow because of their bytes, or that is not fit and whose commits are slow, hands over to a better rank. An owner that cannot load the state in time releases the claim to a better process, and leaves it to others for 4 s; after two such owners in a row the next one has no limit.

The simulation gets links with a bandwidth.

--- a/crates/hs-control/src/claim.rs
+++ b/crates/hs-control/src/claim.rs
@@ -41,6 +41,17 @@
     /// Name of the process that should take over a released cell, if the owner has chosen one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub successor: Option<String>,
+    /// Number of owners in a row, up to the one that has released the cell, that could not load its state.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub failed_loads: u32,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// What a write does to the claim.
@@ -53,6 +64,13 @@
     Release,
     /// The owner releases the cell, for the process on this VM in the first place.
     HandOver(Arc<str>),
+    /// The owner releases the cell because it could not load its state.
+    GiveUp {
+        /// Name of a better process, if one is known.
+        successor: Option<Arc<str>>,
+        /// Number of owners in a row that could not load the state, with this one.
+        failed_loads: u32,
+    },
 }
 
 /// A permanent failure of a write under the claim.
@@ -195,6 +213,11 @@
     claim.successor = match change {
         ClaimChange::Confirm | ClaimChange::Release => None,
         ClaimChange::HandOver(node) => Some(node.to_string()),
+        ClaimChange::GiveUp { successor, .. } => successor.as_ref().map(ToString::to_string),
+    };
+    claim.failed_loads = match change {
+        ClaimChange::GiveUp { failed_loads, .. } => *failed_loads,
+        _ => 0,
     };
     let mut txn = claim_txn(&claim, held.revision);
     txn.writes.extend(writes);
--- a/crates/hs-control/src/claim_writer.rs
+++ b/crates/hs-control/src/claim_writer.rs
@@ -38,6 +38,8 @@
     pub change: ClaimChange,
     /// Time that the write took.
     pub duration: Duration,
+    /// Bytes of the keys and values written and deleted, without the claim.
+    pub bytes: usize,
 }
 
 /// What the writer tells the owner.
@@ -122,6 +124,8 @@
             deletes,
         } = writes;
         let began_at = self.platform.now();
+        let written = writes.iter().map(|(key, value)| key.len() + value.len());
+        let bytes = written.chain(deletes.iter().map(String::len)).sum();
         let held = &self.keeper.held;
         let result = claim::write_with_claim(&self.platform, held, writes, deletes, &change).await;
         let (held, confirmed_at) = match result {
@@ -136,6 +140,7 @@
                 log,
                 change,
                 duration: now.saturating_duration_since(began_at),
+                bytes,
             }))
         })
     }
--- a/crates/hs-control/src/handover.rs
+++ b/crates/hs-control/src/handover.rs
@@ -1,13 +1,14 @@
 //! Decides when an owner that is behind hands the cell over, and to which process.
 //!
 //! A takeover is the most expensive thing that an owner does, and it does not reduce the load. The cell is
-//! therefore only handed to a process that has shown to compute much faster. Each handover at least halves the
-//! time that the same work takes, which bounds their number.
+//! therefore only handed to a process of a better rank, or to one that has shown to compute much faster. Each handover
+//! at least halves the time that the same work takes or raises the rank, which bounds their number.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::members::MemberTable;
+use crate::members::{Candidate, MemberTable};
+use crate::rank::VmRank;
 
 /// Minimum time for which an owner keeps the cell, since its own takeover makes it late at first.
 const MIN_OWNERSHIP: Duration = Duration::from_secs(3);
@@ -36,18 +37,44 @@
 /// Minimum ratio of the times that the owner and its successor take for the same work.
 const MIN_SPEED_RATIO: u32 = 2;
 
-/// Returns the process to which an owner that is too slow hands the cell over, or `None` to keep the cell.
-///
-/// The owner takes `work_time` for the work that processes measure their speed with.
+/// What shows that an owner is behind.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OwnerDelay {
+    /// Its timer lags.
+    Processor,
+    /// Its transactions take long, because of their bytes or on a VM that is not fit.
+    Commits,
+}
+
+/// The owner as it measures itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OwnerStanding {
+    pub delay: OwnerDelay,
+    pub rank: VmRank,
+    /// Time for the work of a speed measurement.
+    pub work_time: Option<Duration>,
+    pub start: OwnershipStart,
+}
+
+/// Returns the process to which an owner that is behind hands the cell over, or `None` to keep the cell.
 pub(crate) fn successor(
     members: &MemberTable,
-    work_time: Option<Duration>,
-    start: OwnershipStart,
+    owner: &OwnerStanding,
     now: Instant,
 ) -> Option<Arc<str>> {
-    if now.saturating_duration_since(start.at) < start.min_ownership() {
+    if now.saturating_duration_since(owner.start.at) < owner.start.min_ownership() {
         return None;
     }
-    let (node, fastest) = members.fastest(now)?;
-    (fastest * MIN_SPEED_RATIO <= work_time?).then_some(node)
+    let is_better = |candidate: &Candidate| candidate.rank.is_some_and(|rank| rank > owner.rank);
+    let is_faster = |candidate: &Candidate| {
+        let times = candidate.work_time.zip(owner.work_time);
+        times.is_some_and(|(time, own_time)| time * MIN_SPEED_RATIO <= own_time)
+    };
+    match owner.delay {
+        OwnerDelay::Processor => {
+            let faster = members.best(now, is_faster);
+            faster.or_else(|| members.best(now, is_better))
+        }
+        OwnerDelay::Commits => members.best(now, is_better),
+    }
 }
--- a/crates/hs-control/src/members.rs
+++ b/crates/hs-control/src/members.rs
@@ -1,10 +1,13 @@
 //! The processes that send heartbeats to the owner.
 
 use hs_event::EventCode;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::rank::VmRank;
+
 /// Shortest interval between the heartbeats of a process.
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -24,11 +27,21 @@
 struct Member {
     node: Arc<str>,
     address: Arc<str>,
-    /// Time that the process takes for the work of a speed measurement.
-    work_time: Option<Duration>,
+    standing: Candidate,
     last_heartbeat_at: Instant,
 }
 
+/// What a process says of its ability to own the cell.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Candidate {
+    /// Rank of its VM; `None` if unknown.
+    pub rank: Option<VmRank>,
+    /// Time that it takes for the work of a speed measurement, if it has measured it.
+    pub work_time: Option<Duration>,
+    /// Whether it has lately given the cell up, since it was too slow or could not load the state.
+    pub gave_up: bool,
+}
+
 /// What a process says of itself in a heartbeat.
 #[derive(Clone, Debug)]
 pub(crate) struct Heartbeat {
@@ -36,8 +49,7 @@
     pub node: Arc<str>,
     /// Address of its peer listener.
     pub address: Arc<str>,
-    /// Time that it takes for the work of a speed measurement, if it has measured it.
-    pub work_time: Option<Duration>,
+    pub standing: Candidate,
 }
 
 /// The live processes other than the owner, by the name of their VM.
@@ -46,6 +58,8 @@
     members: BTreeMap<Arc<str>, Member>,
     /// Whether a process has joined or was removed since the last call of [`MemberTable::take_changed`].
     changed: bool,
+    /// Best rank of the processes with a recent heartbeat, as of the last removal of the others.
+    best_rank: Option<VmRank>,
 }
 
 impl MemberTable {
@@ -54,7 +68,7 @@
         let Heartbeat {
             node,
             address,
-            work_time,
+            standing,
         } = heartbeat;
         let earlier = self.members.get(&node);
         if earlier.is_none() {
@@ -64,21 +78,42 @@
         let member = Member {
             node: node.clone(),
             address,
-            work_time,
+            standing,
             last_heartbeat_at: now,
         };
         self.members.insert(node, member);
     }
 
-    /// Returns the process that takes the least time for the work of a speed measurement, and that time. Only
-    /// processes with a recent heartbeat count.
-    pub(crate) fn fastest(&self, now: Instant) -> Option<(Arc<str>, Duration)> {
-        let is_recent = |member: &&Member| {
-            now.saturating_duration_since(member.last_heartbeat_at) < MAX_SUCCESSOR_SILENCE
-        };
-        let members = self.members.values().filter(is_recent);
-        let measured = members.filter_map(|member| Some((member.node.clone(), member.work_time?)));
-        measured.min_by_key(|(node, work_time)| (*work_time, node.clone()))
+    /// Returns the processes with a recent heartbeat that have not given the cell up lately.
+    fn able_members(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |member| {
+            let silence = now.saturating_duration_since(member.last_heartbeat_at);
+            silence < MAX_SUCCESSOR_SILENCE && !member.standing.gave_up
+        })
+    }
+
+    /// Returns the process of the best rank that a condition holds for, the fastest one of those of the same rank.
+    pub(crate) fn best(
+        &self,
+        now: Instant,
+        condition: impl Fn(&Candidate) -> bool,
+    ) -> Option<Arc<str>> {
+        let candidates = self
+            .able_members(now)
+            .filter(|member| condition(&member.standing));
+        let best = candidates.min_by_key(|member| {
+            let Candidate {
+                rank, work_time, ..
+            } = member.standing;
+            let time = work_time.unwrap_or(Duration::MAX);
+            (Reverse(rank), time, member.node.clone())
+        });
+        best.map(|member| member.node.clone())
+    }
+
+    /// Returns the best rank of the processes that can take the cell over, which may be a tick old.
+    pub(crate) fn best_rank(&self) -> Option<VmRank> {
+        self.best_rank
     }
 
     /// Removes the processes whose heartbeats have stopped.
@@ -89,6 +124,8 @@
         };
         self.members.retain(|_, member| is_alive(member));
         self.changed |= self.members.len() != count_before;
+        let able = self.able_members(now);
+        self.best_rank = able.filter_map(|member| member.standing.rank).max();
     }
 
     /// Returns whether a process has joined, moved or left since the last call.
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -29,14 +29,16 @@
 use crate::handover::OwnershipStart;
 use crate::lag::LagMeter;
 use crate::link::{LinkEvent, LinkHandle, MAX_LEASE_PAST_CONFIRMATION, WorkerFences};
+use crate::link_speed::LinkMeter;
 use crate::load::LoadMeter;
 use crate::metrics::ControlMetrics;
 use crate::owner_status::OwnerStatus;
 use crate::peers::PeerPool;
 use crate::port::Platform;
+use crate::rank::VmLimits;
 use crate::shared::OwnerRequest;
 use crate::speed::SpeedMeter;
-use crate::takeover;
+use crate::takeover::{self, LoadLimit};
 
 /// Interval at which the cell is advanced to the current time even if nothing happens.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
@@ -74,6 +76,9 @@
     pub keeper: ClaimKeeper,
     /// Whether the former owner has handed the cell over to this process.
     pub by_handover: bool,
+    /// Resources of the VM.
+    pub limits: VmLimits,
+    pub load_limit: LoadLimit,
     pub status: OwnerStatus,
     pub metrics: ControlMetrics,
     pub requests: mpsc::Receiver<OwnerRequest>,
@@ -95,7 +100,7 @@
     },
     /// Another process owns the cell.
     Lost(String),
-    /// The state of the cell could not be read.
+    /// The state of the cell could not be read, or not in time.
     Unreadable(String),
 }
 
@@ -127,6 +132,8 @@
     release: Option<oneshot::Sender<()>>,
     lag: LagMeter,
     speed: SpeedMeter,
+    link_speed: LinkMeter,
+    limits: VmLimits,
     ownership_start: OwnershipStart,
     load: LoadMeter,
     feed_events: mpsc::Sender<FeedEvent>,
@@ -155,9 +162,21 @@
     };
     background_tasks.spawn(writer.run());
     let mut requests = inputs.requests;
-    let takeover = takeover::load_state(&platform, &mut writer_receiver, &mut requests).await;
-    let takeover = match takeover {
+    let loading = takeover::load_state(
+        &platform,
+        inputs.load_limit,
+        &inputs.status,
+        &mut writer_receiver,
+        &mut requests,
+    );
+    let takeover = match loading.await {
         Ok(takeover) => takeover,
+        Err(OwnerEnd::Unreadable(cause)) => {
+            let status = &inputs.status;
+            let change = inputs.load_limit.give_up(status, platform.now());
+            takeover::release(change, &write_orders, &mut writer_receiver).await;
+            return OwnerEnd::Unreadable(cause);
+        }
         Err(end) => return end,
     };
     let read_at = platform.now();
@@ -198,6 +217,8 @@
         release: None,
         lag: LagMeter::default(),
         speed: SpeedMeter::default(),
+        link_speed: LinkMeter::default(),
+        limits: inputs.limits,
         ownership_start: OwnershipStart {
             at: started,
             by_handover: inputs.by_handover,
@@ -284,6 +305,7 @@
             self.report_load(now);
         }
         self.end_waiters.remove_closed();
+        self.status.set_workers(self.links.len());
         self.status.members().remove_unreachable(now);
         self.update_advice_callers();
     }
--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -9,8 +9,9 @@
 use super::{OwnerEnd, OwnerTask};
 use crate::claim::ClaimChange;
 use crate::claim_writer::{WriteEnd, WriteOrder, WriterEvent};
-use crate::handover;
+use crate::handover::{self, OwnerDelay, OwnerStanding};
 use crate::port::Platform;
+use crate::rank::{VmMeasurements, VmRank};
 
 impl<P: Platform> OwnerTask<P> {
     /// Orders the next transaction, unless one is in flight or there is nothing to write.
@@ -37,11 +38,26 @@
 
     /// Returns the process to which the cell is handed over, if this one is too slow for it.
     fn successor(&self, now: Instant) -> Option<Arc<str>> {
-        if !self.lag.is_slow() {
-            return None;
-        }
-        let members = self.status.members();
-        handover::successor(&members, self.speed.work_time(), self.ownership_start, now)
+        let work_time = self.speed.work_time();
+        let link_mbps = self.link_speed.slow_link_mbps();
+        let measured = VmMeasurements {
+            work_time,
+            link_mbps,
+        };
+        let rank = VmRank::new(&self.limits, measured, self.status.workers());
+        let has_slow_commits = link_mbps.is_some() || (self.link_speed.is_slow() && !rank.is_fit());
+        let delay = match (self.lag.is_slow(), has_slow_commits) {
+            (true, _) => OwnerDelay::Processor,
+            (false, true) => OwnerDelay::Commits,
+            (false, false) => return None,
+        };
+        let owner = OwnerStanding {
+            delay,
+            rank,
+            work_time,
+            start: self.ownership_start,
+        };
+        handover::successor(&self.status.members(), &owner, now)
     }
 
     pub(super) fn handle_writer_event(&mut self, event: WriterEvent) {
@@ -55,6 +71,7 @@
         self.committing = false;
         self.metrics.record_commit(end.duration);
         self.load.record_commit(end.duration);
+        self.link_speed.record_commit(end.bytes, end.duration);
         self.cell.record_commit_time(end.duration);
         self.planner.log.committed(end.log);
         for row in &end.batch.rows {
@@ -71,7 +88,7 @@
         }
         self.end = match end.change {
             ClaimChange::Confirm => return,
-            ClaimChange::Release => Some(OwnerEnd::Released),
+            ClaimChange::Release | ClaimChange::GiveUp { .. } => Some(OwnerEnd::Released),
             ClaimChange::HandOver(successor) => Some(OwnerEnd::TooSlow {
                 lag: self.lag.mean_lag(),
                 work_time: self.speed.work_time().unwrap_or_default(),
--- a/crates/hs-control/src/owner_status.rs
+++ b/crates/hs-control/src/owner_status.rs
@@ -3,6 +3,7 @@
 //! Heartbeats are answered from this shared state, so that they do not wait for the owner task while it is
 //! busy. The age of the last confirmation of the claim shows whether the owner can still act.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 
 use crate::claim::ClaimConfirmation;
 use crate::members::{Heartbeat, MemberTable};
+use crate::rank::VmRank;
 
 /// State of an owner that its tasks share with the peer listener. Clones share their state.
 #[derive(Clone, Debug)]
@@ -17,6 +19,8 @@
     fence: u64,
     confirmation: watch::Receiver<ClaimConfirmation>,
     members: Arc<Mutex<MemberTable>>,
+    /// Number of workers; 0 while the state is being loaded.
+    workers: Arc<AtomicU32>,
 }
 
 /// The owner's reply to a heartbeat.
@@ -27,6 +31,10 @@
     pub confirmation_age: Duration,
     /// Time until the process should send its next heartbeat.
     pub heartbeat_interval: Duration,
+    /// Number of workers of the cell; 0 if unknown.
+    pub workers: u32,
+    /// Best rank of the processes that send heartbeats.
+    pub best_rank: Option<VmRank>,
 }
 
 impl OwnerStatus {
@@ -35,6 +43,7 @@
             fence,
             confirmation,
             members: Arc::default(),
+            workers: Arc::default(),
         }
     }
 
@@ -46,9 +55,22 @@
             fence: self.fence,
             confirmation_age: now.saturating_duration_since(self.confirmation.borrow().at),
             heartbeat_interval: members.heartbeat_interval(),
+            workers: self.workers(),
+            best_rank: members.best_rank(),
         }
     }
 
+    /// Sets the number of workers of the cell.
+    pub(crate) fn set_workers(&self, count: usize) {
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        self.workers.store(count, Ordering::Relaxed);
+    }
+
+    /// Returns the number of workers of the cell, 0 if it is unknown.
+    pub(crate) fn workers(&self) -> u32 {
+        self.workers.load(Ordering::Relaxed)
+    }
+
     /// Returns the processes that send heartbeats.
     pub(crate) fn members(&self) -> MutexGuard<'_, MemberTable> {
         self.members.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::cell_facts::CellFacts;
 use crate::config;
 use crate::control::Control;
 use crate::election::Election;
@@ -20,6 +21,7 @@
 use crate::peer_listener;
 use crate::peers::PeerPool;
 use crate::port::Platform;
+use crate::rank::VmLimits;
 use crate::shared::{NodeContext, Ownership};
 use crate::speed::SpeedMeter;
 use crate::store_health::StoreHealth;
@@ -43,9 +45,8 @@
     pub peer_listen: SocketAddr,
     /// Settings of the cell that this process runs when it is the owner.
     pub cell: CellOptions,
-    /// Additional delay before this process takes the cell over, so that processes on larger VMs
-    /// take it first.
-    pub takeover_delay: Duration,
+    /// Resources of the VM, by which processes on better VMs take the cell over first.
+    pub limits: VmLimits,
 }
 
 /// Why a process failed to start.
@@ -118,7 +119,8 @@
         owner_last_seen: Arc::new(owner_last_seen_sender),
         cooldown_until: None,
         options: options.cell,
-        takeover_delay: options.takeover_delay,
+        limits: options.limits,
+        cell_facts: CellFacts::default(),
         speed: SpeedMeter::default(),
         stop: stop.clone(),
     };
--- a/crates/hs-control/src/server.rs
+++ b/crates/hs-control/src/server.rs
@@ -10,7 +10,7 @@
 use crate::control::{Control, phase_from_state};
 use crate::intake::IntakeResult;
 use crate::keys;
-use crate::members::Heartbeat;
+use crate::members::{Candidate, Heartbeat};
 use crate::message::cell_server::Cell;
 use crate::message::{
     AcceptReply, AcceptRequest, AcceptResult, AdviseReply, AdviseRequest, AllowedWorker, BeatReply,
@@ -18,6 +18,7 @@
 };
 use crate::notify::Notice;
 use crate::port::Platform;
+use crate::rank::VmRank;
 use crate::recover::JobValue;
 use crate::shared::{OwnerHandle, OwnerRequest, Ownership};
 
@@ -53,19 +54,27 @@
             node,
             address,
             work_us,
+            rank,
+            gave_up,
         } = request.into_inner();
         let owner = self.owner()?;
         let now = self.control.platform.now();
         let heartbeat = Heartbeat {
             node: node.into(),
             address: address.into(),
-            work_time: (work_us > 0).then(|| Duration::from_micros(work_us)),
+            standing: Candidate {
+                rank: VmRank::from_wire(rank),
+                work_time: (work_us > 0).then(|| Duration::from_micros(work_us)),
+                gave_up,
+            },
         };
         let reply = owner.status.answer_heartbeat(heartbeat, now);
         Ok(Response::new(BeatReply {
             fence: reply.fence,
             proof_age_ms: u64::try_from(reply.confirmation_age.as_millis()).unwrap_or(u64::MAX),
             next_beat_ms: u64::try_from(reply.heartbeat_interval.as_millis()).unwrap_or(u64::MAX),
+            workers: reply.workers,
+            best_rank: reply.best_rank.map_or(0, VmRank::to_wire),
         }))
     }
 
--- a/crates/hs-control/tests/links/process.rs
+++ b/crates/hs-control/tests/links/process.rs
@@ -6,7 +6,7 @@
     CellOptions, JobId, JobRecord, JobSpec, StampedRecord, StepRecord, StepSpec, TaskPlace,
     TaskRecord, WorkerIncarnation,
 };
-use hs_control::{Control, ControlMetrics, ControlOptions, run};
+use hs_control::{Control, ControlMetrics, ControlOptions, VmLimits, run};
 use hs_metrics::MetricRegistry;
 use hs_wire::Resources;
 use tokio::sync::watch;
@@ -29,7 +29,7 @@
             node: "node-1".to_owned(),
             peer_listen: "127.0.0.1:0".parse().expect("address"),
             cell: CellOptions::default(),
-            takeover_delay: Duration::ZERO,
+            limits: VmLimits::default(),
         };
         let metrics = ControlMetrics::new(MetricRegistry::new().expect("registry"));
         let (stop, stopped) = watch::channel(false);
--- a/crates/hs-control/tests/simulation/load.rs
+++ b/crates/hs-control/tests/simulation/load.rs
@@ -1,5 +1,6 @@
 //! Jobs that clients submit to the simulated processes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hs_cell::{JobId, JobSpec, StepSpec};
@@ -32,7 +33,7 @@
 }
 
 /// Returns the specification of a job with one step.
-pub fn job_spec(plan: JobPlan, now: Duration) -> JobSpec {
+pub fn job_spec(plan: JobPlan, input: &Arc<str>, now: Duration) -> JobSpec {
     let queue = match plan.is_advised {
         true => ADVISED_QUEUE,
         false => OPEN_QUEUE,
@@ -49,7 +50,7 @@
     };
     JobSpec {
         queue: queue.into(),
-        input: "input".into(),
+        input: input.clone(),
         steps: vec![step],
         schedule: None,
         accepted_ms: unix_ms_at(now),
--- a/crates/hs-control/tests/simulation/network.rs
+++ b/crates/hs-control/tests/simulation/network.rs
@@ -5,12 +5,15 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use hs_control::port::ListenerPort;
 use tokio::io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf, duplex};
 use tokio::sync::mpsc;
+use tokio::time::{Sleep, sleep};
 
 use crate::cpu::VirtualCpu;
+use crate::link::VirtualLink;
 
 /// Bytes that a connection holds in each direction.
 const BUFFER_BYTES: usize = 64 * 1024;
@@ -32,10 +35,19 @@
 
 impl SimNetwork {
     /// Opens a listener. It replaces the one of an earlier process at the address.
-    pub fn listen(&mut self, address: String, cpu: Arc<VirtualCpu>) -> SimListener {
+    pub fn listen(
+        &mut self,
+        address: String,
+        cpu: Arc<VirtualCpu>,
+        link: Arc<VirtualLink>,
+    ) -> SimListener {
         let (sender, connections) = mpsc::unbounded_channel();
         self.listeners.insert(address, sender);
-        SimListener { connections, cpu }
+        SimListener {
+            connections,
+            cpu,
+            link,
+        }
     }
 
     /// Opens a connection to a listener.
@@ -63,6 +75,7 @@
 pub struct SimListener {
     connections: mpsc::UnboundedReceiver<Accepted>,
     cpu: Arc<VirtualCpu>,
+    link: Arc<VirtualLink>,
 }
 
 impl ListenerPort for SimListener {
@@ -71,21 +84,58 @@
     async fn accept(&mut self) -> io::Result<MeteredStream> {
         let accepted = self.connections.recv().await;
         let stream = accepted.unwrap_or_else(|| Err(io::ErrorKind::NotConnected.into()))?;
-        Ok(MeteredStream::new(stream, self.cpu.clone()))
+        Ok(MeteredStream::new(
+            stream,
+            self.cpu.clone(),
+            self.link.clone(),
+        ))
     }
 }
 
-/// End of a connection that charges its process for what it reads and writes.
+/// End of a connection that charges its process and its link for what it reads and writes.
 #[derive(Debug)]
 pub struct MeteredStream {
     stream: DuplexStream,
     cpu: Arc<VirtualCpu>,
+    link: Arc<VirtualLink>,
+    /// Ends when the link has passed what was read before.
+    receiving: Option<Pin<Box<Sleep>>>,
+    /// Ends when the link has passed what was written before.
+    sending: Option<Pin<Box<Sleep>>>,
 }
 
 impl MeteredStream {
     /// Wraps the end of a connection.
-    pub fn new(stream: DuplexStream, cpu: Arc<VirtualCpu>) -> Self {
-        Self { stream, cpu }
+    pub fn new(stream: DuplexStream, cpu: Arc<VirtualCpu>, link: Arc<VirtualLink>) -> Self {
+        Self {
+            stream,
+            cpu,
+            link,
+            receiving: None,
+            sending: None,
+        }
+    }
+
+    /// Waits until the link has passed the earlier bytes of a direction. Never ends if the link is cut.
+    fn poll_link(
+        link: &VirtualLink,
+        transfer: &mut Option<Pin<Box<Sleep>>>,
+        context: &mut Context<'_>,
+    ) -> Poll<()> {
+        if link.is_cut() {
+            return Poll::Pending;
+        }
+        if let Some(sleep) = transfer {
+            ready!(sleep.as_mut().poll(context));
+            *transfer = None;
+        }
+        Poll::Ready(())
+    }
+
+    /// Returns the wait until the link has passed bytes, which is over at `end`.
+    fn transfer(&self, end: Duration) -> Option<Pin<Box<Sleep>>> {
+        let wait = end.saturating_sub(self.cpu.local_time());
+        (!wait.is_zero()).then(|| Box::pin(sleep(wait)))
     }
 
     fn charge(&self, bytes: usize) {
@@ -102,9 +152,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        ready!(Self::poll_link(&this.link, &mut this.receiving, context));
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        self.charge(buffer.filled().len() - filled);
+        let read = buffer.filled().len() - filled;
+        self.charge(read);
+        let end = self.link.receive(self.cpu.local_time(), read);
+        self.receiving = self.transfer(end);
         Poll::Ready(Ok(()))
     }
 }
@@ -115,8 +170,12 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let this = &mut *self;
+        ready!(Self::poll_link(&this.link, &mut this.sending, context));
         let written = ready!(Pin::new(&mut self.stream).poll_write(context, buffer))?;
         self.charge(written);
+        let end = self.link.send(self.cpu.local_time(), written);
+        self.sending = self.transfer(end);
         Poll::Ready(Ok(written))
     }
 
--- a/crates/hs-control/tests/simulation/observer.rs
+++ b/crates/hs-control/tests/simulation/observer.rs
@@ -76,6 +76,8 @@
     pub takeovers: Vec<Takeover>,
     /// Number of times the cell was released.
     pub releases: u64,
+    /// Times of the committed transactions of owners.
+    pub commits: Vec<Duration>,
     /// Times of the starts of runs.
     pub starts: Vec<Duration>,
     /// Number of runs that ended in another way than done.
@@ -164,6 +166,7 @@
             if key == CLAIM_KEY {
                 let claim = serde_json::from_slice(value).expect("the claim is readable");
                 self.claimed(now, claim);
+                self.commits.push(now);
             }
             let job = key.strip_prefix(JOB_PREFIX).and_then(|id| id.parse().ok());
             if let Some(id) = job.filter(|_| value.starts_with(br#"{"e""#)) {
--- a/crates/hs-control/tests/simulation/platform.rs
+++ b/crates/hs-control/tests/simulation/platform.rs
@@ -14,9 +14,11 @@
 };
 use hs_timer::timeout;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 use crate::network::{MeteredStream, SimListener};
 use crate::process::ProcessIdentity;
+use crate::wire_size::{HEAD_BYTES, WireSize};
 use crate::worker::OrderSender;
 use crate::world::{Reply, SharedWorld, World, unix_ms_at};
 
@@ -56,20 +58,37 @@
     }
 
     /// Calls a service, which handles the request with `handle`.
-    async fn call<T: Send + 'static>(
+    async fn call<T: WireSize + Send + 'static>(
         &self,
         operation: &'static str,
         peer: &str,
+        body_bytes: usize,
         limit: Duration,
         handle: impl FnOnce(&mut World, Reply<T>) + Send + 'static,
     ) -> Result<T, PortError> {
         self.process.cpu.charge(REQUEST_WORK);
         let (reply, answer) = oneshot::channel();
-        let sent_at = self.process.cpu.local_time();
-        self.world
-            .lock()
-            .send_at(sent_at, move |world| handle(world, reply));
-        let answer = timeout(limit, answer).await;
+        let link = &self.process.link;
+        let sent_at = link.send(self.process.cpu.local_time(), HEAD_BYTES + body_bytes);
+        match link.is_cut() {
+            true => self.world.lock().observer.keep_unanswered(reply),
+            false => self
+                .world
+                .lock()
+                .send_at(sent_at, move |world| handle(world, reply)),
+        }
+        let received = async {
+            let answer = answer.await;
+            if let Ok(Ok(answer)) = &answer {
+                let arrived_at = self.process.cpu.local_time();
+                let end = link.receive(arrived_at, HEAD_BYTES + answer.body_bytes());
+                if end > arrived_at {
+                    sleep(end - arrived_at).await;
+                }
+            }
+            answer
+        };
+        let answer = timeout(limit, received).await;
         self.process.cpu.charge(REPLY_WORK);
         let no_reply = |cause: String| PortError::NoReply {
             operation,
@@ -83,24 +102,32 @@
         }
     }
 
-    async fn store_call<T: Send + 'static>(
+    async fn store_call<T: WireSize + Send + 'static>(
         &self,
         operation: &'static str,
+        body_bytes: usize,
         limit: Duration,
         handle: impl FnOnce(&mut World) -> T + Send + 'static,
     ) -> Result<T, PortError> {
         let process = self.process.number;
-        self.call(operation, "store", limit, move |world, reply| {
-            world.store_call(process, reply, handle);
-        })
+        self.call(
+            operation,
+            "store",
+            body_bytes,
+            limit,
+            move |world, reply| {
+                world.store_call(process, reply, handle);
+            },
+        )
         .await
     }
 
-    async fn worker_call<T: Send + 'static>(
+    async fn worker_call<T: WireSize + Send + 'static>(
         &self,
         operation: &'static str,
         peer: &WorkerEndpoint,
         sender: OrderSender,
+        body_bytes: usize,
         limit: Duration,
         handle: impl FnOnce(&mut World, usize, Reply<T>) + Send + 'static,
     ) -> Result<T, PortError> {
@@ -108,11 +135,17 @@
         if self.connected.lock().expect("no panic").insert(number) {
             self.process.cpu.charge(CONNECT_WORK);
         }
-        let called = self.call(operation, &peer.address, limit, move |world, reply| {
-            world.worker_call(number, sender, reply, move |world, reply| {
-                handle(world, number, reply);
-            });
-        });
+        let called = self.call(
+            operation,
+            &peer.address,
+            body_bytes,
+            limit,
+            move |world, reply| {
+                world.worker_call(number, sender, reply, move |world, reply| {
+                    handle(world, number, reply);
+                });
+            },
+        );
         let result = called.await;
         if result.is_err() {
             self.connected.lock().expect("no panic").remove(&number);
@@ -162,20 +195,26 @@
     async fn listen(&self, address: SocketAddr) -> io::Result<SimListener> {
         let mut world = self.world.lock();
         let cpu = self.process.cpu.clone();
-        Ok(world.network.listen(address.to_string(), cpu))
+        let link = self.process.link.clone();
+        Ok(world.network.listen(address.to_string(), cpu, link))
     }
 
     async fn connect(&self, address: &str) -> io::Result<MeteredStream> {
         self.process.cpu.charge(CONNECT_WORK);
         let stream = self.world.lock().network.connect(address)?;
-        Ok(MeteredStream::new(stream, self.process.cpu.clone()))
+        let process = &self.process;
+        Ok(MeteredStream::new(
+            stream,
+            process.cpu.clone(),
+            process.link.clone(),
+        ))
     }
 }
 
 impl StorePort for SimPlatform {
     async fn read(&self, key: &str, limit: Duration) -> Result<Option<StoreItem>, PortError> {
         let key = key.to_owned();
-        self.store_call("store read", limit, move |world| world.store.get(&key))
+        self.store_call("store read", 0, limit, move |world| world.store.get(&key))
             .await
     }
 
@@ -186,7 +225,7 @@
         limit: Duration,
     ) -> Result<StorePage, PortError> {
         let (prefix, after) = (prefix.to_owned(), after.to_owned());
-        let read = self.store_call("store range", limit, move |world| {
+        let read = self.store_call("store range", 0, limit, move |world| {
             world.store.range(&prefix, &after)
         });
         let page = read.await?;
@@ -202,7 +241,7 @@
         limit: Duration,
     ) -> Result<StoreChanges, PortError> {
         let prefix = prefix.to_owned();
-        let watched = self.store_call("store watch", limit, move |world| {
+        let watched = self.store_call("store watch", 0, limit, move |world| {
             world.store.changes(&prefix, after)
         });
         let changes = watched.await?;
@@ -216,7 +255,7 @@
         self.charge_items(txn.writes.len() + txn.deletes.len());
         let txn = txn.clone();
         let process = self.process.number;
-        self.store_call("store write", limit, move |world| {
+        self.store_call("store write", txn.body_bytes(), limit, move |world| {
             world.transact(process, &txn)
         })
         .await
@@ -230,14 +269,14 @@
         wait: Duration,
         limit: Duration,
     ) -> Result<ConfigReply, PortError> {
-        self.call("configuration", "store", limit, move |world, reply| {
+        self.call("configuration", "store", 0, limit, move |world, reply| {
             world.config(known, wait, reply);
         })
         .await
     }
 
     async fn workers(&self, limit: Duration) -> Result<(Vec<RegisteredWorker>, u64), PortError> {
-        let read = self.store_call("registry", limit, |world| world.registry.workers());
+        let read = self.store_call("registry", 0, limit, |world| world.registry.workers());
         let (workers, revision) = read.await?;
         self.charge_items(workers.len());
         Ok((workers, revision))
@@ -249,7 +288,7 @@
         _wait: Duration,
         limit: Duration,
     ) -> Result<WorkerChanges, PortError> {
-        self.store_call("registry watch", limit, move |world| {
+        self.store_call("registry watch", 0, limit, move |world| {
             world.registry.changes(after)
         })
         .await
@@ -267,10 +306,17 @@
     ) -> Result<StartReply, PortError> {
         let sender = self.sender(fence, peer);
         let order = order.clone();
-        self.worker_call("start", peer, sender, limit, move |world, number, reply| {
-            let answer = world.start_run(number, sender, lease_end_ms, &order);
-            world.reply(reply, Ok(answer));
-        })
+        self.worker_call(
+            "start",
+            peer,
+            sender,
+            order.body_bytes(),
+            limit,
+            move |world, number, reply| {
+                let answer = world.start_run(number, sender, lease_end_ms, &order);
+                world.reply(reply, Ok(answer));
+            },
+        )
         .await
     }
 
@@ -282,10 +328,17 @@
         limit: Duration,
     ) -> Result<StopReply, PortError> {
         let sender = self.sender(fence, peer);
-        self.worker_call("stop", peer, sender, limit, move |world, number, reply| {
-            let answer = world.stop_run(number, sender, run);
-            world.reply(reply, Ok(answer));
-        })
+        self.worker_call(
+            "stop",
+            peer,
+            sender,
+            0,
+            limit,
+            move |world, number, reply| {
+                let answer = world.stop_run(number, sender, run);
+                world.reply(reply, Ok(answer));
+            },
+        )
         .await
     }
 
@@ -300,6 +353,7 @@
             "renewal",
             peer,
             sender,
+            0,
             limit,
             move |world, number, reply| {
                 world.renew_lease(number, sender, renewal, reply);
@@ -318,9 +372,15 @@
     ) -> Result<AdviceReply, PortError> {
         let workers = workers.to_vec();
         let process = self.process.number;
-        self.call("advice", "advice", limit, move |world, reply| {
-            world.advise(process, step, workers, reply);
-        })
+        self.call(
+            "advice",
+            "advice",
+            workers.body_bytes(),
+            limit,
+            move |world, reply| {
+                world.advise(process, step, workers, reply);
+            },
+        )
         .await
     }
 }
--- a/crates/hs-control/tests/simulation/process.rs
+++ b/crates/hs-control/tests/simulation/process.rs
@@ -9,12 +9,13 @@
 use std::time::Duration;
 
 use hs_cell::CellOptions;
-use hs_control::{Control, ControlMetrics, ControlOptions};
+use hs_control::{Control, ControlMetrics, ControlOptions, VmLimits};
 use hs_metrics::MetricRegistry;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
 
 use crate::cpu::{POLL_WORK, VirtualCpu};
+use crate::link::VirtualLink;
 use crate::platform::SimPlatform;
 use crate::world::SharedWorld;
 
@@ -31,6 +32,7 @@
     /// Number of the start, since a process may be restarted.
     pub incarnation: u32,
     pub cpu: Arc<VirtualCpu>,
+    pub link: Arc<VirtualLink>,
 }
 
 /// A process that is running.
@@ -46,21 +48,26 @@
 /// A process, which can be killed and started again.
 pub struct SimProcess {
     identity: ProcessIdentity,
-    takeover_delay: Duration,
+    limits: VmLimits,
     live: Option<LiveProcess>,
 }
 
 impl SimProcess {
     /// Builds a process that is not running.
-    pub fn new(number: usize, core_share: f64, takeover_delay: Duration) -> Self {
+    pub fn new(number: usize, core_share: f64, link_mbps: Option<f64>) -> Self {
         let cpu = Arc::new(VirtualCpu::new(core_share));
         Self {
             identity: ProcessIdentity {
                 number,
                 incarnation: 0,
                 cpu,
+                link: Arc::new(VirtualLink::new(link_mbps)),
+            },
+            limits: VmLimits {
+                cores: Some(core_share),
+                link_mbps,
+                ..VmLimits::default()
             },
-            takeover_delay,
             live: None,
         }
     }
@@ -94,7 +101,7 @@
             node: Self::node(number),
             peer_listen: Self::address(number),
             cell: CellOptions::default(),
-            takeover_delay: self.takeover_delay,
+            limits: self.limits,
         };
         let registry = MetricRegistry::new().expect("a registry starts");
         let metrics = ControlMetrics::new(registry);
@@ -125,6 +132,11 @@
         }
     }
 
+    /// Cuts the process off from all others, the store and the workers.
+    pub fn cut_off(&self) {
+        self.identity.link.cut();
+    }
+
     /// Stops the process until a time. Its clocks go on.
     pub fn pause_until(&self, until: Duration) {
         self.identity.cpu.catch_up(until);
--- a/crates/hs-control/tests/simulation/simulation.rs
+++ b/crates/hs-control/tests/simulation/simulation.rs
@@ -3,6 +3,7 @@
 //! All processes run on one thread, in turn. A process that has used more processor time than has passed is
 //! left out until the time of the simulation has caught up with it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use hs_cell::JobId;
@@ -20,12 +21,6 @@
 /// Timeout of a submission.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Share of a core at which a process takes the cell over without an additional delay.
-const UNDELAYED_CORE_SHARE: f64 = 0.25;
-
-/// Delay of a process without processor time.
-const MAX_TAKEOVER_DELAY: Duration = Duration::from_millis(700);
-
 /// Difference between the clocks of neighbouring workers in milliseconds.
 const CLOCK_SPREAD_MS: u64 = 977;
 
@@ -52,18 +47,27 @@
     load_submitted: u64,
     job_count: u64,
     next_process: usize,
+    /// Input of the jobs from now on.
+    pub input: Arc<str>,
 }
 
 impl Simulation {
     /// Builds a cluster whose processes are not running yet.
     pub fn new(plan: &ClusterPlan) -> Self {
+        Self::with_links(plan, &[])
+    }
+
+    /// Builds a cluster whose processes have links with these bandwidths in Mbit/s. They are not running yet.
+    pub fn with_links(plan: &ClusterPlan, link_mbps: &[f64]) -> Self {
         let world = SharedWorld::new(plan.seed);
         for number in 0..plan.workers {
             add_worker(&mut world.lock(), number, plan.worker_cpu_milli);
         }
         let shares = plan.core_shares.iter().enumerate();
-        let processes =
-            shares.map(|(number, share)| SimProcess::new(number, *share, takeover_delay(*share)));
+        let processes = shares.map(|(number, share)| {
+            let link_mbps = link_mbps.get(number).copied();
+            SimProcess::new(number, *share, link_mbps)
+        });
         Self {
             processes: processes.collect(),
             world,
@@ -73,6 +77,7 @@
             load_submitted: 0,
             job_count: 0,
             next_process: 0,
+            input: "input".into(),
         }
     }
 
@@ -112,7 +117,7 @@
     /// Writes an accepted job to the store, of which no process tells the owner. Returns its ID.
     pub fn store_job(&mut self, plan: JobPlan) -> JobId {
         let id = self.plan_job(plan);
-        let spec = job_spec(plan, self.now);
+        let spec = job_spec(plan, &self.input, self.now);
         let value = serde_json::json!({ "a": spec }).to_string();
         let mut world = self.world.lock();
         world.store.put(format!("{JOB_PREFIX}{id}"), value.into());
@@ -136,7 +141,7 @@
     /// Submits a job to a process. Returns its ID.
     pub fn submit_to(&mut self, process: usize, plan: JobPlan) -> JobId {
         let id = self.plan_job(plan);
-        let spec = job_spec(plan, self.now);
+        let spec = job_spec(plan, &self.input, self.now);
         let world = self.world.clone();
         self.processes[process].spawn(|control| async move {
             let reply = control.submit(id, spec, SUBMIT_TIMEOUT).await;
@@ -295,9 +300,3 @@
     world.workers.push(worker);
     world.registry.register(entry);
 }
-
-/// Returns the time by which a process on a VM with this share of a core delays a takeover.
-fn takeover_delay(core_share: f64) -> Duration {
-    let missing = (UNDELAYED_CORE_SHARE - core_share).max(0.0);
-    MAX_TAKEOVER_DELAY.mul_f64(missing / UNDELAYED_CORE_SHARE)
-}
