feat(control): count the owner's bytes by kind, and read the state slowly over slow links

Cause: nothing showed what the owner's link is used for.

Change: records, starts, worker reports, advice and heartbeats are counted, in the load line and in hornbeamshunt_owner_bytes. Two parts of the state are read at once over a link under 25 Mbit/s and after a failed attempt, and the timeout of a page doubles with each attempt. The line of a handover has the mean time of commits.

--- a/crates/hs-control/src/election/acquire.rs
+++ b/crates/hs-control/src/election/acquire.rs
@@ -142,6 +142,7 @@
         let load_limit = LoadLimit {
             rank: self.cell_facts.rank(&self.limits, self.speed.work_time()),
             failed_loads,
+            has_slow_link: self.limits.has_slow_link(),
         };
         let confirmed_at = self.platform.now();
         let acquired =
@@ -206,12 +207,14 @@
             OwnerEnd::TooSlow {
                 lag,
                 work_time,
+                commit_time,
                 successor,
             } => {
                 EventCode::OwnerTooSlow.log(format_args!(
-                    "lag_ms={} work_us={} successor={successor}",
+                    "lag_ms={} work_us={} commit_ms={} successor={successor}",
                     lag.as_millis(),
                     work_time.as_micros(),
+                    commit_time.as_millis(),
                 ));
                 self.cooldown_until = Some(self.platform.now() + SLOW_OWNER_COOLDOWN);
             }
--- a/crates/hs-control/src/feeds.rs
+++ b/crates/hs-control/src/feeds.rs
@@ -10,7 +10,7 @@
 use crate::port::{
     Platform, PortError, RegisteredWorker, StoreChanges, StoreItem, WorkerChange, WorkerChanges,
 };
-use crate::recover;
+use crate::recover::{self, PAGE_TIMEOUT, ReadPace};
 
 /// Interval at which the store is polled for jobs and cancellations that no process has offered.
 const INTAKE_POLL_INTERVAL: Duration = Duration::from_millis(1000);
@@ -51,14 +51,18 @@
 /// # Errors
 ///
 /// Returns the last error if all attempts fail.
-pub(crate) async fn read_state<P: Platform>(platform: &P) -> Result<StoredState, PortError> {
+pub(crate) async fn read_state<P: Platform>(
+    platform: &P,
+    mut pace: ReadPace,
+) -> Result<StoredState, PortError> {
     let mut attempts_left = MAX_READ_ATTEMPTS;
     loop {
-        let error = match read_state_once(platform).await {
+        let error = match read_state_once(platform, pace).await {
             Ok(state) => return Ok(state),
             Err(error) => error,
         };
         attempts_left -= 1;
+        pace = pace.next();
         if attempts_left == 0 {
             return Err(error);
         }
@@ -67,9 +71,14 @@
     }
 }
 
-async fn read_state_once<P: Platform>(platform: &P) -> Result<StoredState, PortError> {
-    let (workers, cell) =
-        tokio::join!(platform.workers(READ_TIMEOUT), recover::read_cell(platform));
+async fn read_state_once<P: Platform>(
+    platform: &P,
+    pace: ReadPace,
+) -> Result<StoredState, PortError> {
+    let (workers, cell) = tokio::join!(
+        platform.workers(READ_TIMEOUT),
+        recover::read_cell(platform, pace)
+    );
     let (workers, registry_revision) = workers?;
     Ok(StoredState {
         workers,
@@ -145,16 +154,18 @@
                 revision = next.max(revision);
                 items
             }
-            Ok(StoreChanges::Compacted) => match recover::read_all(&platform, keys::INTAKE).await {
-                Ok((items, next)) => {
-                    revision = next;
-                    items
-                }
-                Err(error) => {
-                    log::debug!("{error}");
-                    continue;
+            Ok(StoreChanges::Compacted) => {
+                match recover::read_all(&platform, keys::INTAKE, PAGE_TIMEOUT).await {
+                    Ok((items, next)) => {
+                        revision = next;
+                        items
+                    }
+                    Err(error) => {
+                        log::debug!("{error}");
+                        continue;
+                    }
                 }
-            },
+            }
             Err(error) => {
                 log::debug!("{error}");
                 continue;
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -51,6 +51,7 @@
 mod supervise;
 mod takeover;
 pub mod tcp_network;
+mod traffic;
 mod work_portions;
 
 pub use config::{ClusterConfig, QueueRoute, RequestLimits, TeamConfig};
--- a/crates/hs-control/src/link_speed.rs
+++ b/crates/hs-control/src/link_speed.rs
@@ -52,6 +52,11 @@
         update(&mut self.covariance, bytes_off * time_off);
     }
 
+    /// Returns the mean time of transactions.
+    pub fn mean_time(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_s.max(0.0))
+    }
+
     /// Returns whether transactions take long, for whatever reason.
     pub fn is_slow(&self) -> bool {
         self.count >= MIN_TRANSACTIONS && self.mean_s >= SLOW_COMMIT.as_secs_f64()
--- a/crates/hs-control/src/metrics.rs
+++ b/crates/hs-control/src/metrics.rs
@@ -8,6 +8,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::control::SubmitReply;
+use crate::traffic::TrafficCounts;
 
 /// Bucket bounds of the histograms in seconds, dense around the 20 ms of an idle cell and the 1.2 s that
 /// urgent work may wait.
@@ -28,6 +29,7 @@
     tasks_given_up: Counter<u64>,
     commits: Histogram<f64>,
     start_waits: Histogram<f64>,
+    owner_bytes: Counter<u64>,
     unfinished_jobs: Gauge<u64>,
     allocated_runs: Gauge<u64>,
     waiting_steps: Gauge<u64>,
@@ -64,6 +66,10 @@
                 "hornbeamshunt_tasks_given_up",
                 "Tasks given up after crashes of workers",
             ),
+            owner_bytes: counter(
+                "hornbeamshunt_owner_bytes",
+                "Bytes that the owner sends and receives by kind",
+            ),
             commits: histogram(
                 "hornbeamshunt_commit_seconds",
                 "Duration of the owner's writes",
@@ -139,6 +145,13 @@
         self.commits.record(duration.as_secs_f64(), &[]);
     }
 
+    pub(crate) fn record_traffic(&self, traffic: &TrafficCounts) {
+        for (kind, bytes) in traffic.0 {
+            let kind = KeyValue::new("kind", kind.name());
+            self.owner_bytes.add(bytes, &[kind]);
+        }
+    }
+
     pub(crate) fn record_cell_size(
         &self,
         unfinished_jobs: usize,
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -39,6 +39,7 @@
 use crate::shared::OwnerRequest;
 use crate::speed::SpeedMeter;
 use crate::takeover::{self, LoadLimit};
+use crate::traffic::TrafficKind;
 
 /// Interval at which the cell is advanced to the current time even if nothing happens.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
@@ -89,12 +90,14 @@
 pub(crate) enum OwnerEnd {
     /// The cell was released because the process shuts down.
     Released,
-    /// The cell was handed over because this process is too slow.
+    /// The cell was handed over because this process or its link is too slow.
     TooSlow {
         /// Mean lag of the owner's timer.
         lag: Duration,
         /// Time that the owner takes for the work of a speed measurement.
         work_time: Duration,
+        /// Mean time of transactions.
+        commit_time: Duration,
         /// Name of the process that should take the cell over.
         successor: Arc<str>,
     },
@@ -284,6 +287,11 @@
         self.load.advice_ends += 1;
         let is_last_part = self.advice_dispatcher.part_ended(&end);
         let allowed = end.reply.as_ref().map(|reply| reply.allowed.len());
+        if let Some(reply) = &end.reply {
+            let tickets = reply.allowed.iter();
+            let bytes = tickets.map(|(id, ticket)| id.len() + ticket.len()).sum();
+            self.status.traffic.record(TrafficKind::Advice, bytes);
+        }
         EventCode::AdviceEnded.log(format_args!(
             "step={} named={} allowed={allowed:?}",
             end.step,
--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -12,6 +12,7 @@
 use crate::handover::{self, OwnerDelay, OwnerStanding};
 use crate::port::Platform;
 use crate::rank::{VmMeasurements, VmRank};
+use crate::traffic::TrafficKind;
 
 impl<P: Platform> OwnerTask<P> {
     /// Orders the next transaction, unless one is in flight or there is nothing to write.
@@ -71,6 +72,8 @@
         self.committing = false;
         self.metrics.record_commit(end.duration);
         self.load.record_commit(end.duration);
+        let traffic = &self.status.traffic;
+        traffic.record(TrafficKind::Records, end.bytes);
         self.link_speed.record_commit(end.bytes, end.duration);
         self.cell.record_commit_time(end.duration);
         self.planner.log.committed(end.log);
@@ -92,6 +95,7 @@
             ClaimChange::HandOver(successor) => Some(OwnerEnd::TooSlow {
                 lag: self.lag.mean_lag(),
                 work_time: self.speed.work_time().unwrap_or_default(),
+                commit_time: self.link_speed.mean_time(),
                 successor,
             }),
         };
--- a/crates/hs-control/src/owner/effects.rs
+++ b/crates/hs-control/src/owner/effects.rs
@@ -1,10 +1,13 @@
 //! Execution of the effects that the cell asks for.
 
+use std::sync::Arc;
+
 use hs_cell::{CellEffect, CrashEvent, StartOrder, StartRefusal, TaskRun, WorkerKey};
 use hs_event::EventCode;
 
 use super::OwnerTask;
 use crate::port::Platform;
+use crate::traffic::TrafficKind;
 
 impl<P: Platform> OwnerTask<P> {
     pub(super) fn apply_effect(&mut self, effect: CellEffect) {
@@ -19,7 +22,10 @@
                     request.workers.len()
                 ));
                 let ids = request.workers.iter();
-                let workers = ids.filter_map(|key| self.cell.worker_id(*key)).collect();
+                let workers: Vec<Arc<str>> =
+                    ids.filter_map(|key| self.cell.worker_id(*key)).collect();
+                let bytes = workers.iter().map(|id| id.len()).sum();
+                self.status.traffic.record(TrafficKind::Advice, bytes);
                 self.advice_dispatcher.enqueue(request, workers);
             }
             CellEffect::Acknowledge(key, number) => {
@@ -43,6 +49,7 @@
             self.cell.start_refused(key, run, StartRefusal::Late, now);
             return;
         };
+        self.status.traffic.record_start(&order);
         link.start(order);
         EventCode::StartSent.log(format_args!(
             "task={} run={} worker={worker}",
--- a/crates/hs-control/src/owner/links.rs
+++ b/crates/hs-control/src/owner/links.rs
@@ -106,6 +106,7 @@
             LinkEvent::Renewing(lease_end) => self.cell.lease_renewed(key, lease_end),
             LinkEvent::Report(report, requested_at) => {
                 self.load.reports += 1;
+                self.status.traffic.record_report(&report);
                 self.cell.worker_reported(key, report, requested_at, now);
             }
             LinkEvent::Unreachable => {
--- a/crates/hs-control/src/owner/report.rs
+++ b/crates/hs-control/src/owner/report.rs
@@ -15,9 +15,11 @@
         let waiting_steps = cell.waiting_steps();
         self.metrics
             .record_cell_size(unfinished_jobs, allocated_runs, waiting_steps);
+        let traffic = self.status.traffic.take();
+        self.metrics.record_traffic(&traffic);
         EventCode::OwnerLoad.log(format_args!(
             "jobs={unfinished_jobs} runs={allocated_runs} waiting_steps={waiting_steps} \
-             mean_lag_ms={} members={} {}",
+             mean_lag_ms={} members={} {}{traffic}",
             self.lag.mean_lag().as_millis(),
             self.status.members().len(),
             self.load.take(),
--- a/crates/hs-control/src/owner_status.rs
+++ b/crates/hs-control/src/owner_status.rs
@@ -12,6 +12,7 @@
 use crate::claim::ClaimConfirmation;
 use crate::members::{Heartbeat, MemberTable};
 use crate::rank::VmRank;
+use crate::traffic::TrafficMeter;
 
 /// State of an owner that its tasks share with the peer listener. Clones share their state.
 #[derive(Clone, Debug)]
@@ -21,6 +22,8 @@
     members: Arc<Mutex<MemberTable>>,
     /// Number of workers; 0 while the state is being loaded.
     workers: Arc<AtomicU32>,
+    /// Bytes that the owner sends and receives.
+    pub traffic: TrafficMeter,
 }
 
 /// The owner's reply to a heartbeat.
@@ -44,6 +47,7 @@
             confirmation,
             members: Arc::default(),
             workers: Arc::default(),
+            traffic: TrafficMeter::default(),
         }
     }
 
--- a/crates/hs-control/src/rank.rs
+++ b/crates/hs-control/src/rank.rs
@@ -76,6 +76,13 @@
     pub max_fds: Option<usize>,
 }
 
+impl VmLimits {
+    /// Returns whether the link is too slow even for the owner of a small cell.
+    pub fn has_slow_link(&self) -> bool {
+        self.link_mbps.is_some_and(|mbps| mbps < MIN_LINK_MBPS)
+    }
+}
+
 /// What a process has measured of its VM.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct VmMeasurements {
--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -8,14 +8,50 @@
     Cell, JobId, JobOutcome, JobRecord, JobSpec, RecordLog, SegmentState, StoredRecords,
 };
 use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
 use crate::keys::{self, IntakeKey};
 use crate::port::{Platform, PortError, StoreItem, StorePort};
 use crate::work_portions::WorkPortions;
 
-/// Timeout of reading one page.
-const PAGE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout of reading one page in the first attempt.
+pub(crate) const PAGE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Upper bound of the timeout of reading one page, which doubles with each attempt.
+const MAX_PAGE_TIMEOUT: Duration = Duration::from_millis(6400);
+
+/// Number of parts of the state that are read at once over a slow link or after a failed attempt, so that
+/// confirmations of the claim do not wait for all of them.
+const FEW_READS_AT_ONCE: usize = 2;
+
+/// How the state of a cell is read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadPace {
+    reads_at_once: usize,
+    page_timeout: Duration,
+}
+
+impl ReadPace {
+    /// Returns the pace of the first attempt of a process.
+    pub(crate) fn new(has_slow_link: bool) -> Self {
+        Self {
+            reads_at_once: match has_slow_link {
+                true => FEW_READS_AT_ONCE,
+                false => Semaphore::MAX_PERMITS,
+            },
+            page_timeout: PAGE_TIMEOUT,
+        }
+    }
+
+    /// Returns the pace of the attempt after a failed one.
+    pub(crate) fn next(self) -> Self {
+        Self {
+            reads_at_once: FEW_READS_AT_ONCE,
+            page_timeout: (self.page_timeout * 2).min(MAX_PAGE_TIMEOUT),
+        }
+    }
+}
 
 /// Value of the item of an accepted job.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -51,15 +87,24 @@
 /// # Errors
 ///
 /// Returns the store's error if a page can't be read.
-pub(crate) async fn read_cell<S: StorePort>(store: &S) -> Result<StoredCell, PortError> {
+pub(crate) async fn read_cell<S: StorePort>(
+    store: &S,
+    pace: ReadPace,
+) -> Result<StoredCell, PortError> {
     let mut cell = StoredCell::default();
     let mut prefixes = vec![keys::RUN.to_owned(), keys::SEGMENT.to_owned()];
     prefixes.push(keys::CANCEL.to_owned());
     prefixes.extend(keys::job_prefixes());
     let mut reads = JoinSet::new();
+    let turns = Arc::new(Semaphore::new(pace.reads_at_once));
     for prefix in prefixes {
         let store = store.clone();
-        reads.spawn(async move { read_all(&store, &prefix).await });
+        let turns = turns.clone();
+        reads.spawn(async move {
+            // The semaphore is never closed.
+            let _turn = turns.acquire().await.ok();
+            read_all(&store, &prefix, pace.page_timeout).await
+        });
     }
     let mut revision = u64::MAX;
     let mut portions = WorkPortions::default();
@@ -92,12 +137,13 @@
 pub(crate) async fn read_all<S: StorePort>(
     store: &S,
     prefix: &str,
+    page_timeout: Duration,
 ) -> Result<(Vec<StoreItem>, u64), PortError> {
     let mut items: Vec<StoreItem> = Vec::new();
     let mut revision = None;
     loop {
         let after = items.last().map_or("", |item| item.key.as_str());
-        let page = store.range(prefix, after, PAGE_TIMEOUT).await?;
+        let page = store.range(prefix, after, page_timeout).await?;
         revision.get_or_insert(page.revision);
         let is_empty = page.items.is_empty();
         items.extend(page.items);
--- a/crates/hs-control/src/server.rs
+++ b/crates/hs-control/src/server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hs_cell::{JobId, JobSpec};
+use prost::Message;
 use tonic::{Request, Response, Status};
 
 use crate::advice_dispatcher::parse_step;
@@ -21,6 +22,7 @@
 use crate::rank::VmRank;
 use crate::recover::JobValue;
 use crate::shared::{OwnerHandle, OwnerRequest, Ownership};
+use crate::traffic::TrafficKind;
 
 /// Upper bound of the timeout that a peer may set for a write by this process.
 const MAX_ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -50,13 +52,15 @@
 #[tonic::async_trait]
 impl<P: Platform> Cell for PeerServer<P> {
     async fn beat(&self, request: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
+        let request = request.into_inner();
+        let request_bytes = request.encoded_len();
         let BeatRequest {
             node,
             address,
             work_us,
             rank,
             gave_up,
-        } = request.into_inner();
+        } = request;
         let owner = self.owner()?;
         let now = self.control.platform.now();
         let heartbeat = Heartbeat {
@@ -69,13 +73,16 @@
             },
         };
         let reply = owner.status.answer_heartbeat(heartbeat, now);
-        Ok(Response::new(BeatReply {
+        let reply = BeatReply {
             fence: reply.fence,
             proof_age_ms: u64::try_from(reply.confirmation_age.as_millis()).unwrap_or(u64::MAX),
             next_beat_ms: u64::try_from(reply.heartbeat_interval.as_millis()).unwrap_or(u64::MAX),
             workers: reply.workers,
             best_rank: reply.best_rank.map_or(0, VmRank::to_wire),
-        }))
+        };
+        let bytes = request_bytes + reply.encoded_len();
+        owner.status.traffic.record(TrafficKind::Heartbeats, bytes);
+        Ok(Response::new(reply))
     }
 
     async fn offer(&self, request: Request<OfferRequest>) -> Result<Response<OfferReply>, Status> {
--- a/crates/hs-control/src/takeover.rs
+++ b/crates/hs-control/src/takeover.rs
@@ -16,6 +16,7 @@
 use crate::owner_status::OwnerStatus;
 use crate::port::Platform;
 use crate::rank::VmRank;
+use crate::recover::ReadPace;
 use crate::shared::OwnerRequest;
 
 /// Time in which the state must be loaded while another process could load it.
@@ -42,6 +43,8 @@
     pub rank: VmRank,
     /// Number of owners in a row before this one that could not load the state.
     pub failed_loads: u32,
+    /// Whether the link is too slow to read all parts of the state at once.
+    pub has_slow_link: bool,
 }
 
 impl LoadLimit {
@@ -94,7 +97,7 @@
     requests: &mut mpsc::Receiver<OwnerRequest>,
 ) -> Result<TakeoverState, OwnerEnd> {
     let mut buffered = Vec::new();
-    let reading = feeds::read_state(platform);
+    let reading = feeds::read_state(platform, ReadPace::new(limit.has_slow_link));
     tokio::pin!(reading);
     let began_at = platform.now();
     let mut checks = interval(LIMIT_CHECK_INTERVAL);
--- a/crates/hs-control/tests/simulation/ownership.rs
+++ b/crates/hs-control/tests/simulation/ownership.rs
@@ -181,3 +181,61 @@
     assert_eq!(world.observer.takeovers_since(joined_at), 1);
     assert_eq!(world.observer.releases, 1);
 }
+
+/// Link in Mbit/s over which the state of [`STORED_JOBS`] can't be loaded within the limit.
+const VERY_SLOW_LINK: f64 = 4.0;
+
+/// Number of jobs that are in the store before the processes start.
+const STORED_JOBS: usize = 3000;
+
+fn cluster_with_stored_jobs(vms: &[(f64, f64)], seed: u64) -> Simulation {
+    let plan = ClusterPlan {
+        seed,
+        core_shares: vms.iter().map(|(share, _)| *share).collect(),
+        workers: 100,
+        worker_cpu_milli: 2000,
+    };
+    let links: Vec<f64> = vms.iter().map(|(_, mbps)| *mbps).collect();
+    let mut simulation = Simulation::with_links(&plan, &links);
+    simulation.store_jobs(STORED_JOBS, LOAD.plan);
+    simulation
+}
+
+/// An owner that can't load the state, and keeps the claim while a fit VM waits for it.
+#[test]
+fn an_owner_that_cannot_load_the_state_leaves_it_to_a_better_vm() {
+    let vms = [(0.5, VERY_SLOW_LINK), (0.5, VERY_SLOW_LINK), FIT];
+    let mut simulation = cluster_with_stored_jobs(&vms, 45);
+    let world = simulation.world.clone();
+    simulation.processes[0].start(&world, Duration::ZERO);
+    simulation.run_for(Duration::from_millis(1000));
+    assert_eq!(simulation.owner(), Some(0));
+    let joined_at = simulation.now();
+    for process in &mut simulation.processes[1..] {
+        process.start(&world, joined_at);
+    }
+    let pause = simulation.run_while(Duration::from_secs(5), |seen| seen.starts.is_empty());
+    println!("first start after {pause:?}; {}", simulation.summary());
+    let owner = simulation.owner().expect("the cell has an owner");
+    assert_eq!(vms[owner], FIT);
+    assert!(pause < Duration::from_secs(3), "{pause:?}");
+    let world = simulation.world.lock();
+    assert_eq!(world.observer.takeovers.len(), 2);
+    assert_eq!(world.observer.releases, 1);
+}
+
+/// VMs that all give up loading the state in turn, although none can load it faster.
+#[test]
+fn a_state_that_no_vm_loads_in_time_is_loaded_nevertheless() {
+    let mut simulation = cluster_with_stored_jobs(&[(0.5, VERY_SLOW_LINK); 4], 46);
+    simulation.start_processes();
+    let pause = simulation.run_while(Duration::from_secs(40), |seen| seen.starts.is_empty());
+    println!("first start after {pause:?}; {}", simulation.summary());
+    let world = simulation.world.lock();
+    assert!(!world.observer.starts.is_empty());
+    assert!(
+        world.observer.takeovers.len() <= 3,
+        "{:?}",
+        world.observer.takeovers
+    );
+}
