--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod message;
 
 mod advice_dispatcher;
+mod cell_facts;
 mod claim;
 mod claim_writer;
 mod commits;
@@ -29,6 +30,7 @@
 mod keys;
 mod lag;
 mod link;
+pub mod link_speed;
 mod load;
 mod members;
 mod metrics;
@@ -39,6 +41,7 @@
 mod peer_listener;
 mod peers;
 pub mod port;
+pub mod rank;
 mod recover;
 mod run;
 mod server;
@@ -48,10 +51,12 @@
 mod supervise;
 mod takeover;
 pub mod tcp_network;
+mod traffic;
 mod work_portions;
 
 pub use config::{ClusterConfig, QueueRoute, RequestLimits, TeamConfig};
 pub use control::{CancelReply, Control, JobStateReply, SubmitReply};
 pub use metrics::ControlMetrics;
+pub use rank::VmLimits;
 pub use run::{ControlOptions, RunError, run};
 pub use supervise::restart_on_panic;
--- a/crates/hs-control/src/server.rs
+++ b/crates/hs-control/src/server.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use hs_cell::{JobId, JobSpec};
+use prost::Message;
 use tonic::{Request, Response, Status};
 
 use crate::advice_dispatcher::parse_step;
 use crate::control::{Control, phase_from_state};
 use crate::intake::IntakeResult;
 use crate::keys;
-use crate::members::Heartbeat;
+use crate::members::{Candidate, Heartbeat};
 use crate::message::cell_server::Cell;
 use crate::message::{
     AcceptReply, AcceptRequest, AcceptResult, AdviseReply, AdviseRequest, AllowedWorker, BeatReply,
@@ -18,8 +19,10 @@
 };
 use crate::notify::Notice;
 use crate::port::Platform;
+use crate::rank::VmRank;
 use crate::recover::JobValue;
 use crate::shared::{OwnerHandle, OwnerRequest, Ownership};
+use crate::traffic::TrafficKind;
 
 /// Upper bound of the timeout that a peer may set for a write by this process.
 const MAX_ACCEPT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -49,24 +52,37 @@
 #[tonic::async_trait]
 impl<P: Platform> Cell for PeerServer<P> {
     async fn beat(&self, request: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
+        let request = request.into_inner();
+        let request_bytes = request.encoded_len();
         let BeatRequest {
             node,
             address,
             work_us,
-        } = request.into_inner();
+            rank,
+            gave_up,
+        } = request;
         let owner = self.owner()?;
         let now = self.control.platform.now();
         let heartbeat = Heartbeat {
             node: node.into(),
             address: address.into(),
-            work_time: (work_us > 0).then(|| Duration::from_micros(work_us)),
+            standing: Candidate {
+                rank: VmRank::from_wire(rank),
+                work_time: (work_us > 0).then(|| Duration::from_micros(work_us)),
+                gave_up,
+            },
         };
         let reply = owner.status.answer_heartbeat(heartbeat, now);
-        Ok(Response::new(BeatReply {
+        let reply = BeatReply {
             fence: reply.fence,
             proof_age_ms: u64::try_from(reply.confirmation_age.as_millis()).unwrap_or(u64::MAX),
             next_beat_ms: u64::try_from(reply.heartbeat_interval.as_millis()).unwrap_or(u64::MAX),
-        }))
+            workers: reply.workers,
+            best_rank: reply.best_rank.map_or(0, VmRank::to_wire),
+        };
+        let bytes = request_bytes + reply.encoded_len();
+        owner.status.traffic.record(TrafficKind::Heartbeats, bytes);
+        Ok(Response::new(reply))
     }
 
     async fn offer(&self, request: Request<OfferRequest>) -> Result<Response<OfferReply>, Status> {
