feat: admit calls by the keys of teams

Cause: every call was served, whatever its key, and a withdrawn key could not be refused by a process without a path to the store. Change: one decision, Access, from the configuration in force, its confirmation, host, path and key. Teams are decoded one by one. With strict revocation a process reads the configuration at most once a second, and relies on keys only while its latest read was sent less than 0.8 of revokeMs ago, by a clock that counts suspended time. Otherwise keyed calls get 503 and the process is not ready. Without teams or without a bound the configuration is read once, as before.

--- a/crates/hs-control/src/config.rs
+++ b/crates/hs-control/src/config.rs
@@ -1,13 +1,13 @@
 //! The cluster configuration, and the task that keeps it up to date in each process.
 
-use hs_event::EventCode;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hs_cell::{CapExceeded, JobSpec, QueueSpec, TeamSpec};
-use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::config_state::ConfigState;
 use crate::port::{ConfigReply, Platform};
 use crate::store_health::StoreHealth;
 
@@ -34,7 +34,7 @@
 }
 
 /// A team and the keys of its clients.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, PartialEq)]
 pub struct TeamConfig {
     /// Keys that the team's calls carry.
     pub keys: Vec<Arc<str>>,
@@ -42,6 +42,14 @@
     pub spec: TeamSpec,
 }
 
+/// Leaves out the keys.
+impl fmt::Debug for TeamConfig {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut fields = f.debug_struct("TeamConfig");
+        fields.field("spec", &self.spec).finish_non_exhaustive()
+    }
+}
+
 /// Limits of client requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RequestLimits {
@@ -90,29 +98,20 @@
 
 /// Watches the configuration and publishes each newer version. An older version never replaces a newer
 /// one.
-pub(crate) async fn follow<P: Platform>(
-    platform: P,
-    health: StoreHealth,
-    sender: watch::Sender<Option<Arc<ClusterConfig>>>,
-) {
+pub(crate) async fn follow<P: Platform>(platform: P, health: StoreHealth, state: ConfigState) {
     let mut known = None;
     loop {
         let timeout = WATCH_WAIT + WATCH_TIMEOUT_MARGIN;
+        let sent = platform.boot_now();
         let answer = platform.config(known, WATCH_WAIT, timeout).await;
         health.record_call(answer.is_ok(), platform.now());
+        // Without a known configuration the call is a read, and otherwise a watch, which confirms nothing.
+        if let (None, Ok(reply)) = (&known, &answer) {
+            state.record_read(sent, reply);
+        }
         match answer {
             Ok(ConfigReply::Newest(config, revision)) => {
-                let current = sender.borrow().as_ref().map_or(0, |config| config.version);
-                let is_newer = config.version > current || sender.borrow().is_none();
-                known = Some((config.version.max(current), revision));
-                if is_newer {
-                    EventCode::ManifestApplied.log(format_args!(
-                        "version={} previous={current} routes={} revision={revision}",
-                        config.version,
-                        config.routes.len()
-                    ));
-                    sender.send_replace(Some(config));
-                }
+                known = Some((state.apply(config, revision), revision));
             }
             Ok(ConfigReply::Unchanged(revision)) => match &mut known {
                 Some((_, old)) => *old = revision.max(*old),
--- /dev/null
+++ b/crates/hs-control/src/config_state.rs
@@ -0,0 +1,178 @@
+//! The configuration in force in a process, and when it was last confirmed.
+
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use hs_event::EventCode;
+use tokio::sync::watch;
+
+use crate::access::{AccessRules, CurrentRules};
+use crate::config::ClusterConfig;
+use crate::port::ConfigReply;
+
+/// Part of the time until which a withdrawn key must be refused during which a read confirms the configuration.
+///
+/// A read that is sent later than the change is acknowledged shows the change, so each part below 1 is right for clocks
+/// that run at the same rate. The rest, 1 s of 5 s, covers clocks that run slower after a migration of the VM, and
+/// callers that measure with other clocks. Three reads in a row may be lost without a refusal.
+const CONFIRMED_PART: f64 = 0.8;
+
+/// Time until which a withdrawn key must be refused, if the settings do not state it.
+const DEFAULT_REVOKE_TIME: Duration = Duration::from_millis(5000);
+
+/// Settings of the checks of keys.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct KeyOptions {
+    /// Whether calls need a key even if the configuration has no teams.
+    pub always_needed: bool,
+    /// Age of the latest read of the configuration up to which keys may be relied on; `None` if keys follow the
+    /// configuration without a bound.
+    pub max_age: Option<Duration>,
+}
+
+impl KeyOptions {
+    /// Returns the largest age with which withdrawn keys are refused after `revoke_time`, or after the default time if
+    /// that is zero.
+    pub fn max_age_for(revoke_time: Duration) -> Duration {
+        let revoke_time = match revoke_time {
+            Duration::ZERO => DEFAULT_REVOKE_TIME,
+            revoke_time => revoke_time,
+        };
+        revoke_time.mul_f64(CONFIRMED_PART)
+    }
+}
+
+/// Rules and confirmation, which are read together: the rules are at least as new as the read that confirms them.
+#[derive(Clone, Default)]
+struct AccessState {
+    rules: Option<Arc<AccessRules>>,
+    /// When the latest successful linearizable read was sent, on the clock that counts suspended time.
+    confirmed_at: Option<Instant>,
+    /// Whether the loss of the confirmation was logged.
+    is_lost: bool,
+}
+
+/// Publishes the configuration in force. Clones share their state.
+#[derive(Clone)]
+pub(crate) struct ConfigState {
+    sender: watch::Sender<Option<Arc<ClusterConfig>>>,
+    access: Arc<Mutex<AccessState>>,
+    options: KeyOptions,
+}
+
+impl ConfigState {
+    /// Creates the state of a process without a configuration, which is published to `sender`.
+    pub(crate) fn new(
+        sender: watch::Sender<Option<Arc<ClusterConfig>>>,
+        options: KeyOptions,
+    ) -> Self {
+        Self {
+            sender,
+            access: Arc::default(),
+            options,
+        }
+    }
+
+    /// Puts a configuration in force if it is newer than the current one. Returns the version in force.
+    pub(crate) fn apply(&self, config: Arc<ClusterConfig>, revision: u64) -> u64 {
+        let mut access = self.lock();
+        let current = access.rules.as_ref().map(|rules| rules.config().version);
+        if let Some(current) = current.filter(|current| *current >= config.version) {
+            return current;
+        }
+        EventCode::ManifestApplied.log(format_args!(
+            "version={} previous={} routes={} revision={revision}",
+            config.version,
+            current.unwrap_or(0),
+            config.routes.len()
+        ));
+        let rules = AccessRules::new(config.clone(), self.options.always_needed);
+        access.rules = Some(Arc::new(rules));
+        let version = config.version;
+        self.sender.send_replace(Some(config));
+        version
+    }
+
+    /// Records the reply to a linearizable read that was sent at `sent`, and puts a newer configuration in force.
+    ///
+    /// A configuration that can't be decoded, or is older, confirms the one in force, which stays. None at all confirms
+    /// nothing.
+    pub(crate) fn record_read(&self, sent: Instant, reply: &ConfigReply) {
+        match reply {
+            ConfigReply::Newest(config, revision) => {
+                self.apply(config.clone(), *revision);
+            }
+            ConfigReply::Unchanged(_) => {}
+            ConfigReply::Unknown => return,
+        }
+        let mut access = self.lock();
+        access.confirmed_at = access.confirmed_at.max(Some(sent));
+    }
+
+    /// Returns the rules in force, and whether keys may be relied on. `now` is read after the state, since a process
+    /// may be suspended at any time.
+    pub(crate) fn current_rules(&self, now: impl FnOnce() -> Instant) -> CurrentRules {
+        let access = self.lock().clone();
+        CurrentRules {
+            is_confirmed: self.is_confirmed(&access, now()),
+            rules: access.rules,
+        }
+    }
+
+    /// Returns whether calls that need keys can be served, and logs when this changes because of the confirmation.
+    pub(crate) fn check_confirmation(&self, now: Instant) -> bool {
+        let mut access = self.lock();
+        let is_confirmed = !self.needs_confirmation(&access) || self.is_confirmed(&access, now);
+        // A process that has just started has lost nothing.
+        let is_lost = !is_confirmed && access.confirmed_at.is_some();
+        if std::mem::replace(&mut access.is_lost, is_lost) != is_lost {
+            let age = access
+                .confirmed_at
+                .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+            let event = match is_lost {
+                true => EventCode::ConfigUnconfirmed,
+                false => EventCode::ConfigConfirmed,
+            };
+            event.log(format_args!("age_ms={}", age.as_millis()));
+        }
+        is_confirmed
+    }
+
+    /// Returns when the configuration was last confirmed if it has to be, and otherwise `None`.
+    pub(crate) fn last_confirmation(&self) -> Option<Option<Instant>> {
+        let access = self.lock();
+        self.needs_confirmation(&access)
+            .then_some(access.confirmed_at)
+    }
+
+    /// Returns whether there are keys that expire with the confirmation.
+    fn needs_confirmation(&self, access: &AccessState) -> bool {
+        let needs_keys = |rules: &Arc<AccessRules>| rules.needs_keys();
+        let needs_keys =
+            self.options.always_needed || access.rules.as_ref().is_some_and(needs_keys);
+        self.options.max_age.is_some() && needs_keys
+    }
+
+    fn is_confirmed(&self, access: &AccessState, now: Instant) -> bool {
+        let Some(max_age) = self.options.max_age else {
+            return true;
+        };
+        let is_young = |at: Instant| now.saturating_duration_since(at) < max_age;
+        access.confirmed_at.is_some_and(is_young)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AccessState> {
+        self.access.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Leaves out the configuration.
+impl fmt::Debug for ConfigState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut fields = f.debug_struct("ConfigState");
+        fields
+            .field("options", &self.options)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -7,7 +7,9 @@
 use hs_event::EventCode;
 use tokio::sync::watch;
 
+use crate::access::{Access, CurrentRules};
 use crate::config::ClusterConfig;
+use crate::config_state::ConfigState;
 use crate::intake::{IntakeHandle, IntakeResult};
 use crate::keys;
 use crate::message::{AcceptRequest, AcceptResult, JobPhase, JobRow, PendingRequest, StateRequest};
@@ -68,6 +70,7 @@
     pub(crate) intake: IntakeHandle,
     pub(crate) notify: NotifyHandle,
     pub(crate) ready: watch::Receiver<bool>,
+    pub(crate) config_state: ConfigState,
 }
 
 impl<P: StorePort + ClockPort> Control<P> {
@@ -76,6 +79,16 @@
         self.context.config.borrow().clone()
     }
 
+    /// Returns the rules that decide on a call which arrives, or is answered, now.
+    pub fn current_rules(&self) -> CurrentRules {
+        self.config_state.current_rules(|| self.platform.boot_now())
+    }
+
+    /// Counts a call that was refused because of its key.
+    pub fn record_refused_call(&self, access: Access<'_>) {
+        self.context.metrics.record_refused_call(access);
+    }
+
     /// Returns whether this process should receive new connections.
     pub fn is_ready(&self) -> bool {
         *self.ready.borrow()
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -13,11 +13,14 @@
 #[path = "generated/hornbeamshunt.control.v1.rs"]
 pub mod message;
 
+mod access;
 mod advice_dispatcher;
 mod claim;
 mod claim_writer;
 mod commits;
 mod config;
+mod config_state;
+mod confirmation;
 mod contact_permits;
 mod control;
 mod election;
@@ -50,7 +53,9 @@
 pub mod tcp_network;
 mod work_portions;
 
+pub use access::{Access, AccessRules, CurrentRules};
 pub use config::{ClusterConfig, QueueRoute, RequestLimits, TeamConfig};
+pub use config_state::KeyOptions;
 pub use control::{CancelReply, Control, JobStateReply, SubmitReply};
 pub use metrics::ControlMetrics;
 pub use run::{ControlOptions, RunError, run};
--- a/crates/hs-control/src/metrics.rs
+++ b/crates/hs-control/src/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
+use crate::access::Access;
 use crate::control::SubmitReply;
 
 /// Bucket bounds of the histograms in seconds, dense around the 20 ms of an idle cell and the 1.2 s that
@@ -20,6 +21,7 @@
 pub struct ControlMetrics {
     registry: MetricRegistry,
     submissions: Counter<u64>,
+    refused_calls: Counter<u64>,
     starts: Counter<u64>,
     start_refusals: Counter<u64>,
     run_ends: Counter<u64>,
@@ -49,6 +51,10 @@
         };
         Self {
             submissions: counter("hornbeamshunt_submissions", "Submissions by result"),
+            refused_calls: counter(
+                "hornbeamshunt_refused_calls",
+                "Calls refused because of their key, by reason",
+            ),
             starts: counter("hornbeamshunt_starts", "Starts sent to workers"),
             start_refusals: counter("hornbeamshunt_start_refusals", "Starts refused by reason"),
             run_ends: counter("hornbeamshunt_run_ends", "Ends of runs by how"),
@@ -88,6 +94,17 @@
         self.submissions.add(1, &[KeyValue::new("result", result)]);
     }
 
+    pub(crate) fn record_refused_call(&self, access: Access<'_>) {
+        let reason = match access {
+            Access::UnknownKey => "unknown_key",
+            Access::Unconfirmed => "unconfirmed",
+            Access::Team(..) | Access::Public(_) => return,
+            Access::NoQueue | Access::NoConfiguration => return,
+        };
+        self.refused_calls
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     pub(crate) fn record_start(&self) {
         self.starts.add(1, &[]);
     }
--- a/crates/hs-control/src/port.rs
+++ b/crates/hs-control/src/port.rs
@@ -230,6 +230,16 @@
         timeout: Duration,
     ) -> impl Future<Output = Result<ConfigReply, PortError>> + Send;
 
+    /// Reads the newest configuration with a linearizable read. May return [`ConfigReply::Unchanged`] if its revision is
+    /// `decoded`.
+    fn read_config(
+        &self,
+        _decoded: Option<u64>,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<ConfigReply, PortError>> + Send {
+        self.config(None, Duration::ZERO, timeout)
+    }
+
     /// Reads all registered workers and the revision of the registry.
     fn workers(
         &self,
@@ -302,6 +312,11 @@
     /// Returns the monotonic time.
     fn now(&self) -> Instant;
 
+    /// Returns the time on a clock that, unlike [`Self::now`], also counts time in which the machine was suspended.
+    fn boot_now(&self) -> Instant {
+        self.now()
+    }
+
     /// Returns the wall-clock time in Unix milliseconds.
     fn unix_ms(&self) -> u64;
 
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -11,6 +11,8 @@
 use tokio::time::sleep;
 
 use crate::config;
+use crate::config_state::{ConfigState, KeyOptions};
+use crate::confirmation;
 use crate::control::Control;
 use crate::election::Election;
 use crate::intake::IntakeHandle;
@@ -46,6 +48,8 @@
     /// Additional delay before this process takes the cell over, so that processes on larger VMs
     /// take it first.
     pub takeover_delay: Duration,
+    /// Settings of the checks of keys.
+    pub keys: KeyOptions,
 }
 
 /// Why a process failed to start.
@@ -80,6 +84,7 @@
     let (ownership_sender, ownership) = watch::channel(Ownership::Unknown);
     let (ready_sender, ready) = watch::channel(false);
     let (owner_last_seen_sender, owner_last_seen) = watch::channel(None);
+    let config_state = ConfigState::new(config_sender, options.keys);
     let store_health = StoreHealth::default();
     let context = NodeContext {
         node: options.node.as_str().into(),
@@ -97,14 +102,22 @@
         context: context.clone(),
         intake: IntakeHandle::spawn(platform.clone(), store_health.clone()),
         notify: NotifyHandle::spawn(context.clone()),
+        config_state: config_state.clone(),
         ready,
     };
+    if let Some(max_age) = options.keys.max_age {
+        let (platform, state) = (platform.clone(), config_state.clone());
+        tokio::spawn(restart_on_panic("confirmation", move || {
+            confirmation::confirm(platform.clone(), state.clone(), max_age)
+        }));
+    }
     let (config_platform, config_health) = (platform.clone(), store_health.clone());
+    let follow_state = config_state.clone();
     tokio::spawn(restart_on_panic("configuration", move || {
         config::follow(
             config_platform.clone(),
             config_health.clone(),
-            config_sender.clone(),
+            follow_state.clone(),
         )
     }));
     let probe_platform = platform.clone();
@@ -127,6 +140,7 @@
         track_readiness(
             platform.clone(),
             context.clone(),
+            config_state.clone(),
             ready_sender.clone(),
             stop.clone(),
         )
@@ -147,10 +161,11 @@
 }
 
 /// Evaluates whether this process should receive new connections: it must have a configuration, reach the
-/// owner or the store, and not be shutting down.
+/// owner or the store, have confirmed keys if calls need them, and not be shutting down.
 async fn track_readiness<P: Platform>(
     platform: P,
     context: NodeContext,
+    config_state: ConfigState,
     ready: watch::Sender<bool>,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -160,11 +175,13 @@
         let store = !context.store_health.is_down(now);
         let owner = context.is_owner_reachable(now);
         let configured = context.config.borrow().is_some();
-        let serves = configured && (store || owner) && !stopping;
+        let confirmed = config_state.check_confirmation(platform.boot_now());
+        let serves = configured && confirmed && (store || owner) && !stopping;
         let changed = ready.send_if_modified(|ready| std::mem::replace(ready, serves) != serves);
         if changed {
             EventCode::ReadinessChanged.log(format_args!(
-                "ready={serves} configured={configured} store={store} owner={owner} stopping={stopping}"
+                "ready={serves} configured={configured} confirmed={confirmed} store={store} owner={owner} \
+                stopping={stopping}"
             ));
         }
         tokio::select! {
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
+use crate::confirmation::ConfigScript;
 use crate::store::MemoryStore;
 
 /// Service of all workers.
@@ -85,6 +86,9 @@
     pub max_orders: usize,
     /// Number of turns that another task had since a page of the store was last read.
     pub turns_since_page: usize,
+    pub config: ConfigScript,
+    /// Time in which the machine was suspended, which the steady clock does not count.
+    pub suspended: Duration,
 }
 
 /// Handle of the platform. Clones share its state.
@@ -330,6 +334,10 @@
         tokio::time::Instant::now().into_std()
     }
 
+    fn boot_now(&self) -> Instant {
+        self.now() + self.state().suspended
+    }
+
     fn unix_ms(&self) -> u64 {
         BORN_MS
     }
--- a/crates/hs-control/tests/links/process.rs
+++ b/crates/hs-control/tests/links/process.rs
@@ -6,7 +6,7 @@
     CellOptions, JobId, JobRecord, JobSpec, StampedRecord, StepRecord, StepSpec, TaskPlace,
     TaskRecord, WorkerIncarnation,
 };
-use hs_control::{Control, ControlMetrics, ControlOptions, run};
+use hs_control::{Control, ControlMetrics, ControlOptions, KeyOptions, run};
 use hs_metrics::MetricRegistry;
 use hs_wire::Resources;
 use tokio::sync::watch;
@@ -25,11 +25,17 @@
 
 impl Process {
     pub async fn start(platform: &FakePlatform) -> Self {
+        Self::start_with(platform, KeyOptions::default()).await
+    }
+
+    /// Starts a process with settings of the checks of keys.
+    pub async fn start_with(platform: &FakePlatform, keys: KeyOptions) -> Self {
         let options = ControlOptions {
             node: "node-1".to_owned(),
             peer_listen: "127.0.0.1:0".parse().expect("address"),
             cell: CellOptions::default(),
             takeover_delay: Duration::ZERO,
+            keys,
         };
         let metrics = ControlMetrics::new(MetricRegistry::new().expect("registry"));
         let (stop, stopped) = watch::channel(false);
--- a/crates/hs-control/tests/links/store.rs
+++ b/crates/hs-control/tests/links/store.rs
@@ -12,6 +12,7 @@
 use hs_control::{ClusterConfig, QueueRoute, RequestLimits};
 use tokio::time::sleep;
 
+use crate::confirmation::read_fault;
 use crate::platform::{FakePlatform, SERVICE};
 
 /// Name of the only queue.
@@ -105,40 +106,55 @@
     }
 }
 
+/// Returns the configuration of tests that write none.
+pub fn configuration() -> ClusterConfig {
+    ClusterConfig {
+        version: 1,
+        routes: vec![QueueRoute {
+            host: String::new(),
+            prefix: String::new(),
+            public: false,
+            queue: QueueSpec {
+                name: QUEUE.into(),
+                service: SERVICE.into(),
+                priority: 0,
+                max_attempts: 3,
+                stretch: 1.0,
+                target: Duration::from_secs(1),
+                advice: None,
+            },
+        }],
+        teams: Vec::new(),
+        limits: RequestLimits {
+            max_body_bytes: 1 << 10,
+            ..RequestLimits::default()
+        },
+    }
+}
+
 impl CatalogPort for FakePlatform {
     async fn config(
         &self,
         known: Option<(u64, u64)>,
         wait: Duration,
-        _: Duration,
+        timeout: Duration,
     ) -> Result<ConfigReply, PortError> {
         if let Some((_, revision)) = known {
             sleep(wait).await;
-            return Ok(ConfigReply::Unchanged(revision));
+            let watched = self.state().config.watched.take();
+            return Ok(match watched {
+                Some(config) => ConfigReply::Newest(config, revision + 1),
+                None => ConfigReply::Unchanged(revision),
+            });
         }
-        let config = ClusterConfig {
-            version: 1,
-            routes: vec![QueueRoute {
-                host: String::new(),
-                prefix: String::new(),
-                public: false,
-                queue: QueueSpec {
-                    name: QUEUE.into(),
-                    service: SERVICE.into(),
-                    priority: 0,
-                    max_attempts: 3,
-                    stretch: 1.0,
-                    target: Duration::from_secs(1),
-                    advice: None,
-                },
-            }],
-            teams: Vec::new(),
-            limits: RequestLimits {
-                max_body_bytes: 1 << 10,
-                ..RequestLimits::default()
-            },
+        let (stored, fault) = {
+            let config = &mut self.state().config;
+            config.reads += 1;
+            (config.stored.clone(), config.fault)
         };
-        Ok(ConfigReply::Newest(Arc::new(config), 1))
+        read_fault(fault, timeout).await?;
+        let config = stored.unwrap_or_else(|| Arc::new(configuration()));
+        Ok(ConfigReply::Newest(config, 1))
     }
 
     async fn workers(&self, _: Duration) -> Result<(Vec<RegisteredWorker>, u64), PortError> {
--- a/crates/hs-control/tests/simulation/process.rs
+++ b/crates/hs-control/tests/simulation/process.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use hs_cell::CellOptions;
-use hs_control::{Control, ControlMetrics, ControlOptions};
+use hs_control::{Control, ControlMetrics, ControlOptions, KeyOptions};
 use hs_metrics::MetricRegistry;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
@@ -95,6 +95,7 @@
             peer_listen: Self::address(number),
             cell: CellOptions::default(),
             takeover_delay: self.takeover_delay,
+            keys: KeyOptions::default(),
         };
         let registry = MetricRegistry::new().expect("a registry starts");
         let metrics = ControlMetrics::new(registry);
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -87,6 +87,12 @@
     ManifestApplied = 5001, Info, "manifest in force";
     /// A manifest was not applied.
     ManifestRejected = 5002, Warn, "manifest not applied";
+    /// A team of the configuration cannot be used as it is written.
+    TeamUnusable = 5003, Warn, "team not usable as written";
+    /// The configuration was read too long ago for calls that need a key.
+    ConfigUnconfirmed = 5004, Warn, "configuration unconfirmed";
+    /// The configuration was read again.
+    ConfigConfirmed = 5005, Info, "configuration confirmed";
     /// A ledger partition was taken over.
     PartitionTaken = 6001, Info, "ledger partition taken over";
     /// A ledger partition was lost to another owner.
