--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -13,12 +13,15 @@
 #[path = "generated/hornbeamshunt.control.v1.rs"]
 pub mod message;
 
+mod access;
 mod advice_dispatcher;
 mod cell_facts;
 mod claim;
 mod claim_writer;
 mod commits;
 mod config;
+mod config_state;
+mod confirmation;
 mod contact_permits;
 mod control;
 mod election;
@@ -54,7 +57,9 @@
 mod traffic;
 mod work_portions;
 
+pub use access::{Access, AccessRules, CurrentRules};
 pub use config::{ClusterConfig, QueueRoute, RequestLimits, TeamConfig};
+pub use config_state::KeyOptions;
 pub use control::{CancelReply, Control, JobStateReply, SubmitReply};
 pub use metrics::ControlMetrics;
 pub use rank::VmLimits;
