feat(http): one budget for what has arrived, and connections that yield

Cause: a process held whatever clients sent within the time-outs, up to 1 MiB a connection, read bodies although their announced length was over the limit, and kept the read buffer of a connection for each very small chunk. 400 clients that stop short raised it to 61 to 247 MB in a VM of 60 MB. Idle connections kept others out.

When it is short, the largest and slowest bodies get 503. Bodies are copied into segments. Announced bodies over the limit, unknown queues and keys, and calls before a configuration are refused by their head. Limits of the configuration apply to the listener for clients. What was turned away is logged once a second (E8027) and counted by reason. The listeners of the product's own interface leave further connections waiting, as before.

--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -89,6 +89,11 @@
         self.context.metrics.record_refused_call(access);
     }
 
+    /// Returns a receiver of the configurations, which sees each change.
+    pub fn config_changes(&self) -> watch::Receiver<Option<Arc<ClusterConfig>>> {
+        self.context.config.clone()
+    }
+
     /// Returns whether this process should receive new connections.
     pub fn is_ready(&self) -> bool {
         *self.ready.borrow()
--- a/crates/hs-control/src/metrics.rs
+++ b/crates/hs-control/src/metrics.rs
@@ -29,6 +29,7 @@
     takeovers: Counter<u64>,
     crashed_runs: Counter<u64>,
     tasks_given_up: Counter<u64>,
+    turned_away: Counter<u64>,
     commits: Histogram<f64>,
     start_waits: Histogram<f64>,
     owner_bytes: Counter<u64>,
@@ -76,6 +77,10 @@
                 "hornbeamshunt_owner_bytes",
                 "Bytes that the owner sends and receives by kind",
             ),
+            turned_away: counter(
+                "hornbeamshunt_turned_away",
+                "Requests and connections turned away by reason",
+            ),
             commits: histogram(
                 "hornbeamshunt_commit_seconds",
                 "Duration of the owner's writes",
@@ -158,6 +163,12 @@
         self.tasks_given_up.add(1, &[]);
     }
 
+    /// Counts requests and connections that a listener has turned away, by a reason of a fixed set.
+    pub fn record_turned_away(&self, reason: &'static str, count: u64) {
+        self.turned_away
+            .add(count, &[KeyValue::new("reason", reason)]);
+    }
+
     pub(crate) fn record_commit(&self, duration: Duration) {
         self.commits.record(duration.as_secs_f64(), &[]);
     }
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -151,6 +151,8 @@
     JobCancelled = 8025, Info, "job cancelled";
     /// The owner does not know the job of a cancellation, which it keeps until the job comes.
     CancellationKept = 8026, Info, "cancellation of an unknown job kept";
+    /// Requests or connections were turned away in the last second.
+    ClientsTurnedAway = 8027, Warn, "clients turned away";
     /// A process started to send heartbeats to the owner.
     MemberJoined = 8031, Info, "member joined";
     /// This process found the owner and sends heartbeats to it.
--- a/crates/hs-http/src/call.rs
+++ b/crates/hs-http/src/call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hs_timer::timeout;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, IF_NONE_MATCH};
 use hyper::{HeaderMap, Method, Request};
 use hyper_util::client::legacy::Client;
@@ -14,6 +14,10 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use crate::ArrivalBudget;
+use crate::byte_budget::HolderKind;
+use crate::read_body::read_body;
+
 /// Error of a call that got no reply.
 #[derive(Debug, Error)]
 pub enum CallError {
@@ -77,11 +81,16 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     inner: Client<HttpConnector, Full<Bytes>>,
+    budget: ArrivalBudget,
 }
 
 /// Largest reply body in bytes. Values in the store are limited to one megabyte.
 pub(crate) const MAX_REPLY_BYTES: usize = 4 << 20;
 
+/// Largest read buffer of a connection in bytes. A reply in one piece would otherwise raise it to 400 KiB, which the
+/// connection keeps.
+pub(crate) const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Timeout for opening a connection. Workers, store and peers reply within milliseconds.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -100,12 +109,24 @@
             // If a pooled connection closes during a request, the client reports an error instead
             // of sending the request again, so that the caller decides whether a retry is safe.
             .retry_canceled_requests(false)
+            .http1_max_buf_size(MAX_READ_BUFFER_BYTES)
             .build(connector);
-        Self { inner }
+        Self {
+            inner,
+            budget: ArrivalBudget::default(),
+        }
     }
 }
 
 impl HttpClient {
+    /// Creates a client whose replies are read under a budget.
+    pub fn with_budget(budget: ArrivalBudget) -> Self {
+        Self {
+            budget,
+            ..Self::default()
+        }
+    }
+
     /// Sends a request with a raw body and waits at most `call_timeout` for the reply.
     ///
     /// # Errors
@@ -211,11 +232,10 @@
                 Err(error) if error.is_connect() => return Err(not_sent(operation, peer, &error)),
                 Err(error) => return Err(no_reply(operation, peer, &error)),
             };
-            let (parts, body) = response.into_parts();
-            let collected = Limited::new(body, MAX_REPLY_BYTES).collect().await;
-            let body = collected
-                .map_err(|error| no_reply(operation, peer, &*error))?
-                .to_bytes();
+            let (parts, mut body) = response.into_parts();
+            let lease = self.budget.lease(HolderKind::Reply);
+            let body = read_body(&mut body, MAX_REPLY_BYTES, &lease).await;
+            let body = body.map_err(|error| no_reply(operation, peer, &error))?;
             Ok(CallReply {
                 status: parts.status.as_u16(),
                 headers: parts.headers,
--- a/crates/hs-http/src/connection.rs
+++ b/crates/hs-http/src/connection.rs
@@ -7,7 +7,7 @@
 use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -15,6 +15,9 @@
 use tokio::net::TcpStream;
 
 use crate::CallReply;
+use crate::arrival_budget::ByteLease;
+use crate::call::MAX_READ_BUFFER_BYTES;
+use crate::read_body::read_body;
 
 /// Future that reads and writes the socket of a connection.
 type SocketDriver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
@@ -51,7 +54,9 @@
     pub(crate) async fn open(peer: &str) -> io::Result<Self> {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_READ_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(io::Error::other)?;
         Ok(Self {
             sender,
@@ -67,7 +72,7 @@
         !self.is_closed && self.sender.is_ready()
     }
 
-    /// Sends a request and reads the reply, with a body of at most `max_body_bytes`.
+    /// Sends a request and reads the reply, with a body of at most `max_body_bytes` under `lease`.
     ///
     /// # Errors
     ///
@@ -76,6 +81,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
         max_body_bytes: usize,
+        lease: &ByteLease,
     ) -> Result<CallReply, ExchangeError> {
         let sent = self.sender.try_send_request(request);
         let mut reply = pin!(async {
@@ -86,12 +92,12 @@
                     (false, error) => ExchangeError::NotSent(error),
                 }
             })?;
-            let (parts, body) = response.into_parts();
-            let collected = Limited::new(body, max_body_bytes).collect().await;
+            let (parts, mut body) = response.into_parts();
+            let body = read_body(&mut body, max_body_bytes, lease).await;
             Ok(CallReply {
                 status: parts.status.as_u16(),
                 headers: parts.headers,
-                body: collected.map_err(ExchangeError::NoReply)?.to_bytes(),
+                body: body.map_err(|error| ExchangeError::NoReply(error.into()))?,
             })
         });
         poll_fn(|context| {
--- a/crates/hs-http/src/direct.rs
+++ b/crates/hs-http/src/direct.rs
@@ -13,9 +13,10 @@
 use serde::Serialize;
 use tokio::time::sleep;
 
+use crate::byte_budget::HolderKind;
 use crate::call::{CONNECT_TIMEOUT, MAX_REPLY_BYTES, POOL_IDLE_TIMEOUT, no_reply, not_sent};
 use crate::connection::{Connection, ExchangeError};
-use crate::{CallError, CallReply};
+use crate::{ArrivalBudget, CallError, CallReply};
 
 /// Interval at which idle connections are checked for their age.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
@@ -33,6 +34,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct DirectClient {
     idle: Arc<Mutex<IdleConnections>>,
+    budget: ArrivalBudget,
 }
 
 /// Header that a request has in addition to those of all requests.
@@ -66,6 +68,14 @@
 }
 
 impl DirectClient {
+    /// Creates a client whose replies are read under a budget.
+    pub fn with_budget(budget: ArrivalBudget) -> Self {
+        Self {
+            budget,
+            ..Self::default()
+        }
+    }
+
     /// Sends a POST request with a JSON body, once at most, and waits at most `call_timeout` for the reply.
     ///
     /// After a call without a reply in time, the next one to the peer only uses a connection that has carried a reply
@@ -106,7 +116,9 @@
             Some(connection) => connection,
             None => open(operation, peer).await?,
         };
-        match connection.exchange(request, MAX_REPLY_BYTES).await {
+        let lease = self.budget.lease(HolderKind::Reply);
+        let exchange = connection.exchange(request, MAX_REPLY_BYTES, &lease);
+        match exchange.await {
             Ok(reply) => {
                 self.put_back(peer, connection);
                 Ok(reply)
--- a/crates/hs-http/src/request.rs
+++ b/crates/hs-http/src/request.rs
@@ -61,6 +61,30 @@
 
     /// Returns the token of an `Authorization: Bearer` header.
     pub fn bearer_token(&self) -> Option<&str> {
+        self.head().bearer_token()
+    }
+
+    /// Returns what was known before the body arrived.
+    pub fn head(&self) -> RequestHead<'_> {
+        RequestHead {
+            path: &self.path,
+            headers: &self.headers,
+        }
+    }
+}
+
+/// A request whose head has arrived.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestHead<'a> {
+    /// Path without the query.
+    pub path: &'a str,
+    /// Request headers.
+    pub headers: &'a HeaderMap,
+}
+
+impl<'a> RequestHead<'a> {
+    /// Returns the token of an `Authorization: Bearer` header.
+    pub fn bearer_token(self) -> Option<&'a str> {
         let value = self.headers.get(hyper::header::AUTHORIZATION)?;
         str::from_utf8(value.as_bytes())
             .ok()?
--- a/crates/hs-http/src/serve.rs
+++ b/crates/hs-http/src/serve.rs
@@ -2,22 +2,29 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::header::EXPECT;
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 use tokio::time::timeout;
 
-use crate::{HttpReply, HttpRequest};
+use crate::arrival_budget::ArrivalBudget;
+use crate::byte_budget::HolderKind;
+use crate::connection_phase::{ConnectionOverflow, ConnectionPhase, PhaseLimits};
+use crate::connections::{Connections, PhaseReporter, ReportingStream};
+use crate::read_body::{ReadError, discard_body, read_body};
+use crate::refusals::{RefusalCounts, TurnedAway};
+use crate::{HttpReply, HttpRequest, RequestHead};
 
 /// Limits that a listener enforces.
 #[derive(Clone, Copy, Debug)]
@@ -26,11 +33,13 @@
     pub body_bytes: usize,
     /// Largest request head in bytes; a larger one gets status 431.
     pub head_bytes: usize,
-    /// Maximum number of concurrent connections. Further ones wait in the accept queue of the
-    /// system.
+    /// Maximum number of concurrent connections; see [`ConnectionOverflow`] for further ones.
     pub connections: usize,
-    /// Maximum time for a request head to arrive on an open connection, including idle time.
+    /// Maximum time for a request head to arrive, from its first byte on.
     pub head_timeout: Duration,
+    /// Maximum time that an open connection may be without a request; `None` if it is the same as
+    /// [`Self::head_timeout`].
+    pub idle_timeout: Option<Duration>,
     /// Maximum time for a body to arrive; a slower one gets status 408.
     pub body_timeout: Duration,
     /// Maximum time that requests in flight may take after a shutdown has begun.
@@ -44,12 +53,33 @@
             head_bytes: 16 << 10,
             connections: 4096,
             head_timeout: Duration::from_secs(30),
+            idle_timeout: None,
             body_timeout: Duration::from_secs(10),
             drain_timeout: Duration::from_secs(10),
         }
     }
 }
 
+impl ServeLimits {
+    fn phase_limits(&self) -> PhaseLimits {
+        PhaseLimits {
+            idle: self.idle_timeout.unwrap_or(self.head_timeout),
+            head: self.head_timeout,
+        }
+    }
+}
+
+/// What listeners of a process share.
+#[derive(Clone, Debug, Default)]
+pub struct ListenerGuard {
+    /// Bytes that have arrived and are not handled yet.
+    pub budget: ArrivalBudget,
+    /// Counts of what was turned away.
+    pub counts: RefusalCounts,
+    /// What happens to callers beyond the connections of a listener.
+    pub overflow: ConnectionOverflow,
+}
+
 /// Serves requests until `shutdown` becomes true, then waits for the requests in flight to end, at
 /// most [`ServeLimits::drain_timeout`].
 ///
@@ -57,39 +87,73 @@
 pub async fn serve<Handler, Reply>(
     listener: TcpListener,
     limits: ServeLimits,
+    shutdown: watch::Receiver<bool>,
+    handler: Handler,
+) where
+    Handler: Fn(HttpRequest) -> Reply + Clone + Send + Sync + 'static,
+    Reply: Future<Output = HttpReply> + Send + 'static,
+{
+    let (_sender, limits) = watch::channel(limits);
+    let guard = ListenerGuard::default();
+    serve_guarded(listener, limits, guard, shutdown, |_| None, handler).await;
+}
+
+/// Serves requests like [`serve`], under limits that may change, and a budget that listeners share.
+///
+/// `check_head` may refuse a request before its body is read. The number of connections does not change.
+pub async fn serve_guarded<Check, Handler, Reply>(
+    listener: TcpListener,
+    limits: watch::Receiver<ServeLimits>,
+    guard: ListenerGuard,
     mut shutdown: watch::Receiver<bool>,
+    check_head: Check,
     handler: Handler,
 ) where
+    Check: Fn(RequestHead<'_>) -> Option<HttpReply> + Clone + Send + Sync + 'static,
     Handler: Fn(HttpRequest) -> Reply + Clone + Send + Sync + 'static,
     Reply: Future<Output = HttpReply> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(limits.connections));
+    let max_connections = limits.borrow().connections;
+    let connections = Connections::new(max_connections, guard.clone());
     let graceful = GracefulShutdown::new();
-    loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
-        };
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
+    let accept = async {
+        loop {
+            let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(error) => {
                     log::debug!("accept failed: {error}");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                     continue;
                 }
-            },
-            () = wait_for_shutdown(&mut shutdown) => break,
-        };
-        let connection = graceful.watch(build_connection(stream, limits, handler.clone()));
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("connection ended: {error}");
-            }
-            drop(permit);
-        });
+            };
+            let entry = connections.add().await;
+            let exchange = Exchange {
+                limits: limits.clone(),
+                guard: guard.clone(),
+                reporter: entry.reporter(),
+                check_head: check_head.clone(),
+                handler: handler.clone(),
+            };
+            let connection = graceful.watch(build_connection(stream, exchange));
+            tokio::spawn(async move {
+                tokio::select! {
+                    result = connection => if let Err(error) = result {
+                        log::debug!("connection ended: {error}");
+                    },
+                    () = entry.closed() => log::debug!("connection closed for others"),
+                }
+            });
+        }
+    };
+    let sweep = connections.sweep(|| limits.borrow().phase_limits());
+    tokio::select! {
+        () = accept => {}
+        () = sweep => {}
+        () = wait_for_shutdown(&mut shutdown) => {}
     }
     drop(listener);
-    let _ = timeout(limits.drain_timeout, graceful.shutdown()).await;
+    let drain_timeout = limits.borrow().drain_timeout;
+    let _ = timeout(drain_timeout, graceful.shutdown()).await;
 }
 
 async fn wait_for_shutdown(shutdown: &mut watch::Receiver<bool>) {
@@ -102,57 +166,143 @@
 /// Smallest read buffer that `hyper` accepts, in bytes. Smaller head limits are raised to it.
 const MIN_READ_BUFFER_BYTES: usize = 8192;
 
-fn build_connection<Handler, Reply>(
-    stream: TcpStream,
-    limits: ServeLimits,
+/// Time after which a client should retry a request for which memory was short, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1000;
+
+/// What a connection needs for its requests.
+#[derive(Clone)]
+struct Exchange<Check, Handler> {
+    limits: watch::Receiver<ServeLimits>,
+    guard: ListenerGuard,
+    reporter: PhaseReporter,
+    check_head: Check,
     handler: Handler,
+}
+
+fn build_connection<Check, Handler, Reply>(
+    stream: TcpStream,
+    exchange: Exchange<Check, Handler>,
 ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> + Send
 where
+    Check: Fn(RequestHead<'_>) -> Option<HttpReply> + Clone + Send + Sync + 'static,
     Handler: Fn(HttpRequest) -> Reply + Clone + Send + Sync + 'static,
     Reply: Future<Output = HttpReply> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| handle_request(request, limits, handler.clone()));
+    let limits = *exchange.limits.borrow();
+    let phase_limits = limits.phase_limits();
+    let stream = ReportingStream {
+        stream,
+        reporter: exchange.reporter.clone(),
+    };
+    let service = service_fn(move |request| {
+        let exchange = exchange.clone();
+        async move { Ok::<_, Infallible>(exchange.reply(request).await) }
+    });
     http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_timeout)
+        // The time-outs of the phases are shorter, except for a head whose begin came together with the request before.
+        .header_read_timeout(phase_limits.idle.max(phase_limits.head))
         .max_buf_size(limits.head_bytes.max(MIN_READ_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service)
 }
 
-async fn handle_request<Handler, Reply>(
-    request: Request<Incoming>,
-    limits: ServeLimits,
-    handler: Handler,
-) -> Result<Response<Full<Bytes>>, Infallible>
+impl<Check, Handler, Reply> Exchange<Check, Handler>
 where
+    Check: Fn(RequestHead<'_>) -> Option<HttpReply>,
     Handler: Fn(HttpRequest) -> Reply,
     Reply: Future<Output = HttpReply>,
 {
-    let (parts, body) = request.into_parts();
-    let read_body = Limited::new(body, limits.body_bytes).collect();
-    let reply = match timeout(limits.body_timeout, read_body).await {
-        Err(_) => HttpReply::error(
-            408,
-            "body_timeout",
-            "the request body did not arrive in time",
-        ),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => HttpReply::error(
-            413,
-            "body_too_large",
-            format!("the request body exceeds {} bytes", limits.body_bytes),
-        ),
-        Ok(Err(error)) => HttpReply::error(400, "body_unreadable", error.to_string()),
-        Ok(Ok(collected)) => {
-            let request = HttpRequest {
-                method: parts.method,
-                path: parts.uri.path().to_owned(),
-                query: parts.uri.query().unwrap_or_default().to_owned(),
-                headers: parts.headers,
-                body: collected.to_bytes(),
-            };
-            handler(request).await
+    async fn reply(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        self.reporter.enter(ConnectionPhase::Body);
+        let (parts, mut body) = request.into_parts();
+        let reply = match self.refuse_head(&parts) {
+            Some(reply) => Err(reply),
+            None => self.read_and_handle(parts, &mut body).await,
+        };
+        let reply = reply.unwrap_or_else(|refusal| {
+            let max_bytes = self.limits.borrow().body_bytes;
+            // A client that is still sending would otherwise lose the reply to the reset of its connection.
+            if !body.is_end_stream() {
+                tokio::spawn(discard_body(body, max_bytes));
+            }
+            refusal
+        });
+        self.reporter.enter(ConnectionPhase::Idle);
+        reply.into_response()
+    }
+
+    fn refuse_head(&self, parts: &Parts) -> Option<HttpReply> {
+        let head = RequestHead {
+            path: parts.uri.path(),
+            headers: &parts.headers,
+        };
+        let refusal = (self.check_head)(head)?;
+        self.guard.counts.record(TurnedAway::Head);
+        // The body is not read before a client that expects a go-ahead has got its refusal.
+        match parts.headers.contains_key(EXPECT) {
+            true => Some(refusal.with_header("connection", "close")),
+            false => Some(refusal),
         }
-    };
-    Ok(reply.into_response())
+    }
+
+    /// Returns the reply of the handler, or a refusal if the body could not be read.
+    async fn read_and_handle(
+        &self,
+        parts: Parts,
+        body: &mut Incoming,
+    ) -> Result<HttpReply, HttpReply> {
+        let limits = *self.limits.borrow();
+        let lease = self.guard.budget.lease(HolderKind::Request);
+        let read = read_body(body, limits.body_bytes, &lease);
+        let body = match timeout(limits.body_timeout, read).await {
+            Err(_) => return Err(self.refusal(TurnedAway::BodyTime, limits)),
+            Ok(Err(ReadError::TooLarge(_))) => {
+                return Err(self.refusal(TurnedAway::BodySize, limits));
+            }
+            Ok(Err(ReadError::BudgetShort)) => {
+                return Err(self.refusal(TurnedAway::Memory, limits));
+            }
+            Ok(Err(ReadError::Broken(error))) => {
+                return Err(HttpReply::error(400, "body_unreadable", error.to_string()));
+            }
+            Ok(Ok(body)) => body,
+        };
+        if !self.reporter.enter(ConnectionPhase::Handling) {
+            return Err(self.refusal(TurnedAway::Memory, limits));
+        }
+        let request = HttpRequest {
+            method: parts.method,
+            path: parts.uri.path().to_owned(),
+            query: parts.uri.query().unwrap_or_default().to_owned(),
+            headers: parts.headers,
+            body,
+        };
+        let reply = (self.handler)(request).await;
+        drop(lease);
+        Ok(reply)
+    }
+
+    fn refusal(&self, reason: TurnedAway, limits: ServeLimits) -> HttpReply {
+        self.guard.counts.record(reason);
+        let reply = match reason {
+            TurnedAway::BodyTime => HttpReply::error(
+                408,
+                "body_timeout",
+                "the request body did not arrive in time",
+            ),
+            TurnedAway::BodySize => HttpReply::error(
+                413,
+                "body_too_large",
+                format!("the request body exceeds {} bytes", limits.body_bytes),
+            ),
+            _ => HttpReply::error(
+                503,
+                "overloaded",
+                "memory for bodies is short; the request was not handled",
+            )
+            .with_retry_after_ms(Some(RETRY_AFTER_MS)),
+        };
+        reply.with_header("connection", "close")
+    }
 }
--- a/crates/hs-node/src/run.rs
+++ b/crates/hs-node/src/run.rs
@@ -212,6 +212,7 @@
         head_bytes: limits.head_bytes,
         connections: limits.connections,
         head_timeout: Duration::from_millis(limits.head_timeout_ms),
+        idle_timeout: None,
         body_timeout: Duration::from_millis(limits.body_timeout_ms),
         drain_timeout: Duration::from_millis(limits.drain_timeout_ms),
     }
