feat(share): hold two seconds and at least five jobs in a bucket

Cause: a team with a weight of 1 that sends 0.5 jobs a second often sends two or three within a second. With a depth of one job these ordinary bursts were surplus.

--- a/crates/hs-share/src/token_bucket.rs
+++ b/crates/hs-share/src/token_bucket.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 /// Time whose tokens a bucket holds.
-const DEPTH: Duration = Duration::from_secs(1);
+const DEPTH: Duration = Duration::from_secs(2);
+
+/// Minimum depth in jobs. A team with a weight of 1 that sends 0.5 jobs a second often sends two or three within a
+/// second; with a depth of one job these ordinary bursts would be surplus.
+const MIN_DEPTH_JOBS: f64 = 5.0;
 
 /// Time by which acceptance times that are behind the latest one have to progress before the bucket follows them.
 /// Until then the bucket is not refilled, and after each such period a clock that runs ahead fills the bucket
@@ -34,7 +38,7 @@
 /// Token bucket of a team, with a rate of its weight in jobs a second.
 ///
 /// Answers the load pattern of a team that sends a multiple of its usual jobs: those beyond its weight become
-/// surplus, and a short burst of up to one second of jobs does not.
+/// surplus, and a short burst of up to two seconds of jobs, or 5 jobs, does not.
 #[derive(Clone, Debug)]
 pub struct TokenBucket {
     rate: f64,
@@ -87,7 +91,7 @@
     }
 
     fn depth(&self) -> f64 {
-        (self.rate * DEPTH.as_secs_f64()).max(1.0)
+        (self.rate * DEPTH.as_secs_f64()).max(MIN_DEPTH_JOBS)
     }
 
     fn refill(&mut self, accepted_ms: u64) {
