feat(cell): tell owed jobs from surplus, and place owed ones first

Cause: the cell did not know teams in its order, so that a surge of one team delayed the jobs of all.

Change: a token bucket for each configured team classifies each job when the owner learns of it; restored jobs are classified before the next advance, in the order of their acceptance, or once the teams are configured. The order is owed on time, owed late, surplus on time, surplus late, owed overdue, surplus overdue. A surplus gang preempts no runs and holds no workers against owed steps. Advice requests of owed jobs are sent first, and those of surplus jobs take none of the window from them. Jobs without configured teams are owed.

--- a/crates/hs-cell/src/advice_queue.rs
+++ b/crates/hs-cell/src/advice_queue.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hs_share::JobClass;
+
 use crate::StepId;
 use crate::advice_callers::{AdviceCaller, AdviceCallers};
 use crate::effect::AdviceRequest;
@@ -48,6 +50,7 @@
 
     fn key(&self) -> WaitingKey {
         WaitingKey {
+            class: self.request.class,
             priority: self.request.priority,
             start_by: self.request.start_by,
             step: self.request.step,
@@ -72,6 +75,7 @@
 /// Sort key of a waiting request; the smallest is sent first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct WaitingKey {
+    class: JobClass,
     priority: u8,
     start_by: Instant,
     step: StepId,
--- a/crates/hs-cell/src/advice_request.rs
+++ b/crates/hs-cell/src/advice_request.rs
@@ -94,7 +94,7 @@
         need: AdviceNeed,
         now: Instant,
     ) -> AdviceAttempt {
-        let id = order.step;
+        let (id, class) = (order.step, order.rank.class);
         let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
         if step.is_none_or(|step| step.advice.is_blocked(now)) {
             return AdviceAttempt::Blocked;
@@ -104,7 +104,7 @@
             return AdviceAttempt::Blocked;
         }
         // Naming workers takes long, so that requests that are not admitted are ruled out before.
-        if !self.advice_window.admits(need.spec.base_cost) {
+        if !self.advice_window.admits(need.spec.base_cost, class) {
             return AdviceAttempt::Blocked;
         }
         let workers = self.workers_to_name(id, need, now);
@@ -112,11 +112,11 @@
             return AdviceAttempt::NothingToName;
         }
         let cost = need.spec.cost(workers.len());
-        if !self.advice_window.admits(cost) {
+        if !self.advice_window.admits(cost, class) {
             self.delay_rescan(id, now);
             return AdviceAttempt::Blocked;
         }
-        self.advice_window.add(id, cost, now);
+        self.advice_window.add(id, cost, class, now);
         let expected_uses = match self.is_gang(id) {
             true => Vec::new(),
             false => expected_uses(&workers, need),
@@ -125,6 +125,7 @@
             step: id,
             spec: need.spec,
             workers,
+            class: order.rank.class,
             priority: order.priority,
             start_by: order.start_by,
         };
--- a/crates/hs-cell/src/advice_window.rs
+++ b/crates/hs-cell/src/advice_window.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use hs_share::JobClass;
+
 use crate::StepId;
 use crate::advice::REQUEST_TIMEOUT;
 use crate::cell::Cell;
@@ -23,9 +25,13 @@
 struct RequestInFlight {
     sent_at: Instant,
     class: RequestClass,
+    job_class: JobClass,
     cost: Duration,
 }
 
+/// Expected duration of all requests of each class.
+type ClassCosts = [Duration; RequestClass::ALL.len()];
+
 /// Requests that are in flight.
 #[derive(Debug, Default)]
 pub(crate) struct AdviceWindow {
@@ -34,8 +40,9 @@
     requests: BTreeMap<StepId, RequestInFlight>,
     /// Requests in the order in which they were sent, with some that have been answered.
     by_age: VecDeque<(Instant, StepId)>,
-    /// Expected duration of all requests of each class.
-    cost_by_class: [Duration; RequestClass::ALL.len()],
+    owed_costs: ClassCosts,
+    /// Requests of surplus jobs. They take no room from those of owed jobs, which are sent first.
+    surplus_costs: ClassCosts,
     sent_in_pass: usize,
 }
 
@@ -60,33 +67,46 @@
     }
 
     /// Returns whether a request with this expected duration may be sent now. One of each class always may.
-    pub(crate) fn admits(&self, cost: Duration) -> bool {
+    pub(crate) fn admits(&self, cost: Duration, job_class: JobClass) -> bool {
         let Some(callers) = self.callers else {
             return true;
         };
         let class = RequestClass::of(cost);
         let callers = callers.saturating_sub(class.first_caller(callers)).max(1);
         let callers = u32::try_from(callers).unwrap_or(u32::MAX);
-        self.cost_by_class[class as usize] < MAX_ANSWER_TIME.saturating_mul(callers)
+        let owed = self.owed_costs[class as usize];
+        let in_flight = match job_class {
+            JobClass::Owed => owed,
+            JobClass::Surplus => owed + self.surplus_costs[class as usize],
+        };
+        in_flight < MAX_ANSWER_TIME.saturating_mul(callers)
     }
 
-    pub(crate) fn add(&mut self, step: StepId, cost: Duration, now: Instant) {
+    pub(crate) fn add(&mut self, step: StepId, cost: Duration, job_class: JobClass, now: Instant) {
         self.remove(step);
         let class = RequestClass::of(cost);
         let request = RequestInFlight {
             sent_at: now,
             class,
+            job_class,
             cost,
         };
         self.requests.insert(step, request);
         self.by_age.push_back((now, step));
-        self.cost_by_class[class as usize] += cost;
+        self.costs(job_class)[class as usize] += cost;
         self.sent_in_pass += 1;
     }
 
     pub(crate) fn remove(&mut self, step: StepId) {
         if let Some(request) = self.requests.remove(&step) {
-            self.cost_by_class[request.class as usize] -= request.cost;
+            self.costs(request.job_class)[request.class as usize] -= request.cost;
+        }
+    }
+
+    fn costs(&mut self, job_class: JobClass) -> &mut ClassCosts {
+        match job_class {
+            JobClass::Owed => &mut self.owed_costs,
+            JobClass::Surplus => &mut self.surplus_costs,
         }
     }
 }
--- a/crates/hs-cell/src/capacity.rs
+++ b/crates/hs-cell/src/capacity.rs
@@ -10,6 +10,7 @@
 use crate::StepId;
 use crate::cell::Cell;
 use crate::job_spec::StepSpec;
+use crate::step_order::{OrderKey, StepRank, Timeliness};
 use crate::worker::{Slot, SlotPhase, Worker};
 
 /// Properties of a step that determine how many of its tasks fit on a worker.
@@ -19,6 +20,8 @@
     /// Resources that each task occupies.
     pub need: Resources,
     pub priority: u8,
+    /// Rank by which reservations of other steps are respected.
+    pub rank: StepRank,
     /// Maximum number of tasks of the step on one worker.
     pub max_per_worker: u32,
     pub sharing: Sharing,
@@ -41,15 +44,16 @@
 pub(crate) const SETTLED_RUN_TIME: Duration = Duration::from_secs(10);
 
 impl StepDemand {
-    pub(crate) fn new(step: StepId, spec: &StepSpec, priority: u8) -> Self {
+    pub(crate) fn new(order: OrderKey, spec: &StepSpec) -> Self {
         let max_per_worker = match spec.max_per_worker {
             0 => u32::MAX,
             limit => u32::from(limit),
         };
         Self {
-            step,
+            step: order.step,
             need: spec.allocated_resources(),
-            priority,
+            priority: order.priority,
+            rank: order.rank,
             max_per_worker,
             sharing: Sharing::Shared,
         }
@@ -65,8 +69,11 @@
     /// Returns the demand of a step, or `None` if its queue is not configured.
     pub(crate) fn step_demand(&self, id: StepId) -> Option<StepDemand> {
         let job = self.jobs.get(&id.job)?;
-        let queue = self.queues.get(&job.spec.as_ref()?.queue)?;
-        Some(StepDemand::new(id, job.step_spec(id)?, queue.priority))
+        let order = match self.ready_steps.key(id) {
+            Some(order) => order,
+            None => self.ready_step(id)?.key(Timeliness::OnTime),
+        };
+        Some(StepDemand::new(order, job.step_spec(id)?))
     }
 }
 
@@ -143,8 +150,8 @@
     }
 
     fn is_reserved_for_another(&self, demand: &StepDemand) -> bool {
-        self.reserved_by
-            .is_some_and(|(priority, step)| step != demand.step && priority <= demand.priority)
+        let holder = self.reserved_by.filter(|holder| holder.step != demand.step);
+        holder.is_some_and(|holder| holder.holds_against(demand))
     }
 }
 
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -15,6 +15,7 @@
 use crate::effect::CellEffect;
 use crate::free_index::FreeIndex;
 use crate::job::{Job, Occurrence};
+use crate::job_classes::JobClasses;
 use crate::job_end::JobEnd;
 use crate::job_record::JobOutcome;
 use crate::job_spec::JobSpec;
@@ -66,6 +67,7 @@
     pub(crate) queues: HashMap<Arc<str>, QueueSpec>,
     pub(crate) team_usage: TeamUsage,
     pub(crate) roomy_teams: RoomyTeams,
+    pub(crate) job_classes: JobClasses,
     pub(crate) jobs: HashMap<JobId, Job>,
     /// Number of jobs that have not ended.
     unfinished_jobs: usize,
@@ -117,6 +119,7 @@
             queues: HashMap::new(),
             team_usage: TeamUsage::default(),
             roomy_teams: RoomyTeams::new(),
+            job_classes: JobClasses::default(),
             jobs: HashMap::new(),
             unfinished_jobs: 0,
             expiring_jobs: BTreeSet::new(),
@@ -179,7 +182,9 @@
             return AddedJob::Known;
         }
         let team = spec.team.as_ref().map(|team| self.team_usage.intern(team));
+        let accepted_ms = spec.accepted_ms;
         self.insert_unfinished(id, Job::new(spec, team));
+        self.classify_new_job(id, accepted_ms);
         if self.take_cancellation(id) {
             self.end_job(id, JobOutcome::Cancelled);
             return AddedJob::Cancelled;
@@ -273,6 +278,7 @@
 
     /// Begins due occurrences, expires leases, stops stalled runs and places waiting tasks.
     pub fn advance(&mut self, now: Instant, now_ms: u64) {
+        self.classify_restored_jobs();
         self.begin_all_due_occurrences(now, now_ms);
         let is_due = |last: Option<Instant>, interval| last.is_none_or(|at| now >= at + interval);
         if is_due(self.last_lease_check, LEASE_CHECK_INTERVAL) {
--- a/crates/hs-cell/src/census.rs
+++ b/crates/hs-cell/src/census.rs
@@ -117,7 +117,7 @@
         for (key, step) in self.ready_steps.iter() {
             let position = &mut positions[usize::from(key.priority)];
             *position += 1;
-            if key.timeliness != Timeliness::OnTime {
+            if key.rank.timeliness != Timeliness::OnTime {
                 late.push((step.runnable_since, *position, key));
             }
         }
@@ -125,7 +125,9 @@
         late.truncate(limit);
         let waits = late.into_iter().map(|(_, position, key)| (key, position));
         waits
-            .filter_map(|(key, position)| self.step_wait(key.step, key.timeliness, position, now))
+            .filter_map(|(key, position)| {
+                self.step_wait(key.step, key.rank.timeliness, position, now)
+            })
             .collect()
     }
 
@@ -146,7 +148,7 @@
         let ticket_end = self.placement_ticket_end(now);
         let total = |sum: u32, fits: u32| sum.saturating_add(fits);
         let tickets = step.advice.tickets.iter();
-        let reservation = self.reservations.iter().find(|r| r.step == id);
+        let reservation = self.reservations.iter().find(|r| r.holder.step == id);
         let is_placed = |state| matches!(state, TaskState::Placed(_));
         Some(StepWait {
             step: id,
--- a/crates/hs-cell/src/effect.rs
+++ b/crates/hs-cell/src/effect.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use hs_share::JobClass;
+
 use crate::job_end::JobEnd;
 use crate::job_record::JobRecord;
 use crate::queue_spec::AdviceSpec;
@@ -39,6 +41,8 @@
     pub workers: Vec<WorkerKey>,
     /// Cost of advice requests of the queue.
     pub spec: AdviceSpec,
+    /// Class of the job. Requests of owed jobs are sent first.
+    pub class: JobClass,
     /// Priority of the queue; 0 is the highest.
     pub priority: u8,
     /// Latest start time with which the job can meet its objective.
--- a/crates/hs-cell/src/isolation.rs
+++ b/crates/hs-cell/src/isolation.rs
@@ -144,7 +144,7 @@
         let job = self.jobs.get(&order.step.job)?;
         let spec = job.step_spec(order.step)?;
         let mut waiting = WaitingTasks::of(job.step(order.step)?, now);
-        let demand = StepDemand::new(order.step, spec, order.priority);
+        let demand = StepDemand::new(order, spec);
         if !spec.gang {
             waiting.truncate(self.team_room(job).max_tasks(demand.need));
         }
--- a/crates/hs-cell/src/job.rs
+++ b/crates/hs-cell/src/job.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use hs_share::JobClass;
+
 use crate::advice::StepAdvice;
 use crate::crash_history::CrashHistory;
 use crate::dirty_jobs::DirtyPlace;
@@ -18,6 +20,8 @@
     pub spec: Option<Arc<JobSpec>>,
     /// Team that the runs are counted for. It stays when the specification is dropped.
     pub team: Option<TeamKey>,
+    /// Whether the job is owed to its team. Restored jobs count as owed until they are classified.
+    pub class: JobClass,
     pub outcome: Option<JobOutcome>,
     /// Whether the outcome is in the store, so that clients may be told about it.
     pub outcome_stored: bool,
@@ -92,6 +96,7 @@
         Self {
             spec: Some(spec),
             team,
+            class: JobClass::Owed,
             outcome: None,
             outcome_stored: false,
             started: false,
@@ -109,6 +114,7 @@
         Self {
             spec: None,
             team,
+            class: JobClass::Owed,
             outcome: Some(outcome),
             outcome_stored: true,
             started: true,
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -33,6 +33,7 @@
 mod incarnations;
 mod isolation;
 mod job;
+mod job_classes;
 mod job_end;
 mod job_record;
 mod job_spec;
@@ -70,6 +71,7 @@
 };
 pub use evidence_feed::InterferenceEvent;
 pub use hs_evidence::{EvidenceCounts, LearningOptions};
+pub use hs_share::JobClass;
 pub use ids::{IdError, JobId, StepId, TaskId};
 pub use job_end::{JobEnd, StoppingRun};
 pub use job_record::{
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -76,7 +76,7 @@
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
-        let demand = StepDemand::new(id, &spec, key.priority);
+        let demand = StepDemand::new(key, &spec);
         let cpu_milli = u64::from(wanted) * u64::from(demand.need.cpu_milli);
         let is_active = active_steps.add(key.priority, cpu_milli, advice);
         let ticket_end = self.placement_ticket_end(now);
--- a/crates/hs-cell/src/ready_steps.rs
+++ b/crates/hs-cell/src/ready_steps.rs
@@ -9,13 +9,13 @@
 
 use crate::cell::Cell;
 use crate::parked_steps::{ParkedSteps, StartNeed};
-use crate::step_order::{OrderKey, ReadyStep, Timeliness};
+use crate::step_order::{OrderKey, ReadyStep, StepRank, Timeliness};
 use crate::{JobId, StepId};
 
 /// Place of a group of steps in the order.
-type GroupKey = (Timeliness, u8);
+type GroupKey = (StepRank, u8);
 
-/// Steps of one timeliness and priority, in order.
+/// Steps of one rank and priority, in order.
 type StepGroup = BTreeMap<(Instant, StepId), ReadyStep>;
 
 /// Steps with waiting tasks.
@@ -32,7 +32,7 @@
 }
 
 fn group_key(key: OrderKey) -> GroupKey {
-    (key.timeliness, key.priority)
+    (key.rank, key.priority)
 }
 
 fn place_in_group(key: OrderKey) -> (Instant, StepId) {
@@ -42,7 +42,7 @@
 fn group_steps(
     (key, group): (&GroupKey, &StepGroup),
 ) -> impl Iterator<Item = (OrderKey, ReadyStep)> {
-    let timeliness = key.0;
+    let timeliness = key.0.timeliness;
     group
         .values()
         .map(move |step| (step.key(timeliness), *step))
@@ -77,7 +77,7 @@
         let rest = group.zip(key).map(|(group, key)| {
             let from = Bound::Excluded(place_in_group(key));
             let steps = group.range((from, Bound::Unbounded));
-            steps.map(move |(_, step)| (step.key(key.timeliness), *step))
+            steps.map(move |(_, step)| (step.key(key.rank.timeliness), *step))
         });
         let from = key.map_or(Bound::Unbounded, |key| Bound::Excluded(group_key(key)));
         let later = self.groups.range((from, Bound::Unbounded));
@@ -108,7 +108,7 @@
             && until < now
         {
             if let Some((step, key, start_need)) = self.parked.remove(id) {
-                self.remove_change(&step, key.timeliness);
+                self.remove_change(&step, key.rank.timeliness);
                 let timeliness = step.limits.timeliness(now);
                 self.parked.insert(step, timeliness, start_need);
                 self.add_change(&step, timeliness);
@@ -154,23 +154,23 @@
     pub(crate) fn park(&mut self, id: StepId, start_need: StartNeed) {
         let key = self.key(id);
         if let Some((key, step)) = key.zip(self.remove(id)) {
-            self.parked.insert(step, key.timeliness, start_need);
-            self.add_change(&step, key.timeliness);
+            self.parked.insert(step, key.rank.timeliness, start_need);
+            self.add_change(&step, key.rank.timeliness);
         }
     }
 
     /// Returns a parked step to its place in the order.
     pub(crate) fn unpark(&mut self, id: StepId) {
         if let Some((step, key, _)) = self.parked.remove(id) {
-            self.remove_change(&step, key.timeliness);
-            self.insert_as(step, key.timeliness);
+            self.remove_change(&step, key.rank.timeliness);
+            self.insert_as(step, key.rank.timeliness);
         }
     }
 
-    fn remove(&mut self, id: StepId) -> Option<ReadyStep> {
+    pub(crate) fn remove(&mut self, id: StepId) -> Option<ReadyStep> {
         self.unconfigured.remove(&id);
         if let Some((step, key, _)) = self.parked.remove(id) {
-            self.remove_change(&step, key.timeliness);
+            self.remove_change(&step, key.rank.timeliness);
             return Some(step);
         }
         let key = self.keys.remove(&id)?;
@@ -179,7 +179,7 @@
         if group.is_empty() {
             self.groups.remove(&group_key(key));
         }
-        self.remove_change(&step, key.timeliness);
+        self.remove_change(&step, key.rank.timeliness);
         Some(step)
     }
 
@@ -242,7 +242,7 @@
         self.request_pass();
     }
 
-    fn insert_ready_step(&mut self, id: StepId) {
+    pub(crate) fn insert_ready_step(&mut self, id: StepId) {
         match self.ready_step(id) {
             Some(step) => {
                 self.ready_steps.insert(step);
@@ -263,6 +263,19 @@
         }
     }
 
+    /// Puts the ready steps of a job in order again, since its class has changed.
+    pub(crate) fn reorder_steps_of(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let queued = job.step_runs(id).filter(|(_, step)| step.queued);
+        let steps: Vec<StepId> = queued.map(|(step, _)| step).collect();
+        for step in steps {
+            self.ready_steps.remove(step);
+            self.insert_ready_step(step);
+        }
+    }
+
     pub(crate) fn dequeue_step(&mut self, id: StepId) {
         let job = self.jobs.get_mut(&id.job);
         if let Some(step) = job.and_then(|job| job.step_mut(id)) {
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -108,6 +108,9 @@
         }
         let begun: Vec<u32> = job.occurrences.iter().map(|o| o.number).collect();
         self.insert_unfinished(id, job);
+        if team.is_some() {
+            self.job_classes.postpone(id, spec.accepted_ms);
+        }
         self.restore_crashes(id, record, now);
         self.fail_if_exhausted(id);
         if self.jobs.get(&id).is_none_or(|job| job.outcome.is_some()) {
--- a/crates/hs-cell/src/reserve.rs
+++ b/crates/hs-cell/src/reserve.rs
@@ -4,15 +4,18 @@
 //! becomes free. The first waiting gangs therefore reserve the workers on which they can start soonest:
 //! those with free resources, those whose runs end soon, or those where runs of lower priority can be
 //! preempted without losing their work. All other workers remain available to every step.
+//!
+//! A surplus gang preempts no runs, and its reservation holds nothing against owed steps.
 
 use std::time::{Duration, Instant};
 
+use hs_share::JobClass;
 use hs_wire::Resources;
 use smallvec::SmallVec;
 
 use crate::capacity::StepDemand;
 use crate::cell::Cell;
-use crate::step_order::{OrderKey, Timeliness};
+use crate::step_order::{OrderKey, StepRank, Timeliness};
 use crate::worker::{Slot, SlotPhase};
 use crate::{StepId, TaskRun, WorkerKey};
 
@@ -39,14 +42,36 @@
 /// Reservation of workers for a gang.
 #[derive(Clone, Debug)]
 pub(crate) struct Reservation {
-    pub step: StepId,
-    pub priority: u8,
+    pub holder: ReservationHolder,
     pub workers: Vec<WorkerKey>,
     pub made_at: Instant,
     /// Time at which the gang is expected to start.
     pub start_at: Instant,
 }
 
+/// Gang that holds a reservation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReservationHolder {
+    pub step: StepId,
+    pub priority: u8,
+    pub rank: StepRank,
+}
+
+impl ReservationHolder {
+    /// Returns whether the reservation keeps the workers from another step. Among jobs of one class the priority
+    /// decides. A surplus gang holds nothing against owed steps, and an owed one holds its workers against the
+    /// surplus steps that come after it.
+    pub(crate) fn holds_against(&self, demand: &StepDemand) -> bool {
+        match (self.rank.class, demand.rank.class) {
+            (JobClass::Surplus, JobClass::Owed) => false,
+            (JobClass::Owed, JobClass::Surplus) => self.rank < demand.rank,
+            (JobClass::Owed, JobClass::Owed) | (JobClass::Surplus, JobClass::Surplus) => {
+                self.priority <= demand.priority
+            }
+        }
+    }
+}
+
 /// Possible placement of one more task of the gang on a worker.
 #[derive(Clone, Debug)]
 struct PlacementOption {
@@ -86,7 +111,7 @@
         }
         reservations.retain(|reservation| {
             let fresh = now.saturating_duration_since(reservation.made_at) < RESERVATION_TTL;
-            fresh && self.has_waiting_tasks(reservation.step)
+            fresh && self.has_waiting_tasks(reservation.holder.step)
         });
         for reservation in &reservations {
             self.mark_reserved(reservation);
@@ -96,7 +121,7 @@
 
     /// Drops the reservation of a step, if it has one.
     pub(crate) fn drop_reservation(&mut self, id: StepId) {
-        let reservation = self.reservations.iter().position(|r| r.step == id);
+        let reservation = self.reservations.iter().position(|r| r.holder.step == id);
         let Some(reservation) = reservation.map(|index| self.reservations.remove(index)) else {
             return;
         };
@@ -107,10 +132,20 @@
         }
     }
 
+    /// Drops reservations of a lower class whose workers a new one takes.
+    fn drop_overlapping(&mut self, taker: &Reservation) {
+        let is_taken = |r: &&Reservation| r.workers.iter().any(|key| taker.workers.contains(key));
+        let overlapping = self.reservations.iter().filter(is_taken);
+        let steps: SmallVec<[StepId; 4]> = overlapping.map(|r| r.holder.step).collect();
+        for step in steps {
+            self.drop_reservation(step);
+        }
+    }
+
     fn mark_reserved(&mut self, reservation: &Reservation) {
         for key in &reservation.workers {
             if let Some(worker) = self.workers.get_mut(*key) {
-                worker.reserved_by = Some((reservation.priority, reservation.step));
+                worker.reserved_by = Some(reservation.holder);
             }
         }
     }
@@ -118,10 +153,12 @@
     /// Reserves workers for a gang that does not fit, and preempts runs there if that lets it start sooner.
     pub(crate) fn reserve(&mut self, order: OrderKey, wanted: u32, now: Instant) {
         let id = order.step;
-        let already_reserved = self.reservations.iter().any(|r| r.step == id);
-        let same_priority = |r: &&Reservation| r.priority == order.priority;
+        let already_reserved = self.reservations.iter().any(|r| r.holder.step == id);
+        let class = order.rank.class;
+        let same_priority =
+            |r: &&Reservation| r.holder.priority == order.priority && r.holder.rank.class == class;
         let count = self.reservations.iter().filter(same_priority).count();
-        let limit = match order.timeliness {
+        let limit = match order.rank.timeliness {
             Timeliness::OnTime | Timeliness::Late => MAX_RESERVATIONS_PER_PRIORITY,
             // Its objective can no longer be met, so it reserves only if no other gang of its priority does.
             Timeliness::Overdue => 1,
@@ -129,13 +166,13 @@
         if already_reserved || count >= limit {
             return;
         }
-        let Some(allowed) = self.allowed_workers(id, now) else {
+        let Some(allowed) = self.allowed_workers(order, now) else {
             return;
         };
         let Some(mut plan) = self.start_plan(order, &allowed, wanted, false, now) else {
             return;
         };
-        let may_preempt = order.timeliness == Timeliness::OnTime;
+        let may_preempt = order.rank.timeliness == Timeliness::OnTime && class == JobClass::Owed;
         if may_preempt
             && plan.start_at > now + MIN_PREEMPTION_GAIN
             && let Some(sooner) = self.start_plan(order, &allowed, wanted, true, now)
@@ -146,7 +183,9 @@
         let mut workers: Vec<WorkerKey> = plan.placements.iter().map(|p| p.key).collect();
         workers.sort_unstable();
         workers.dedup();
-        let reserved: usize = self.reservations.iter().map(|r| r.workers.len()).sum();
+        let reservations = self.reservations.iter();
+        let of_class = reservations.filter(|r| r.holder.rank.class <= class);
+        let reserved: usize = of_class.map(|r| r.workers.len()).sum();
         if reserved + workers.len() > (self.workers.len() / RESERVABLE_WORKERS_DIVISOR).max(1)
             && reserved > 0
         {
@@ -158,28 +197,35 @@
             }
         }
         let reservation = Reservation {
-            step: id,
-            priority: order.priority,
+            holder: ReservationHolder {
+                step: id,
+                priority: order.priority,
+                rank: order.rank,
+            },
             workers,
             made_at: now,
             start_at: plan.start_at,
         };
+        self.drop_overlapping(&reservation);
         self.mark_reserved(&reservation);
         self.reservations.push(reservation);
     }
 
     /// Returns the unreserved workers that accept runs and on which a step may run. If its queue uses advice, these are only the
     /// workers with a ticket.
-    fn allowed_workers(&self, id: StepId, now: Instant) -> Option<Vec<WorkerKey>> {
+    fn allowed_workers(&self, order: OrderKey, now: Instant) -> Option<Vec<WorkerKey>> {
+        let id = order.step;
         let job = self.jobs.get(&id.job)?;
         let eligibility = self.eligibility(job, id)?;
         let queue = self.queues.get(&job.spec.as_ref()?.queue)?;
+        let class = order.rank.class;
         let usable = |key: &WorkerKey| {
             let Some(worker) = self.workers.get(*key) else {
                 return false;
             };
-            let is_free = worker.reserved_by.is_none() && worker.accepts_runs(now);
-            is_free && eligibility.admits(worker, now)
+            let holder_class = worker.reserved_by.map(|holder| holder.rank.class);
+            let is_free = holder_class.is_none_or(|holder_class| holder_class > class);
+            is_free && worker.accepts_runs(now) && eligibility.admits(worker, now)
         };
         Some(match queue.advice {
             Some(_) => {
@@ -205,7 +251,7 @@
     ) -> Option<StartPlan> {
         let id = order.step;
         let spec = self.jobs.get(&id.job)?.step_spec(id)?;
-        let demand = StepDemand::new(id, spec, order.priority);
+        let demand = StepDemand::new(order, spec);
         let mut options = Vec::new();
         self.pass_work.add_looks(allowed.len());
         for key in allowed {
--- a/crates/hs-cell/src/step_order.rs
+++ b/crates/hs-cell/src/step_order.rs
@@ -4,10 +4,13 @@
 //! results are still useful, then the rest. A load peak therefore costs only the jobs that it has
 //! already delayed, instead of delaying every later job a little beyond its objective. Within a group
 //! the order is by the priority of the queue, then by the latest start that meets the objective.
+//! Surplus jobs come after all owed jobs that are still useful, so that a surge costs only the team that causes it.
 //! Long-running tasks never count as late, since every second in which they run is of use to their client.
 
 use std::time::{Duration, Instant};
 
+use hs_share::JobClass;
+
 use crate::StepId;
 use crate::cell::Cell;
 
@@ -28,10 +31,30 @@
     Overdue,
 }
 
+/// Place of a step by the class of its job and by its timeliness. Owed steps come first among those that are not
+/// overdue, and again among those that are.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct StepRank {
+    /// Whether the result is no longer useful. The first field decides the order.
+    is_overdue: bool,
+    pub class: JobClass,
+    pub timeliness: Timeliness,
+}
+
+impl StepRank {
+    pub(crate) fn new(class: JobClass, timeliness: Timeliness) -> Self {
+        Self {
+            is_overdue: timeliness == Timeliness::Overdue,
+            class,
+            timeliness,
+        }
+    }
+}
+
 /// Sort key of a waiting step; the smallest is placed first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct OrderKey {
-    pub timeliness: Timeliness,
+    pub rank: StepRank,
     pub priority: u8,
     /// Latest start with which the job can meet its objective.
     pub start_by: Instant,
@@ -90,6 +113,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReadyStep {
     pub id: StepId,
+    pub class: JobClass,
     pub priority: u8,
     pub start_by: Instant,
     pub limits: TimelinessLimits,
@@ -102,7 +126,7 @@
 impl ReadyStep {
     pub(crate) fn key(&self, timeliness: Timeliness) -> OrderKey {
         OrderKey {
-            timeliness,
+            rank: StepRank::new(self.class, timeliness),
             priority: self.priority,
             start_by: self.start_by,
             step: self.id,
@@ -128,6 +152,7 @@
         };
         Some(ReadyStep {
             id,
+            class: job.class,
             priority: queue.priority,
             start_by: runnable_since + objective - remaining,
             limits,
--- a/crates/hs-cell/src/team_steps.rs
+++ b/crates/hs-cell/src/team_steps.rs
@@ -18,7 +18,8 @@
 impl Cell {
     /// Applies the teams of a configuration. To be called before [`Cell::configure`], which lets jobs start.
     pub fn configure_teams(&mut self, teams: impl IntoIterator<Item = TeamSpec>) {
-        self.team_usage.configure(teams);
+        let teams: Vec<TeamSpec> = teams.into_iter().collect();
+        self.team_usage.configure(teams.iter().cloned());
         if self.team_usage.has_unconfigured() {
             let slots = self.workers.values().flat_map(|w| w.slots.values());
             let mut needed: Vec<TeamKey> = slots.filter_map(|slot| slot.team).collect();
@@ -28,6 +29,8 @@
             let is_needed = |key: TeamKey| needed.binary_search(&key).is_ok();
             self.team_usage.forget_unconfigured(is_needed);
         }
+        self.job_classes.configure(&teams, &mut self.team_usage);
+        self.classify_restored_jobs();
         self.request_pass();
     }
 
--- a/crates/hs-cell/src/ticket_renewal.rs
+++ b/crates/hs-cell/src/ticket_renewal.rs
@@ -44,7 +44,7 @@
             return Vec::new();
         };
         let spec = need.spec;
-        let reservation = self.reservations.iter().find(|r| r.step == id);
+        let reservation = self.reservations.iter().find(|r| r.holder.step == id);
         let wanted: Vec<WorkerKey> = match reservation {
             // A ticket has to be valid when the resources become free, but not long before.
             Some(reservation) if reservation.start_at > now + spec.ticket_validity / 2 => {
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -8,8 +8,9 @@
 use slotmap::new_key_type;
 
 use crate::isolation::Vacating;
+use crate::reserve::ReservationHolder;
 use crate::team_usage::TeamKey;
-use crate::{StepId, TaskId, TaskRun};
+use crate::{TaskId, TaskRun};
 
 new_key_type! {
     /// Key of one incarnation of a worker.
@@ -230,8 +231,8 @@
     pub quarantined_until: Option<Instant>,
     /// Duration of the next quarantine.
     pub quarantine_time: Duration,
-    /// Priority and step of the gang that has reserved the worker.
-    pub reserved_by: Option<(u8, StepId)>,
+    /// Gang that has reserved the worker.
+    pub reserved_by: Option<ReservationHolder>,
     /// Number of isolated runs. There can be several after a takeover.
     pub isolated_runs: u32,
     /// Step for a suspect of which the worker is being vacated.
--- a/crates/hs-cell/tests/cell/advice_queue.rs
+++ b/crates/hs-cell/tests/cell/advice_queue.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{AdviceCaller, AdviceQueue, AdviceRequest, AdviceSpec, StepId};
+use hs_cell::{AdviceCaller, AdviceQueue, AdviceRequest, AdviceSpec, JobClass, StepId};
 
 use crate::fixture::id;
 
@@ -24,6 +24,7 @@
             cost_per_worker: Duration::from_millis(1),
             ticket_validity: Duration::from_secs(2),
         },
+        class: JobClass::Owed,
         priority: 1,
         start_by: Instant::now(),
     }
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -15,6 +15,7 @@
 mod fuzz_command;
 mod fuzz_teams;
 mod incarnations;
+mod job_classes;
 mod job_counts;
 mod late_crashes;
 mod odd_reports;
--- a/crates/hs-cell/tests/cell/world/teams.rs
+++ b/crates/hs-cell/tests/cell/world/teams.rs
@@ -15,6 +15,8 @@
     caps: BTreeMap<Arc<str>, Resources>,
     /// Caps under which placements were made that may not have been sent yet.
     earlier_caps: Vec<(Arc<str>, Resources)>,
+    /// Weights other than 1.
+    weights: BTreeMap<Arc<str>, f64>,
 }
 
 impl FakeTeams {
@@ -22,7 +24,7 @@
         let caps = self.caps.iter();
         caps.map(|(name, cap)| TeamSpec {
             name: name.clone(),
-            weight: 1.0,
+            weight: self.weights.get(name).copied().unwrap_or(1.0),
             cap: *cap,
         })
         .collect()
@@ -56,6 +58,16 @@
         }
     }
 
+    /// Changes the weight of a team, which is added without a cap if it is not configured.
+    pub fn set_weight(&mut self, team: &str, weight: f64) {
+        let name: Arc<str> = team.into();
+        self.teams.caps.entry(name.clone()).or_default();
+        self.teams.weights.insert(name, weight);
+        if self.has_config {
+            self.cell.configure_teams(self.teams.specs());
+        }
+    }
+
     /// Returns the resources of all runs of a team on workers that are up.
     pub fn running_of_team(&self, team: &str) -> Resources {
         let workers = self.workers.iter().filter(|worker| worker.up);
