feat(cell): let owed steps of teams above their share wait for the others

Cause: inside a group of the order, only the latest start counted. A team with many or large jobs took all room before the others.

Change: a team is entitled to its weight over the weights of the teams with waiting or running work. Owed steps of teams above that, with a hysteresis of a tenth, come after those of the others of their group. A pass counts the needs of a team's earlier steps in its order as if they ran, so that one pass does not give all room to a team that held none. A group keeps a queue for each team, and the front of a pass is merged from them; a change of what a team holds moves no steps. Turns keep an order that does not depend on it. Without configured teams the order is as before.

--- a/crates/hs-cell/benches/placement.rs
+++ b/crates/hs-cell/benches/placement.rs
@@ -45,12 +45,48 @@
 /// Backlog of the passes with teams.
 const TEAM_BACKLOG: u32 = 4000;
 
-/// Caps of the teams in thousandths of a core. A gang needs 576 cores, and the workers have 264 for each team.
-const TEAM_CAPS: [(&str, u64, u32); 4] = [
-    ("no teams", 0, 0),
-    ("no caps", TEAM_COUNT, 0),
-    ("ample caps", TEAM_COUNT, 10_000_000),
-    ("caps that bind", TEAM_COUNT, 300_000),
+/// Teams of a pass.
+#[derive(Clone, Copy)]
+struct TeamCase {
+    name: &'static str,
+    team_count: u64,
+    /// Cap of each team in thousandths of a core. A gang needs 576 cores, and the workers have 264 for each team.
+    cap_milli: u32,
+    /// Weight of each team. The teams together send about 700 jobs a second, then the backlog at once.
+    weight: f64,
+}
+
+const TEAM_CASES: [TeamCase; 5] = [
+    TeamCase {
+        name: "no teams",
+        team_count: 0,
+        cap_milli: 0,
+        weight: 1.0,
+    },
+    TeamCase {
+        name: "no caps, all owed",
+        team_count: TEAM_COUNT,
+        cap_milli: 0,
+        weight: 100.0,
+    },
+    TeamCase {
+        name: "no caps, mostly surplus",
+        team_count: TEAM_COUNT,
+        cap_milli: 0,
+        weight: 0.1,
+    },
+    TeamCase {
+        name: "ample caps, all owed",
+        team_count: TEAM_COUNT,
+        cap_milli: 10_000_000,
+        weight: 100.0,
+    },
+    TeamCase {
+        name: "caps that bind, all owed",
+        team_count: TEAM_COUNT,
+        cap_milli: 300_000,
+        weight: 100.0,
+    },
 ];
 
 /// Number of passes over a backlog that are measured.
@@ -140,6 +176,7 @@
 /// A cell under load, and its simulated environment.
 struct LoadedCell {
     cell: Cell,
+    began: Instant,
     now: Instant,
     events: BTreeMap<(Instant, u64), Event>,
     event_count: u64,
@@ -157,14 +194,16 @@
 
 impl LoadedCell {
     fn new(worker_count: u32) -> Self {
-        Self::with_teams(worker_count, 0, 0)
+        Self::with_teams(worker_count, TEAM_CASES[0])
     }
 
-    fn with_teams(worker_count: u32, team_count: u64, cap_milli: u32) -> Self {
+    fn with_teams(worker_count: u32, case: TeamCase) -> Self {
+        let began = Instant::now();
         let mut loaded = Self {
-            team_count,
+            team_count: case.team_count,
             cell: Cell::new(CellOptions::default()),
-            now: Instant::now(),
+            began,
+            now: began,
             events: BTreeMap::new(),
             event_count: 0,
             job_count: 0,
@@ -175,10 +214,10 @@
             busy: Duration::ZERO,
             longest_advance: Duration::ZERO,
         };
-        let teams = (0..team_count).map(|number| TeamSpec {
+        let teams = (0..case.team_count).map(|number| TeamSpec {
             name: format!("t{number}").into(),
-            weight: 1.0,
-            cap: cpu(cap_milli),
+            weight: case.weight,
+            cap: cpu(case.cap_milli),
         });
         loaded.cell.configure_teams(teams);
         loaded.cell.configure(queues());
@@ -300,7 +339,7 @@
             input: "".into(),
             steps: vec![step],
             schedule: None,
-            accepted_ms: 0,
+            accepted_ms: u64::try_from((self.now - self.began).as_millis()).unwrap_or(0),
             team: self.team_of_next_job(),
         });
         self.job_kinds.insert(id, kind);
@@ -432,8 +471,9 @@
         println!("{jobs:>7}  {:>8.1}", pass.as_secs_f64() * 1e6);
     }
     println!("us/pass   of {TEAM_COUNT} teams on {TEAM_WORKERS} workers");
-    for (name, team_count, cap_milli) in TEAM_CAPS {
-        let loaded = LoadedCell::with_teams(TEAM_WORKERS, team_count, cap_milli);
+    for case in TEAM_CASES {
+        let name = case.name;
+        let loaded = LoadedCell::with_teams(TEAM_WORKERS, case);
         let pass = backlog_pass(loaded, TEAM_BACKLOG);
         println!("{:>7.1}   {name}", pass.as_secs_f64() * 1e6);
     }
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -25,6 +25,7 @@
 use crate::queue_spec::QueueSpec;
 use crate::ready_steps::ReadySteps;
 use crate::reserve::Reservation;
+use crate::team_shares::TeamShares;
 use crate::team_steps::RoomyTeams;
 use crate::team_usage::TeamUsage;
 use crate::ticket_holders::TicketHolders;
@@ -68,6 +69,7 @@
     pub(crate) team_usage: TeamUsage,
     pub(crate) roomy_teams: RoomyTeams,
     pub(crate) job_classes: JobClasses,
+    pub(crate) team_shares: TeamShares,
     pub(crate) jobs: HashMap<JobId, Job>,
     /// Number of jobs that have not ended.
     unfinished_jobs: usize,
@@ -120,6 +122,7 @@
             team_usage: TeamUsage::default(),
             roomy_teams: RoomyTeams::new(),
             job_classes: JobClasses::default(),
+            team_shares: TeamShares::default(),
             jobs: HashMap::new(),
             unfinished_jobs: 0,
             expiring_jobs: BTreeSet::new(),
--- a/crates/hs-cell/src/free_index.rs
+++ b/crates/hs-cell/src/free_index.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 
+use hs_share::ResourceSum;
+use hs_wire::Resources;
 use slotmap::Key;
 
 use crate::TaskRun;
@@ -19,6 +21,8 @@
     workers: BTreeSet<FreeEntry>,
     /// Free CPU of the available workers in thousandths of a core.
     total_cpu_milli: u64,
+    /// Capacity of the available workers.
+    total_capacity: ResourceSum,
 }
 
 /// Sort key of a worker in the index.
@@ -34,19 +38,22 @@
     entry: FreeEntry,
     /// Free CPU that the worker adds to the total. A reachable worker without a lease adds none.
     counted_cpu_milli: u64,
+    /// Capacity that the worker adds to the total.
+    counted_capacity: Resources,
 }
 
 impl IndexedWorker {
     /// Returns `None` if the worker is not in the index.
     fn new(key: WorkerKey, worker: &Worker) -> Option<Self> {
         let cpu_milli = worker.free().cpu_milli;
-        let counted_cpu_milli = match worker.is_available() {
-            true => u64::from(cpu_milli),
-            false => 0,
+        let (counted_cpu_milli, counted_capacity) = match worker.is_available() {
+            true => (u64::from(cpu_milli), worker.entry.capacity),
+            false => (0, Resources::ZERO),
         };
         worker.is_reachable().then_some(Self {
             entry: FreeEntry { cpu_milli, key },
             counted_cpu_milli,
+            counted_capacity,
         })
     }
 }
@@ -59,10 +66,12 @@
         if let Some(before) = before {
             self.workers.remove(&before.entry);
             self.total_cpu_milli -= before.counted_cpu_milli;
+            self.total_capacity.subtract(before.counted_capacity);
         }
         if let Some(after) = after {
             self.workers.insert(after.entry);
             self.total_cpu_milli += after.counted_cpu_milli;
+            self.total_capacity.add(after.counted_capacity, 1);
         }
     }
 
@@ -71,6 +80,11 @@
         self.total_cpu_milli
     }
 
+    /// Returns the capacity of the available workers.
+    pub(crate) fn total_capacity(&self) -> ResourceSum {
+        self.total_capacity
+    }
+
     /// Returns the workers with at least this much free CPU, those with the least first.
     pub(crate) fn fullest_first(&self, cpu_milli: u32) -> impl Iterator<Item = WorkerKey> + '_ {
         // The null key is the last one in the order of keys.
--- a/crates/hs-cell/src/passes.rs
+++ b/crates/hs-cell/src/passes.rs
@@ -5,13 +5,16 @@
 //! do for each of these is bounded (see the `pass_budget` module), so that the duration of a pass does not grow
 //! with the backlog.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use crate::StepId;
 use crate::active_steps::ActiveSteps;
 use crate::cell::Cell;
 use crate::pass_budget::{MAX_PASS_COST, PassBudget, PassShare};
+use crate::step_group::FrontStep;
 use crate::step_order::OrderKey;
+use crate::team_shares::{PlannedUse, SharePlan};
 
 /// Interval of passes that no event requests. They are needed because tickets expire and quarantines end.
 const IDLE_PASS_INTERVAL: Duration = Duration::from_millis(100);
@@ -53,25 +56,32 @@
 }
 
 /// Step that a pass is to visit, and the reason.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug)]
 struct PlannedVisit {
     key: OrderKey,
+    /// Whether the step comes after those of its group whose teams are below their shares.
+    is_above_share: bool,
     share: PassShare,
     /// Whether the visit is useless once the priority has all its active steps.
     must_be_active: bool,
 }
 
+/// Steps at the front of the order of a pass.
+#[derive(Debug)]
+struct PassFront {
+    steps: Vec<FrontStep>,
+    /// What the teams are going to hold after these steps.
+    planned: PlannedUse,
+}
+
 /// Progress of a pass.
 #[derive(Debug)]
 struct PassProgress {
     active_steps: ActiveSteps,
     /// Work done for each part of the budget.
     spent: [u64; PassShare::COUNT],
-    /// Last step that has had its turn.
-    last_turn: Option<OrderKey>,
-    turn_count: usize,
-    /// Whether a step has missed its turn.
-    missed_turn: bool,
+    /// Steps that have a turn, and whether they were visited.
+    turns: Vec<(OrderKey, bool)>,
 }
 
 impl PassProgress {
@@ -86,13 +96,12 @@
         shares.find(|share| self.spent[*share as usize] < budget.share(*share))
     }
 
-    /// Notes whether a step that has a turn was visited. The first one that was not is the next one.
-    fn record_turn(&mut self, key: OrderKey, is_visited: bool) {
-        self.missed_turn |= !is_visited;
-        if !self.missed_turn {
-            self.last_turn = Some(key);
-            self.turn_count += 1;
-        }
+    /// Returns the steps that have had their turn. The first one that was not visited is the next one, in the order
+    /// that does not depend on the shares of teams.
+    fn completed_turns(&mut self) -> &[(OrderKey, bool)] {
+        self.turns.sort_unstable();
+        let missed = self.turns.iter().position(|(_, is_visited)| !is_visited);
+        &self.turns[..missed.unwrap_or(self.turns.len())]
     }
 }
 
@@ -120,8 +129,9 @@
         self.pass_work.add_looks(moved);
         self.expected_use.clear();
         self.return_parked_steps();
-        self.park_front_steps();
-        self.visit_steps(now);
+        self.refresh_team_shares();
+        let front = self.park_front_steps();
+        self.visit_steps(front, now);
         self.review_roomy_teams();
     }
 
@@ -156,16 +166,14 @@
     }
 
     /// Visits the planned steps in order, as far as the budget allows.
-    fn visit_steps(&mut self, now: Instant) {
-        let visits = self.planned_visits();
+    fn visit_steps(&mut self, front: Option<PassFront>, now: Instant) {
+        let visits = self.planned_visits(front);
         let turns = visits.iter().filter(|v| v.share == PassShare::Turns);
         let is_last_round = turns.count() < MAX_TURNS;
         let mut progress = PassProgress {
             active_steps: ActiveSteps::new(self.free_index.total_cpu_milli()),
             spent: [0; PassShare::COUNT],
-            last_turn: self.turns.last,
-            turn_count: 0,
-            missed_turn: false,
+            turns: Vec::new(),
         };
         for visits in visits.chunk_by(|a, b| a.key == b.key) {
             let share = progress.affordable_share(visits, &self.pass_budget);
@@ -177,14 +185,19 @@
                 self.pass_requested = true;
             }
             if visits.iter().any(|visit| visit.share == PassShare::Turns) {
-                progress.record_turn(visits[0].key, share.is_some());
+                progress.turns.push((visits[0].key, share.is_some()));
             }
         }
-        self.turns.last = match is_last_round && !progress.missed_turn {
+        let due_turns = progress.turns.len();
+        let completed = progress.completed_turns();
+        self.turns.last = match is_last_round && completed.len() == due_turns {
             true => None,
-            false => progress.last_turn,
+            false => completed
+                .last()
+                .map_or(self.turns.last, |(key, _)| Some(*key)),
         };
-        self.record_turns(progress.turn_count);
+        let count = completed.len();
+        self.record_turns(count);
     }
 
     /// Requests a further pass until each step has had its turn since the last change.
@@ -199,52 +212,84 @@
         self.pass_requested |= self.turns.due > 0;
     }
 
-    /// Returns the visits of the next pass in the order of the steps.
-    fn planned_visits(&self) -> Vec<PlannedVisit> {
+    /// Returns the first `limit` steps of each priority in the order of a pass.
+    fn pass_front(&self, limit: usize) -> PassFront {
+        let mut plan = SharePlan::new(&self.team_shares, &self.jobs, PlannedUse::default());
+        let steps = self.ready_steps.first_of_priorities(limit, &mut plan);
+        PassFront {
+            steps,
+            planned: plan.into_planned(),
+        }
+    }
+
+    /// Returns the visits of the next pass in the order of the steps. The front is that of a long backlog, if it is
+    /// known.
+    fn planned_visits(&self, front: Option<PassFront>) -> Vec<PlannedVisit> {
         let is_short = self.ready_steps.len() <= MAX_SHORT_BACKLOG;
         let front_steps = match is_short {
             true => MAX_SHORT_BACKLOG,
             false => FRONT_STEPS,
         };
-        let front = self.ready_steps.first_of_priorities(front_steps);
+        let front = front.filter(|_| !is_short);
+        let front = front.unwrap_or_else(|| self.pass_front(front_steps));
+        let plan = SharePlan::new(&self.team_shares, &self.jobs, front.planned);
+        let front = front.steps;
+        let mut visits: Vec<PlannedVisit> = front
+            .iter()
+            .map(|front| PlannedVisit {
+                key: front.key,
+                is_above_share: front.is_above_share,
+                share: PassShare::Front,
+                must_be_active: front.step.is_advised && !is_short,
+            })
+            .collect();
+        // The visits to a step have one place in the order.
+        let front_places = front
+            .iter()
+            .filter(|front| plan.orders(front.key.rank.class));
+        let front_places: HashMap<StepId, bool> = front_places
+            .map(|front| (front.key.step, front.is_above_share))
+            .collect();
         let visit = |key: OrderKey, share: PassShare| PlannedVisit {
             key,
+            is_above_share: match front_places.get(&key.step) {
+                Some(is_above_share) => *is_above_share,
+                None => plan.is_step_above(key),
+            },
             share,
             must_be_active: false,
         };
-        let mut visits: Vec<PlannedVisit> = front
-            .into_iter()
-            .map(|(key, step)| PlannedVisit {
-                must_be_active: step.is_advised && !is_short,
-                ..visit(key, PassShare::Front)
-            })
-            .collect();
         let holders = self.ticket_holders.iter().take(MAX_HOLDERS);
         let holders = holders.filter_map(|id| self.ready_steps.key(id));
         visits.extend(holders.map(|key| visit(key, PassShare::Holders)));
         let turns = self.ready_steps.after(self.turns.last).take(MAX_TURNS);
         visits.extend(turns.map(|(key, _)| visit(key, PassShare::Turns)));
-        visits.sort_unstable();
+        visits.sort_unstable_by_key(|visit| {
+            let group = (visit.key.rank, visit.key.priority, visit.is_above_share);
+            (group, visit.key, visit.share, visit.must_be_active)
+        });
         visits
     }
 
     /// Parks steps of teams without room that would be visited for nothing, so that those behind them are visited.
-    fn park_front_steps(&mut self) {
+    /// Returns the steps at the front of a long backlog, if it has found none to park.
+    fn park_front_steps(&mut self) -> Option<PassFront> {
         if !self.team_usage.is_limited() || self.ready_steps.len() <= FRONT_STEPS {
-            return;
+            return None;
         }
         for _ in 0..MAX_PARKING_ROUNDS {
-            let front = self.ready_steps.first_of_priorities(FRONT_STEPS);
+            let front = self.pass_front(FRONT_STEPS);
             let has_no_room = |id: &StepId| self.missing_room(*id).is_some();
-            let ids = front.into_iter().map(|(key, _)| key.step);
+            let ids = front.steps.iter().map(|step| step.key.step);
             let blocked: Vec<StepId> = ids.filter(has_no_room).collect();
             if blocked.is_empty() {
-                return;
+                return Some(front);
             }
             for id in blocked {
                 self.park_if_blocked(id);
             }
         }
+        None
     }
 
     fn visit_step(&mut self, key: OrderKey, active_steps: &mut ActiveSteps, now: Instant) {
--- a/crates/hs-cell/src/ready_steps.rs
+++ b/crates/hs-cell/src/ready_steps.rs
@@ -7,22 +7,26 @@
 use std::ops::Bound;
 use std::time::Instant;
 
+use slotmap::SecondaryMap;
+
 use crate::cell::Cell;
 use crate::parked_steps::{ParkedSteps, StartNeed};
+use crate::step_group::{FrontStep, GroupPlace, StepGroup};
 use crate::step_order::{OrderKey, ReadyStep, StepRank, Timeliness};
+use crate::team_shares::SharePlan;
+use crate::team_usage::TeamKey;
 use crate::{JobId, StepId};
 
 /// Place of a group of steps in the order.
 type GroupKey = (StepRank, u8);
 
-/// Steps of one rank and priority, in order.
-type StepGroup = BTreeMap<(Instant, StepId), ReadyStep>;
-
 /// Steps with waiting tasks.
 #[derive(Debug, Default)]
 pub(crate) struct ReadySteps {
     groups: BTreeMap<GroupKey, StepGroup>,
     keys: BTreeMap<StepId, OrderKey>,
+    /// Number of steps in the groups, by team.
+    team_counts: SecondaryMap<TeamKey, usize>,
     /// Last times at which steps have their present timeliness.
     changes: BTreeSet<(Instant, StepId)>,
     /// Steps whose queue is not configured.
@@ -35,7 +39,7 @@
     (key.rank, key.priority)
 }
 
-fn place_in_group(key: OrderKey) -> (Instant, StepId) {
+fn place_in_group(key: OrderKey) -> GroupPlace {
     (key.start_by, key.step)
 }
 
@@ -43,9 +47,7 @@
     (key, group): (&GroupKey, &StepGroup),
 ) -> impl Iterator<Item = (OrderKey, ReadyStep)> {
     let timeliness = key.0.timeliness;
-    group
-        .values()
-        .map(move |step| (step.key(timeliness), *step))
+    group.steps().map(move |step| (step.key(timeliness), *step))
 }
 
 impl ReadySteps {
@@ -75,9 +77,8 @@
     ) -> impl Iterator<Item = (OrderKey, ReadyStep)> {
         let group = key.and_then(|key| self.groups.get(&group_key(key)));
         let rest = group.zip(key).map(|(group, key)| {
-            let from = Bound::Excluded(place_in_group(key));
-            let steps = group.range((from, Bound::Unbounded));
-            steps.map(move |(_, step)| (step.key(key.rank.timeliness), *step))
+            let steps = group.steps_after(place_in_group(key));
+            steps.map(move |step| (step.key(key.rank.timeliness), *step))
         });
         let from = key.map_or(Bound::Unbounded, |key| Bound::Excluded(group_key(key)));
         let later = self.groups.range((from, Bound::Unbounded));
@@ -86,14 +87,23 @@
             .chain(later.flat_map(group_steps))
     }
 
-    /// Returns the first `limit` steps of each priority.
-    pub(crate) fn first_of_priorities(&self, limit: usize) -> Vec<(OrderKey, ReadyStep)> {
+    /// Returns whether a team has steps that are not parked.
+    pub(crate) fn has_steps_of(&self, team: TeamKey) -> bool {
+        self.team_counts.get(team).is_some_and(|count| *count > 0)
+    }
+
+    /// Returns the first `limit` steps of each priority in the order of a pass.
+    pub(crate) fn first_of_priorities(
+        &self,
+        limit: usize,
+        plan: &mut SharePlan<'_>,
+    ) -> Vec<FrontStep> {
         let mut left: BTreeMap<u8, usize> = BTreeMap::new();
         let mut first = Vec::new();
-        for group in &self.groups {
-            let left = left.entry(group.0.1).or_insert(limit);
+        for ((rank, priority), group) in &self.groups {
+            let left = left.entry(*priority).or_insert(limit);
             let earlier = first.len();
-            first.extend(group_steps(group).take(*left));
+            group.add_front(*rank, *left, plan, &mut first);
             *left -= first.len() - earlier;
         }
         first
@@ -134,6 +144,10 @@
         let key = step.key(timeliness);
         let group = self.groups.entry(group_key(key)).or_default();
         group.insert(place_in_group(key), step);
+        if let Some(team) = step.team {
+            let count = self.team_counts.get(team).copied().unwrap_or(0);
+            self.team_counts.insert(team, count + 1);
+        }
         self.keys.insert(step.id, key);
         self.add_change(&step, timeliness);
     }
@@ -175,10 +189,13 @@
         }
         let key = self.keys.remove(&id)?;
         let group = self.groups.get_mut(&group_key(key))?;
-        let step = group.remove(&place_in_group(key))?;
+        let step = group.remove(place_in_group(key))?;
         if group.is_empty() {
             self.groups.remove(&group_key(key));
         }
+        if let Some(count) = step.team.and_then(|team| self.team_counts.get_mut(team)) {
+            *count -= 1;
+        }
         self.remove_change(&step, key.rank.timeliness);
         Some(step)
     }
--- a/crates/hs-cell/src/step_order.rs
+++ b/crates/hs-cell/src/step_order.rs
@@ -13,6 +13,7 @@
 
 use crate::StepId;
 use crate::cell::Cell;
+use crate::team_usage::TeamKey;
 
 /// Multiple of its objective after which a job is no longer useful to its client.
 const USEFUL_OBJECTIVE_FACTOR: u32 = 3;
@@ -113,6 +114,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReadyStep {
     pub id: StepId,
+    /// Team of the job.
+    pub team: Option<TeamKey>,
     pub class: JobClass,
     pub priority: u8,
     pub start_by: Instant,
@@ -152,6 +155,7 @@
         };
         Some(ReadyStep {
             id,
+            team: job.team,
             class: job.class,
             priority: queue.priority,
             start_by: runnable_since + objective - remaining,
--- a/crates/hs-cell/src/team_steps.rs
+++ b/crates/hs-cell/src/team_steps.rs
@@ -30,6 +30,7 @@
             self.team_usage.forget_unconfigured(is_needed);
         }
         self.job_classes.configure(&teams, &mut self.team_usage);
+        self.team_shares.configure(&teams, &mut self.team_usage);
         self.classify_restored_jobs();
         self.request_pass();
     }
--- a/crates/hs-cell/src/team_usage.rs
+++ b/crates/hs-cell/src/team_usage.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
+use hs_share::ResourceSum;
 use hs_wire::Resources;
 use slotmap::{SlotMap, new_key_type};
 
@@ -190,6 +191,13 @@
         std::mem::take(&mut self.relieved)
     }
 
+    /// Returns what the runs of a team occupy, by its key.
+    pub(crate) fn used_by(&self, key: TeamKey) -> ResourceSum {
+        let account = self.accounts.get(key);
+        let used = account.map_or(ResourceSums::default(), |account| account.used);
+        ResourceSum::from_dimensions(used)
+    }
+
     /// Returns what the runs of a team occupy.
     pub(crate) fn used(&self, name: &str) -> ResourceSums {
         let key = self.keys.get(name);
--- a/crates/hs-cell/tests/cell/fuzz_teams.rs
+++ b/crates/hs-cell/tests/cell/fuzz_teams.rs
@@ -1,6 +1,9 @@
-//! Fuzz test of teams with caps that change, under the faults of the `fuzz` module.
+//! Fuzz test of teams with caps and weights that change, and with owed and surplus jobs, under the faults of the
+//! `fuzz` module.
 
-use hs_cell::{JobState, RunEnd, StepId, TaskRun};
+use std::sync::Arc;
+
+use hs_cell::{JobSpec, JobState, RunEnd, StepId, TaskRun};
 use hs_wire::Resources;
 
 use crate::fixture::{cpu, id};
@@ -27,9 +30,15 @@
 /// Cap under which each job of a sequence can run.
 const AMPLE_CAP: u32 = 9000;
 
-/// One of this many commands comes after a change of a cap.
+/// One of this many commands comes after a change of a cap, and as many after one of a weight.
 const COMMANDS_PER_CAP: u64 = 12;
 
+/// Weights that change in a sequence. With the first one nearly all jobs are surplus, with the last one none.
+const WEIGHTS: [f64; 3] = [0.01, 1.0, 1000.0];
+
+/// Time over which the acceptance of jobs is spread, in milliseconds. They arrive out of order.
+const ACCEPTANCE_SPREAD_MS: u64 = 4000;
+
 /// Number of rounds after which nothing counts for a team without runs.
 const IDLE_ROUNDS: usize = 60;
 
@@ -39,18 +48,33 @@
     world.set_cap(team, cpu(cap));
 }
 
+fn change_weight(world: &mut World) {
+    let team = TEAMS[world.random_below(TEAMS.len() as u64) as usize];
+    let weight = WEIGHTS[world.random_below(WEIGHTS.len() as u64) as usize];
+    world.set_weight(team, weight);
+}
+
 /// Applies a command of a sequence in which most jobs have a team.
 fn apply_with_teams(world: &mut World, jobs: &mut u64, command: Command) {
     if world.random_below(COMMANDS_PER_CAP) == 0 {
         change_cap(world);
     }
+    if world.random_below(COMMANDS_PER_CAP) == 0 {
+        change_weight(world);
+    }
     let Command::Submit { kind } = command else {
         apply(world, jobs, command);
         return;
     };
     let (queue, steps) = steps_of_kind(kind);
     let team = TEAMS.get(usize::from(kind / 6) % (TEAMS.len() + 1));
-    world.submit(id(*jobs), team_job(queue, steps, team.copied()));
+    let spec = Arc::unwrap_or_clone(team_job(queue, steps, team.copied()));
+    let accepted_ms = world.random_below(ACCEPTANCE_SPREAD_MS);
+    let spec = Arc::new(JobSpec {
+        accepted_ms,
+        ..spec
+    });
+    world.submit(id(*jobs), spec);
     *jobs += 1;
 }
 
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -28,6 +28,7 @@
 mod regressions;
 mod shrinking;
 mod team_jobs;
+mod team_shares;
 mod teams;
 mod unavailable_capacity;
 mod unlisted_workers;
--- a/crates/hs-share/src/lib.rs
+++ b/crates/hs-share/src/lib.rs
@@ -21,7 +21,7 @@
 mod virtual_clock;
 
 pub use admission_grants::AdmissionGrants;
-pub use normalized_share::NormalizedShare;
+pub use normalized_share::{NormalizedShare, valid_weight};
 pub use resource_quota::ResourceQuota;
 pub use resource_sum::ResourceSum;
 pub use service_meter::ServiceMeter;
--- a/crates/hs-share/src/normalized_share.rs
+++ b/crates/hs-share/src/normalized_share.rs
@@ -50,7 +50,7 @@
 }
 
 /// Returns a usable weight: one that is not positive or not finite counts as 1.
-fn valid_weight(weight: f64) -> f64 {
+pub fn valid_weight(weight: f64) -> f64 {
     if weight.is_finite() && weight > 0.0 {
         weight
     } else {
--- a/crates/hs-share/src/resource_sum.rs
+++ b/crates/hs-share/src/resource_sum.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// Builds a sum from amounts in the order of [`Resources::dimensions`].
+    pub fn from_dimensions(amounts: [u64; 5]) -> Self {
+        Self(amounts)
+    }
+
     /// Returns the amounts in the order of [`Resources::dimensions`].
     pub fn dimensions(self) -> [u64; 5] {
         self.0
--- a/crates/hs-share/src/token_bucket.rs
+++ b/crates/hs-share/src/token_bucket.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::valid_weight;
+
 /// Time whose tokens a bucket holds.
 const DEPTH: Duration = Duration::from_secs(2);
 
@@ -64,8 +66,7 @@
 
     /// Changes the weight. Tokens beyond the new depth are lost.
     pub fn set_weight(&mut self, weight: f64) {
-        let is_valid = weight.is_finite() && weight > 0.0;
-        self.rate = if is_valid { weight } else { 1.0 };
+        self.rate = valid_weight(weight);
         self.tokens = self.tokens.min(self.depth());
     }
 
