fix(share): no overflow in the wait of a team that is not served

Cause: with a rate of zero the time until a backlog is served is the longest possible one. Rounding it up to whole seconds overflowed, unless the latest start happened to be in whole seconds.

Change: the rounding saturates.

Measured: the new case of the surplus tests; the cell's test a_new_owner_admits_until_it_knows_the_rate panicked with the fault.

--- a/crates/hs-share/src/surplus_backlog.rs
+++ b/crates/hs-share/src/surplus_backlog.rs
@@ -73,7 +73,9 @@
             return AdmissionVerdict::Admitted;
         }
         let excess = drained.saturating_sub(latest_start);
-        let whole_seconds = excess.as_secs() + u64::from(excess.subsec_nanos() > 0);
+        // The time is the longest possible one while nothing is served.
+        let partial_second = u64::from(excess.subsec_nanos() > 0);
+        let whole_seconds = excess.as_secs().saturating_add(partial_second);
         let retry_after = Duration::from_secs(whole_seconds);
         AdmissionVerdict::Refused {
             retry_after: retry_after.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
--- a/crates/hs-share/tests/share/surplus.rs
+++ b/crates/hs-share/tests/share/surplus.rs
@@ -79,6 +79,15 @@
             stays_congested: true,
             ..base
         },
+        BacklogCase {
+            name: "nothing is served, and the time left has a part of a second",
+            rate: Some(0.0),
+            run_time_ms: 3_500,
+            retry_after: Some(60),
+            is_congested: true,
+            stays_congested: true,
+            ..base
+        },
         BacklogCase {
             name: "a job longer than the objective, without a backlog",
             jobs: 0,
