feat(cell): decide on the admission of jobs of congested teams

Cause: a lasting surge of one team is stored as a whole, although most of it ends too late.

Change: the cell counts the surplus jobs of each team that have not ended, and measures how fast they are served. congested_teams names at most 64 teams whose surplus takes longer than its objective. admit decides on a job before it is stored: known and admitted jobs, owed jobs and those of other teams are admitted, surplus that cannot end in time is refused. An admitted job keeps its class and takes no second token when it is offered. Nothing calls these two yet.

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -25,6 +25,7 @@
 use crate::queue_spec::QueueSpec;
 use crate::ready_steps::ReadySteps;
 use crate::reserve::Reservation;
+use crate::surplus_backlogs::SurplusBacklogs;
 use crate::team_shares::TeamShares;
 use crate::team_steps::RoomyTeams;
 use crate::team_usage::TeamUsage;
@@ -69,6 +70,7 @@
     pub(crate) team_usage: TeamUsage,
     pub(crate) roomy_teams: RoomyTeams,
     pub(crate) job_classes: JobClasses,
+    pub(crate) surplus_backlogs: SurplusBacklogs,
     pub(crate) team_shares: TeamShares,
     pub(crate) jobs: HashMap<JobId, Job>,
     /// Number of jobs that have not ended.
@@ -122,6 +124,7 @@
             team_usage: TeamUsage::default(),
             roomy_teams: RoomyTeams::new(),
             job_classes: JobClasses::default(),
+            surplus_backlogs: SurplusBacklogs::default(),
             team_shares: TeamShares::default(),
             jobs: HashMap::new(),
             unfinished_jobs: 0,
@@ -282,6 +285,7 @@
     /// Begins due occurrences, expires leases, stops stalled runs and places waiting tasks.
     pub fn advance(&mut self, now: Instant, now_ms: u64) {
         self.classify_restored_jobs();
+        self.surplus_backlogs.update_meters(now);
         self.begin_all_due_occurrences(now, now_ms);
         let is_due = |last: Option<Instant>, interval| last.is_none_or(|at| now >= at + interval);
         if is_due(self.last_lease_check, LEASE_CHECK_INTERVAL) {
@@ -340,6 +344,7 @@
         let was_unfinished = job.outcome.replace(outcome).is_none();
         self.unfinished_jobs -= usize::from(was_unfinished);
         let placed = job.placed_runs(id);
+        self.surplus_backlogs.remove(id);
         self.dequeue_job(id);
         self.mark_dirty(id);
         for (worker, run) in placed {
--- a/crates/hs-cell/src/job_classes.rs
+++ b/crates/hs-cell/src/job_classes.rs
@@ -6,21 +6,34 @@
 
 use std::collections::BTreeSet;
 
-use hs_share::{JobClass, TokenBucket};
+use hs_share::{AdmissionGrants, JobClass, TokenBucket};
 use slotmap::SecondaryMap;
 
 use crate::JobId;
+use crate::admission::MAX_GRANTS;
 use crate::cell::Cell;
 use crate::team_spec::TeamSpec;
 use crate::team_usage::{TeamKey, TeamUsage};
 
 /// Token buckets of the teams, and the jobs that wait for their classes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct JobClasses {
     /// Buckets of the teams that a configuration has named.
     buckets: SecondaryMap<TeamKey, TokenBucket>,
     /// Jobs without a class, by the time at which they were accepted.
     unclassified: BTreeSet<(u64, JobId)>,
+    /// Classes of the jobs that were admitted and not offered yet.
+    pub(crate) grants: AdmissionGrants<JobId>,
+}
+
+impl Default for JobClasses {
+    fn default() -> Self {
+        Self {
+            buckets: SecondaryMap::new(),
+            unclassified: BTreeSet::new(),
+            grants: AdmissionGrants::new(MAX_GRANTS),
+        }
+    }
 }
 
 impl JobClasses {
@@ -49,7 +62,7 @@
     }
 
     /// Classifies a job. A team that no configuration has named is owed all its jobs.
-    fn class_of(&mut self, team: TeamKey, accepted_ms: u64) -> JobClass {
+    pub(crate) fn class_of(&mut self, team: TeamKey, accepted_ms: u64) -> JobClass {
         let bucket = self.buckets.get_mut(team);
         bucket.map_or(JobClass::Owed, |bucket| bucket.take(accepted_ms))
     }
@@ -71,10 +84,14 @@
             self.job_classes.postpone(id, accepted_ms);
             return;
         }
-        let class = self.job_classes.class_of(team, accepted_ms);
+        let granted = self.job_classes.grants.take(id);
+        let class = granted.unwrap_or_else(|| self.job_classes.class_of(team, accepted_ms));
         if let Some(job) = self.jobs.get_mut(&id) {
             job.class = class;
         }
+        if class == JobClass::Surplus {
+            self.count_surplus(id);
+        }
     }
 
     /// Classifies the jobs that wait for it, in the order in which they were accepted, once teams are configured.
@@ -91,6 +108,7 @@
             };
             job.class = self.job_classes.class_of(team, accepted_ms);
             if job.class == JobClass::Surplus {
+                self.count_surplus(id);
                 self.reorder_steps_of(id);
             }
         }
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod absent_runs;
 mod active_steps;
+mod admission;
 mod advice;
 mod advice_callers;
 mod advice_queue;
@@ -53,6 +54,7 @@
 mod stalls;
 mod step_group;
 mod step_order;
+mod surplus_backlogs;
 mod team_shares;
 mod team_spec;
 mod team_steps;
@@ -73,7 +75,7 @@
 };
 pub use evidence_feed::InterferenceEvent;
 pub use hs_evidence::{EvidenceCounts, LearningOptions};
-pub use hs_share::JobClass;
+pub use hs_share::{AdmissionVerdict, JobClass};
 pub use ids::{IdError, JobId, StepId, TaskId};
 pub use job_end::{JobEnd, StoppingRun};
 pub use job_record::{
--- a/crates/hs-cell/src/team_steps.rs
+++ b/crates/hs-cell/src/team_steps.rs
@@ -31,6 +31,9 @@
         }
         self.job_classes.configure(&teams, &mut self.team_usage);
         self.team_shares.configure(&teams, &mut self.team_usage);
+        let usage = &self.team_usage;
+        self.surplus_backlogs
+            .retain(|key| usage.name(key).is_some());
         self.classify_restored_jobs();
         self.request_pass();
     }
--- a/crates/hs-cell/src/team_usage.rs
+++ b/crates/hs-cell/src/team_usage.rs
@@ -153,6 +153,11 @@
         self.accounts.values().any(|a| a.cap != Resources::ZERO)
     }
 
+    /// Returns the key of a team, if it is known.
+    pub(crate) fn key(&self, name: &str) -> Option<TeamKey> {
+        self.keys.get(name).copied()
+    }
+
     pub(crate) fn name(&self, key: TeamKey) -> Option<&Arc<str>> {
         self.accounts.get(key).map(|account| &account.name)
     }
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the cell against a simulated environment with an oracle, and of its scheduling policies.
 
+mod admission;
 mod advice_queue;
 mod advice_window;
 mod advised_load;
