feat(control): ask the owner before jobs of congested teams are stored

Cause: a lasting surge of one team was stored as a whole.

For these alone a process asks the owner with the new call Admit before it stores a job.

--- a/crates/hs-control/src/election/follow.rs
+++ b/crates/hs-control/src/election/follow.rs
@@ -60,6 +60,9 @@
                 }
                 Ok(reply) => {
                     self.cell_facts.update(&reply);
+                    let congested = reply.congested_teams.iter();
+                    let congested = congested.map(|name| name.as_str().into());
+                    self.context.congested_teams.set(congested);
                     heartbeat_interval =
                         Duration::from_millis(reply.next_beat_ms).min(MAX_HEARTBEAT_INTERVAL);
                     if Duration::from_millis(reply.proof_age_ms) <= FRESH_CONFIRMATION_AGE {
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod message;
 
 mod access;
+mod admission;
 mod advice_dispatcher;
 mod cell_facts;
 mod claim;
@@ -22,6 +23,7 @@
 mod config;
 mod config_state;
 mod confirmation;
+mod congestion;
 mod contact_permits;
 mod control;
 mod election;
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -316,6 +316,8 @@
         }
         self.end_waiters.remove_closed();
         self.status.set_workers(self.links.len());
+        let congested = self.cell.congested_teams(now);
+        self.status.congested_teams.set(congested);
         self.status.members().remove_unreachable(now);
         self.update_advice_callers();
     }
--- a/crates/hs-control/src/owner/requests.rs
+++ b/crates/hs-control/src/owner/requests.rs
@@ -65,6 +65,10 @@
                 let count = self.cell.pending_jobs(&queue);
                 let _ = reply.send(u64::try_from(count).unwrap_or(u64::MAX));
             }
+            OwnerRequest::Admit(id, spec, reply) => {
+                let (now, now_ms) = (self.platform.now(), self.platform.unix_ms());
+                let _ = reply.send(self.cell.admit(id, &spec, now, now_ms));
+            }
             OwnerRequest::Release(reply) => self.release = Some(reply),
         }
     }
--- a/crates/hs-control/src/owner_status.rs
+++ b/crates/hs-control/src/owner_status.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 
 use crate::claim::ClaimConfirmation;
+use crate::congestion::CongestedTeams;
 use crate::members::{Heartbeat, MemberTable};
 use crate::rank::VmRank;
 use crate::traffic::TrafficMeter;
@@ -22,6 +23,8 @@
     members: Arc<Mutex<MemberTable>>,
     /// Number of workers; 0 while the state is being loaded.
     workers: Arc<AtomicU32>,
+    /// Teams for whose jobs the processes ask before they store them.
+    pub congested_teams: CongestedTeams,
     /// Bytes that the owner sends and receives.
     pub traffic: TrafficMeter,
 }
@@ -47,6 +50,7 @@
             confirmation,
             members: Arc::default(),
             workers: Arc::default(),
+            congested_teams: CongestedTeams::default(),
             traffic: TrafficMeter::default(),
         }
     }
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -14,6 +14,7 @@
 use crate::config;
 use crate::config_state::{ConfigState, KeyOptions};
 use crate::confirmation;
+use crate::congestion::CongestedTeams;
 use crate::control::Control;
 use crate::election::Election;
 use crate::intake::IntakeHandle;
@@ -97,6 +98,7 @@
         store_health: store_health.clone(),
         metrics,
         owner_last_seen,
+        congested_teams: CongestedTeams::default(),
     };
     let control = Control {
         platform: platform.clone(),
--- a/crates/hs-control/src/server.rs
+++ b/crates/hs-control/src/server.rs
@@ -7,6 +7,7 @@
 use prost::Message;
 use tonic::{Request, Response, Status};
 
+use crate::admission::verdict_to_wire;
 use crate::advice_dispatcher::parse_step;
 use crate::control::{Control, phase_from_state};
 use crate::intake::IntakeResult;
@@ -14,8 +15,9 @@
 use crate::members::{Candidate, Heartbeat};
 use crate::message::cell_server::Cell;
 use crate::message::{
-    AcceptReply, AcceptRequest, AcceptResult, AdviseReply, AdviseRequest, AllowedWorker, BeatReply,
-    BeatRequest, OfferReply, OfferRequest, PendingReply, PendingRequest, StateReply, StateRequest,
+    AcceptReply, AcceptRequest, AcceptResult, AdmitReply, AdmitRequest, AdviseReply, AdviseRequest,
+    AllowedWorker, BeatReply, BeatRequest, OfferReply, OfferRequest, PendingReply, PendingRequest,
+    StateReply, StateRequest,
 };
 use crate::notify::Notice;
 use crate::port::Platform;
@@ -79,6 +81,13 @@
             next_beat_ms: u64::try_from(reply.heartbeat_interval.as_millis()).unwrap_or(u64::MAX),
             workers: reply.workers,
             best_rank: reply.best_rank.map_or(0, VmRank::to_wire),
+            congested_teams: owner
+                .status
+                .congested_teams
+                .names()
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
         };
         let bytes = request_bytes + reply.encoded_len();
         owner.status.traffic.record(TrafficKind::Heartbeats, bytes);
@@ -126,6 +135,21 @@
         Ok(Response::new(PendingReply { count }))
     }
 
+    async fn admit(&self, request: Request<AdmitRequest>) -> Result<Response<AdmitReply>, Status> {
+        let owner = self.owner()?;
+        let row = request.into_inner().job;
+        let row = row.ok_or_else(|| Status::invalid_argument("the job is missing"))?;
+        let Some(JobValue::Accepted(spec)) = JobValue::parse(&row.spec) else {
+            return Err(Status::invalid_argument("a spec is unreadable"));
+        };
+        let (id, spec) = (JobId(row.id), Arc::new(spec));
+        let answer = owner.ask(|reply| OwnerRequest::Admit(id, spec, reply));
+        let verdict = answer.await.ok_or_else(not_owner)?;
+        Ok(Response::new(AdmitReply {
+            retry_after_s: verdict_to_wire(verdict),
+        }))
+    }
+
     async fn advise(
         &self,
         request: Request<AdviseRequest>,
--- a/crates/hs-control/src/shared.rs
+++ b/crates/hs-control/src/shared.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{JobId, JobSpec, JobState};
+use hs_cell::{AdmissionVerdict, JobId, JobSpec, JobState};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
 use crate::config::ClusterConfig;
+use crate::congestion::CongestedTeams;
 use crate::metrics::ControlMetrics;
 use crate::owner_status::OwnerStatus;
 use crate::peers::PeerPool;
@@ -43,6 +44,8 @@
     /// Sends the final state of a job once it has ended.
     AwaitEnd(JobId, oneshot::Sender<JobState>),
     Pending(String, oneshot::Sender<u64>),
+    /// Decides whether a job may be stored.
+    Admit(JobId, Arc<JobSpec>, oneshot::Sender<AdmissionVerdict>),
     /// Releases the cell because the process shuts down.
     Release(oneshot::Sender<()>),
 }
@@ -87,6 +90,8 @@
     pub metrics: ControlMetrics,
     /// When the owner, which may be this process, was last known to have a recently confirmed claim.
     pub owner_last_seen: watch::Receiver<Option<Instant>>,
+    /// Congested teams, as the owner has named them in its last reply to a heartbeat.
+    pub congested_teams: CongestedTeams,
 }
 
 /// Time since the owner was last seen with a recently confirmed claim during which it counts as
--- a/crates/hs-control/src/takeover.rs
+++ b/crates/hs-control/src/takeover.rs
@@ -126,7 +126,10 @@
                 OwnerRequest::Release(_) => return Err(OwnerEnd::Released),
                 // The state is not loaded yet. A dropped reply makes callers read job states from the
                 // store.
-                OwnerRequest::State(..) | OwnerRequest::AwaitEnd(..) | OwnerRequest::Pending(..) => {}
+                OwnerRequest::State(..)
+                | OwnerRequest::AwaitEnd(..)
+                | OwnerRequest::Pending(..)
+                | OwnerRequest::Admit(..) => {}
             },
         }
     }
--- a/crates/hs-control/tests/simulation/main.rs
+++ b/crates/hs-control/tests/simulation/main.rs
@@ -3,6 +3,7 @@
 //!
 //! A case that fails prints its cluster, which has the seed.
 
+mod admission;
 mod advice;
 mod calm;
 mod cancellations;
--- a/crates/hs-control/tests/simulation/registry.rs
+++ b/crates/hs-control/tests/simulation/registry.rs
@@ -5,7 +5,7 @@
 
 use hs_cell::{AdviceSpec, QueueSpec, WorkerEntry};
 use hs_control::port::{ConfigReply, RegisteredWorker, WorkerChange, WorkerChanges};
-use hs_control::{ClusterConfig, QueueRoute, RequestLimits};
+use hs_control::{ClusterConfig, QueueRoute, RequestLimits, TeamConfig};
 use hs_wire::Resources;
 
 use crate::world::{Reply, World};
@@ -99,8 +99,8 @@
     }
 }
 
-/// Returns the configuration of all simulations.
-fn configuration() -> Arc<ClusterConfig> {
+/// Returns the configuration of a simulation with these teams.
+fn configuration(teams: Vec<TeamConfig>) -> Arc<ClusterConfig> {
     let advice = AdviceSpec {
         base_cost: Duration::from_millis(8),
         cost_per_worker: Duration::from_micros(400),
@@ -116,7 +116,7 @@
     Arc::new(ClusterConfig {
         version: 1,
         routes: routes.into(),
-        teams: Vec::new(),
+        teams,
         limits: RequestLimits {
             max_body_bytes: 100_000,
             ..RequestLimits::default()
@@ -128,7 +128,7 @@
     /// Processes a request for the configuration, which never changes.
     pub fn config(&mut self, known: Option<(u64, u64)>, wait: Duration, reply: Reply<ConfigReply>) {
         if known.is_none() {
-            let newest = ConfigReply::Newest(configuration(), CONFIG_REVISION);
+            let newest = ConfigReply::Newest(configuration(self.teams.clone()), CONFIG_REVISION);
             return self.reply(reply, Ok(newest));
         }
         let end = self.now + wait;
--- a/crates/hs-control/tests/simulation/simulation.rs
+++ b/crates/hs-control/tests/simulation/simulation.rs
@@ -3,10 +3,10 @@
 //! All processes run on one thread, in turn. A process that has used more processor time than has passed is
 //! left out until the time of the simulation has caught up with it.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use hs_cell::JobId;
+use hs_cell::{AdmissionVerdict, JobId, JobSpec};
 
 use crate::load::{JobLoad, job_id, job_spec};
 use crate::observer::{JOB_PREFIX, JobPlan, Observer};
@@ -49,6 +49,8 @@
     next_process: usize,
     /// Input of the jobs from now on.
     pub input: Arc<str>,
+    /// Team of the jobs from now on.
+    pub team: Option<Arc<str>>,
 }
 
 impl Simulation {
@@ -78,6 +80,7 @@
             job_count: 0,
             next_process: 0,
             input: "input".into(),
+            team: None,
         }
     }
 
@@ -141,7 +144,7 @@
     /// Submits a job to a process. Returns its ID.
     pub fn submit_to(&mut self, process: usize, plan: JobPlan) -> JobId {
         let id = self.plan_job(plan);
-        let spec = job_spec(plan, &self.input, self.now);
+        let spec = self.spec_of_next(plan);
         let world = self.world.clone();
         self.processes[process].spawn(|control| async move {
             let reply = control.submit(id, spec, SUBMIT_TIMEOUT).await;
@@ -150,6 +153,31 @@
         id
     }
 
+    fn spec_of_next(&self, plan: JobPlan) -> JobSpec {
+        JobSpec {
+            team: self.team.clone(),
+            ..job_spec(plan, &self.input, self.now)
+        }
+    }
+
+    /// Asks a process whether a new job may be stored. Returns the place of the answer.
+    pub fn ask_admission(
+        &mut self,
+        process: usize,
+        plan: JobPlan,
+    ) -> Arc<OnceLock<AdmissionVerdict>> {
+        let id = self.plan_job(plan);
+        let spec = self.spec_of_next(plan);
+        let answer = Arc::<OnceLock<AdmissionVerdict>>::default();
+        let place = answer.clone();
+        self.processes[process].spawn(|control| async move {
+            let verdict = control.admit(id, &spec).await;
+            let is_first = place.set(verdict).is_ok();
+            assert!(is_first, "one answer");
+        });
+        answer
+    }
+
     /// Cancels a job at a process.
     pub fn cancel_at(&self, process: usize, id: JobId) {
         let world = self.world.clone();
--- a/crates/hs-control/tests/simulation/world.rs
+++ b/crates/hs-control/tests/simulation/world.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use hs_control::TeamConfig;
 use hs_control::port::PortError;
 use tokio::sync::oneshot;
 
@@ -35,6 +36,8 @@
     pub now: Duration,
     pub store: SimStore,
     pub registry: SimRegistry,
+    /// Teams of the configuration.
+    pub teams: Vec<TeamConfig>,
     pub advice: SimAdvice,
     pub workers: Vec<SimWorker>,
     /// Whether workers carry out late calls that an earlier incarnation would have refused.
@@ -60,6 +63,7 @@
             now: Duration::ZERO,
             store: SimStore::default(),
             registry: SimRegistry::default(),
+            teams: Vec::new(),
             advice: SimAdvice::default(),
             workers: Vec::new(),
             carries_out_obsolete_calls: false,
