fix(cell): count the longest lease of workers that a new owner does not find

A new owner restored workers that only the records name with the end of the leases that earlier owners had asked for. If such a worker had started again lately, a call to its earlier incarnation may have brought about the longest lease that it grants, and its tasks were started a second time while the first runs went on. The fuzz found it ("runs on 2 workers").

Ruled out by the trace: a lease that no worker grants (10.2 s is the longest one on a clock that is 2 % slow), and the takeover lease of the simulated world (9 s; the 9.725 s of the product are too short too).

CellOptions::earlier_lease_end now decides for listed and unlisted workers. The age of an unlisted one counts as unknown: runs that a later incarnation inherits are not recorded again, so the start time in a record may be that of the earlier one.

The new case of runs_under_a_stale_lease_end_before_they_start_elsewhere and the sequence of the fuzz fail without the change and pass with it. All tests of hs-cell (103) and hs-control (57) pass.

--- a/crates/hs-cell/src/options.rs
+++ b/crates/hs-cell/src/options.rs
@@ -2,7 +2,7 @@
 //!
 //! A stale call is one that was meant for an earlier incarnation of a worker and reaches the next one.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hs_evidence::LearningOptions;
 
@@ -65,6 +65,23 @@
     pub fn settled_age(&self) -> Duration {
         self.max_late_lease() + MAX_CLOCK_ERROR
     }
+
+    /// Returns the time at which the runs have ended that earlier owners may have started on a worker. No lease that
+    /// they have asked for ends after `asked_end`.
+    ///
+    /// Unless the worker has been running for long, a stale call may have granted its longest lease. The age of a
+    /// worker that the registry does not list is not known, since it may be a later incarnation than the recorded one.
+    pub fn earlier_lease_end(
+        &self,
+        asked_end: Instant,
+        ownership_start: Instant,
+        age: Option<Duration>,
+    ) -> Instant {
+        match age.is_some_and(|age| age >= self.settled_age()) {
+            true => asked_end,
+            false => asked_end.max(ownership_start + self.max_stale_lease()),
+        }
+    }
 }
 
 /// Returns the maximum time, on the owner's clock, after which the runs under a lease have ended.
--- a/crates/hs-cell/tests/cell/incarnations.rs
+++ b/crates/hs-cell/tests/cell/incarnations.rs
@@ -39,15 +39,24 @@
     struct Case {
         name: &'static str,
         is_owner_replaced: bool,
+        /// Whether the registry no longer lists the worker when a further owner takes over.
+        is_unlisted: bool,
     }
     let cases = [
         Case {
             name: "the owner has known the earlier incarnation",
             is_owner_replaced: false,
+            is_unlisted: false,
         },
         Case {
             name: "a new owner finds the later incarnation",
             is_owner_replaced: true,
+            is_unlisted: false,
+        },
+        Case {
+            name: "a new owner knows the later incarnation only from the record",
+            is_owner_replaced: false,
+            is_unlisted: true,
         },
     ];
     for case in cases {
@@ -66,6 +75,10 @@
         world.fault_free_round(ROUND_TIME);
         let (worker, _) = world.placed(id(1))[0];
         world.workers[worker].reachable = false;
+        if case.is_unlisted {
+            world.unlist(worker);
+            world.take_over();
+        }
         // The oracle checks each start.
         for _ in 0..2 * LEASE_EXPIRY_ROUNDS {
             world.fault_free_round(ROUND_TIME);
--- a/crates/hs-cell/tests/cell/world/store.rs
+++ b/crates/hs-cell/tests/cell/world/store.rs
@@ -53,7 +53,9 @@
             self.cell.configure_teams(self.teams.specs());
             self.cell.configure(self.queues.clone());
         }
-        let lease_end = self.now + TAKEOVER_LEASE;
+        let now = self.now;
+        let options = CellOptions::default();
+        let earlier_lease_end = |age| options.earlier_lease_end(now + TAKEOVER_LEASE, now, age);
         for number in 0..self.workers.len() {
             self.keys[number] = None;
             self.workers[number].has_answered = false;
@@ -61,15 +63,10 @@
             self.last_renewal_answered[number] = false;
             self.requested_lease_ends[number] = None;
             if self.workers[number].up && self.workers[number].listed {
-                let options = CellOptions::default();
-                let is_settled = self.age(number) >= options.settled_age();
-                let stale_lease_end = match is_settled {
-                    true => lease_end,
-                    false => self.now + options.max_stale_lease(),
-                };
-                self.register(number, lease_end.max(stale_lease_end));
+                self.register(number, earlier_lease_end(Some(self.age(number))));
             }
         }
+        let lease_end = earlier_lease_end(None);
         let store = self.store.clone();
         let now_ms = self.unix_ms();
         let (log, mut states) = RecordLog::restore(store.records);
--- a/crates/hs-control/src/owner/links.rs
+++ b/crates/hs-control/src/owner/links.rs
@@ -1,9 +1,9 @@
 //! The workers of the cell: their restoration at a takeover, their links, and what the links report.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use hs_cell::{WorkerEntry, WorkerKey};
+use hs_cell::WorkerKey;
 use hs_event::EventCode;
 
 use super::{OwnerEnd, OwnerTask};
@@ -24,9 +24,10 @@
             portions.item_done().await;
         }
         let revision = state.cell.intake_revision;
+        let unlisted_lease_end = self.earlier_lease_end(None);
         let restored = state
             .cell
-            .restore(&mut self.cell, &self.platform, self.earlier_leases_end);
+            .restore(&mut self.cell, &self.platform, unlisted_lease_end);
         self.planner.log = restored.await;
         for key in self.cell.contact_order() {
             if let Some(endpoint) = endpoints.remove(&key) {
@@ -58,23 +59,18 @@
             started_ms: worker.entry.started_ms,
         };
         let now = self.platform.now();
-        let lease_end = self.earlier_lease_end(&worker.entry).max(now);
+        let age = worker.entry.age(self.platform.unix_ms());
+        let lease_end = self.earlier_lease_end(Some(age)).max(now);
         let key = self.cell.worker_listed(worker.entry, lease_end, now);
         (key, endpoint)
     }
 
-    /// Returns the time at which the runs have ended that an earlier owner may have started on a worker.
-    ///
-    /// If the worker has started again lately, its lease may come from a call to an earlier incarnation, and is then
-    /// the longest that it grants.
-    fn earlier_lease_end(&self, entry: &WorkerEntry) -> Instant {
-        match entry.age(self.platform.unix_ms()) < self.options.settled_age() {
-            true => {
-                let stale_lease_end = self.ownership_start.at + self.options.max_stale_lease();
-                stale_lease_end.max(self.earlier_leases_end)
-            }
-            false => self.earlier_leases_end,
-        }
+    /// Returns the time at which the runs have ended that an earlier owner may have started on a worker, whose age is
+    /// known if the registry lists it.
+    fn earlier_lease_end(&self, age: Option<Duration>) -> Instant {
+        let ownership_start = self.ownership_start.at;
+        self.options
+            .earlier_lease_end(self.earlier_leases_end, ownership_start, age)
     }
 
     fn link_worker(&mut self, key: WorkerKey, endpoint: WorkerEndpoint) {
