fix(cell): count failures that are reported after those of later runs

Failures are counted once by their run number, since an end may be reported again after a takeover, but only the highest number was kept. A run that failed on a worker which stayed cut off for longer than its lease was therefore not counted if the next run had failed before the worker was back: its end was acknowledged, and the task started once more than its queue allows. The fuzz found it (deadly_tasks_fail_no_other_jobs, "starts after 2 failures"); deadly tasks have no part in it.

Ruled out by the trace: an order of ends that no worker has (the order between two workers is free), and an end that was acknowledged unread.

A task and its record now keep the numbers of all failed runs that are counted ("e" in the record, absent up to one failure; long-running tasks have no limit and no list). With records of earlier versions, earlier runs count as known. A task that is done no longer counts as exhausted: a late failure of one of its earlier runs ended its job as failed.

--- a/crates/hs-cell/src/attempts.rs
+++ b/crates/hs-cell/src/attempts.rs
@@ -8,7 +8,7 @@
 
 use crate::cell::Cell;
 use crate::crash_history::CrashHistory;
-use crate::job::Job;
+use crate::job::{Job, Task, TaskState};
 use crate::job_record::JobOutcome;
 use crate::queue_spec::QueueSpec;
 use crate::{JobId, TaskRun, WorkerKey};
@@ -20,7 +20,9 @@
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return false;
         };
-        let is_gang = job.step_spec(id).is_some_and(|spec| spec.gang);
+        let spec = job.step_spec(id);
+        let is_gang = spec.is_some_and(|spec| spec.gang);
+        let is_limited = spec.is_some_and(|spec| !spec.long_running);
         let Some(step) = job.step_mut(id) else {
             return false;
         };
@@ -35,10 +37,7 @@
         };
         // The members of a gang fail together, and an end may be reported again after a takeover.
         for task in &mut step.tasks[members] {
-            if run.run > task.last_failed_run {
-                task.last_failed_run = run.run;
-                task.failures += 1;
-            }
+            task.count_failed_run(run.run, is_limited);
         }
         !self.fail_if_exhausted(id.job)
     }
@@ -77,6 +76,34 @@
     }
 }
 
+impl Task {
+    /// Counts a failed run, unless it was counted before.
+    ///
+    /// Failures may be reported in any order: the end of a run on a worker that was unreachable is reported after
+    /// those of later runs. Without a limit of failures, the earlier ones are not counted.
+    fn count_failed_run(&mut self, run: u32, is_limited: bool) {
+        if run > self.last_failed_run {
+            if is_limited && self.last_failed_run > 0 {
+                self.earlier_failed_runs.push(self.last_failed_run);
+            }
+            self.last_failed_run = run;
+            self.failures += 1;
+        } else if is_limited && self.is_uncounted(run) {
+            self.earlier_failed_runs.push(run);
+            self.failures += 1;
+        }
+    }
+
+    /// Returns whether an earlier run than the last failed one is known not to have been counted. Records of earlier
+    /// versions don't tell.
+    fn is_uncounted(&self, run: u32) -> bool {
+        let known = self.earlier_failed_runs.len() + 1;
+        run < self.last_failed_run
+            && usize::try_from(self.failures).is_ok_and(|failures| known >= failures)
+            && !self.earlier_failed_runs.contains(&run)
+    }
+}
+
 /// Returns whether too many workers have crashed under a task of a job. Long-running tasks have this limit too:
 /// unlike their failures, such crashes end the runs of others.
 fn has_given_up_task(job: &Job) -> bool {
@@ -89,7 +116,7 @@
 }
 
 /// Returns whether a task of an unfinished job has failed as often as its queue allows. Long-running tasks
-/// have no limit.
+/// have no limit, and a task that is done needs no further attempt.
 fn has_exhausted_task(job: &Job, queue: &QueueSpec) -> bool {
     let Some(spec) = job.spec.as_ref().filter(|_| job.outcome.is_none()) else {
         return false;
@@ -99,6 +126,8 @@
     let mut steps = occurrences.flat_map(|occurrence| spec.steps.iter().zip(&occurrence.steps));
     steps.any(|(spec, step)| {
         let mut tasks = step.tasks.iter();
-        !spec.long_running && tasks.any(|task| task.failures >= max_attempts)
+        let is_exhausted =
+            |task: &Task| task.state != TaskState::Done && task.failures >= max_attempts;
+        !spec.long_running && tasks.any(is_exhausted)
     })
 }
--- a/crates/hs-cell/src/job.rs
+++ b/crates/hs-cell/src/job.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use hs_share::JobClass;
+use smallvec::SmallVec;
 
 use crate::advice::StepAdvice;
 use crate::crash_history::CrashHistory;
@@ -72,6 +73,8 @@
     pub failures: u32,
     /// Number of the last failed run that `failures` includes.
     pub last_failed_run: u32,
+    /// Numbers of the other failed runs that `failures` includes, unless the task has no limit of failures.
+    pub earlier_failed_runs: SmallVec<[u32; 2]>,
     /// Checkpoint from which the next run resumes.
     pub checkpoint: Option<Arc<str>>,
     /// Worker on which a run last failed. Other candidates come first, except that one rack may be preferred.
--- a/crates/hs-cell/src/job_record.rs
+++ b/crates/hs-cell/src/job_record.rs
@@ -75,6 +75,9 @@
     /// workers may report the end again after a takeover.
     #[serde(default, rename = "l", skip_serializing_if = "is_zero")]
     pub last_failed_run: u32,
+    /// Numbers of the other failed runs that `failures` includes. Records of earlier versions lack them.
+    #[serde(default, rename = "e", skip_serializing_if = "Vec::is_empty")]
+    pub earlier_failed_runs: Vec<u32>,
     /// Last checkpoint; empty if there is none.
     #[serde(default, rename = "c", skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -63,6 +63,7 @@
                 run: task.run,
                 failures: task.failures,
                 last_failed_run: task.last_failed_run,
+                earlier_failed_runs: task.earlier_failed_runs.to_vec(),
                 checkpoint: task.checkpoint.as_deref().unwrap_or_default().to_owned(),
                 crashes: task.crash_record(workers),
             });
@@ -220,6 +221,7 @@
     task.run = record.run;
     task.failures = record.failures;
     task.last_failed_run = record.last_failed_run;
+    task.earlier_failed_runs = record.earlier_failed_runs.as_slice().into();
     task.checkpoint = match record.checkpoint.as_str() {
         "" => None,
         checkpoint => Some(checkpoint.into()),
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -19,6 +19,7 @@
 mod job_classes;
 mod job_counts;
 mod late_crashes;
+mod late_failures;
 mod odd_reports;
 mod owner_processor;
 mod pass_turns;
--- a/crates/hs-control/tests/links/process.rs
+++ b/crates/hs-control/tests/links/process.rs
@@ -68,6 +68,7 @@
                 run: 1,
                 failures: 0,
                 last_failed_run: 0,
+                earlier_failed_runs: Vec::new(),
                 checkpoint: String::new(),
                 crashes: None,
             }],
