feat(control): limits of the listener for other processes

The listener accepted any number of connections, and a message took memory until its end.

A connection has at most 1,024 concurrent calls, and a head 4 KiB. A process ends an offer at 1 MiB of jobs: 32 jobs of 256 KiB exceeded the 4 MiB of a message. That bound has no test of its own.

--- a/crates/hs-control/src/notify.rs
+++ b/crates/hs-control/src/notify.rs
@@ -17,6 +17,10 @@
 /// Maximum number of notices in one call.
 const MAX_BATCH_NOTICES: usize = 32;
 
+/// Bytes of the jobs in one call from which no further ones are added. Jobs have up to 256 KiB, and 32 of that size
+/// would exceed the 4 MiB that a message may have.
+const MAX_BATCH_BYTES: usize = 1 << 20;
+
 /// Timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -35,6 +39,15 @@
     Cancel(JobId),
 }
 
+impl Notice {
+    fn job_bytes(&self) -> usize {
+        match self {
+            Self::Job(_, _, spec) => spec.len(),
+            Self::Cancel(_) => 0,
+        }
+    }
+}
+
 /// Handle of the task that notifies the owner.
 #[derive(Clone, Debug)]
 pub(crate) struct NotifyHandle {
@@ -61,10 +74,13 @@
 
 async fn run(context: NodeContext, mut receiver: mpsc::Receiver<Notice>) {
     while let Some(notice) = receiver.recv().await {
+        let mut batch_bytes = notice.job_bytes();
         let mut batch = vec![notice];
         while batch.len() < MAX_BATCH_NOTICES
+            && batch_bytes < MAX_BATCH_BYTES
             && let Ok(notice) = receiver.try_recv()
         {
+            batch_bytes += notice.job_bytes();
             batch.push(notice);
         }
         for _ in 0..MAX_ATTEMPTS {
--- a/crates/hs-control/src/peer_listener.rs
+++ b/crates/hs-control/src/peer_listener.rs
@@ -3,17 +3,27 @@
 //! The process serves one gRPC service, so its connections hand requests to it without a router and its
 //! layers, which take about a tenth of the processor time of a call.
 
+use std::convert::Infallible;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hs_event::EventCode;
+use hs_http::ArrivalBudget;
+use hs_timer::timeout;
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
 use tokio::time::sleep;
+use tonic::Status;
+use tonic::codegen::Service;
 
 use crate::control::Control;
 use crate::message::cell_server::CellServer;
+use crate::peer_connections::{PeerConnection, PeerConnections};
 use crate::port::{ListenerPort, NetworkPort, Platform};
 use crate::server::PeerServer;
 
@@ -21,20 +31,56 @@
 /// fail again at once for as long as the cause lasts.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-type PeerService<P> = TowerToHyperService<CellServer<PeerServer<P>>>;
+/// Maximum number of concurrent calls of a connection. A process has a call for each client that waits for a state, and
+/// further calls of a peer wait for a free one, heartbeats included.
+const MAX_STREAMS: u32 = 1024;
+
+/// Maximum size of the head of a call. Those of peers have about 300 bytes.
+const MAX_HEAD_BYTES: u32 = 4 << 10;
+
+/// Bytes that a call takes beside its message: its head and the state of its stream.
+const STREAM_BYTES: usize = 4 << 10;
+
+/// Maximum size of a message with its prefix: the default of `tonic`, which the offers of earlier versions stay under.
+const MAX_BODY_BYTES: usize = (4 << 20) + 5;
+
+/// Maximum time for a message to arrive. Peers give up after 3 s at most.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What the listener for other processes may use. The default has no limits.
+#[derive(Clone, Debug, Default)]
+pub struct PeerLimits {
+    /// Maximum number of connections.
+    pub connections: Option<usize>,
+    /// Budget of connections, and of messages that have arrived and are not handled yet.
+    pub budget: ArrivalBudget,
+}
 
 /// Accepts and serves connections.
 pub(crate) async fn serve<P: Platform>(
     control: Control<P>,
     mut listener: <P as NetworkPort>::Listener,
+    limits: PeerLimits,
 ) {
-    let service = TowerToHyperService::new(CellServer::new(PeerServer { control }));
+    let connections = PeerConnections::new(limits.connections.unwrap_or(usize::MAX));
+    let exchange = PeerExchange {
+        service: CellServer::new(PeerServer {
+            control: control.clone(),
+        }),
+        control,
+        budget: limits.budget,
+    };
     let mut is_failing = false;
     loop {
         match listener.accept().await {
             Ok(stream) => {
                 is_failing = false;
-                tokio::spawn(serve_connection(stream, service.clone()));
+                let (connection, closed) = connections.add().await;
+                if closed > 0 {
+                    let metrics = &exchange.control.context.metrics;
+                    metrics.record_turned_away("peer_connections", closed);
+                }
+                tokio::spawn(serve_connection(stream, exchange.clone(), connection));
             }
             Err(error) if concerns_one_connection(&error) => {
                 log::debug!("failed to accept a connection: {error}");
@@ -65,19 +111,69 @@
 
 async fn serve_connection<P: Platform>(
     stream: <P as NetworkPort>::Stream,
-    service: PeerService<P>,
+    exchange: PeerExchange<P>,
+    connection: PeerConnection,
 ) {
+    let _lease = exchange.budget.connection_lease();
+    let connection = Arc::new(connection);
+    let called = connection.clone();
+    let service = service_fn(move |request| {
+        let (exchange, connection) = (exchange.clone(), called.clone());
+        async move { Ok::<_, Infallible>(exchange.reply(request, &connection).await) }
+    });
     let mut builder = http2::Builder::new(TokioExecutor::new());
     // All calls of a process use one connection.
     builder
         .timer(TokioTimer::new())
         // Peers don't read it, and the time of day would change the size of replies.
         .auto_date_header(false)
-        .max_concurrent_streams(None);
-    if let Err(error) = builder
-        .serve_connection(TokioIo::new(stream), service)
-        .await
-    {
-        log::debug!("connection of a peer ended: {error}");
+        .max_header_list_size(MAX_HEAD_BYTES)
+        .max_concurrent_streams(MAX_STREAMS);
+    let served = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        result = served => if let Err(error) = result {
+            log::debug!("connection of a peer ended: {error}");
+        },
+        () = connection.closed() => log::debug!("connection of a peer closed for others"),
+    }
+}
+
+/// What a connection needs for its requests.
+#[derive(Clone)]
+struct PeerExchange<P> {
+    control: Control<P>,
+    service: CellServer<PeerServer<P>>,
+    budget: ArrivalBudget,
+}
+
+impl<P: Platform> PeerExchange<P> {
+    /// Reads the message of a request and handles it. All calls have one message, which counts until it is handled.
+    async fn reply(
+        &self,
+        request: Request<Incoming>,
+        connection: &PeerConnection,
+    ) -> Response<tonic::body::Body> {
+        let (parts, mut body) = request.into_parts();
+        let read = self
+            .budget
+            .read_body(&mut body, MAX_BODY_BYTES, STREAM_BYTES);
+        let message = match timeout(MESSAGE_TIMEOUT, read).await {
+            Ok(Ok(message)) => message,
+            Ok(Err(error)) => return self.refuse(&error.to_string()),
+            Err(_) => return self.refuse("the message did not arrive in time"),
+        };
+        connection.record_request(self.control.platform.now());
+        let request = Request::from_parts(parts, Full::new(message.bytes.clone()));
+        let Ok(response) = self.service.clone().call(request).await;
+        response
+    }
+
+    fn refuse(&self, cause: &str) -> Response<tonic::body::Body> {
+        log::debug!("message of a peer refused: {cause}");
+        self.control
+            .context
+            .metrics
+            .record_turned_away("peer_message", 1);
+        Status::resource_exhausted(cause).into_http()
     }
 }
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -21,7 +21,7 @@
 use crate::keys;
 use crate::metrics::ControlMetrics;
 use crate::notify::NotifyHandle;
-use crate::peer_listener;
+use crate::peer_listener::{self, PeerLimits};
 use crate::peers::PeerPool;
 use crate::port::Platform;
 use crate::rank::VmLimits;
@@ -50,6 +50,8 @@
     pub cell: CellOptions,
     /// Resources of the VM, by which processes on better VMs take the cell over first.
     pub limits: VmLimits,
+    /// What the listener for other processes may use.
+    pub peer_limits: PeerLimits,
     /// Settings of the checks of keys.
     pub keys: KeyOptions,
 }
@@ -149,7 +151,11 @@
             stop.clone(),
         )
     }));
-    tokio::spawn(peer_listener::serve(control.clone(), listener));
+    tokio::spawn(peer_listener::serve(
+        control.clone(),
+        listener,
+        options.peer_limits,
+    ));
     Ok(control)
 }
 
--- a/crates/hs-control/tests/links/process.rs
+++ b/crates/hs-control/tests/links/process.rs
@@ -6,7 +6,7 @@
     CellOptions, JobId, JobRecord, JobSpec, StampedRecord, StepRecord, StepSpec, TaskPlace,
     TaskRecord, WorkerIncarnation,
 };
-use hs_control::{Control, ControlMetrics, ControlOptions, KeyOptions, VmLimits, run};
+use hs_control::{Control, ControlMetrics, ControlOptions, KeyOptions, PeerLimits, VmLimits, run};
 use hs_metrics::MetricRegistry;
 use hs_wire::Resources;
 use tokio::sync::watch;
@@ -35,6 +35,7 @@
             peer_listen: "127.0.0.1:0".parse().expect("address"),
             cell: CellOptions::default(),
             limits: VmLimits::default(),
+            peer_limits: PeerLimits::default(),
             keys,
         };
         let metrics = ControlMetrics::new(MetricRegistry::new().expect("registry"));
--- a/crates/hs-control/tests/simulation/process.rs
+++ b/crates/hs-control/tests/simulation/process.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use hs_cell::CellOptions;
-use hs_control::{Control, ControlMetrics, ControlOptions, KeyOptions, VmLimits};
+use hs_control::{Control, ControlMetrics, ControlOptions, KeyOptions, PeerLimits, VmLimits};
 use hs_metrics::MetricRegistry;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
@@ -102,6 +102,7 @@
             peer_listen: Self::address(number),
             cell: CellOptions::default(),
             limits: self.limits,
+            peer_limits: PeerLimits::default(),
             keys: KeyOptions::default(),
         };
         let registry = MetricRegistry::new().expect("a registry starts");
--- a/crates/hs-http/src/arrival_budget.rs
+++ b/crates/hs-http/src/arrival_budget.rs
@@ -5,9 +5,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use bytes::Bytes;
+use hyper::body::Body;
 use tokio::sync::Notify;
 
 use crate::byte_budget::{ByteBudget, Grant, HolderId, HolderKind};
+use crate::read_body::{ReadError, read_body};
 
 /// Bytes that an open connection takes beside bodies: the buffers of `hyper`, 16 KiB for reading and 8 KiB for writing,
 /// and the state of its task.
@@ -82,8 +85,31 @@
         ByteLease { lease }
     }
 
+    /// Reads a body of at most `max_bytes` to its end. Its request counts `overhead_bytes` beside it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError`] if the body is too large, ends early or has to make room.
+    pub async fn read_body<B>(
+        &self,
+        body: &mut B,
+        max_bytes: usize,
+        overhead_bytes: usize,
+    ) -> Result<ArrivedBody, ReadError>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+    {
+        let lease = self.lease(HolderKind::Request);
+        lease.take(overhead_bytes).await?;
+        let bytes = read_body(body, max_bytes, &lease).await?;
+        Ok(ArrivedBody {
+            bytes,
+            _lease: lease,
+        })
+    }
+
     /// Adds an open connection.
-    pub(crate) fn connection_lease(&self) -> ConnectionLease {
+    pub fn connection_lease(&self) -> ConnectionLease {
         if let Some(shared) = &self.shared {
             let mut state = shared.lock();
             let victims = state
@@ -97,9 +123,17 @@
     }
 }
 
+/// A body that has been read, which counts until this is dropped.
+#[derive(Debug)]
+pub struct ArrivedBody {
+    /// Bytes of the body.
+    pub bytes: Bytes,
+    _lease: ByteLease,
+}
+
 /// The bytes of an open connection, which are released when this is dropped.
 #[derive(Debug)]
-pub(crate) struct ConnectionLease {
+pub struct ConnectionLease {
     shared: Option<Arc<SharedBudget>>,
 }
 
--- a/crates/hs-http/src/lib.rs
+++ b/crates/hs-http/src/lib.rs
@@ -17,11 +17,12 @@
 pub mod request;
 pub mod serve;
 
-pub use arrival_budget::ArrivalBudget;
+pub use arrival_budget::{ArrivalBudget, ArrivedBody, ConnectionLease};
 pub use body_error::BodyError;
 pub use call::{CallError, CallReply, HttpClient};
 pub use connection_phase::ConnectionOverflow;
 pub use direct::{DirectClient, RequestHeader};
+pub use read_body::ReadError;
 pub use refusals::{RefusalCounts, TurnedAway};
 pub use request::{HttpReply, HttpRequest, RequestHead};
 pub use serve::{ListenerGuard, ServeLimits, serve, serve_guarded};
--- a/crates/hs-http/src/read_body.rs
+++ b/crates/hs-http/src/read_body.rs
@@ -22,7 +22,7 @@
 
 /// Why a body could not be read.
 #[derive(Debug, Error)]
-pub(crate) enum ReadError {
+pub enum ReadError {
     /// The body has more bytes than allowed, or announces more.
     #[error("the body exceeds {0} bytes")]
     TooLarge(usize),
