feat(cell): decode no more steps than a job may have

A body of 256 KiB holds some 87,000 empty steps, all of which were decoded before the job was refused, and a message of another process sixteen times as many. The decoder now refuses the first step beyond the maximum, with status 400 as before.

--- a/crates/hs-cell/src/job_spec.rs
+++ b/crates/hs-cell/src/job_spec.rs
@@ -8,6 +8,8 @@
 use smallvec::SmallVec;
 use thiserror::Error;
 
+use crate::bounded_steps::bounded_steps;
+
 /// Maximum number of steps of a job.
 pub const MAX_STEPS: usize = 64;
 
@@ -22,6 +24,7 @@
     /// Opaque input that is passed to the workers unchanged.
     pub input: Arc<str>,
     /// Steps, at the indexes that [`StepSpec::after`] refers to.
+    #[serde(deserialize_with = "bounded_steps")]
     pub steps: Vec<StepSpec>,
     /// Recurrence; `None` for a job that runs once, immediately.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -18,6 +18,7 @@
 mod advice_window;
 mod attempts;
 mod batches;
+mod bounded_steps;
 mod capacity;
 mod cell;
 mod census;
@@ -68,6 +69,7 @@
 pub use advice::AdviceReply;
 pub use advice_callers::AdviceCaller;
 pub use advice_queue::{AdvicePart, AdviceQueue};
+pub use bounded_steps::bounded_steps;
 pub use cell::{AddedJob, Cell, JobState};
 pub use census::{AdviceWait, StepWait, WorkerCensus};
 pub use effect::{
