feat(control): limit the cancellations of unknown jobs

Each cancellation of an unknown job is stored with a write and kept for 120 s, by one caller at everyone's cost, and their number had no limit.

A process stores 100 at once and 2 a second, which is a quarter of the writes of the store for 150 processes. Each team has 10 more at once and one in 10 s for itself. Beyond that the reply is 503 with Retry-After, and nothing is stored.

The owner still keeps all that were stored, since a dropped one might let a job run that was answered with 410.

--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -1,6 +1,6 @@
 //! Requests of clients: submissions, cancellations and queries, which any process of the cell serves.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use hs_cell::{JobId, JobOutcome, JobSpec, JobState};
@@ -19,6 +19,7 @@
 use crate::port::{ClockPort, StorePort};
 use crate::recover::JobValue;
 use crate::shared::{NodeContext, OwnerRequest, Ownership};
+use crate::unknown_cancellations::UnknownCancellations;
 
 /// Timeout of a query to the owner, in addition to the wait for the end of a job.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -47,6 +48,8 @@
     Cancelled,
     /// There is no such job. The cancellation is stored, in case that a submission is still on its way.
     NoJob,
+    /// There is no such job, and nothing was stored: too many cancellations of unknown jobs have been.
+    TooMany,
     /// It is not known whether the cancellation was stored.
     Unknown,
 }
@@ -71,6 +74,7 @@
     pub(crate) notify: NotifyHandle,
     pub(crate) ready: watch::Receiver<bool>,
     pub(crate) config_state: ConfigState,
+    pub(crate) unknown_cancellations: Arc<Mutex<UnknownCancellations>>,
 }
 
 impl<P: StorePort + ClockPort> Control<P> {
@@ -147,10 +151,17 @@
     ///
     /// The cancellation of an unknown job is stored too: a submission may still be on its way, in a process that stands
     /// still or in a write without a reply, and then must not cause a run.
-    pub async fn cancel(&self, id: JobId, timeout: Duration) -> CancelReply {
+    /// These are limited in number, by the team of the caller where calls have one.
+    pub async fn cancel(
+        &self,
+        id: JobId,
+        team: Option<&Arc<str>>,
+        timeout: Duration,
+    ) -> CancelReply {
         let reply = match self.state(id, Duration::ZERO).await {
             JobStateReply::State(JobState::Ended(_)) => return CancelReply::Cancelled,
-            JobStateReply::NoJob => CancelReply::NoJob,
+            JobStateReply::NoJob if self.may_store_unknown(team) => CancelReply::NoJob,
+            JobStateReply::NoJob => return CancelReply::TooMany,
             JobStateReply::State(_) | JobStateReply::Unknown => CancelReply::Cancelled,
         };
         match self
@@ -165,6 +176,19 @@
         }
     }
 
+    fn may_store_unknown(&self, team: Option<&Arc<str>>) -> bool {
+        let cancellations = self.unknown_cancellations.lock();
+        let mut cancellations = cancellations.unwrap_or_else(PoisonError::into_inner);
+        let now = self.platform.now();
+        cancellations.remove_full(now);
+        let may_store = cancellations.take(team, now);
+        if !may_store {
+            let metrics = &self.context.metrics;
+            metrics.record_turned_away("unknown_cancellation", 1);
+        }
+        may_store
+    }
+
     /// Writes a row, through the owner if the write of this process is refused or has no reply.
     async fn store_row(
         &self,
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -58,6 +58,7 @@
 mod takeover;
 pub mod tcp_network;
 mod traffic;
+pub mod unknown_cancellations;
 mod work_portions;
 
 pub use access::{Access, AccessRules, CurrentRules};
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -2,7 +2,7 @@
 
 use hs_event::EventCode;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hs_cell::CellOptions;
@@ -29,6 +29,7 @@
 use crate::speed::SpeedMeter;
 use crate::store_health::StoreHealth;
 use crate::supervise::restart_on_panic;
+use crate::unknown_cancellations::UnknownCancellations;
 
 /// Interval at which readiness is evaluated.
 const READINESS_INTERVAL: Duration = Duration::from_millis(150);
@@ -108,6 +109,7 @@
         intake: IntakeHandle::spawn(platform.clone(), store_health.clone()),
         notify: NotifyHandle::spawn(context.clone()),
         config_state: config_state.clone(),
+        unknown_cancellations: Arc::new(Mutex::new(UnknownCancellations::new(platform.now()))),
         ready,
     };
     if let Some(max_age) = options.keys.max_age {
--- a/crates/hs-control/tests/links/main.rs
+++ b/crates/hs-control/tests/links/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the links of an owner to its workers, on a platform in memory.
 
+mod cancellations;
 mod confirmation;
 mod orders;
 mod platform;
--- a/crates/hs-control/tests/simulation/observer.rs
+++ b/crates/hs-control/tests/simulation/observer.rs
@@ -136,11 +136,11 @@
     pub fn cancelled(&mut self, now: Duration, id: JobId, reply: CancelReply) {
         match reply {
             CancelReply::Cancelled => self.definite_answers += 1,
-            CancelReply::NoJob if self.accepted.contains(&id) => {
+            CancelReply::NoJob | CancelReply::TooMany if self.accepted.contains(&id) => {
                 self.violate(format!("a cancellation finds no job {id}"));
             }
             CancelReply::NoJob => {}
-            CancelReply::Unknown => return,
+            CancelReply::Unknown | CancelReply::TooMany => return,
         }
         self.cancelled_at.entry(id).or_insert(now);
     }
--- a/crates/hs-control/tests/simulation/simulation.rs
+++ b/crates/hs-control/tests/simulation/simulation.rs
@@ -182,7 +182,7 @@
     pub fn cancel_at(&self, process: usize, id: JobId) {
         let world = self.world.clone();
         self.processes[process].spawn(|control| async move {
-            let reply = control.cancel(id, SUBMIT_TIMEOUT).await;
+            let reply = control.cancel(id, None, SUBMIT_TIMEOUT).await;
             let mut world = world.lock();
             let now = world.now;
             world.observer.cancelled(now, id, reply);
