--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -5,7 +5,7 @@
 
 use hs_cell::{JobId, JobOutcome, JobSpec, JobState};
 use hs_event::EventCode;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::access::{Access, CurrentRules};
 use crate::config::ClusterConfig;
@@ -30,6 +30,10 @@
 /// Timeout of the write by this process itself, after which it asks the owner to write the row.
 const LOCAL_WRITE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Maximum number of state requests that a process handles at a time. It is above the connections of clients of the
+/// smallest VM, and below the concurrent calls of a connection to the owner, so that heartbeats never wait for them.
+pub(crate) const MAX_STATE_REQUESTS: usize = 768;
+
 /// The result of a submission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SubmitReply {
@@ -74,6 +78,8 @@
     pub(crate) notify: NotifyHandle,
     pub(crate) ready: watch::Receiver<bool>,
     pub(crate) config_state: ConfigState,
+    /// State requests that this process may handle at a time.
+    pub(crate) state_permits: Arc<Semaphore>,
     pub(crate) unknown_cancellations: Arc<Mutex<UnknownCancellations>>,
 }
 
@@ -158,7 +164,7 @@
         team: Option<&Arc<str>>,
         timeout: Duration,
     ) -> CancelReply {
-        let reply = match self.state(id, Duration::ZERO).await {
+        let reply = match self.current_state(id, Duration::ZERO).await {
             JobStateReply::State(JobState::Ended(_)) => return CancelReply::Cancelled,
             JobStateReply::NoJob if self.may_store_unknown(team) => CancelReply::NoJob,
             JobStateReply::NoJob => return CancelReply::TooMany,
@@ -268,7 +274,18 @@
     ///
     /// If the job has not ended, waits up to `wait` for its end, so that a caller that asks shortly
     /// before the end does not have to ask again.
+    ///
+    /// Beyond [`MAX_STATE_REQUESTS`] at a time, the state is not asked for.
     pub async fn state(&self, id: JobId, wait: Duration) -> JobStateReply {
+        let Ok(_permit) = self.state_permits.try_acquire() else {
+            let metrics = &self.context.metrics;
+            metrics.record_turned_away("state_requests", 1);
+            return JobStateReply::Unknown;
+        };
+        self.current_state(id, wait).await
+    }
+
+    async fn current_state(&self, id: JobId, wait: Duration) -> JobStateReply {
         if let Some(Some(state)) = self.owner_state(id, wait).await {
             return JobStateReply::State(state);
         }
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -7,7 +7,7 @@
 
 use hs_cell::CellOptions;
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::sleep;
 
 use crate::cell_facts::CellFacts;
@@ -15,7 +15,7 @@
 use crate::config_state::{ConfigState, KeyOptions};
 use crate::confirmation;
 use crate::congestion::CongestedTeams;
-use crate::control::Control;
+use crate::control::{Control, MAX_STATE_REQUESTS};
 use crate::election::Election;
 use crate::intake::IntakeHandle;
 use crate::keys;
@@ -109,6 +109,7 @@
         intake: IntakeHandle::spawn(platform.clone(), store_health.clone()),
         notify: NotifyHandle::spawn(context.clone()),
         config_state: config_state.clone(),
+        state_permits: Arc::new(Semaphore::new(MAX_STATE_REQUESTS)),
         unknown_cancellations: Arc::new(Mutex::new(UnknownCancellations::new(platform.now()))),
         ready,
     };
--- a/crates/hs-control/tests/links/main.rs
+++ b/crates/hs-control/tests/links/main.rs
@@ -6,5 +6,6 @@
 mod platform;
 mod process;
 mod renewals;
+mod state_requests;
 mod store;
 mod takeover;
