--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -2,12 +2,12 @@
 
 use hs_event::EventCode;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hs_cell::CellOptions;
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::sleep;
 
 use crate::cell_facts::CellFacts;
@@ -15,13 +15,13 @@
 use crate::config_state::{ConfigState, KeyOptions};
 use crate::confirmation;
 use crate::congestion::CongestedTeams;
-use crate::control::Control;
+use crate::control::{Control, MAX_STATE_REQUESTS};
 use crate::election::Election;
 use crate::intake::IntakeHandle;
 use crate::keys;
 use crate::metrics::ControlMetrics;
 use crate::notify::NotifyHandle;
-use crate::peer_listener;
+use crate::peer_listener::{self, PeerLimits};
 use crate::peers::PeerPool;
 use crate::port::Platform;
 use crate::rank::VmLimits;
@@ -29,6 +29,7 @@
 use crate::speed::SpeedMeter;
 use crate::store_health::StoreHealth;
 use crate::supervise::restart_on_panic;
+use crate::unknown_cancellations::UnknownCancellations;
 
 /// Interval at which readiness is evaluated.
 const READINESS_INTERVAL: Duration = Duration::from_millis(150);
@@ -50,6 +51,8 @@
     pub cell: CellOptions,
     /// Resources of the VM, by which processes on better VMs take the cell over first.
     pub limits: VmLimits,
+    /// What the listener for other processes may use.
+    pub peer_limits: PeerLimits,
     /// Settings of the checks of keys.
     pub keys: KeyOptions,
 }
@@ -106,6 +109,8 @@
         intake: IntakeHandle::spawn(platform.clone(), store_health.clone()),
         notify: NotifyHandle::spawn(context.clone()),
         config_state: config_state.clone(),
+        state_permits: Arc::new(Semaphore::new(MAX_STATE_REQUESTS)),
+        unknown_cancellations: Arc::new(Mutex::new(UnknownCancellations::new(platform.now()))),
         ready,
     };
     if let Some(max_age) = options.keys.max_age {
@@ -149,7 +154,11 @@
             stop.clone(),
         )
     }));
-    tokio::spawn(peer_listener::serve(control.clone(), listener));
+    tokio::spawn(peer_listener::serve(
+        control.clone(),
+        listener,
+        options.peer_limits,
+    ));
     Ok(control)
 }
 
