--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use hs_cell::{JobId, JobOutcome, JobSpec, JobState};
+use hs_cell::{JobId, JobSpec, JobState};
 use hs_event::EventCode;
 use tokio::sync::{Semaphore, watch};
 
@@ -11,8 +11,9 @@
 use crate::config::ClusterConfig;
 use crate::config_state::ConfigState;
 use crate::intake::{IntakeHandle, IntakeResult};
+use crate::job_phase::state_from_phase;
 use crate::keys;
-use crate::message::{AcceptRequest, AcceptResult, JobPhase, JobRow, PendingRequest, StateRequest};
+use crate::message::{AcceptRequest, AcceptResult, JobRow, PendingRequest, StateRequest};
 use crate::metrics::ControlMetrics;
 use crate::notify::{Notice, NotifyHandle};
 use crate::peers::PeerError;
@@ -375,27 +376,3 @@
         }
     }
 }
-
-/// Converts a phase from a message between processes to a job state, or `None` if the job is unknown.
-pub(crate) fn state_from_phase(phase: JobPhase) -> Option<JobState> {
-    match phase {
-        JobPhase::Unknown => None,
-        JobPhase::Queued => Some(JobState::Queued),
-        JobPhase::Running => Some(JobState::Running),
-        JobPhase::Completed => Some(JobState::Ended(JobOutcome::Completed)),
-        JobPhase::Failed => Some(JobState::Ended(JobOutcome::Failed)),
-        JobPhase::Cancelled => Some(JobState::Ended(JobOutcome::Cancelled)),
-    }
-}
-
-/// Converts a job state, or `None` for an unknown job, to the phase for messages between processes.
-pub(crate) fn phase_from_state(state: Option<JobState>) -> JobPhase {
-    match state {
-        None => JobPhase::Unknown,
-        Some(JobState::Queued) => JobPhase::Queued,
-        Some(JobState::Running) => JobPhase::Running,
-        Some(JobState::Ended(JobOutcome::Completed)) => JobPhase::Completed,
-        Some(JobState::Ended(JobOutcome::Failed)) => JobPhase::Failed,
-        Some(JobState::Ended(JobOutcome::Cancelled)) => JobPhase::Cancelled,
-    }
-}
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -32,6 +32,7 @@
 mod follow_end;
 mod handover;
 mod intake;
+mod job_phase;
 mod keys;
 mod lag;
 mod link;
--- a/crates/hs-control/src/server.rs
+++ b/crates/hs-control/src/server.rs
@@ -9,8 +9,9 @@
 
 use crate::admission::verdict_to_wire;
 use crate::advice_dispatcher::parse_step;
-use crate::control::{Control, phase_from_state};
+use crate::control::Control;
 use crate::intake::IntakeResult;
+use crate::job_phase::phase_from_state;
 use crate::keys;
 use crate::members::{Candidate, Heartbeat};
 use crate::message::cell_server::Cell;
