feat(control): log what a start was sent with, and by which renewal a released run was counted

Cause: the log did not tell a start that another incarnation of a worker has taken from one that a known incarnation has taken, nor the renewal after which a run was released. Change: the answer to a start carries the clock of the worker. E8047 is logged for attempts that failed, were repeated or were answered by another clock: attempt, token, end of the lease, age of the clock reading. E8017 is logged for runs that are released after their lease, with the age of the renewal. An ordinary start adds no line. No decision depends on it yet.

--- a/crates/hs-cell/benches/placement.rs
+++ b/crates/hs-cell/benches/placement.rs
@@ -367,7 +367,7 @@
         };
         let began = Instant::now();
         let lease_end = self.now + Duration::from_secs(8);
-        self.cell.lease_renewed(key, lease_end);
+        self.cell.lease_renewed(key, lease_end, self.now);
         self.cell.worker_reported(key, report, self.now, self.now);
         self.busy += began.elapsed();
     }
@@ -391,7 +391,8 @@
             CellEffect::Stop(..)
             | CellEffect::Acknowledge(..)
             | CellEffect::Forget(..)
-            | CellEffect::Report(..) => {}
+            | CellEffect::Report(..)
+            | CellEffect::Release(..) => {}
         }
     }
 
--- a/crates/hs-cell/src/effect.rs
+++ b/crates/hs-cell/src/effect.rs
@@ -65,6 +65,8 @@
     Forget(WorkerKey),
     /// Log the event and count it.
     Report(CrashEvent),
+    /// Log that the run is released.
+    Release(ReleasedRun),
 }
 
 /// Event in the search for the tasks that crash workers.
@@ -102,6 +104,19 @@
     },
 }
 
+/// Run that is released because the lease of its worker has ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReleasedRun {
+    /// ID of the worker.
+    pub worker: Arc<str>,
+    /// Start of the incarnation, in Unix milliseconds.
+    pub started_ms: u64,
+    /// Run that may be started elsewhere from now on.
+    pub run: TaskRun,
+    /// Time at which this owner sent the last renewal, if it has renewed the lease.
+    pub renewed_at: Option<Instant>,
+}
+
 /// Change of a job to be written to the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RecordRow {
--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::cell::Cell;
-use crate::effect::CellEffect;
+use crate::effect::{CellEffect, ReleasedRun};
 use crate::job::TaskState;
 use crate::worker::{Slot, SlotPhase, Worker, WorkerEntry};
 use crate::{StepId, TaskRun, WorkerKey};
@@ -161,11 +161,11 @@
         self.workers.get(key).map(|worker| worker.entry.id.clone())
     }
 
-    /// Extends the lease of a worker after a renewal was sent, whether or not it arrives.
-    pub fn lease_renewed(&mut self, key: WorkerKey, lease_end: Instant) {
+    /// Extends the lease of a worker when a renewal is sent, whether or not it arrives.
+    pub fn lease_renewed(&mut self, key: WorkerKey, lease_end: Instant, now: Instant) {
         self.change_worker(key, |worker| {
             worker.lease_end = worker.lease_end.max(lease_end);
-            worker.has_lease = true;
+            worker.renewed_at = Some(now);
         });
     }
 
@@ -178,6 +178,7 @@
             self.record_losses(key, now);
             let runs: Vec<TaskRun> = self.workers[key].slots.keys().copied().collect();
             for run in runs {
+                self.report_release(key, run);
                 self.release_run(key, run);
             }
             if !self.workers[key].listed {
@@ -186,6 +187,21 @@
         }
     }
 
+    /// Reports that a run is released, unless its start was not sent.
+    fn report_release(&mut self, key: WorkerKey, run: TaskRun) {
+        let worker = &self.workers[key];
+        if worker.slots[&run].phase == SlotPhase::Recording {
+            return;
+        }
+        let released = ReleasedRun {
+            worker: worker.entry.id.clone(),
+            started_ms: worker.entry.started_ms,
+            run,
+            renewed_at: worker.renewed_at,
+        };
+        self.effects.push(CellEffect::Release(released));
+    }
+
     fn remove_worker(&mut self, key: WorkerKey) {
         let Some(worker) = self.take_worker(key) else {
             return;
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -216,8 +216,8 @@
     /// Time until which a stale call may keep runs going. Renewals don't change it, since a worker never shortens a
     /// lease.
     pub stale_lease_end: Option<Instant>,
-    /// Whether this owner has renewed the lease. Starts carry the end of that lease.
-    pub has_lease: bool,
+    /// Time at which this owner last sent a renewal of the lease. Starts carry the end of that lease.
+    pub renewed_at: Option<Instant>,
     pub used: Resources,
     pub slots: BTreeMap<TaskRun, Slot>,
     /// Number of the last processed end.
@@ -251,7 +251,7 @@
             lease_end,
             is_successor: false,
             stale_lease_end: None,
-            has_lease: false,
+            renewed_at: None,
             used: Resources::ZERO,
             slots: BTreeMap::new(),
             last_seen_end: 0,
@@ -286,7 +286,7 @@
     /// Returns whether the worker may get runs, apart from the conditions that depend on the time: the end of the
     /// lease and a quarantine.
     pub(crate) fn is_available(&self) -> bool {
-        self.is_reachable() && self.has_lease
+        self.is_reachable() && self.renewed_at.is_some()
     }
 
     /// Limits the lease to a time, since no longer one has been granted. Stale calls may have granted one.
--- a/crates/hs-cell/tests/cell/advised_load.rs
+++ b/crates/hs-cell/tests/cell/advised_load.rs
@@ -271,7 +271,10 @@
                 self.send_advice();
             }
             CellEffect::Stop(key, run) => self.end(key, run, RunEnd::Stopped),
-            CellEffect::Acknowledge(..) | CellEffect::Forget(..) | CellEffect::Report(_) => {}
+            CellEffect::Acknowledge(..)
+            | CellEffect::Forget(..)
+            | CellEffect::Report(_)
+            | CellEffect::Release(_) => {}
         }
     }
 
@@ -362,7 +365,7 @@
             ..WorkerReport::default()
         };
         let lease_end = self.now + Duration::from_secs(8);
-        self.cell.lease_renewed(key, lease_end);
+        self.cell.lease_renewed(key, lease_end, self.now);
         self.cell.worker_reported(key, report, self.now, self.now);
     }
 
--- a/crates/hs-cell/tests/cell/odd_reports.rs
+++ b/crates/hs-cell/tests/cell/odd_reports.rs
@@ -28,7 +28,7 @@
         let mut cell = Cell::new(CellOptions::default());
         cell.configure([queue("q", 1, 3)]);
         let worker = cell.worker_listed(entry(0, 1), now, now);
-        cell.lease_renewed(worker, now + LEASE);
+        cell.lease_renewed(worker, now + LEASE, now);
         cell.worker_reported(worker, WorkerReport::default(), now, now);
         Self { cell, worker, now }
     }
@@ -94,7 +94,9 @@
     };
     let limit = small.now + Duration::from_secs(6);
     while small.now < limit {
-        small.cell.lease_renewed(small.worker, small.now + LEASE);
+        small
+            .cell
+            .lease_renewed(small.worker, small.now + LEASE, small.now);
         small.report(lacks_ends());
         small.cell.stop_confirmed(small.worker, run, small.now);
         assert_eq!(small.next_start(), None);
@@ -131,7 +133,9 @@
     small.cell.stop_confirmed(small.worker, run, small.now);
     let end = small.now + Duration::from_secs(20);
     while small.now < end {
-        small.cell.lease_renewed(small.worker, small.now + LEASE);
+        small
+            .cell
+            .lease_renewed(small.worker, small.now + LEASE, small.now);
         small.report(partial());
         if small.next_start().is_some() {
             return;
--- a/crates/hs-cell/tests/cell/unavailable_capacity.rs
+++ b/crates/hs-cell/tests/cell/unavailable_capacity.rs
@@ -35,7 +35,7 @@
 }
 
 fn renew_and_report(cell: &mut Cell, key: WorkerKey, now: Instant) {
-    cell.lease_renewed(key, now + LEASE);
+    cell.lease_renewed(key, now + LEASE, now);
     report(cell, key, now);
 }
 
--- a/crates/hs-cell/tests/cell/world/orders.rs
+++ b/crates/hs-cell/tests/cell/world/orders.rs
@@ -86,7 +86,7 @@
         let renews = self.last_renewal_answered[number];
         if renews {
             let margin = LEASE.mul_f64(0.025);
-            self.cell.lease_renewed(key, now + LEASE + margin);
+            self.cell.lease_renewed(key, now + LEASE + margin, now);
             self.requested_lease_ends[number] = Some(now + LEASE);
         }
         let worker = &mut self.workers[number];
@@ -153,6 +153,7 @@
                     *cursor = number.max(*cursor);
                 }
                 CellEffect::Report(event) => self.crash_events.push(event),
+                CellEffect::Release(_) => {}
                 CellEffect::Forget(key) => self.forget_worker(key),
             }
         }
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -1,5 +1,6 @@
 //! The owner's link to one worker: lease renewals, starts and stops.
 
+mod clock;
 mod fences;
 mod orders;
 mod pending_stops;
@@ -12,6 +13,7 @@
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
 
+use self::clock::WorkerClock;
 pub(crate) use self::fences::WorkerFences;
 use self::orders::MAX_ORDERS_AT_ONCE;
 use self::pending_stops::{PendingStop, PendingStops};
@@ -140,13 +142,6 @@
     }
 }
 
-/// A reading of a worker's clock, which maps times of the owner's clock to it.
-#[derive(Clone, Copy, Debug)]
-struct WorkerClock {
-    clock_ms: u64,
-    read_at: Instant,
-}
-
 /// What the last renewal has shown about the worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum WorkerContact {
@@ -174,6 +169,18 @@
     is_replaced: bool,
 }
 
+/// What a start carries, and what that was computed from.
+#[derive(Clone, Copy, Debug)]
+struct StartTerms {
+    fence: u64,
+    /// Reading of the worker's clock that maps the end of the lease.
+    clock: WorkerClock,
+    /// End of the lease on the worker's clock in milliseconds.
+    lease_end_ms: u64,
+    /// Time at which the start is sent.
+    sent_at: Instant,
+}
+
 /// What the tasks of a link share.
 #[derive(Debug)]
 struct WorkerLink<P> {
@@ -265,24 +272,25 @@
     }
 
     /// Converts a time to the worker's clock, or returns `None` if that clock has not been read.
-    ///
-    /// Apart from drift, the worker's clock shows the result at `end` or before, because it was read
-    /// before `read_at`.
     fn to_worker_clock_ms(&self, end: Instant) -> Option<u64> {
-        let clock = self.with_state(|state| state.clock)?;
-        let until_end = end.saturating_duration_since(clock.read_at);
-        let until_end_ms = u64::try_from(until_end.as_millis()).ok()?;
-        clock.clock_ms.checked_add(until_end_ms)
+        self.with_state(|state| state.clock)?.at(end)
     }
 
-    /// Returns the end of the lease that the last renewal asked for, on the worker's clock, or `None` if
-    /// too little of that lease remains.
+    /// Returns what a start that is sent now carries, or `None` if too little of the lease remains that the last renewal
+    /// asked for.
     ///
-    /// Starts never ask for more, so that they don't prolong the lease of an unreachable worker.
-    fn requested_lease_end_ms(&self) -> Option<u64> {
-        let end = self.with_state(|state| state.lease_end)?;
-        let now = self.platform.now();
-        let is_useful = end >= now + MIN_LEASE;
-        is_useful.then(|| self.to_worker_clock_ms(end)).flatten()
+    /// Starts never ask for a longer lease, so that they don't prolong the lease of an unreachable worker.
+    fn start_terms(&self) -> Option<StartTerms> {
+        let state = self.with_state(|state| *state);
+        let (clock, end) = (state.clock?, state.lease_end?);
+        let sent_at = self.platform.now();
+        let is_useful = end >= sent_at + MIN_LEASE;
+        is_useful.then_some(())?;
+        Some(StartTerms {
+            fence: state.fence,
+            clock,
+            lease_end_ms: clock.at(end)?,
+            sent_at,
+        })
     }
 }
--- a/crates/hs-control/src/link/orders.rs
+++ b/crates/hs-control/src/link/orders.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{StartOrder, StartRefusal};
+use hs_cell::{StartOrder, StartRefusal, TaskRun};
+use hs_event::EventCode;
 use hs_timer::timeout;
 use tokio::sync::SemaphorePermit;
 use tokio::time::sleep;
 
 use super::pending_stops::PendingStop;
-use super::{LinkEvent, RETRY_PAUSE, WorkerContact, WorkerLink};
-use crate::port::{Platform, StartReply, StopReply};
+use super::{LinkEvent, RETRY_PAUSE, StartTerms, WorkerContact, WorkerLink};
+use crate::port::{Platform, PortError, StartAnswer, StartReply, StopReply};
 
 /// Timeout of a start or a stop.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -50,24 +51,24 @@
         let mut in_doubt = false;
         let mut was_sent = false;
         let mut failures = 0;
-        for _ in 0..MAX_ALL_START_ATTEMPTS {
+        for attempt in 1..=MAX_ALL_START_ATTEMPTS {
             let turn = self.order_turn().await;
             if self.with_state(|state| state.is_replaced) {
                 // The next incarnation would start the run under a lease that does not end when this one assumes.
                 break;
             }
-            let Some(end_ms) = self.requested_lease_end_ms() else {
+            let Some(terms) = self.start_terms() else {
                 break;
             };
-            let fence = self.fence();
-            let sent_at = self.platform.now();
+            let fence = terms.fence;
             was_sent = true;
             let sent = self
                 .platform
-                .start(&self.peer, fence, end_ms, &order, ORDER_TIMEOUT)
+                .start(&self.peer, fence, terms.lease_end_ms, &order, ORDER_TIMEOUT)
                 .await;
             drop(turn);
-            match sent {
+            self.log_attempt(run, attempt, terms, &sent);
+            match sent.map(|answer| answer.reply) {
                 Ok(StartReply::Started) => return self.emit(LinkEvent::Started(run)).await,
                 Ok(StartReply::Fenced) if self.is_fenced_by_other(fence) => {
                     return self.emit(LinkEvent::Fenced).await;
@@ -88,7 +89,7 @@
                     log::debug!("failed to start run={} {}: {error}", run.run, run.task);
                     self.record_failed_call();
                     in_doubt = in_doubt || !error.is_refused();
-                    failures += u32::from(!self.was_late_since(sent_at));
+                    failures += u32::from(!self.was_late_since(terms.sent_at));
                     if failures >= MAX_START_ATTEMPTS {
                         break;
                     }
@@ -107,6 +108,35 @@
         self.emit(event).await;
     }
 
+    /// Logs an attempt to send a start, unless it is the first one and the clock of the last report has answered.
+    fn log_attempt(
+        &self,
+        run: TaskRun,
+        attempt: u32,
+        terms: StartTerms,
+        sent: &Result<StartAnswer, PortError>,
+    ) {
+        let now = self.platform.now();
+        let answer_ms = sent.as_ref().ok().and_then(|answer| answer.clock_ms);
+        let is_same_clock =
+            answer_ms.is_some_and(|ms| terms.clock.agrees_with(ms, terms.sent_at, now));
+        if attempt == 1 && is_same_clock {
+            return;
+        }
+        let age = terms.sent_at.saturating_duration_since(terms.clock.read_at);
+        EventCode::StartAttempted.log(format_args!(
+            "task={} run={} worker={} attempt={attempt} fence={} until_ms={} clock_age_ms={} \
+             answered={} clock_ms={answer_ms:?} same_clock={is_same_clock}",
+            run.task,
+            run.run,
+            self.peer.id,
+            terms.fence,
+            terms.lease_end_ms,
+            age.as_millis(),
+            sent.is_ok(),
+        ));
+    }
+
     /// Returns whether this process was late during an order that has failed.
     fn was_late_since(&self, sent_at: Instant) -> bool {
         let elapsed = self.platform.now().saturating_duration_since(sent_at);
--- a/crates/hs-control/src/link/renewal.rs
+++ b/crates/hs-control/src/link/renewal.rs
@@ -189,7 +189,11 @@
     async fn handle_report(&mut self, clock_ms: u64, report: WorkerReport, call: RenewalCall) {
         let link = &self.link;
         let read_at = link.platform.now();
-        let clock = WorkerClock { clock_ms, read_at };
+        let clock = WorkerClock {
+            clock_ms,
+            requested_at: call.requested_at,
+            read_at,
+        };
         let is_first = link.with_state(|state| state.clock.replace(clock).is_none());
         if is_first {
             link.emit(LinkEvent::FirstAnswer).await;
--- a/crates/hs-control/src/owner/effects.rs
+++ b/crates/hs-control/src/owner/effects.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hs_cell::{CellEffect, CrashEvent, StartOrder, StartRefusal, TaskRun, WorkerKey};
+use hs_cell::{CellEffect, CrashEvent, ReleasedRun, StartOrder, StartRefusal, TaskRun, WorkerKey};
 use hs_event::EventCode;
 
 use super::OwnerTask;
@@ -37,6 +37,7 @@
                 self.links.remove(&key);
             }
             CellEffect::Report(event) => self.report_crash_event(event),
+            CellEffect::Release(released) => self.report_release(&released),
         }
     }
 
@@ -77,6 +78,17 @@
         }
     }
 
+    fn report_release(&self, released: &ReleasedRun) {
+        let now = self.platform.now();
+        let renewed_ms = released
+            .renewed_at
+            .map(|at| now.saturating_duration_since(at).as_millis());
+        EventCode::RunReleased.log(format_args!(
+            "task={} run={} worker={} born_ms={} renewed_ms_ago={renewed_ms:?}",
+            released.run.task, released.run.run, released.worker, released.started_ms
+        ));
+    }
+
     fn report_crash_event(&self, event: CrashEvent) {
         match event {
             CrashEvent::WorkerCrashed { worker, run, alone } => {
--- a/crates/hs-control/src/owner/links.rs
+++ b/crates/hs-control/src/owner/links.rs
@@ -99,7 +99,7 @@
         let now = self.platform.now();
         match event {
             LinkEvent::FirstAnswer => self.cell.worker_answered(key, now, self.platform.unix_ms()),
-            LinkEvent::Renewing(lease_end) => self.cell.lease_renewed(key, lease_end),
+            LinkEvent::Renewing(lease_end) => self.cell.lease_renewed(key, lease_end, now),
             LinkEvent::Report(report, requested_at) => {
                 self.load.reports += 1;
                 self.status.traffic.record_report(&report);
--- a/crates/hs-control/src/port.rs
+++ b/crates/hs-control/src/port.rs
@@ -144,6 +144,15 @@
     Refused(StartRefusal),
 }
 
+/// The answer to a start order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StartAnswer {
+    /// What became of the order.
+    pub reply: StartReply,
+    /// Reading of the clock of the incarnation that answered, in milliseconds, if the answer contains one.
+    pub clock_ms: Option<u64>,
+}
+
 /// The reply to a stop order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StopReply {
@@ -276,7 +285,7 @@
         lease_end_ms: u64,
         order: &StartOrder,
         timeout: Duration,
-    ) -> impl Future<Output = Result<StartReply, PortError>> + Send;
+    ) -> impl Future<Output = Result<StartAnswer, PortError>> + Send;
 
     /// Stops a run, and prevents it from starting later.
     fn stop(
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -9,7 +9,7 @@
 use hs_cell::{AdviceReply, RunReport, StartOrder, StepId, TaskRun, WorkerEntry, WorkerReport};
 use hs_control::port::{
     AdvicePort, ClockPort, LeaseRenewal, NetworkPort, PortError, RegisteredWorker, RenewalReply,
-    StartReply, StopReply, WorkerEndpoint, WorkerPort,
+    StartAnswer, StartReply, StopReply, WorkerEndpoint, WorkerPort,
 };
 use hs_control::tcp_network;
 use hs_wire::Resources;
@@ -253,7 +253,7 @@
         _: u64,
         _: &StartOrder,
         timeout: Duration,
-    ) -> Result<StartReply, PortError> {
+    ) -> Result<StartAnswer, PortError> {
         let is_late = self.state().take_late_start();
         if is_late {
             let call = self.call_worker(peer, CallKind::Start, timeout + LATENESS, timeout * 2);
@@ -261,7 +261,10 @@
             return Err(no_reply(&peer.id, "no reply in time"));
         }
         let call = self.call_worker(peer, CallKind::Start, Duration::ZERO, timeout);
-        call.await.map(|()| StartReply::Started)
+        call.await.map(|()| StartAnswer {
+            reply: StartReply::Started,
+            clock_ms: Some(self.unix_ms()),
+        })
     }
 
     async fn stop(
--- a/crates/hs-control/tests/simulation/platform.rs
+++ b/crates/hs-control/tests/simulation/platform.rs
@@ -9,7 +9,7 @@
 use hs_cell::{AdviceReply, StartOrder, StepId, TaskRun};
 use hs_control::port::{
     AdvicePort, CatalogPort, ClockPort, ConfigReply, LeaseRenewal, NetworkPort, PortError,
-    RegisteredWorker, RenewalReply, StartReply, StopReply, StoreChanges, StoreItem, StorePage,
+    RegisteredWorker, RenewalReply, StartAnswer, StopReply, StoreChanges, StoreItem, StorePage,
     StorePort, StoreTxn, TxnReply, WorkerChanges, WorkerEndpoint, WorkerPort,
 };
 use hs_timer::timeout;
@@ -303,7 +303,7 @@
         lease_end_ms: u64,
         order: &StartOrder,
         limit: Duration,
-    ) -> Result<StartReply, PortError> {
+    ) -> Result<StartAnswer, PortError> {
         let sender = self.sender(fence, peer);
         let order = order.clone();
         self.worker_call(
--- a/crates/hs-control/tests/simulation/wire_size.rs
+++ b/crates/hs-control/tests/simulation/wire_size.rs
@@ -4,7 +4,7 @@
 
 use hs_cell::{AdviceReply, StartOrder};
 use hs_control::port::{
-    ConfigReply, RegisteredWorker, RenewalReply, StartReply, StopReply, StoreChanges, StoreItem,
+    ConfigReply, RegisteredWorker, RenewalReply, StartAnswer, StopReply, StoreChanges, StoreItem,
     StorePage, StoreTxn, TxnReply, WorkerChanges,
 };
 
@@ -108,7 +108,7 @@
     }
 }
 
-impl WireSize for StartReply {
+impl WireSize for StartAnswer {
     fn body_bytes(&self) -> usize {
         0
     }
--- a/crates/hs-control/tests/simulation/worker.rs
+++ b/crates/hs-control/tests/simulation/worker.rs
@@ -13,7 +13,7 @@
     EndReport, ReportScope, RunEnd, RunReport, StartOrder, StartRefusal, TaskId, TaskRun,
     WorkerEntry, WorkerReport,
 };
-use hs_control::port::{LeaseRenewal, RenewalReply, StartReply, StopReply};
+use hs_control::port::{LeaseRenewal, RenewalReply, StartAnswer, StartReply, StopReply};
 
 use crate::advice::is_valid_ticket;
 use crate::world::{Reply, World};
@@ -159,13 +159,25 @@
 }
 
 impl World {
-    /// Processes a start order.
+    /// Processes a start order. The answer contains the clock of the incarnation that answers.
     pub fn start_run(
         &mut self,
         number: usize,
         sender: OrderSender,
         lease_end_ms: u64,
         order: &StartOrder,
+    ) -> StartAnswer {
+        let reply = self.try_start(number, sender, lease_end_ms, order);
+        let clock_ms = Some(self.workers[number].clock_ms(self.now));
+        StartAnswer { reply, clock_ms }
+    }
+
+    fn try_start(
+        &mut self,
+        number: usize,
+        sender: OrderSender,
+        lease_end_ms: u64,
+        order: &StartOrder,
     ) -> StartReply {
         let now = self.now;
         let run = order.run;
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -139,6 +139,8 @@
     WorkerReplaced = 8015, Info, "another incarnation answers";
     /// The first end that a new incarnation lists is not its first. Nobody has read those before.
     EndsForgotten = 8016, Warn, "ends were forgotten unread";
+    /// A run is released because the lease of its worker has ended, as the owner counts it.
+    RunReleased = 8017, Info, "run released after its lease";
     /// The owner added a job to its queue.
     JobQueued = 8021, Info, "job queued";
     /// The end of a job was written to the store.
@@ -173,6 +175,8 @@
     RunEnded = 8045, Info, "run ended";
     /// A run is to be stopped on a worker to which the owner has no link. The stop is sent after its next report.
     StopDeferred = 8046, Info, "stop waits for its worker";
+    /// An attempt to send a start failed, was repeated, or was answered by another clock than that of the last report.
+    StartAttempted = 8047, Info, "start attempted";
     /// An advice request was answered or failed.
     AdviceEnded = 8051, Info, "advice answered";
     /// A step needs tickets, and an advice request for it is queued.
