test(control): starts that reach an incarnation which the registry does not list yet

Cause: two runs of a task at a time. A worker loses power, so that its connections are not closed, and is back and cut off again before the registry lists it. Starts for the former incarnation reach the next one with the end of the lease on the former clock; it keeps them for its longest lease, while the owner counts the lease of its last renewal. Change: simulated workers return from a power loss without a registry entry, and may lose their replies.

--- a/crates/hs-control/tests/simulation/incarnations.rs
+++ b/crates/hs-control/tests/simulation/incarnations.rs
@@ -128,6 +128,73 @@
     assert_all_end(&mut simulation);
 }
 
+/// What becomes of the replies of workers that are back after a power loss, until they are cut off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FirstReplies {
+    Arrive,
+    AreLost,
+}
+
+/// A power loss of half of the workers, which are back and cut off before the registry lists them.
+struct UnlistedReturn {
+    replies: FirstReplies,
+    /// Time from the return of a worker to the cut.
+    reachable_time: Duration,
+}
+
+impl UnlistedReturn {
+    /// Plays some rounds, in which long jobs start while the workers are back, and checks that everything ends.
+    fn play(&self) {
+        let mut simulation = Simulation::start(&calm_cluster());
+        simulation.run_for(Duration::from_secs(2));
+        let workers = simulation.world.lock().workers.len();
+        for round in 0..3 {
+            for number in (round % 2..workers).step_by(2) {
+                let mut world = simulation.world.lock();
+                world.start_worker_after_power_loss(number);
+                world.workers[number].loses_replies = self.replies == FirstReplies::AreLost;
+            }
+            for _ in 0..30 {
+                simulation.submit(LONG_JOB);
+            }
+            simulation.run_for(self.reachable_time);
+            for number in (round % 2..workers).step_by(2) {
+                set_reachable(&simulation, number, false);
+            }
+            simulation.run_for(Duration::from_secs(11));
+            for number in (round % 2..workers).step_by(2) {
+                let mut world = simulation.world.lock();
+                world.workers[number].reachable = true;
+                world.workers[number].loses_replies = false;
+                world.register_again(number);
+            }
+            simulation.run_for(Duration::from_secs(2));
+        }
+        assert_all_end(&mut simulation);
+    }
+}
+
+/// Runs that start elsewhere while they go on: their starts were taken by incarnations that the owner had not heard from,
+/// which were cut off before the registry listed them, and kept their longest lease.
+#[test]
+fn runs_that_an_unlisted_incarnation_has_confirmed_end_before_they_start_elsewhere() {
+    UnlistedReturn {
+        replies: FirstReplies::Arrive,
+        reachable_time: Duration::from_millis(500),
+    }
+    .play();
+}
+
+/// The same runs if the replies to their starts are lost, so that nobody can tell which incarnation has them.
+#[test]
+fn runs_that_an_unlisted_incarnation_may_have_end_before_they_start_elsewhere() {
+    UnlistedReturn {
+        replies: FirstReplies::AreLost,
+        reachable_time: Duration::from_millis(500),
+    }
+    .play();
+}
+
 /// Disrupts one worker, or replaces the owner.
 fn disrupt(simulation: &mut Simulation) {
     let (kind, number) = {
--- a/crates/hs-control/tests/simulation/worker.rs
+++ b/crates/hs-control/tests/simulation/worker.rs
@@ -51,6 +51,8 @@
     pub up: bool,
     /// Whether calls reach the worker. Those that don't are not answered.
     pub reachable: bool,
+    /// Whether the worker carries out calls, but no reply arrives.
+    pub loses_replies: bool,
     /// Reading of the worker's clock at the beginning of the simulation in milliseconds.
     pub clock_offset_ms: u64,
     /// Share of calls that are not answered and are carried out late, in percent.
--- a/crates/hs-control/tests/simulation/worker/calls.rs
+++ b/crates/hs-control/tests/simulation/worker/calls.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hs_control::port::PortError;
+use tokio::sync::oneshot;
 
 use super::{OrderSender, SimWorker};
 use crate::registry::registered_worker;
@@ -43,6 +44,13 @@
             };
             return self.reply(reply, Err(error));
         }
+        let reply = match worker.loses_replies {
+            true => {
+                self.observer.keep_unanswered(reply);
+                oneshot::channel().0
+            }
+            false => reply,
+        };
         let late_call_percent = worker.late_call_percent;
         if late_call_percent > 0 && self.random_below(100) < late_call_percent {
             return self.carry_out_late(number, sender, reply, operation);
@@ -107,6 +115,28 @@
     /// Starts a worker again under its ID, and registers it.
     pub fn start_worker_again(&mut self, number: usize) {
         self.crash_worker(number);
+        self.start_next_incarnation(number);
+        self.register_again(number);
+    }
+
+    /// Starts a worker again under its ID after a power loss: its connections are not closed, so that calls in progress
+    /// have no reply. It is not registered yet.
+    pub fn start_worker_after_power_loss(&mut self, number: usize) {
+        for parked in std::mem::take(&mut self.workers[number].parked) {
+            self.observer.keep_unanswered(parked.reply);
+        }
+        self.crash_worker(number);
+        self.start_next_incarnation(number);
+    }
+
+    /// Registers the incarnation of a worker that is running.
+    pub fn register_again(&mut self, number: usize) {
+        let worker = &self.workers[number];
+        let entry = registered_worker(number, worker.started_ms, worker.cpu_milli);
+        self.registry.register(entry);
+    }
+
+    fn start_next_incarnation(&mut self, number: usize) {
         let clock_offset_ms = self.random_below(MAX_CLOCK_START_MS);
         let worker = &mut self.workers[number];
         *worker = SimWorker {
@@ -122,8 +152,6 @@
             renewal_count: worker.renewal_count,
             ..SimWorker::default()
         };
-        let entry = registered_worker(number, worker.started_ms, worker.cpu_milli);
         self.observer.started_again(self.now, number);
-        self.registry.register(entry);
     }
 }
