fix(http): calls whose connection does not open in time are not sent, and others name their connection

Cause: the timeout of a call also ended the attempt to open a connection, and the call then counted as one that may have been executed. A start to a worker that is cut off was therefore in doubt, and its task waited for the end of the lease. Nor could a caller tell whether a call without a reply was sent on a connection that only the last known process can have, or on a new one. Change: a connection is opened within the timeout of the call, and fails it as not sent; CallError::NoReply and PortError::NoReply name the connection. The clocks of the in-memory workers of the link tests run, since answers to starts will be compared with them.

--- a/crates/hs-control/src/port.rs
+++ b/crates/hs-control/src/port.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+pub use hs_http::CallConnection;
+
 use hs_cell::{AdviceReply, StartOrder, StartRefusal, StepId, TaskRun, WorkerEntry, WorkerReport};
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -32,6 +34,8 @@
         operation: &'static str,
         /// Address of the other side.
         peer: String,
+        /// Connection on which the call was sent.
+        connection: CallConnection,
         /// Error of the call, or why its reply was unusable.
         cause: String,
     },
@@ -42,6 +46,15 @@
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Refused { .. })
     }
+
+    /// Returns whether the call may have reached another process than the last one that has replied from this address.
+    pub fn may_have_reached_another(&self) -> bool {
+        let connection = match self {
+            Self::Refused { .. } => return false,
+            Self::NoReply { connection, .. } => connection,
+        };
+        *connection == CallConnection::New
+    }
 }
 
 /// An item of the store.
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -8,8 +8,8 @@
 
 use hs_cell::{AdviceReply, RunReport, StartOrder, StepId, TaskRun, WorkerEntry, WorkerReport};
 use hs_control::port::{
-    AdvicePort, ClockPort, LeaseRenewal, NetworkPort, PortError, RegisteredWorker, RenewalReply,
-    StartAnswer, StartReply, StopReply, WorkerEndpoint, WorkerPort,
+    AdvicePort, CallConnection, ClockPort, LeaseRenewal, NetworkPort, PortError, RegisteredWorker,
+    RenewalReply, StartAnswer, StartReply, StopReply, WorkerEndpoint, WorkerPort,
 };
 use hs_control::tcp_network;
 use hs_wire::Resources;
@@ -87,6 +87,8 @@
     /// Number of turns that another task had since a page of the store was last read.
     pub turns_since_page: usize,
     pub config: ConfigScript,
+    /// Time at which the clocks of the workers began.
+    clocks_began_at: Option<Instant>,
     /// Time in which the machine was suspended, which the steady clock does not count.
     pub suspended: Duration,
 }
@@ -165,6 +167,14 @@
         calls.map(|call| call.at).collect()
     }
 
+    /// Returns the reading of the workers' clocks in milliseconds.
+    fn worker_clock_ms(&self) -> u64 {
+        let now = self.now();
+        let began_at = *self.state().clocks_began_at.get_or_insert(now);
+        let elapsed = now.saturating_duration_since(began_at);
+        u64::try_from(elapsed.as_millis()).expect("a test is short")
+    }
+
     /// Records a call, and waits until the worker answers it.
     async fn call_worker(
         &self,
@@ -241,6 +251,7 @@
     PortError::NoReply {
         operation: "call",
         peer: worker.to_owned(),
+        connection: CallConnection::New,
         cause: cause.to_owned(),
     }
 }
@@ -263,7 +274,7 @@
         let call = self.call_worker(peer, CallKind::Start, Duration::ZERO, timeout);
         call.await.map(|()| StartAnswer {
             reply: StartReply::Started,
-            clock_ms: Some(self.unix_ms()),
+            clock_ms: Some(self.worker_clock_ms()),
         })
     }
 
@@ -286,6 +297,7 @@
     ) -> Result<RenewalReply, PortError> {
         let call = self.call_worker(peer, CallKind::Renewal, renewal.wait, timeout);
         call.await?;
+        let clock_ms = self.worker_clock_ms();
         let state = self.state();
         let refuses_leases = state.behaviours[&peer.id] == WorkerBehaviour::RefusesLeases;
         if refuses_leases && renewal.lease_end_ms.is_some() {
@@ -298,7 +310,7 @@
             percent: 0,
         });
         Ok(RenewalReply::Report {
-            clock_ms: self.unix_ms(),
+            clock_ms,
             report: WorkerReport {
                 running: running.collect(),
                 ended: Vec::new(),
--- a/crates/hs-control/tests/simulation/platform.rs
+++ b/crates/hs-control/tests/simulation/platform.rs
@@ -8,9 +8,9 @@
 
 use hs_cell::{AdviceReply, StartOrder, StepId, TaskRun};
 use hs_control::port::{
-    AdvicePort, CatalogPort, ClockPort, ConfigReply, LeaseRenewal, NetworkPort, PortError,
-    RegisteredWorker, RenewalReply, StartAnswer, StopReply, StoreChanges, StoreItem, StorePage,
-    StorePort, StoreTxn, TxnReply, WorkerChanges, WorkerEndpoint, WorkerPort,
+    AdvicePort, CallConnection, CatalogPort, ClockPort, ConfigReply, LeaseRenewal, NetworkPort,
+    PortError, RegisteredWorker, RenewalReply, StartAnswer, StopReply, StoreChanges, StoreItem,
+    StorePage, StorePort, StoreTxn, TxnReply, WorkerChanges, WorkerEndpoint, WorkerPort,
 };
 use hs_timer::timeout;
 use tokio::sync::oneshot;
@@ -93,6 +93,7 @@
         let no_reply = |cause: String| PortError::NoReply {
             operation,
             peer: peer.to_owned(),
+            connection: CallConnection::New,
             cause,
         };
         match answer {
--- a/crates/hs-http/src/call.rs
+++ b/crates/hs-http/src/call.rs
@@ -18,6 +18,15 @@
 use crate::byte_budget::HolderKind;
 use crate::read_body::read_body;
 
+/// Connection on which a call without a reply was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallConnection {
+    /// One that had carried a reply before. Only the process that sent that reply can have got the request.
+    Kept,
+    /// One that was opened for the call, or an unknown one. Any process that has the address may have got the request.
+    New,
+}
+
 /// Error of a call that got no reply.
 #[derive(Debug, Error)]
 pub enum CallError {
@@ -38,6 +47,8 @@
         operation: &'static str,
         /// Address of the called process.
         peer: String,
+        /// Connection on which the request was sent.
+        connection: CallConnection,
         /// Messages of the error and its sources.
         cause: String,
     },
@@ -230,12 +241,13 @@
             let response = match self.inner.request(request).await {
                 Ok(response) => response,
                 Err(error) if error.is_connect() => return Err(not_sent(operation, peer, &error)),
-                Err(error) => return Err(no_reply(operation, peer, &error)),
+                Err(error) => return Err(no_reply(operation, peer, CallConnection::New, &error)),
             };
             let (parts, mut body) = response.into_parts();
             let lease = self.budget.lease(HolderKind::Reply);
             let body = read_body(&mut body, MAX_REPLY_BYTES, &lease).await;
-            let body = body.map_err(|error| no_reply(operation, peer, &error))?;
+            let body =
+                body.map_err(|error| no_reply(operation, peer, CallConnection::New, &error))?;
             Ok(CallReply {
                 status: parts.status.as_u16(),
                 headers: parts.headers,
@@ -244,7 +256,7 @@
         };
         match timeout(call_timeout, exchange).await {
             Ok(result) => result,
-            Err(elapsed) => Err(no_reply(operation, peer, &elapsed)),
+            Err(elapsed) => Err(no_reply(operation, peer, CallConnection::New, &elapsed)),
         }
     }
 }
@@ -264,11 +276,13 @@
 pub(crate) fn no_reply(
     operation: &'static str,
     peer: &str,
+    connection: CallConnection,
     cause: &dyn std::error::Error,
 ) -> CallError {
     CallError::NoReply {
         operation,
         peer: peer.to_owned(),
+        connection,
         cause: error_chain(cause),
     }
 }
--- a/crates/hs-http/src/direct.rs
+++ b/crates/hs-http/src/direct.rs
@@ -16,7 +16,7 @@
 use crate::byte_budget::HolderKind;
 use crate::call::{CONNECT_TIMEOUT, MAX_REPLY_BYTES, POOL_IDLE_TIMEOUT, no_reply, not_sent};
 use crate::connection::{Connection, ExchangeError};
-use crate::{ArrivalBudget, CallError, CallReply};
+use crate::{ArrivalBudget, CallConnection, CallError, CallReply};
 
 /// Interval at which idle connections are checked for their age.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
@@ -83,7 +83,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`CallError::NotSent`] if the request is invalid, no connection could be opened, or it ended
+    /// Returns [`CallError::NotSent`] if the request is invalid, no connection could be opened in time, or it ended
     /// before any byte of the request was written, else [`CallError::NoReply`].
     pub async fn post_json(
         &self,
@@ -96,35 +96,28 @@
     ) -> Result<CallReply, CallError> {
         let request = request_of(peer, path, header, body);
         let request = request.map_err(|error| not_sent(operation, peer, &*error))?;
-        let sent_at = Instant::now();
-        match timeout(call_timeout, self.exchange(operation, peer, request)).await {
-            Ok(result) => result,
-            Err(elapsed) => {
-                self.close_unproven(peer, sent_at);
-                Err(no_reply(operation, peer, &elapsed))
-            }
-        }
-    }
-
-    async fn exchange(
-        &self,
-        operation: &'static str,
-        peer: &Arc<str>,
-        request: Request<Full<Bytes>>,
-    ) -> Result<CallReply, CallError> {
-        let mut connection = match self.take_idle(peer) {
-            Some(connection) => connection,
-            None => open(operation, peer).await?,
+        let began_at = Instant::now();
+        let (mut connection, kind) = match self.take_idle(peer) {
+            Some(connection) => (connection, CallConnection::Kept),
+            None => (
+                open(operation, peer, call_timeout).await?,
+                CallConnection::New,
+            ),
         };
         let lease = self.budget.lease(HolderKind::Reply);
         let exchange = connection.exchange(request, MAX_REPLY_BYTES, &lease);
-        match exchange.await {
-            Ok(reply) => {
+        let remaining = call_timeout.saturating_sub(began_at.elapsed());
+        match timeout(remaining, exchange).await {
+            Ok(Ok(reply)) => {
                 self.put_back(peer, connection);
                 Ok(reply)
             }
-            Err(error @ ExchangeError::NotSent(_)) => Err(not_sent(operation, peer, &error)),
-            Err(error) => Err(no_reply(operation, peer, &error)),
+            Ok(Err(error @ ExchangeError::NotSent(_))) => Err(not_sent(operation, peer, &error)),
+            Ok(Err(error)) => Err(no_reply(operation, peer, kind, &error)),
+            Err(elapsed) => {
+                self.close_unproven(peer, began_at);
+                Err(no_reply(operation, peer, kind, &elapsed))
+            }
         }
     }
 
@@ -177,8 +170,14 @@
     }
 }
 
-async fn open(operation: &'static str, peer: &Arc<str>) -> Result<Box<Connection>, CallError> {
-    match timeout(CONNECT_TIMEOUT, Connection::open(peer)).await {
+/// Opens a connection within the timeout of a call. Nothing of the request is sent before it is open.
+async fn open(
+    operation: &'static str,
+    peer: &Arc<str>,
+    call_timeout: Duration,
+) -> Result<Box<Connection>, CallError> {
+    let connect_timeout = CONNECT_TIMEOUT.min(call_timeout);
+    match timeout(connect_timeout, Connection::open(peer)).await {
         Ok(Ok(connection)) => Ok(Box::new(connection)),
         Ok(Err(error)) => Err(not_sent(operation, peer, &error)),
         Err(elapsed) => Err(not_sent(operation, peer, &elapsed)),
--- a/crates/hs-http/tests/direct/replies.rs
+++ b/crates/hs-http/tests/direct/replies.rs
@@ -1,8 +1,11 @@
 //! Replies, and calls without one.
 
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use hs_http::{DirectClient, RequestHeader};
+use hs_http::{CallConnection, CallError, DirectClient, RequestHeader};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
 
 use crate::peer::{CALL_TIMEOUT, Peer, PeerBehaviour, body};
 
@@ -154,6 +157,74 @@
     }
 }
 
+/// Guards against a start that counts as taken by the incarnation that has answered before, although a connection was
+/// opened for it.
+#[tokio::test]
+async fn calls_without_a_reply_tell_on_which_connection_they_were_sent() {
+    struct Case {
+        behaviour: PeerBehaviour,
+        earlier_calls: usize,
+        expected: CallConnection,
+    }
+    let cases = [
+        Case {
+            behaviour: PeerBehaviour::CloseAfterRequest,
+            earlier_calls: 0,
+            expected: CallConnection::New,
+        },
+        Case {
+            behaviour: PeerBehaviour::Delay(CALL_TIMEOUT),
+            earlier_calls: 0,
+            expected: CallConnection::New,
+        },
+        Case {
+            behaviour: PeerBehaviour::FallSilent(1),
+            earlier_calls: 1,
+            expected: CallConnection::Kept,
+        },
+    ];
+    for case in cases {
+        let peer = Peer::start(case.behaviour.clone()).await;
+        let client = DirectClient::default();
+        for _ in 0..case.earlier_calls {
+            body(peer.call(&client, CALL_TIMEOUT).await);
+        }
+        let lost = peer.call(&client, Duration::from_millis(50)).await;
+        let CallError::NoReply { connection, .. } = lost.expect_err("no reply") else {
+            panic!("the call was sent");
+        };
+        assert_eq!(connection, case.expected, "{:?}", case.behaviour);
+    }
+}
+
+/// Guards against a task that waits for the lease of its worker although its start was never sent: the connection for
+/// it was not open by the timeout.
+#[tokio::test]
+async fn a_call_whose_connection_does_not_open_in_time_is_not_sent() {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    socket.bind(any_port).expect("a free port");
+    // Nobody accepts connections, so that further ones don't open once the queue is full.
+    let listener = socket.listen(1).expect("listen");
+    let address = listener.local_addr().expect("address");
+    let mut waiting = Vec::new();
+    while let Ok(Ok(stream)) =
+        timeout(Duration::from_millis(200), TcpStream::connect(address)).await
+    {
+        waiting.push(stream);
+    }
+    let client = DirectClient::default();
+    let header = RequestHeader {
+        name: "expect-instance",
+        value: "w1",
+    };
+    let peer = address.to_string().into();
+    let limit = Duration::from_millis(100);
+    let call = client.post_json("start", &peer, "/orders", header, &(), limit);
+    let error = call.await.expect_err("no connection");
+    assert!(error.is_not_sent(), "{error}");
+}
+
 /// Guards against a request of another form, caused by an address or an ID from the registry.
 #[tokio::test]
 async fn a_request_with_an_invalid_value_is_not_sent() {
