fix(control): count the lease that an incarnation keeps which the owner has not heard from

Callers saw two runs of a task at a time on workers that start again under their IDs and are cut off soon after. Cause: a start that is meant for one incarnation of a worker reaches the next one before the registry lists it, with the end of the lease on the clock of the former. The next one takes that for a time far ahead and keeps the run for its longest lease (10 s). The owner counted the lease that its last renewal had asked for (7.5 s), since it concludes from the renewals alone which incarnation there is, and a renewal may wait for its reply meanwhile. Change: the clock in the answer to a start tells whether the clock has answered that mapped the lease. If not, the lease counts as what was asked for on the clock that has answered, up to the longest one, and the worker gets no starts until it reports. A start without a reply on a new connection may be with any incarnation, so its run counts as going on for the longest lease; the other runs of the worker do not wait for it.

--- a/crates/hs-cell/src/crashes.rs
+++ b/crates/hs-cell/src/crashes.rs
@@ -115,12 +115,16 @@
         }
     }
 
-    /// Remembers that the lease of a worker has expired while it may have had runs.
-    pub(crate) fn record_losses(&mut self, key: WorkerKey, now: Instant) {
+    /// Remembers that the lease of a worker has expired while it may have had these runs.
+    pub(crate) fn record_losses(&mut self, key: WorkerKey, runs: &[TaskRun], now: Instant) {
         let worker = &self.workers[key];
         let gone = worker.runs_gone_in_crash(now);
         let (id, started_ms) = (worker.entry.id.clone(), worker.entry.started_ms);
-        for GoneRun { task, crash } in gone {
+        let is_over = |gone: &GoneRun| {
+            let (task, run) = (gone.task, gone.crash.run);
+            runs.contains(&TaskRun { task, run })
+        };
+        for GoneRun { task, crash } in gone.into_iter().filter(is_over) {
             let loss = Loss {
                 worker: id.clone(),
                 started_ms,
--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -141,6 +141,15 @@
         });
     }
 
+    /// Processes an answer to a start by another clock than that of the worker's last report. An incarnation that the owner
+    /// has not heard from may have taken the start.
+    ///
+    /// `asked` is the time from the answer to the end of the lease that the start has asked for, on the clock that answered.
+    pub fn start_taken_on_other_clock(&mut self, key: WorkerKey, asked: Duration, now: Instant) {
+        let lease_end = now + self.options.granted_lease(asked);
+        self.change_worker(key, |worker| worker.extend_stale_lease(lease_end));
+    }
+
     /// Marks a worker as no longer listed by the registry. Its runs count as ended when its lease expires. Returns
     /// whether it was listed.
     pub fn worker_unlisted(&mut self, id: &str) -> bool {
@@ -169,19 +178,21 @@
         });
     }
 
-    /// Releases the runs of workers whose leases have expired, and removes those that are not listed.
+    /// Releases the runs of workers whose leases have expired, and removes those that are not listed. A run whose start
+    /// nobody has confirmed waits until any incarnation would have ended it.
     pub(crate) fn expire_leases(&mut self, now: Instant) {
         let is_expired = |worker: &Worker| now >= worker.lease_end;
         let workers = self.workers.iter().filter(|(_, worker)| is_expired(worker));
         let expired: Vec<WorkerKey> = workers.map(|(key, _)| key).collect();
         for key in expired {
-            self.record_losses(key, now);
-            let runs: Vec<TaskRun> = self.workers[key].slots.keys().copied().collect();
+            let runs = self.workers[key].lapsed_runs(now);
+            self.record_losses(key, &runs, now);
             for run in runs {
                 self.report_release(key, run);
                 self.release_run(key, run);
             }
-            if !self.workers[key].listed {
+            let worker = &self.workers[key];
+            if !worker.listed && worker.slots.is_empty() {
                 self.remove_worker(key);
             }
         }
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -91,5 +91,6 @@
 pub use segment::{RecordStamp, SegmentRow, SegmentState, StampedRecord};
 pub use team_spec::{CapExceeded, TeamSpec};
 pub use worker::{
-    EndReport, ReportScope, RunEnd, RunReport, StartRefusal, WorkerEntry, WorkerKey, WorkerReport,
+    EndReport, ReportScope, RunEnd, RunReport, StartRefusal, StartTaker, WorkerEntry, WorkerKey,
+    WorkerReport,
 };
--- a/crates/hs-cell/src/options.rs
+++ b/crates/hs-cell/src/options.rs
@@ -40,6 +40,9 @@
 /// Maximum difference between the wall clocks of a worker and an owner, one of which may have jumped.
 const MAX_CLOCK_ERROR: Duration = Duration::from_secs(5);
 
+/// Maximum time until the owner knows what has become of a start, or that it has no reply.
+const MAX_START_TIME: Duration = Duration::from_secs(2);
+
 /// Maximum time after which a worker carries out a call that it has not answered.
 const MAX_CALL_DELAY: Duration = Duration::from_secs(12);
 
@@ -55,6 +58,18 @@
         until_runs_end(self.longest_lease)
     }
 
+    /// Returns the maximum time for which any incarnation of a worker keeps a run whose start is sent now, unless it is
+    /// carried out late.
+    pub(crate) fn max_unconfirmed_lease(&self) -> Duration {
+        MAX_START_TIME + self.max_stale_lease()
+    }
+
+    /// Returns the maximum time for which a worker keeps its runs after a call that has asked for a lease of this duration
+    /// on its clock.
+    pub(crate) fn granted_lease(&self, asked: Duration) -> Duration {
+        until_runs_end(asked.min(self.longest_lease))
+    }
+
     /// Returns the maximum time for which a worker keeps the runs of a call that is not carried out yet.
     pub(crate) fn max_late_lease(&self) -> Duration {
         MAX_CALL_DELAY + self.max_stale_lease()
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -194,6 +194,7 @@
             team: job.team,
             phase: SlotPhase::Recording,
             visible_since: None,
+            unconfirmed_until: None,
             percent: 0,
             last_progress_at: now,
             started_at: now,
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -179,6 +179,7 @@
                     team,
                     phase: SlotPhase::Running,
                     visible_since: Some(now),
+                    unconfirmed_until: None,
                     percent: 0,
                     last_progress_at: now,
                     started_at: now,
--- a/crates/hs-cell/src/run_orders.rs
+++ b/crates/hs-cell/src/run_orders.rs
@@ -55,9 +55,11 @@
         let Some(order) = self.start_order(key, run, now) else {
             return;
         };
+        let unconfirmed_until = now + self.options.max_unconfirmed_lease();
         let worker = self.workers.get_mut(key);
         if let Some(slot) = worker.and_then(|worker| worker.slots.get_mut(&run)) {
             slot.phase = SlotPhase::Sent;
+            slot.unconfirmed_until = Some(unconfirmed_until);
             slot.last_progress_at = now;
             self.effects.push(CellEffect::Start(key, order));
         }
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -137,6 +137,15 @@
     Invalid,
 }
 
+/// Which incarnations of a worker may have taken a start without a reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartTaker {
+    /// Only the one that has reported last.
+    Reported,
+    /// One that the owner has not heard from, as well.
+    Any,
+}
+
 /// Phase of a run on a worker, as known to the owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SlotPhase {
@@ -160,6 +169,9 @@
     /// Time from which the worker knows the run. A report requested later without the run proves that it is
     /// gone.
     pub visible_since: Option<Instant>,
+    /// Time until which an incarnation that the owner has not heard from may have the run, since nobody knows which one
+    /// has taken the start.
+    pub unconfirmed_until: Option<Instant>,
     pub percent: u8,
     /// Time at which the reported progress last changed.
     pub last_progress_at: Instant,
@@ -213,8 +225,8 @@
     pub lease_end: Instant,
     /// Whether this owner has known an earlier incarnation.
     pub is_successor: bool,
-    /// Time until which a stale call may keep runs going. Renewals don't change it, since a worker never shortens a
-    /// lease.
+    /// Time until which a stale call may keep runs going, or the run of another incarnation that has answered in place of
+    /// this one. Renewals don't change it, since a worker never shortens a lease.
     pub stale_lease_end: Option<Instant>,
     /// Time at which this owner last sent a renewal of the lease. Starts carry the end of that lease.
     pub renewed_at: Option<Instant>,
@@ -289,6 +301,19 @@
         self.is_reachable() && self.renewed_at.is_some()
     }
 
+    /// Returns the runs that have ended by a time, since the leases have ended under which they may go on.
+    pub(crate) fn lapsed_runs(&self, now: Instant) -> Vec<TaskRun> {
+        let is_over = |slot: &Slot| slot.unconfirmed_until.is_none_or(|until| now >= until);
+        let slots = self.slots.iter().filter(|(_, slot)| is_over(slot));
+        slots.map(|(run, _)| *run).collect()
+    }
+
+    /// Extends the lease to a time up to which a stale call may have granted it.
+    pub(crate) fn extend_stale_lease(&mut self, end: Instant) {
+        self.stale_lease_end = Some(self.stale_lease_end.map_or(end, |earlier| earlier.max(end)));
+        self.lease_end = self.lease_end.max(end);
+    }
+
     /// Limits the lease to a time, since no longer one has been granted. Stale calls may have granted one.
     pub(crate) fn limit_lease(&mut self, latest_end: Instant) {
         let limited = self.lease_end.min(latest_end);
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -7,7 +7,9 @@
 use crate::effect::CellEffect;
 use crate::job::TaskState;
 use crate::job_record::JobOutcome;
-use crate::worker::{EndReport, RunEnd, RunReport, Slot, SlotPhase, StartRefusal, WorkerReport};
+use crate::worker::{
+    EndReport, RunEnd, RunReport, Slot, SlotPhase, StartRefusal, StartTaker, WorkerReport,
+};
 use crate::{StepId, TaskRun, WorkerKey};
 
 /// Longest time from the request of a report to the state that it shows. A worker may delay its reply by this.
@@ -24,6 +26,7 @@
                 slot.phase = SlotPhase::Running;
             }
             slot.visible_since.get_or_insert(now);
+            slot.unconfirmed_until = None;
             slot.last_progress_at = now;
             slot.started_at = now;
         }
@@ -59,12 +62,28 @@
     }
 
     /// Handles a start that remained unanswered. The run is stopped, since it may still begin.
-    pub fn start_unanswered(&mut self, key: WorkerKey, run: TaskRun, now: Instant) {
+    ///
+    /// An incarnation that the owner has not heard from keeps the run under its longest lease. Only this run counts as going
+    /// on for that long: the others of the worker are known to the incarnation that has reported them.
+    pub fn start_unanswered(
+        &mut self,
+        key: WorkerKey,
+        run: TaskRun,
+        taker: StartTaker,
+        now: Instant,
+    ) {
+        let unconfirmed_until = match taker {
+            StartTaker::Reported => None,
+            StartTaker::Any => Some(now + self.options.max_stale_lease()),
+        };
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        let phase = worker.slots.get(&run).map(|slot| slot.phase);
-        if phase == Some(SlotPhase::Sent) {
+        let Some(slot) = worker.slots.get_mut(&run) else {
+            return;
+        };
+        slot.unconfirmed_until = unconfirmed_until;
+        if slot.phase == SlotPhase::Sent {
             worker.quarantine(now);
             self.stop_run(key, run);
             self.stop_incomplete_gang(run.task.step);
@@ -133,6 +152,7 @@
             if slot.phase == SlotPhase::Sent {
                 slot.phase = SlotPhase::Running;
             }
+            slot.unconfirmed_until = None;
             if slot.percent != report.percent {
                 slot.percent = report.percent;
                 slot.last_progress_at = now;
@@ -155,6 +175,7 @@
             team: job.and_then(|job| job.team),
             phase: SlotPhase::Running,
             visible_since: Some(now),
+            unconfirmed_until: None,
             percent: report.percent,
             last_progress_at: now,
             started_at: now,
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -33,5 +33,6 @@
 mod team_shares;
 mod teams;
 mod unavailable_capacity;
+mod unconfirmed_starts;
 mod unlisted_workers;
 mod world;
--- /dev/null
+++ b/crates/hs-cell/tests/cell/unconfirmed_starts.rs
@@ -0,0 +1,176 @@
+//! Starts that another incarnation of a worker may have taken than the one that has reported last.
+
+use std::time::{Duration, Instant};
+
+use hs_cell::{
+    Cell, CellEffect, CellOptions, StartOrder, StartTaker, TaskRun, WorkerKey, WorkerReport,
+};
+
+use crate::fixture::{entry, id, job, queue, step};
+
+/// End of the lease that the owner counts, after the last renewal.
+const RENEWED_LEASE: Duration = Duration::from_millis(8_088);
+
+/// Longest time, on the owner's clock, for which a worker keeps a run after it was started.
+const LONGEST_LEASE: Duration = Duration::from_millis(10_750);
+
+/// Longest time from a start to the event that tells what has become of it.
+const MAX_START_TIME: Duration = Duration::from_secs(2);
+
+/// Interval at which the cell checks leases.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time until the owner knows what has become of a start.
+const OUTCOME_TIME: Duration = Duration::from_millis(900);
+
+/// Two runs of a worker, the second of which is started after the last renewal.
+struct LostWorker {
+    cell: Cell,
+    key: WorkerKey,
+    renewed_at: Instant,
+    /// Run that the worker has reported.
+    reported: TaskRun,
+    /// Run whose start has been sent.
+    sent: TaskRun,
+}
+
+impl LostWorker {
+    fn new() -> Self {
+        let now = Instant::now();
+        let mut cell = Cell::new(CellOptions::default());
+        cell.configure(vec![queue("check", 0, 3)]);
+        let key = cell.worker_listed(entry(0, 1), now, now);
+        let renewed_at = now;
+        cell.lease_renewed(key, renewed_at + RENEWED_LEASE, now);
+        cell.worker_reported(key, WorkerReport::default(), now, now);
+        let reported = start(&mut cell, 1, now);
+        cell.start_confirmed(key, reported, now);
+        let sent = start(&mut cell, 2, now);
+        Self {
+            cell,
+            key,
+            renewed_at,
+            reported,
+            sent,
+        }
+    }
+
+    /// Returns the times after the last renewal at which the runs are released.
+    fn release_times(&mut self) -> (Duration, Duration) {
+        let mut released = [None; 2];
+        let mut now = self.renewed_at + OUTCOME_TIME;
+        while released.contains(&None) {
+            now += CHECK_INTERVAL;
+            self.cell.advance(now, 0);
+            for effect in self.cell.take_effects() {
+                let CellEffect::Release(release) = effect else {
+                    continue;
+                };
+                let index = usize::from(release.run == self.sent);
+                assert!(index == 1 || release.run == self.reported);
+                released[index] = Some(now - self.renewed_at);
+            }
+            assert!(
+                now < self.renewed_at + Duration::from_secs(60),
+                "{released:?}"
+            );
+        }
+        let [reported, sent] = released.map(Option::unwrap);
+        (reported, sent)
+    }
+}
+
+/// Submits a job of one task, and returns its run once the start is sent.
+fn start(cell: &mut Cell, number: u64, now: Instant) -> TaskRun {
+    cell.add_job(id(number), job("check", vec![step(1, 1000, 500)]), now, 0);
+    cell.advance(now, 0);
+    let batch = cell.take_batch(10, 100);
+    cell.committed(batch, now);
+    let starts = cell.take_effects().into_iter();
+    let starts = starts.filter_map(|effect| match effect {
+        CellEffect::Start(_, StartOrder { run, .. }) => Some(run),
+        _ => None,
+    });
+    starts.last().expect("the job is started")
+}
+
+/// What becomes of the second start, and when the runs are released.
+struct StartCase {
+    name: &'static str,
+    settle: fn(&mut LostWorker, Instant),
+    reported: Duration,
+    sent: Duration,
+}
+
+/// Guards against runs that start elsewhere while an incarnation that the owner has not heard from keeps them, and
+/// against runs of lost workers that wait for longer than any incarnation can have them.
+#[test]
+fn runs_are_released_once_no_incarnation_can_have_them() {
+    let unknown_end = OUTCOME_TIME + LONGEST_LEASE;
+    let cases = [
+        StartCase {
+            name: "the clock of the last report has answered",
+            settle: |lost, now| lost.cell.start_confirmed(lost.key, lost.sent, now),
+            reported: RENEWED_LEASE,
+            sent: RENEWED_LEASE,
+        },
+        StartCase {
+            name: "only the incarnation of the last report may have it",
+            settle: |lost, now| {
+                let taker = StartTaker::Reported;
+                lost.cell.start_unanswered(lost.key, lost.sent, taker, now);
+            },
+            reported: RENEWED_LEASE,
+            sent: RENEWED_LEASE,
+        },
+        StartCase {
+            name: "any incarnation may have it",
+            settle: |lost, now| {
+                let taker = StartTaker::Any;
+                lost.cell.start_unanswered(lost.key, lost.sent, taker, now);
+            },
+            reported: RENEWED_LEASE,
+            sent: unknown_end,
+        },
+        StartCase {
+            name: "another clock has answered, far behind",
+            settle: |lost, now| {
+                let asked = Duration::from_secs(3600);
+                lost.cell.start_taken_on_other_clock(lost.key, asked, now);
+                lost.cell.start_confirmed(lost.key, lost.sent, now);
+            },
+            reported: unknown_end,
+            sent: unknown_end,
+        },
+        StartCase {
+            name: "another clock has answered, ahead",
+            settle: |lost, now| {
+                let asked = Duration::from_secs(1);
+                lost.cell.start_taken_on_other_clock(lost.key, asked, now);
+                lost.cell.start_confirmed(lost.key, lost.sent, now);
+            },
+            reported: RENEWED_LEASE,
+            sent: RENEWED_LEASE,
+        },
+        StartCase {
+            name: "nothing is heard of the start",
+            settle: |_, _| {},
+            reported: RENEWED_LEASE,
+            sent: MAX_START_TIME + LONGEST_LEASE,
+        },
+    ];
+    for case in cases {
+        let mut lost = LostWorker::new();
+        let settled_at = lost.renewed_at + OUTCOME_TIME;
+        (case.settle)(&mut lost, settled_at);
+        let (reported, sent) = lost.release_times();
+        let is_at =
+            |time: Duration, due: Duration| (due..=due + 2 * CHECK_INTERVAL).contains(&time);
+        assert!(
+            is_at(reported, case.reported),
+            "{}: {reported:?}",
+            case.name
+        );
+        assert!(is_at(sent, case.sent), "{}: {sent:?}", case.name);
+    }
+}
--- a/crates/hs-cell/tests/cell/world/orders.rs
+++ b/crates/hs-cell/tests/cell/world/orders.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{
-    AdviceReply, CellEffect, ReportScope, RunEnd, RunReport, StartOrder, StartRefusal, TaskId,
-    TaskRun, WorkerKey, WorkerReport,
+    AdviceReply, CellEffect, ReportScope, RunEnd, RunReport, StartOrder, StartRefusal, StartTaker,
+    TaskId, TaskRun, WorkerKey, WorkerReport,
 };
 use hs_wire::Resources;
 
@@ -179,7 +179,8 @@
             return;
         };
         if !self.workers[number].up || !self.workers[number].reachable {
-            self.cell.start_unanswered(key, run, self.now);
+            self.cell
+                .start_unanswered(key, run, StartTaker::Reported, self.now);
             return;
         }
         if self.random_below(100) < self.delayed_start_percent {
@@ -194,13 +195,17 @@
                 capacity: self.workers[number].capacity,
             });
             self.fence_raises[number] += 1;
-            self.cell.start_unanswered(key, run, self.now);
+            self.cell
+                .start_unanswered(key, run, StartTaker::Any, self.now);
             return;
         }
         let limit = self.workers[number].capacity;
         match self.accept_start(number, self.worker_fence(number), run, lease_end, limit) {
             // The worker has crashed before it could answer.
-            Ok(()) if !self.workers[number].up => self.cell.start_unanswered(key, run, self.now),
+            Ok(()) if !self.workers[number].up => {
+                self.cell
+                    .start_unanswered(key, run, StartTaker::Reported, self.now)
+            }
             Ok(()) => self.cell.start_confirmed(key, run, self.now),
             Err(why) => self.cell.start_refused(key, run, why, self.now),
         }
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use hs_cell::{StartOrder, StartRefusal, TaskRun, WorkerKey, WorkerReport};
+use hs_cell::{StartOrder, StartRefusal, StartTaker, TaskRun, WorkerKey, WorkerReport};
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::JoinSet;
 
@@ -47,7 +47,10 @@
     Unreachable,
     Started(TaskRun),
     StartRefused(TaskRun, StartRefusal),
-    StartUnanswered(TaskRun),
+    StartUnanswered(TaskRun, StartTaker),
+    /// Another clock than that of the last report has answered a start. The lease that it was asked for ends after this
+    /// time on that clock.
+    OtherClock(Duration),
     Stopped(TaskRun),
     /// The worker has seen a higher fencing token, so another process owns the cell.
     Fenced,
@@ -181,6 +184,13 @@
     sent_at: Instant,
 }
 
+impl StartTerms {
+    /// Returns whether the clock that maps the end of the lease can show a reading that an answer has brought by `now`.
+    fn is_answered_by(&self, clock_ms: u64, now: Instant) -> bool {
+        self.clock.agrees_with(clock_ms, self.sent_at, now)
+    }
+}
+
 /// What the tasks of a link share.
 #[derive(Debug)]
 struct WorkerLink<P> {
--- a/crates/hs-control/src/link/orders.rs
+++ b/crates/hs-control/src/link/orders.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{StartOrder, StartRefusal, TaskRun};
+use hs_cell::{StartOrder, StartRefusal, StartTaker, TaskRun};
 use hs_event::EventCode;
 use hs_timer::timeout;
 use tokio::sync::SemaphorePermit;
@@ -49,6 +49,7 @@
     pub(super) async fn send_start(self: Arc<Self>, order: StartOrder) {
         let run = order.run;
         let mut in_doubt = false;
+        let mut taker = StartTaker::Reported;
         let mut was_sent = false;
         let mut failures = 0;
         for attempt in 1..=MAX_ALL_START_ATTEMPTS {
@@ -68,6 +69,9 @@
                 .await;
             drop(turn);
             self.log_attempt(run, attempt, terms, &sent);
+            if let Ok(answer) = &sent {
+                self.check_clock(terms, answer).await;
+            }
             match sent.map(|answer| answer.reply) {
                 Ok(StartReply::Started) => return self.emit(LinkEvent::Started(run)).await,
                 Ok(StartReply::Fenced) if self.is_fenced_by_other(fence) => {
@@ -89,6 +93,9 @@
                     log::debug!("failed to start run={} {}: {error}", run.run, run.task);
                     self.record_failed_call();
                     in_doubt = in_doubt || !error.is_refused();
+                    if error.may_have_reached_another() {
+                        taker = StartTaker::Any;
+                    }
                     failures += u32::from(!self.was_late_since(terms.sent_at));
                     if failures >= MAX_START_ATTEMPTS {
                         break;
@@ -100,7 +107,7 @@
             }
         }
         let event = match (was_sent, in_doubt) {
-            (_, true) => LinkEvent::StartUnanswered(run),
+            (_, true) => LinkEvent::StartUnanswered(run, taker),
             (true, false) => LinkEvent::StartRefused(run, StartRefusal::Unhealthy),
             // This process was too late to renew the lease, which does not show that the worker is unhealthy.
             (false, false) => LinkEvent::StartRefused(run, StartRefusal::Late),
@@ -108,6 +115,28 @@
         self.emit(event).await;
     }
 
+    /// Checks whether the clock of the last report has answered a start. If not, the worker has probably started again
+    /// and takes the end of the lease for one on its own clock: the lease is as long as the answer shows.
+    async fn check_clock(&self, terms: StartTerms, answer: &StartAnswer) {
+        let (asked, is_same_clock) = match answer.clock_ms {
+            Some(clock_ms) => {
+                let asked = terms.lease_end_ms.saturating_sub(clock_ms);
+                (
+                    Duration::from_millis(asked),
+                    terms.is_answered_by(clock_ms, self.platform.now()),
+                )
+            }
+            None if answer.reply == StartReply::Started => (Duration::MAX, false),
+            // The worker has done nothing.
+            None => return,
+        };
+        if !is_same_clock {
+            self.record_failed_call();
+            self.set_replaced(true);
+            self.emit(LinkEvent::OtherClock(asked)).await;
+        }
+    }
+
     /// Logs an attempt to send a start, unless it is the first one and the clock of the last report has answered.
     fn log_attempt(
         &self,
@@ -118,8 +147,7 @@
     ) {
         let now = self.platform.now();
         let answer_ms = sent.as_ref().ok().and_then(|answer| answer.clock_ms);
-        let is_same_clock =
-            answer_ms.is_some_and(|ms| terms.clock.agrees_with(ms, terms.sent_at, now));
+        let is_same_clock = answer_ms.is_some_and(|ms| terms.is_answered_by(ms, now));
         if attempt == 1 && is_same_clock {
             return;
         }
--- a/crates/hs-control/src/owner/links.rs
+++ b/crates/hs-control/src/owner/links.rs
@@ -118,10 +118,17 @@
                 self.metrics.record_start_refusal(why);
                 self.cell.start_refused(key, run, why, now);
             }
-            LinkEvent::StartUnanswered(run) => {
+            LinkEvent::StartUnanswered(run, taker) => {
                 self.load.unanswered_starts += 1;
-                EventCode::StartUnanswered.log(format_args!("task={} run={}", run.task, run.run));
-                self.cell.start_unanswered(key, run, now);
+                EventCode::StartUnanswered.log(format_args!(
+                    "task={} run={} taker={taker:?}",
+                    run.task, run.run
+                ));
+                self.cell.start_unanswered(key, run, taker, now);
+            }
+            LinkEvent::OtherClock(asked) => {
+                self.cell.start_taken_on_other_clock(key, asked, now);
+                self.cell.worker_unreachable(key);
             }
             LinkEvent::Stopped(run) => self.cell.stop_confirmed(key, run, now),
             LinkEvent::Fenced => {
