fix(control): a start is with the reported incarnation only if its connection is older than the report

Cause: a call on a kept connection counted as one that only the incarnation of the last report can have. Connections are kept by address: the next incarnation may have answered a stop on one before a start without a reply went out on it, and the run was released while that incarnation had it. Change: a call without a reply names the time at which its connection was opened, and a start may be with another incarnation unless that was before the last report was requested. The clock in the answer to a stop is compared as well, and the turn of an order ends after its answer was checked. The runs that an unknown incarnation may have share the lease of its last call, also of a renewal that it may have taken. E8047 names whose clock has answered and who may have the start, E8017 what the lease was counted by, and E8015 is logged again for renewals. Measured: no_start_follows_a_stop_that_another_clock_has_answered fails without the comparison and passes; runs_of_an_unknown_incarnation_share_its_lease and a_process_that_is_late_while_a_connection_opens_reads_the_reply pass.

--- a/crates/hs-cell/src/effect.rs
+++ b/crates/hs-cell/src/effect.rs
@@ -115,6 +115,19 @@
     pub run: TaskRun,
     /// Time at which this owner sent the last renewal, if it has renewed the lease.
     pub renewed_at: Option<Instant>,
+    /// What the end of the run follows from.
+    pub counted_by: LeaseSource,
+}
+
+/// What the time follows from until which a run counts as going on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeaseSource {
+    /// The last renewal, or the leases that earlier owners may have granted.
+    Renewal,
+    /// The longest lease that a call for another incarnation may have brought about.
+    StaleCall,
+    /// The longest lease of an incarnation that may have taken the start.
+    UnconfirmedStart,
 }
 
 /// Change of a job to be written to the store.
--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -141,15 +141,21 @@
         });
     }
 
-    /// Processes an answer to a start by another clock than that of the worker's last report. An incarnation that the owner
-    /// has not heard from may have taken the start.
+    /// Processes an answer to an order by another clock than that of the worker's last report. An incarnation that the owner
+    /// has not heard from may have taken the order.
     ///
-    /// `asked` is the time from the answer to the end of the lease that the start has asked for, on the clock that answered.
-    pub fn start_taken_on_other_clock(&mut self, key: WorkerKey, asked: Duration, now: Instant) {
+    /// `asked` is the time from the answer to the end of the lease that the order has asked for, on the clock that answered.
+    pub fn order_taken_on_other_clock(&mut self, key: WorkerKey, asked: Duration, now: Instant) {
         let lease_end = now + self.options.granted_lease(asked);
         self.change_worker(key, |worker| worker.extend_stale_lease(lease_end));
     }
 
+    /// Processes a renewal that an incarnation may have taken which the owner has not heard from.
+    pub fn stale_renewal_taken(&mut self, key: WorkerKey, now: Instant) {
+        let lease_end = now + self.options.max_stale_lease();
+        self.change_worker(key, |worker| worker.extend_unconfirmed(lease_end, now));
+    }
+
     /// Marks a worker as no longer listed by the registry. Its runs count as ended when its lease expires. Returns
     /// whether it was listed.
     pub fn worker_unlisted(&mut self, id: &str) -> bool {
@@ -187,11 +193,15 @@
         for key in expired {
             let runs = self.workers[key].lapsed_runs(now);
             self.record_losses(key, &runs, now);
+            let released_any = !runs.is_empty();
             for run in runs {
                 self.report_release(key, run);
                 self.release_run(key, run);
             }
-            let worker = &self.workers[key];
+            let worker = &mut self.workers[key];
+            for slot in worker.slots.values_mut() {
+                slot.has_outlasted_others |= released_any;
+            }
             if !worker.listed && worker.slots.is_empty() {
                 self.remove_worker(key);
             }
@@ -209,6 +219,7 @@
             started_ms: worker.entry.started_ms,
             run,
             renewed_at: worker.renewed_at,
+            counted_by: worker.lease_source(run),
         };
         self.effects.push(CellEffect::Release(released));
     }
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -73,7 +73,8 @@
 pub use cell::{AddedJob, Cell, JobState};
 pub use census::{AdviceWait, StepWait, WorkerCensus};
 pub use effect::{
-    AdviceRequest, CellBatch, CellEffect, CrashEvent, RecordRow, ReleasedRun, StartOrder, TaskRun,
+    AdviceRequest, CellBatch, CellEffect, CrashEvent, LeaseSource, RecordRow, ReleasedRun,
+    StartOrder, TaskRun,
 };
 pub use evidence_feed::InterferenceEvent;
 pub use hs_evidence::{EvidenceCounts, LearningOptions};
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -195,6 +195,7 @@
             phase: SlotPhase::Recording,
             visible_since: None,
             unconfirmed_until: None,
+            has_outlasted_others: false,
             percent: 0,
             last_progress_at: now,
             started_at: now,
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -180,6 +180,7 @@
                     phase: SlotPhase::Running,
                     visible_since: Some(now),
                     unconfirmed_until: None,
+                    has_outlasted_others: false,
                     percent: 0,
                     last_progress_at: now,
                     started_at: now,
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -7,6 +7,7 @@
 use hs_wire::Resources;
 use slotmap::new_key_type;
 
+use crate::effect::LeaseSource;
 use crate::isolation::Vacating;
 use crate::reserve::ReservationHolder;
 use crate::team_usage::TeamKey;
@@ -172,6 +173,8 @@
     /// Time until which an incarnation that the owner has not heard from may have the run, since nobody knows which one
     /// has taken the start.
     pub unconfirmed_until: Option<Instant>,
+    /// Whether other runs of the worker were released before this one, when the lease ended.
+    pub has_outlasted_others: bool,
     pub percent: u8,
     /// Time at which the reported progress last changed.
     pub last_progress_at: Instant,
@@ -308,6 +311,29 @@
         slots.map(|(run, _)| *run).collect()
     }
 
+    /// Returns what the time follows from until which a run counts as going on.
+    pub(crate) fn lease_source(&self, run: TaskRun) -> LeaseSource {
+        let unconfirmed = self.slots.get(&run).and_then(|slot| slot.unconfirmed_until);
+        if unconfirmed.is_some_and(|until| until >= self.lease_end) {
+            return LeaseSource::UnconfirmedStart;
+        }
+        match self.stale_lease_end == Some(self.lease_end) {
+            true => LeaseSource::StaleCall,
+            false => LeaseSource::Renewal,
+        }
+    }
+
+    /// Records that an incarnation that the owner has not heard from may have taken a call which keeps all its runs going
+    /// until `end`. Those that this incarnation has reported are not its runs.
+    pub(crate) fn extend_unconfirmed(&mut self, end: Instant, now: Instant) {
+        for slot in self.slots.values_mut() {
+            slot.unconfirmed_until = slot.unconfirmed_until.map(|until| until.max(end));
+        }
+        if self.stale_lease_end.is_some_and(|until| until > now) {
+            self.extend_stale_lease(end);
+        }
+    }
+
     /// Extends the lease to a time up to which a stale call may have granted it.
     pub(crate) fn extend_stale_lease(&mut self, end: Instant) {
         self.stale_lease_end = Some(self.stale_lease_end.map_or(end, |earlier| earlier.max(end)));
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -63,7 +63,7 @@
 
     /// Handles a start that remained unanswered. The run is stopped, since it may still begin.
     ///
-    /// An incarnation that the owner has not heard from keeps the run under its longest lease. Only this run counts as going
+    /// An incarnation that the owner has not heard from keeps the run under its longest lease. Only such runs count as going
     /// on for that long: the others of the worker are known to the incarnation that has reported them.
     pub fn start_unanswered(
         &mut self,
@@ -82,8 +82,16 @@
         let Some(slot) = worker.slots.get_mut(&run) else {
             return;
         };
+        if slot.phase == SlotPhase::Running {
+            // A report has shown the run meanwhile.
+            return;
+        }
+        let is_sent = slot.phase == SlotPhase::Sent;
         slot.unconfirmed_until = unconfirmed_until;
-        if slot.phase == SlotPhase::Sent {
+        if let Some(until) = unconfirmed_until {
+            worker.extend_unconfirmed(until, now);
+        }
+        if is_sent {
             worker.quarantine(now);
             self.stop_run(key, run);
             self.stop_incomplete_gang(run.task.step);
@@ -176,6 +184,7 @@
             phase: SlotPhase::Running,
             visible_since: Some(now),
             unconfirmed_until: None,
+            has_outlasted_others: false,
             percent: report.percent,
             last_progress_at: now,
             started_at: now,
--- a/crates/hs-cell/tests/cell/unconfirmed_starts.rs
+++ b/crates/hs-cell/tests/cell/unconfirmed_starts.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{
-    Cell, CellEffect, CellOptions, StartOrder, StartTaker, TaskRun, WorkerKey, WorkerReport,
+    Cell, CellEffect, CellOptions, StartOrder, StartTaker, TaskRun, WorkerEntry, WorkerKey,
+    WorkerReport,
 };
 
 use crate::fixture::{entry, id, job, queue, step};
@@ -66,9 +67,10 @@
                 let CellEffect::Release(release) = effect else {
                     continue;
                 };
-                let index = usize::from(release.run == self.sent);
-                assert!(index == 1 || release.run == self.reported);
-                released[index] = Some(now - self.renewed_at);
+                let runs = [self.reported, self.sent];
+                if let Some(index) = runs.iter().position(|run| *run == release.run) {
+                    released[index] = Some(now - self.renewed_at);
+                }
             }
             assert!(
                 now < self.renewed_at + Duration::from_secs(60),
@@ -136,7 +138,7 @@
             name: "another clock has answered, far behind",
             settle: |lost, now| {
                 let asked = Duration::from_secs(3600);
-                lost.cell.start_taken_on_other_clock(lost.key, asked, now);
+                lost.cell.order_taken_on_other_clock(lost.key, asked, now);
                 lost.cell.start_confirmed(lost.key, lost.sent, now);
             },
             reported: unknown_end,
@@ -146,7 +148,7 @@
             name: "another clock has answered, ahead",
             settle: |lost, now| {
                 let asked = Duration::from_secs(1);
-                lost.cell.start_taken_on_other_clock(lost.key, asked, now);
+                lost.cell.order_taken_on_other_clock(lost.key, asked, now);
                 lost.cell.start_confirmed(lost.key, lost.sent, now);
             },
             reported: RENEWED_LEASE,
@@ -174,3 +176,21 @@
         assert!(is_at(sent, case.sent), "{}: {sent:?}", case.name);
     }
 }
+
+/// Guards against a run that is released while the incarnation that has it keeps it under the lease of a later start.
+#[test]
+fn runs_of_an_unknown_incarnation_share_its_lease() {
+    let mut lost = LostWorker::new();
+    let (key, any) = (lost.key, StartTaker::Any);
+    let earlier = lost.renewed_at + OUTCOME_TIME / 2;
+    let later = lost.renewed_at + OUTCOME_TIME;
+    let first = lost.sent;
+    let second = start(&mut lost.cell, 3, lost.renewed_at);
+    lost.cell.start_unanswered(key, first, any, earlier);
+    lost.cell.start_unanswered(key, second, any, later);
+    let (_, first_released) = lost.release_times();
+    assert!(
+        first_released >= OUTCOME_TIME + LONGEST_LEASE,
+        "{first_released:?}"
+    );
+}
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -5,6 +5,7 @@
 mod orders;
 mod pending_stops;
 mod renewal;
+mod start_attempt;
 
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -48,9 +49,11 @@
     Started(TaskRun),
     StartRefused(TaskRun, StartRefusal),
     StartUnanswered(TaskRun, StartTaker),
-    /// Another clock than that of the last report has answered a start. The lease that it was asked for ends after this
-    /// time on that clock.
+    /// Another clock than that of the last report has answered an order. The lease that it was asked for, if any, ends after
+    /// this time on that clock.
     OtherClock(Duration),
+    /// Another incarnation than the one that has reported last may have taken a renewal.
+    StaleRenewal,
     Stopped(TaskRun),
     /// The worker has seen a higher fencing token, so another process owns the cell.
     Fenced,
@@ -168,29 +171,10 @@
     fence: u64,
     /// Whether a call has failed since the last renewal began. Another incarnation may take the next call.
     has_failed_call: bool,
-    /// Whether another incarnation has answered the last renewal.
+    /// Whether another incarnation has answered since the last report.
     is_replaced: bool,
 }
 
-/// What a start carries, and what that was computed from.
-#[derive(Clone, Copy, Debug)]
-struct StartTerms {
-    fence: u64,
-    /// Reading of the worker's clock that maps the end of the lease.
-    clock: WorkerClock,
-    /// End of the lease on the worker's clock in milliseconds.
-    lease_end_ms: u64,
-    /// Time at which the start is sent.
-    sent_at: Instant,
-}
-
-impl StartTerms {
-    /// Returns whether the clock that maps the end of the lease can show a reading that an answer has brought by `now`.
-    fn is_answered_by(&self, clock_ms: u64, now: Instant) -> bool {
-        self.clock.agrees_with(clock_ms, self.sent_at, now)
-    }
-}
-
 /// What the tasks of a link share.
 #[derive(Debug)]
 struct WorkerLink<P> {
@@ -268,9 +252,9 @@
         fence >= self.fence()
     }
 
-    /// Records whether another incarnation answers the calls. Returns whether one did before.
-    fn set_replaced(&self, is_replaced: bool) -> bool {
-        self.with_state(|state| std::mem::replace(&mut state.is_replaced, is_replaced))
+    /// Records whether another incarnation answers the calls.
+    fn set_replaced(&self, is_replaced: bool) {
+        self.with_state(|state| state.is_replaced = is_replaced);
     }
 
     /// Records a call that has failed and may still be carried out. The next answered one makes the worker refuse it.
@@ -285,22 +269,4 @@
     fn to_worker_clock_ms(&self, end: Instant) -> Option<u64> {
         self.with_state(|state| state.clock)?.at(end)
     }
-
-    /// Returns what a start that is sent now carries, or `None` if too little of the lease remains that the last renewal
-    /// asked for.
-    ///
-    /// Starts never ask for a longer lease, so that they don't prolong the lease of an unreachable worker.
-    fn start_terms(&self) -> Option<StartTerms> {
-        let state = self.with_state(|state| *state);
-        let (clock, end) = (state.clock?, state.lease_end?);
-        let sent_at = self.platform.now();
-        let is_useful = end >= sent_at + MIN_LEASE;
-        is_useful.then_some(())?;
-        Some(StartTerms {
-            fence: state.fence,
-            clock,
-            lease_end_ms: clock.at(end)?,
-            sent_at,
-        })
-    }
 }
--- a/crates/hs-control/src/link/orders.rs
+++ b/crates/hs-control/src/link/orders.rs
@@ -3,15 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{StartOrder, StartRefusal, StartTaker, TaskRun};
-use hs_event::EventCode;
+use hs_cell::{StartOrder, StartRefusal, StartTaker};
 use hs_timer::timeout;
 use tokio::sync::SemaphorePermit;
 use tokio::time::sleep;
 
 use super::pending_stops::PendingStop;
-use super::{LinkEvent, RETRY_PAUSE, StartTerms, WorkerContact, WorkerLink};
-use crate::port::{Platform, PortError, StartAnswer, StartReply, StopReply};
+use super::{LinkEvent, RETRY_PAUSE, WorkerContact, WorkerLink};
+use crate::port::{Platform, StartReply, StopReply};
 
 /// Timeout of a start or a stop.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -52,26 +51,29 @@
         let mut taker = StartTaker::Reported;
         let mut was_sent = false;
         let mut failures = 0;
-        for attempt in 1..=MAX_ALL_START_ATTEMPTS {
+        for number in 1..=MAX_ALL_START_ATTEMPTS {
             let turn = self.order_turn().await;
             if self.with_state(|state| state.is_replaced) {
                 // The next incarnation would start the run under a lease that does not end when this one assumes.
                 break;
             }
-            let Some(terms) = self.start_terms() else {
+            let Some(attempt) = self.start_attempt(number) else {
                 break;
             };
-            let fence = terms.fence;
+            let fence = attempt.fence;
             was_sent = true;
             let sent = self
                 .platform
-                .start(&self.peer, fence, terms.lease_end_ms, &order, ORDER_TIMEOUT)
+                .start(
+                    &self.peer,
+                    fence,
+                    attempt.lease_end_ms,
+                    &order,
+                    ORDER_TIMEOUT,
+                )
                 .await;
+            self.check_attempt(run, attempt, &sent).await;
             drop(turn);
-            self.log_attempt(run, attempt, terms, &sent);
-            if let Ok(answer) = &sent {
-                self.check_clock(terms, answer).await;
-            }
             match sent.map(|answer| answer.reply) {
                 Ok(StartReply::Started) => return self.emit(LinkEvent::Started(run)).await,
                 Ok(StartReply::Fenced) if self.is_fenced_by_other(fence) => {
@@ -93,10 +95,10 @@
                     log::debug!("failed to start run={} {}: {error}", run.run, run.task);
                     self.record_failed_call();
                     in_doubt = in_doubt || !error.is_refused();
-                    if error.may_have_reached_another() {
+                    if attempt.taker(&error) == StartTaker::Any {
                         taker = StartTaker::Any;
                     }
-                    failures += u32::from(!self.was_late_since(terms.sent_at));
+                    failures += u32::from(!self.was_late_since(attempt.sent_at));
                     if failures >= MAX_START_ATTEMPTS {
                         break;
                     }
@@ -115,56 +117,6 @@
         self.emit(event).await;
     }
 
-    /// Checks whether the clock of the last report has answered a start. If not, the worker has probably started again
-    /// and takes the end of the lease for one on its own clock: the lease is as long as the answer shows.
-    async fn check_clock(&self, terms: StartTerms, answer: &StartAnswer) {
-        let (asked, is_same_clock) = match answer.clock_ms {
-            Some(clock_ms) => {
-                let asked = terms.lease_end_ms.saturating_sub(clock_ms);
-                (
-                    Duration::from_millis(asked),
-                    terms.is_answered_by(clock_ms, self.platform.now()),
-                )
-            }
-            None if answer.reply == StartReply::Started => (Duration::MAX, false),
-            // The worker has done nothing.
-            None => return,
-        };
-        if !is_same_clock {
-            self.record_failed_call();
-            self.set_replaced(true);
-            self.emit(LinkEvent::OtherClock(asked)).await;
-        }
-    }
-
-    /// Logs an attempt to send a start, unless it is the first one and the clock of the last report has answered.
-    fn log_attempt(
-        &self,
-        run: TaskRun,
-        attempt: u32,
-        terms: StartTerms,
-        sent: &Result<StartAnswer, PortError>,
-    ) {
-        let now = self.platform.now();
-        let answer_ms = sent.as_ref().ok().and_then(|answer| answer.clock_ms);
-        let is_same_clock = answer_ms.is_some_and(|ms| terms.is_answered_by(ms, now));
-        if attempt == 1 && is_same_clock {
-            return;
-        }
-        let age = terms.sent_at.saturating_duration_since(terms.clock.read_at);
-        EventCode::StartAttempted.log(format_args!(
-            "task={} run={} worker={} attempt={attempt} fence={} until_ms={} clock_age_ms={} \
-             answered={} clock_ms={answer_ms:?} same_clock={is_same_clock}",
-            run.task,
-            run.run,
-            self.peer.id,
-            terms.fence,
-            terms.lease_end_ms,
-            age.as_millis(),
-            sent.is_ok(),
-        ));
-    }
-
     /// Returns whether this process was late during an order that has failed.
     fn was_late_since(&self, sent_at: Instant) -> bool {
         let elapsed = self.platform.now().saturating_duration_since(sent_at);
@@ -178,13 +130,17 @@
         self.first_contact().await;
         loop {
             let turn = self.order_turn().await;
-            let fence = self.fence();
+            let (fence, clock) = self.with_state(|state| (state.fence, state.clock));
+            let sent_at = self.platform.now();
             let sent = self
                 .platform
                 .stop(&self.peer, fence, run, ORDER_TIMEOUT)
                 .await;
+            if let Ok(answer) = &sent {
+                self.check_stop_clock(clock, sent_at, answer).await;
+            }
             drop(turn);
-            match sent {
+            match sent.map(|answer| answer.reply) {
                 Ok(StopReply::Stopped) => return self.emit(LinkEvent::Stopped(run)).await,
                 Ok(StopReply::Fenced) if self.is_fenced_by_other(fence) => {
                     return self.emit(LinkEvent::Fenced).await;
--- a/crates/hs-control/src/link/renewal.rs
+++ b/crates/hs-control/src/link/renewal.rs
@@ -38,6 +38,20 @@
     wait: Duration,
 }
 
+/// Returns whether another incarnation may have taken a renewal than the one whose clock maps the end of the lease.
+fn is_maybe_stale(
+    renewal: LeaseRenewal,
+    clock: Option<WorkerClock>,
+    reply: &Result<RenewalReply, PortError>,
+) -> bool {
+    let is_other = match (reply, clock) {
+        (Ok(RenewalReply::OtherIncarnation), _) => true,
+        (Err(error), Some(clock)) => error.may_have_reached_later_process(clock.requested_at),
+        (Ok(_), _) | (Err(_), None) => false,
+    };
+    is_other && renewal.lease_end_ms.is_some()
+}
+
 /// The task of a link that renews the lease of its worker.
 pub(super) struct RenewalTask<P> {
     link: Arc<WorkerLink<P>>,
@@ -54,6 +68,8 @@
     /// Whether a renewal of the lease was answered since the worker was last doubtful. A worker that fails each
     /// renewal but not the calls in between would otherwise be called without a pause.
     was_renewed: bool,
+    /// Whether the answer of another incarnation was logged since the last report.
+    is_replacement_logged: bool,
 }
 
 impl<P: Platform> RenewalTask<P> {
@@ -66,6 +82,7 @@
             answered: false,
             retry_pause: RETRY_PAUSE,
             was_renewed: true,
+            is_replacement_logged: false,
         }
     }
 
@@ -82,11 +99,16 @@
                 continue;
             };
             let renewal = self.begin_renewal(lease_end, are_recorded).await;
+            let clock = self.link.with_state(|state| state.clock);
             let (reply, requested_at) = self.call(renewal).await;
+            if is_maybe_stale(renewal, clock, &reply) {
+                self.link.emit(LinkEvent::StaleRenewal).await;
+            }
             self.answered = matches!(reply, Ok(RenewalReply::Report { .. }));
             match reply {
                 Ok(RenewalReply::Report { clock_ms, report }) => {
                     self.link.set_replaced(false);
+                    self.is_replacement_logged = false;
                     self.was_renewed |= renewal.lease_end_ms.is_some();
                     let call = RenewalCall {
                         wait: renewal.wait,
@@ -114,9 +136,10 @@
     }
 
     /// Keeps further starts from reaching the incarnation that has answered in place of the one that was called.
-    fn note_replacement(&self) {
+    fn note_replacement(&mut self) {
         let peer = &self.link.peer;
-        if !self.link.set_replaced(true) {
+        self.link.set_replaced(true);
+        if !std::mem::replace(&mut self.is_replacement_logged, true) {
             let (id, started_ms) = (&peer.id, peer.started_ms);
             EventCode::WorkerReplaced.log(format_args!("worker={id} born_ms={started_ms}"));
         }
--- a/crates/hs-control/src/owner/effects.rs
+++ b/crates/hs-control/src/owner/effects.rs
@@ -84,8 +84,13 @@
             .renewed_at
             .map(|at| now.saturating_duration_since(at).as_millis());
         EventCode::RunReleased.log(format_args!(
-            "task={} run={} worker={} born_ms={} renewed_ms_ago={renewed_ms:?}",
-            released.run.task, released.run.run, released.worker, released.started_ms
+            "task={} run={} worker={} born_ms={} renewed_ms_ago={renewed_ms:?} \
+             counted_by={:?}",
+            released.run.task,
+            released.run.run,
+            released.worker,
+            released.started_ms,
+            released.counted_by,
         ));
     }
 
--- a/crates/hs-control/src/owner/links.rs
+++ b/crates/hs-control/src/owner/links.rs
@@ -126,8 +126,9 @@
                 ));
                 self.cell.start_unanswered(key, run, taker, now);
             }
+            LinkEvent::StaleRenewal => self.cell.stale_renewal_taken(key, now),
             LinkEvent::OtherClock(asked) => {
-                self.cell.start_taken_on_other_clock(key, asked, now);
+                self.cell.order_taken_on_other_clock(key, asked, now);
                 self.cell.worker_unreachable(key);
             }
             LinkEvent::Stopped(run) => self.cell.stop_confirmed(key, run, now),
--- a/crates/hs-control/src/port.rs
+++ b/crates/hs-control/src/port.rs
@@ -6,8 +6,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-pub use hs_http::CallConnection;
-
 use hs_cell::{AdviceReply, StartOrder, StartRefusal, StepId, TaskRun, WorkerEntry, WorkerReport};
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -34,8 +32,8 @@
         operation: &'static str,
         /// Address of the other side.
         peer: String,
-        /// Connection on which the call was sent.
-        connection: CallConnection,
+        /// Time at which the connection was opened on which the call was sent, if it is known.
+        opened_at: Option<Instant>,
         /// Error of the call, or why its reply was unusable.
         cause: String,
     },
@@ -47,13 +45,12 @@
         matches!(self, Self::Refused { .. })
     }
 
-    /// Returns whether the call may have reached another process than the last one that has replied from this address.
-    pub fn may_have_reached_another(&self) -> bool {
-        let connection = match self {
-            Self::Refused { .. } => return false,
-            Self::NoReply { connection, .. } => connection,
-        };
-        *connection == CallConnection::New
+    /// Returns whether a process may have received the call that has started after this time.
+    pub fn may_have_reached_later_process(&self, time: Instant) -> bool {
+        match self {
+            Self::Refused { .. } => false,
+            Self::NoReply { opened_at, .. } => opened_at.is_none_or(|opened_at| opened_at >= time),
+        }
     }
 }
 
@@ -157,11 +154,11 @@
     Refused(StartRefusal),
 }
 
-/// The answer to a start order.
+/// The answer to a start or stop order.
 #[derive(Clone, Debug, PartialEq)]
-pub struct StartAnswer {
+pub struct OrderAnswer<R> {
     /// What became of the order.
-    pub reply: StartReply,
+    pub reply: R,
     /// Reading of the clock of the incarnation that answered, in milliseconds, if the answer contains one.
     pub clock_ms: Option<u64>,
 }
@@ -298,7 +295,7 @@
         lease_end_ms: u64,
         order: &StartOrder,
         timeout: Duration,
-    ) -> impl Future<Output = Result<StartAnswer, PortError>> + Send;
+    ) -> impl Future<Output = Result<OrderAnswer<StartReply>, PortError>> + Send;
 
     /// Stops a run, and prevents it from starting later.
     fn stop(
@@ -307,7 +304,7 @@
         fence: u64,
         run: TaskRun,
         timeout: Duration,
-    ) -> impl Future<Output = Result<StopReply, PortError>> + Send;
+    ) -> impl Future<Output = Result<OrderAnswer<StopReply>, PortError>> + Send;
 
     /// Renews the lease of the worker's runs and returns its report on runs and ends.
     fn renew_lease(
--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 
 use crate::keys::{self, IntakeKey};
-use crate::port::{CallConnection, Platform, PortError, StoreItem, StorePort};
+use crate::port::{Platform, PortError, StoreItem, StorePort};
 use crate::work_portions::WorkPortions;
 
 /// Timeout of reading one page in the first attempt.
@@ -111,7 +111,7 @@
             Err(PortError::NoReply {
                 operation: "state read",
                 peer: "store".to_owned(),
-                connection: CallConnection::New,
+                opened_at: None,
                 cause: error.to_string(),
             })
         })?;
@@ -153,7 +153,7 @@
                 return Err(PortError::NoReply {
                     operation: "state read",
                     peer: "store".to_owned(),
-                    connection: CallConnection::New,
+                    opened_at: None,
                     cause: format!("a page of {prefix} has no items, and more follow"),
                 });
             }
--- a/crates/hs-control/tests/links/confirmation.rs
+++ b/crates/hs-control/tests/links/confirmation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hs_cell::TeamSpec;
-use hs_control::port::{CallConnection, PortError};
+use hs_control::port::PortError;
 use hs_control::{Access, ClusterConfig, KeyOptions, TeamConfig};
 use hs_wire::Resources;
 use tokio::time::sleep;
@@ -45,7 +45,7 @@
     let lost = || PortError::NoReply {
         operation: "configuration",
         peer: "store".to_owned(),
-        connection: CallConnection::New,
+        opened_at: None,
         cause: "lost".to_owned(),
     };
     match fault {
--- a/crates/hs-control/tests/links/orders.rs
+++ b/crates/hs-control/tests/links/orders.rs
@@ -3,10 +3,14 @@
 use std::time::Duration;
 
 use hs_cell::{JobId, StepId, TaskRun};
+use hs_control::{CancelReply, SubmitReply};
 use tokio::time::sleep;
 
 use crate::platform::{CallKind, FakePlatform, WorkerBehaviour};
-use crate::process::{ELECTION_TIME, Process, put_job};
+use crate::process::{ELECTION_TIME, Process, job_spec, put_job};
+
+/// Time after which the renewal in progress has been answered.
+const RENEWAL_WAIT: Duration = Duration::from_millis(1_050);
 
 /// Returns a run of a job that the store does not contain.
 fn unknown_run() -> TaskRun {
@@ -90,6 +94,68 @@
     assert!(platform.call_times("w1", CallKind::Start).len() >= 5);
 }
 
+/// An order that another clock answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FirstOrder {
+    Start,
+    Stop,
+}
+
+impl FirstOrder {
+    /// Sends the order, and another job after its answer. Checks that no start follows before the next report.
+    async fn play(self) {
+        let platform = FakePlatform::default();
+        platform.add_worker("w1", 8_000, WorkerBehaviour::Answers);
+        let process = Process::start(&platform).await;
+        sleep(ELECTION_TIME + Duration::from_secs(1)).await;
+        let timeout = Duration::from_secs(1);
+        let control = &process.control;
+        if self == Self::Stop {
+            let submitted = control.submit(JobId(1), job_spec(), timeout).await;
+            assert_eq!(submitted, SubmitReply::Accepted);
+        }
+        // The renewal in progress is the last one that is answered.
+        platform.set_behaviour("w1", WorkerBehaviour::IgnoresReports);
+        sleep(RENEWAL_WAIT).await;
+        platform.state().order_clock_offset_ms = 5_000;
+        match self {
+            Self::Start => {
+                let submitted = control.submit(JobId(1), job_spec(), timeout).await;
+                assert_eq!(submitted, SubmitReply::Accepted);
+            }
+            Self::Stop => {
+                let cancelled = control.cancel(JobId(1), None, timeout).await;
+                assert_eq!(cancelled, CancelReply::Cancelled);
+            }
+        }
+        sleep(Duration::from_millis(50)).await;
+        let counts = || {
+            let count = |kind| platform.call_times("w1", kind).len();
+            (count(CallKind::Start), count(CallKind::Stop))
+        };
+        let first_counts = counts();
+        let stops = usize::from(self == Self::Stop);
+        assert_eq!(first_counts, (1, stops));
+        let submitted = control.submit(JobId(2), job_spec(), timeout);
+        assert_eq!(submitted.await, SubmitReply::Accepted);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(counts().0, first_counts.0);
+    }
+}
+
+/// Guards against starts on a connection to an incarnation that has not reported, which would count as taken by the one
+/// that has: a start that another clock answers shows that the worker has started again.
+#[tokio::test(start_paused = true)]
+async fn no_start_follows_a_start_that_another_clock_has_answered() {
+    FirstOrder::Start.play().await;
+}
+
+/// Guards against the same after a stop.
+#[tokio::test(start_paused = true)]
+async fn no_start_follows_a_stop_that_another_clock_has_answered() {
+    FirstOrder::Stop.play().await;
+}
+
 /// Guards against a start that is repeated for long although the worker does not answer.
 #[tokio::test(start_paused = true)]
 async fn a_start_without_an_answer_is_stopped() {
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -8,8 +8,8 @@
 
 use hs_cell::{AdviceReply, RunReport, StartOrder, StepId, TaskRun, WorkerEntry, WorkerReport};
 use hs_control::port::{
-    AdvicePort, CallConnection, ClockPort, LeaseRenewal, NetworkPort, PortError, RegisteredWorker,
-    RenewalReply, StartAnswer, StartReply, StopReply, WorkerEndpoint, WorkerPort,
+    AdvicePort, ClockPort, LeaseRenewal, NetworkPort, OrderAnswer, PortError, RegisteredWorker,
+    RenewalReply, StartReply, StopReply, WorkerEndpoint, WorkerPort,
 };
 use hs_control::tcp_network;
 use hs_wire::Resources;
@@ -42,6 +42,8 @@
     Refuses,
     /// Answers renewals, but neither starts nor stops.
     IgnoresOrders,
+    /// Answers starts and stops, but no renewals.
+    IgnoresReports,
     /// Answers reports, but refuses to renew the lease.
     RefusesLeases,
 }
@@ -87,6 +89,8 @@
     /// Number of turns that another task had since a page of the store was last read.
     pub turns_since_page: usize,
     pub config: ConfigScript,
+    /// Milliseconds that the clocks in answers to orders are ahead, as if other incarnations answered.
+    pub order_clock_offset_ms: u64,
     /// Time at which the clocks of the workers began.
     clocks_began_at: Option<Instant>,
     /// Time in which the machine was suspended, which the steady clock does not count.
@@ -175,6 +179,15 @@
         u64::try_from(elapsed.as_millis()).expect("a test is short")
     }
 
+    /// Returns the answer to an order.
+    fn answer<R>(&self, reply: R) -> OrderAnswer<R> {
+        let clock_ms = self.worker_clock_ms() + self.state().order_clock_offset_ms;
+        OrderAnswer {
+            reply,
+            clock_ms: Some(clock_ms),
+        }
+    }
+
     /// Records a call, and waits until the worker answers it.
     async fn call_worker(
         &self,
@@ -190,7 +203,11 @@
                 WorkerBehaviour::IgnoresOrders if kind != CallKind::Renewal => {
                     std::future::pending().await
                 }
+                WorkerBehaviour::IgnoresReports if kind == CallKind::Renewal => {
+                    std::future::pending().await
+                }
                 WorkerBehaviour::Answers
+                | WorkerBehaviour::IgnoresReports
                 | WorkerBehaviour::IgnoresOrders
                 | WorkerBehaviour::RefusesLeases => sleep(LATENCY + wait).await,
                 WorkerBehaviour::Silent => std::future::pending().await,
@@ -251,7 +268,7 @@
     PortError::NoReply {
         operation: "call",
         peer: worker.to_owned(),
-        connection: CallConnection::New,
+        opened_at: None,
         cause: cause.to_owned(),
     }
 }
@@ -264,7 +281,7 @@
         _: u64,
         _: &StartOrder,
         timeout: Duration,
-    ) -> Result<StartAnswer, PortError> {
+    ) -> Result<OrderAnswer<StartReply>, PortError> {
         let is_late = self.state().take_late_start();
         if is_late {
             let call = self.call_worker(peer, CallKind::Start, timeout + LATENESS, timeout * 2);
@@ -272,10 +289,7 @@
             return Err(no_reply(&peer.id, "no reply in time"));
         }
         let call = self.call_worker(peer, CallKind::Start, Duration::ZERO, timeout);
-        call.await.map(|()| StartAnswer {
-            reply: StartReply::Started,
-            clock_ms: Some(self.worker_clock_ms()),
-        })
+        call.await.map(|()| self.answer(StartReply::Started))
     }
 
     async fn stop(
@@ -284,9 +298,9 @@
         _: u64,
         _: TaskRun,
         timeout: Duration,
-    ) -> Result<StopReply, PortError> {
+    ) -> Result<OrderAnswer<StopReply>, PortError> {
         let call = self.call_worker(peer, CallKind::Stop, Duration::ZERO, timeout);
-        call.await.map(|()| StopReply::Stopped)
+        call.await.map(|()| self.answer(StopReply::Stopped))
     }
 
     async fn renew_lease(
--- a/crates/hs-control/tests/simulation/platform.rs
+++ b/crates/hs-control/tests/simulation/platform.rs
@@ -8,8 +8,8 @@
 
 use hs_cell::{AdviceReply, StartOrder, StepId, TaskRun};
 use hs_control::port::{
-    AdvicePort, CallConnection, CatalogPort, ClockPort, ConfigReply, LeaseRenewal, NetworkPort,
-    PortError, RegisteredWorker, RenewalReply, StartAnswer, StopReply, StoreChanges, StoreItem,
+    AdvicePort, CatalogPort, ClockPort, ConfigReply, LeaseRenewal, NetworkPort, OrderAnswer,
+    PortError, RegisteredWorker, RenewalReply, StartReply, StopReply, StoreChanges, StoreItem,
     StorePage, StorePort, StoreTxn, TxnReply, WorkerChanges, WorkerEndpoint, WorkerPort,
 };
 use hs_timer::timeout;
@@ -93,7 +93,7 @@
         let no_reply = |cause: String| PortError::NoReply {
             operation,
             peer: peer.to_owned(),
-            connection: CallConnection::New,
+            opened_at: None,
             cause,
         };
         match answer {
@@ -304,7 +304,7 @@
         lease_end_ms: u64,
         order: &StartOrder,
         limit: Duration,
-    ) -> Result<StartAnswer, PortError> {
+    ) -> Result<OrderAnswer<StartReply>, PortError> {
         let sender = self.sender(fence, peer);
         let order = order.clone();
         self.worker_call(
@@ -327,7 +327,7 @@
         fence: u64,
         run: TaskRun,
         limit: Duration,
-    ) -> Result<StopReply, PortError> {
+    ) -> Result<OrderAnswer<StopReply>, PortError> {
         let sender = self.sender(fence, peer);
         self.worker_call(
             "stop",
--- a/crates/hs-control/tests/simulation/wire_size.rs
+++ b/crates/hs-control/tests/simulation/wire_size.rs
@@ -4,8 +4,8 @@
 
 use hs_cell::{AdviceReply, StartOrder};
 use hs_control::port::{
-    ConfigReply, RegisteredWorker, RenewalReply, StartAnswer, StopReply, StoreChanges, StoreItem,
-    StorePage, StoreTxn, TxnReply, WorkerChanges,
+    ConfigReply, OrderAnswer, RegisteredWorker, RenewalReply, StoreChanges, StoreItem, StorePage,
+    StoreTxn, TxnReply, WorkerChanges,
 };
 
 /// Size of the head of a request or reply, with a body of a few fields.
@@ -108,13 +108,7 @@
     }
 }
 
-impl WireSize for StartAnswer {
-    fn body_bytes(&self) -> usize {
-        0
-    }
-}
-
-impl WireSize for StopReply {
+impl<R> WireSize for OrderAnswer<R> {
     fn body_bytes(&self) -> usize {
         0
     }
--- a/crates/hs-control/tests/simulation/worker.rs
+++ b/crates/hs-control/tests/simulation/worker.rs
@@ -13,7 +13,7 @@
     EndReport, ReportScope, RunEnd, RunReport, StartOrder, StartRefusal, TaskId, TaskRun,
     WorkerEntry, WorkerReport,
 };
-use hs_control::port::{LeaseRenewal, RenewalReply, StartAnswer, StartReply, StopReply};
+use hs_control::port::{LeaseRenewal, OrderAnswer, RenewalReply, StartReply, StopReply};
 
 use crate::advice::is_valid_ticket;
 use crate::world::{Reply, World};
@@ -168,10 +168,14 @@
         sender: OrderSender,
         lease_end_ms: u64,
         order: &StartOrder,
-    ) -> StartAnswer {
+    ) -> OrderAnswer<StartReply> {
         let reply = self.try_start(number, sender, lease_end_ms, order);
+        self.answer(number, reply)
+    }
+
+    fn answer<R>(&self, number: usize, reply: R) -> OrderAnswer<R> {
         let clock_ms = Some(self.workers[number].clock_ms(self.now));
-        StartAnswer { reply, clock_ms }
+        OrderAnswer { reply, clock_ms }
     }
 
     fn try_start(
@@ -226,14 +230,19 @@
     }
 
     /// Processes a stop order.
-    pub fn stop_run(&mut self, number: usize, sender: OrderSender, run: TaskRun) -> StopReply {
+    pub fn stop_run(
+        &mut self,
+        number: usize,
+        sender: OrderSender,
+        run: TaskRun,
+    ) -> OrderAnswer<StopReply> {
         if !self.workers[number].admit(sender) {
-            return StopReply::Fenced;
+            return self.answer(number, StopReply::Fenced);
         }
         self.observer.acted(sender, number);
         self.end_run(number, run, RunEnd::Stopped);
         self.workers[number].note_ended(run);
-        StopReply::Stopped
+        self.answer(number, StopReply::Stopped)
     }
 
     /// Processes a lease renewal. Without news the reply may wait.
--- a/crates/hs-control/tests/simulation/worker/calls.rs
+++ b/crates/hs-control/tests/simulation/worker/calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hs_control::port::{CallConnection, PortError};
+use hs_control::port::PortError;
 use tokio::sync::oneshot;
 
 use super::{OrderSender, SimWorker};
@@ -67,7 +67,7 @@
         let error = PortError::NoReply {
             operation: "worker call",
             peer: self.workers[number].id.to_string(),
-            connection: CallConnection::Kept,
+            opened_at: None,
             cause: "connection reset".to_owned(),
         };
         self.reply(reply, Err(error));
--- a/crates/hs-http/src/call.rs
+++ b/crates/hs-http/src/call.rs
@@ -1,6 +1,6 @@
 //! HTTP client.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hs_timer::timeout;
@@ -18,15 +18,6 @@
 use crate::byte_budget::HolderKind;
 use crate::read_body::read_body;
 
-/// Connection on which a call without a reply was sent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CallConnection {
-    /// One that had carried a reply before. Only the process that sent that reply can have got the request.
-    Kept,
-    /// One that was opened for the call, or an unknown one. Any process that has the address may have got the request.
-    New,
-}
-
 /// Error of a call that got no reply.
 #[derive(Debug, Error)]
 pub enum CallError {
@@ -47,8 +38,9 @@
         operation: &'static str,
         /// Address of the called process.
         peer: String,
-        /// Connection on which the request was sent.
-        connection: CallConnection,
+        /// Time at which the connection was opened on which the request was sent, if it is known. A process that has started
+        /// since then has not received the request.
+        opened_at: Option<Instant>,
         /// Messages of the error and its sources.
         cause: String,
     },
@@ -241,13 +233,12 @@
             let response = match self.inner.request(request).await {
                 Ok(response) => response,
                 Err(error) if error.is_connect() => return Err(not_sent(operation, peer, &error)),
-                Err(error) => return Err(no_reply(operation, peer, CallConnection::New, &error)),
+                Err(error) => return Err(no_reply(operation, peer, None, &error)),
             };
             let (parts, mut body) = response.into_parts();
             let lease = self.budget.lease(HolderKind::Reply);
             let body = read_body(&mut body, MAX_REPLY_BYTES, &lease).await;
-            let body =
-                body.map_err(|error| no_reply(operation, peer, CallConnection::New, &error))?;
+            let body = body.map_err(|error| no_reply(operation, peer, None, &error))?;
             Ok(CallReply {
                 status: parts.status.as_u16(),
                 headers: parts.headers,
@@ -256,7 +247,7 @@
         };
         match timeout(call_timeout, exchange).await {
             Ok(result) => result,
-            Err(elapsed) => Err(no_reply(operation, peer, CallConnection::New, &elapsed)),
+            Err(elapsed) => Err(no_reply(operation, peer, None, &elapsed)),
         }
     }
 }
@@ -276,13 +267,13 @@
 pub(crate) fn no_reply(
     operation: &'static str,
     peer: &str,
-    connection: CallConnection,
+    opened_at: Option<Instant>,
     cause: &dyn std::error::Error,
 ) -> CallError {
     CallError::NoReply {
         operation,
         peer: peer.to_owned(),
-        connection,
+        opened_at,
         cause: error_chain(cause),
     }
 }
--- a/crates/hs-http/src/connection.rs
+++ b/crates/hs-http/src/connection.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll, Waker};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -39,6 +40,8 @@
 /// between the task of a call and the task of its connection, and a call whose timer fires first looks at what has
 /// arrived.
 pub(crate) struct Connection {
+    /// Time from which the connection is open.
+    pub(crate) opened_at: Instant,
     sender: SendRequest<Full<Bytes>>,
     driver: Pin<Box<SocketDriver>>,
     /// Whether the driver has ended, after which it must not be polled.
@@ -53,12 +56,14 @@
     /// Returns the system's error if `peer` does not accept the connection.
     pub(crate) async fn open(peer: &str) -> io::Result<Self> {
         let stream = TcpStream::connect(peer).await?;
+        let opened_at = Instant::now();
         stream.set_nodelay(true)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(io::Error::other)?;
         Ok(Self {
+            opened_at,
             sender,
             driver: Box::pin(driver),
             is_closed: false,
--- a/crates/hs-http/src/direct.rs
+++ b/crates/hs-http/src/direct.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::error::Error;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,7 +16,7 @@
 use crate::byte_budget::HolderKind;
 use crate::call::{CONNECT_TIMEOUT, MAX_REPLY_BYTES, POOL_IDLE_TIMEOUT, no_reply, not_sent};
 use crate::connection::{Connection, ExchangeError};
-use crate::{ArrivalBudget, CallConnection, CallError, CallReply};
+use crate::{ArrivalBudget, CallError, CallReply};
 
 /// Interval at which idle connections are checked for their age.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
@@ -97,27 +97,43 @@
         let request = request_of(peer, path, header, body);
         let request = request.map_err(|error| not_sent(operation, peer, &*error))?;
         let began_at = Instant::now();
-        let (mut connection, kind) = match self.take_idle(peer) {
-            Some(connection) => (connection, CallConnection::Kept),
-            None => (
-                open(operation, peer, call_timeout).await?,
-                CallConnection::New,
-            ),
+        let opened_at = OnceLock::new();
+        let exchange = self.exchange(operation, peer, request, &opened_at);
+        match timeout(call_timeout, exchange).await {
+            Ok(result) => result,
+            Err(elapsed) => {
+                self.close_unproven(peer, began_at);
+                match opened_at.get() {
+                    Some(at) => Err(no_reply(operation, peer, Some(*at), &elapsed)),
+                    None => Err(not_sent(operation, peer, &elapsed)),
+                }
+            }
+        }
+    }
+
+    /// Sends a request on an idle connection, or on one that it opens. `opened_at` is set as soon as the connection is
+    /// open, before anything is sent.
+    async fn exchange(
+        &self,
+        operation: &'static str,
+        peer: &Arc<str>,
+        request: Request<Full<Bytes>>,
+        opened_at: &OnceLock<Instant>,
+    ) -> Result<CallReply, CallError> {
+        let mut connection = match self.take_idle(peer) {
+            Some(connection) => connection,
+            None => open(operation, peer).await?,
         };
+        let at = *opened_at.get_or_init(|| connection.opened_at);
         let lease = self.budget.lease(HolderKind::Reply);
         let exchange = connection.exchange(request, MAX_REPLY_BYTES, &lease);
-        let remaining = call_timeout.saturating_sub(began_at.elapsed());
-        match timeout(remaining, exchange).await {
-            Ok(Ok(reply)) => {
+        match exchange.await {
+            Ok(reply) => {
                 self.put_back(peer, connection);
                 Ok(reply)
             }
-            Ok(Err(error @ ExchangeError::NotSent(_))) => Err(not_sent(operation, peer, &error)),
-            Ok(Err(error)) => Err(no_reply(operation, peer, kind, &error)),
-            Err(elapsed) => {
-                self.close_unproven(peer, began_at);
-                Err(no_reply(operation, peer, kind, &elapsed))
-            }
+            Err(error @ ExchangeError::NotSent(_)) => Err(not_sent(operation, peer, &error)),
+            Err(error) => Err(no_reply(operation, peer, Some(at), &error)),
         }
     }
 
@@ -170,14 +186,8 @@
     }
 }
 
-/// Opens a connection within the timeout of a call. Nothing of the request is sent before it is open.
-async fn open(
-    operation: &'static str,
-    peer: &Arc<str>,
-    call_timeout: Duration,
-) -> Result<Box<Connection>, CallError> {
-    let connect_timeout = CONNECT_TIMEOUT.min(call_timeout);
-    match timeout(connect_timeout, Connection::open(peer)).await {
+async fn open(operation: &'static str, peer: &Arc<str>) -> Result<Box<Connection>, CallError> {
+    match timeout(CONNECT_TIMEOUT, Connection::open(peer)).await {
         Ok(Ok(connection)) => Ok(Box::new(connection)),
         Ok(Err(error)) => Err(not_sent(operation, peer, &error)),
         Err(elapsed) => Err(not_sent(operation, peer, &elapsed)),
--- a/crates/hs-http/src/lib.rs
+++ b/crates/hs-http/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use arrival_budget::{ArrivalBudget, ArrivedBody, ConnectionLease};
 pub use body_error::BodyError;
-pub use call::{CallConnection, CallError, CallReply, HttpClient};
+pub use call::{CallError, CallReply, HttpClient};
 pub use connection_phase::ConnectionOverflow;
 pub use direct::{DirectClient, RequestHeader};
 pub use read_body::ReadError;
--- a/crates/hs-http/tests/direct/replies.rs
+++ b/crates/hs-http/tests/direct/replies.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use hs_http::{CallConnection, CallError, DirectClient, RequestHeader};
+use hs_http::{CallError, DirectClient, RequestHeader};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
@@ -157,30 +157,30 @@
     }
 }
 
-/// Guards against a start that counts as taken by the incarnation that has answered before, although a connection was
-/// opened for it.
+/// Guards against a start that counts as taken by the process that has reported last, although the connection on which it
+/// was sent was opened after that report.
 #[tokio::test]
-async fn calls_without_a_reply_tell_on_which_connection_they_were_sent() {
+async fn calls_without_a_reply_tell_since_when_their_connection_is_open() {
     struct Case {
         behaviour: PeerBehaviour,
         earlier_calls: usize,
-        expected: CallConnection,
+        is_new: bool,
     }
     let cases = [
         Case {
             behaviour: PeerBehaviour::CloseAfterRequest,
             earlier_calls: 0,
-            expected: CallConnection::New,
+            is_new: true,
         },
         Case {
             behaviour: PeerBehaviour::Delay(CALL_TIMEOUT),
             earlier_calls: 0,
-            expected: CallConnection::New,
+            is_new: true,
         },
         Case {
             behaviour: PeerBehaviour::FallSilent(1),
             earlier_calls: 1,
-            expected: CallConnection::Kept,
+            is_new: false,
         },
     ];
     for case in cases {
@@ -189,11 +189,13 @@
         for _ in 0..case.earlier_calls {
             body(peer.call(&client, CALL_TIMEOUT).await);
         }
+        let began_at = Instant::now();
         let lost = peer.call(&client, Duration::from_millis(50)).await;
-        let CallError::NoReply { connection, .. } = lost.expect_err("no reply") else {
+        let CallError::NoReply { opened_at, .. } = lost.expect_err("no reply") else {
             panic!("the call was sent");
         };
-        assert_eq!(connection, case.expected, "{:?}", case.behaviour);
+        let opened_at = opened_at.expect("the client has opened it");
+        assert_eq!(opened_at >= began_at, case.is_new, "{:?}", case.behaviour);
     }
 }
 
@@ -225,6 +227,22 @@
     assert!(error.is_not_sent(), "{error}");
 }
 
+/// Guards against a request that is sent by a process which does not wait for the reply: it was late while the connection
+/// opened, and no time was left.
+#[tokio::test]
+async fn a_process_that_is_late_while_a_connection_opens_reads_the_reply() {
+    for _ in 0..10 {
+        let peer = Peer::start(PeerBehaviour::Reply).await;
+        let client = DirectClient::default();
+        let limit = Duration::from_millis(100);
+        let call = peer.call(&client, limit);
+        // Runs after the first poll of the call, which begins to connect.
+        let pause = async { std::thread::sleep(limit * 3 / 2) };
+        let (reply, ()) = tokio::join!(biased; call, pause);
+        body(reply);
+    }
+}
+
 /// Guards against a request of another form, caused by an address or an ID from the registry.
 #[tokio::test]
 async fn a_request_with_an_invalid_value_is_not_sent() {
