fix(cell): a run that is released later than others of its worker was not alone

Cause: a run whose start nobody has confirmed is released up to 3.6 s after the others of its worker. It was then the only one left, so that it counted as alone on a worker that has crashed; a few such crashes fail its job. Found by a review. Change: a run that others were released before does not count as alone. Measured: a_run_that_is_released_later_was_not_alone passes, and fails with the former condition (in the review for starts that any incarnation may have).

--- a/crates/hs-cell/src/crashes.rs
+++ b/crates/hs-cell/src/crashes.rs
@@ -40,7 +40,7 @@
             task: run.task,
             crash: Crash {
                 run: run.run,
-                alone: count == 1 || slot.is_isolated,
+                alone: (count == 1 && !slot.has_outlasted_others) || slot.is_isolated,
                 lasted: Some(slot.lasted(now)),
             },
         });
--- a/crates/hs-cell/tests/cell/unconfirmed_starts.rs
+++ b/crates/hs-cell/tests/cell/unconfirmed_starts.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{
-    Cell, CellEffect, CellOptions, StartOrder, StartTaker, TaskRun, WorkerEntry, WorkerKey,
-    WorkerReport,
+    Cell, CellEffect, CellOptions, CrashEvent, StartOrder, StartTaker, TaskRun, WorkerEntry,
+    WorkerKey, WorkerReport,
 };
 
 use crate::fixture::{entry, id, job, queue, step};
@@ -194,3 +194,38 @@
         "{first_released:?}"
     );
 }
+
+/// Guards against a task that fails for good because it counts as alone on workers that have crashed: its run was only
+/// released later than those beside it.
+#[test]
+fn a_run_that_is_released_later_was_not_alone() {
+    let takers = [StartTaker::Reported, StartTaker::Any];
+    let returns = [Duration::from_secs(9), Duration::from_secs(13)];
+    for (taker, return_time) in takers.into_iter().flat_map(|t| returns.map(|r| (t, r))) {
+        let mut lost = LostWorker::new();
+        let settled_at = lost.renewed_at + OUTCOME_TIME;
+        lost.cell
+            .start_unanswered(lost.key, lost.sent, taker, settled_at);
+        let returned_at = lost.renewed_at + return_time;
+        let mut now = settled_at;
+        while now < returned_at {
+            lost.cell.advance(now, 0);
+            now += CHECK_INTERVAL;
+        }
+        lost.cell.take_effects();
+        let next = WorkerEntry {
+            started_ms: 5_000,
+            ..entry(0, 1)
+        };
+        lost.cell.worker_listed(next, now, now);
+        let effects = lost.cell.take_effects().into_iter();
+        let crashes = effects.filter_map(|effect| match effect {
+            CellEffect::Report(CrashEvent::WorkerCrashed { run, alone, .. }) => Some((run, alone)),
+            _ => None,
+        });
+        let crashes: Vec<_> = crashes.collect();
+        assert!(!crashes.is_empty(), "{taker:?}, {return_time:?}");
+        let is_alone = crashes.iter().any(|(_, alone)| *alone);
+        assert!(!is_alone, "{taker:?}, {return_time:?}: {crashes:?}");
+    }
+}
