--- a/crates/hs-cell/tests/cell/fuzz.rs
+++ b/crates/hs-cell/tests/cell/fuzz.rs
@@ -415,6 +415,29 @@
     });
 }
 
+/// Guards against an oracle that takes the start of a run that has failed for one under which another worker may have
+/// crashed. The fuzz test has found the sequence.
+#[test]
+fn a_failed_run_of_a_deadly_task_is_no_further_crash() {
+    use Command::{Crash, EndRun, RenewLease, Restart, Round, Submit, SubmitDeadly};
+    const ROUND: Command = Round { ms: 100 };
+    let mut commands = vec![SubmitDeadly {
+        kind: 2,
+        crash_delay_ms: 600,
+    }];
+    commands.extend([ROUND, Restart { worker: 0 }, ROUND, Restart { worker: 1 }]);
+    commands.extend([Crash { worker: 2 }, RenewLease { worker: 1 }]);
+    commands.extend([Submit { kind: 85 }, Crash { worker: 0 }, ROUND]);
+    commands.extend([Restart { worker: 1 }, RenewLease { worker: 3 }, ROUND]);
+    commands.extend([Submit { kind: 63 }, Restart { worker: 3 }, ROUND, ROUND]);
+    commands.push(EndRun {
+        worker: 3,
+        nth: 0,
+        kind: 0,
+    });
+    run_sequence(&Sequence { commands, seed: 1 });
+}
+
 /// Guards against jobs that fail because of other tasks that crash workers, and against workers that crash one
 /// after the other under the same task.
 #[test]
