fix(test): the oracle of deadly tasks counts no start of a run that has failed

Cause: the oracle bounds the starts of a task after three workers have crashed under it to two, since the second further crash is the last (MAX_CRASHES, crash_history.rs). It also counted a start whose run failed by itself (command EndRun), under which no worker crashed: runs 4 (failed), 5 and 6, of which only two can crash a worker. The cell is right to start run 6: four crashes, one of them alone. Change: a run of the task, or of its gang, that has failed takes its start back. Failed runs are bounded by the attempts of the queue. It stays as strict for crashes: at most two starts that may crash a worker follow the third crash. Runs that lapse or are stopped still count.

--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -119,8 +119,8 @@
     pub return_time: Duration,
     /// Number of workers that have crashed under a task.
     pub crash_counts: HashMap<TaskId, u32>,
-    /// Number of starts of a deadly task after [`COUNTED_CRASHES`].
-    late_starts: HashMap<TaskId, u32>,
+    /// Numbers of the runs of a deadly task that were started after `COUNTED_CRASHES` and have not failed.
+    late_starts: HashMap<TaskId, Vec<u32>>,
     /// Number of runs that have ended as failed, by task.
     failed_runs: HashMap<TaskId, u32>,
     /// Events that the cell has reported.
--- a/crates/hs-cell/tests/cell/world/faults.rs
+++ b/crates/hs-cell/tests/cell/world/faults.rs
@@ -172,13 +172,18 @@
         if end == RunEnd::Done && !step.long_running {
             self.succeeded.insert(run.task);
         }
-        if !step.gang {
+        let is_gang = step.gang;
+        if end == RunEnd::Failed {
+            self.forget_deadly_start(run);
+        }
+        if !is_gang {
             return;
         }
         let others = match end {
             RunEnd::Done => RunEnd::Done,
             _ => RunEnd::Broken,
         };
+        let mut ended = Vec::new();
         for worker in &mut self.workers {
             let same = |other: &&TaskRun| other.task.step == run.task.step && other.run == run.run;
             let members: Vec<TaskRun> = worker.running.keys().filter(same).copied().collect();
@@ -187,6 +192,12 @@
                     self.succeeded.insert(member.task);
                 }
                 worker.end(member, others);
+                ended.push(member);
+            }
+        }
+        if end == RunEnd::Failed {
+            for member in ended {
+                self.forget_deadly_start(member);
             }
         }
     }
--- a/crates/hs-cell/tests/cell/world/oracle.rs
+++ b/crates/hs-cell/tests/cell/world/oracle.rs
@@ -9,8 +9,9 @@
 /// Number of workers that have crashed under a task from which its further starts are counted.
 const COUNTED_CRASHES: u32 = 3;
 
-/// Number of starts of a task after [`COUNTED_CRASHES`] that the oracle does not allow.
-const TOO_MANY_STARTS: u32 = 3;
+/// Number of starts of a task after [`COUNTED_CRASHES`] that the oracle does not allow, without those of runs that
+/// have failed.
+const TOO_MANY_STARTS: usize = 3;
 
 impl World {
     /// Panics if a task under which several workers have crashed is started too often.
@@ -18,14 +19,26 @@
         if self.crash_count(run.task) < COUNTED_CRASHES {
             return;
         }
-        let starts = self.late_starts.entry(run.task).or_default();
-        *starts += 1;
+        let late_starts = self.late_starts.entry(run.task).or_default();
+        late_starts.push(run.run);
+        let starts = late_starts.len();
         assert!(
-            *starts < TOO_MANY_STARTS,
+            starts < TOO_MANY_STARTS,
             "{run:?} is start {starts} after {COUNTED_CRASHES} workers have crashed"
         );
     }
 
+    /// Takes back the start of a run that has failed, by itself or with its gang: no worker has crashed under it. The
+    /// attempts of the task bound such starts.
+    pub(super) fn forget_deadly_start(&mut self, run: TaskRun) {
+        let Some(late_starts) = self.late_starts.get_mut(&run.task) else {
+            return;
+        };
+        if let Some(position) = late_starts.iter().position(|late| *late == run.run) {
+            late_starts.remove(position);
+        }
+    }
+
     /// Returns the number of workers that have crashed under a task.
     pub fn crash_count(&self, task: TaskId) -> u32 {
         self.crash_counts.get(&task).copied().unwrap_or(0)
