test(cell): leases of an earlier owner on a worker that the registry lists for long

Cause: a new owner counts what the earlier one has asked for (9.725 s after the takeover) for a worker whose listed incarnation is old. A later one may have taken the last start just before the takeover, and keeps it for 10.75 s.

--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -9,6 +9,7 @@
 mod backlog_drain;
 mod batch_order;
 mod crashes;
+mod earlier_leases;
 mod early_cancellations;
 mod evidence;
 mod fixture;
