fix(cell): a new owner counts the longest lease on each worker that it does not reach

Cause: for a worker whose listed incarnation is old, a new owner counted only what the former owner had asked for: 9.725 s after the takeover. The age of the listed incarnation says nothing about the next one, which nobody has heard from, may have taken the last starts, and keeps them for its longest lease (10.75 s on the owner's clock). Change: CellOptions::earlier_lease_end no longer depends on the age. The first answer of a worker limits its lease as before, so that only the runs of workers that the new owner does not reach wait longer, by up to 1.025 s. Measured: earlier_leases fails on (9.725s) and passes.

--- a/crates/hs-cell/tests/cell/earlier_leases.rs
+++ b/crates/hs-cell/tests/cell/earlier_leases.rs
@@ -16,14 +16,7 @@
 fn runs_of_an_earlier_owner_count_until_any_incarnation_has_ended_them() {
     let options = CellOptions::default();
     let takeover = Instant::now();
-    let ages = [
-        ("listed for long", Some(Duration::from_secs(3600))),
-        ("listed for a short time", Some(Duration::from_secs(2))),
-        ("not listed", None),
-    ];
-    for (name, age) in ages {
-        let end = options.earlier_lease_end(takeover + ASKED_LEASE, takeover, age);
-        let counted = end - takeover;
-        assert!(counted >= LONGEST_LEASE, "{name}: {counted:?}");
-    }
+    let end = options.earlier_lease_end(takeover + ASKED_LEASE, takeover);
+    let counted = end - takeover;
+    assert!(counted >= LONGEST_LEASE, "{counted:?}");
 }
