test(control): starts that an owner sends after a pause in which it has lost the cell

Cause: an owner that is paused between the commit of a placement and its start sends the start up to 8.7 s after the last confirmation of its claim, since only the end of the lease bounds it. A worker that is back after a power loss, and that the next owner has not called, takes it and keeps it for 10 s.

--- a/crates/hs-control/tests/simulation/main.rs
+++ b/crates/hs-control/tests/simulation/main.rs
@@ -18,6 +18,7 @@
 mod network;
 mod observer;
 mod ownership;
+mod paused_owners;
 mod peer_client;
 mod platform;
 mod process;
