fix(control): an owner sends no start later than 2 s after the last confirmation of its claim

Cause: a paused owner sent the starts that it had committed before the pause, up to 8.7 s after the last confirmation of its claim, bounded only by the end of the lease. A worker that is back after a power loss and that the next owner has not called has seen no token, takes the start and keeps it for 10 s; the next owner counts from its takeover. Change: a link sends a start only within 2 s of the last confirmation. That is the time at which the answered attempt of the write was sent, no longer that of the first attempt: the store has processed that attempt later. A store that takes up to 1.5 s for each write thus keeps no start back. Open: the wait of the next owner covers starts up to its takeover. A start may follow that by 2 s less the time that the takeover takes (1.2 s after a freeze), and a process that is paused between the check and the sending of the call has no bound.

--- a/crates/hs-control/src/claim.rs
+++ b/crates/hs-control/src/claim.rs
@@ -223,8 +223,9 @@
     txn.writes.extend(writes);
     txn.deletes = deletes;
     let mut timeout = FIRST_WRITE_TIMEOUT;
-    let first_sent_at = port.now();
     loop {
+        // The store has processed the attempt that it answers after this time, and the claim was held then.
+        let sent_at = port.now();
         match port.transact(&txn, timeout).await {
             Ok(TxnReply::Committed(revision)) => {
                 return Ok((
@@ -232,7 +233,7 @@
                         value: claim,
                         revision,
                     },
-                    first_sent_at,
+                    sent_at,
                 ));
             }
             Ok(TxnReply::Conflict(items)) => {
@@ -245,7 +246,7 @@
                                 value: claim,
                                 revision,
                             },
-                            first_sent_at,
+                            sent_at,
                         ))
                     }
                     Some(value) => Err(ClaimError::Lost {
--- a/crates/hs-control/src/claim_writer.rs
+++ b/crates/hs-control/src/claim_writer.rs
@@ -147,7 +147,7 @@
 }
 
 impl ClaimKeeper {
-    /// Records that a write conditional on the claim, first sent at `confirmed_at`, has been committed.
+    /// Records that a write conditional on the claim has been committed, by an answer to the attempt sent at `confirmed_at`.
     fn record_confirmation(&mut self, held: HeldClaim, confirmed_at: Instant, now: Instant) {
         self.confirmation.send_replace(ClaimConfirmation {
             at: confirmed_at,
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -28,6 +28,11 @@
 /// it grants. A new owner waits that long for a worker that it can't reach.
 pub(crate) const MAX_LEASE_PAST_CONFIRMATION: Duration = Duration::from_millis(9000);
 
+/// Upper bound of the time between the last confirmation of the owner's claim and the sending of a start. An incarnation that
+/// no owner has called takes a start of an owner that has lost the cell, and keeps the run for its longest lease. A store
+/// that answers late confirms the claim up to 1.5 s after the write was sent.
+pub(crate) const MAX_START_PAST_CONFIRMATION: Duration = Duration::from_millis(2000);
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -287,15 +292,17 @@
     }
 
     /// Returns what a start that is sent now carries, or `None` if too little of the lease remains that the last renewal
-    /// asked for.
+    /// asked for, or if the claim was confirmed too long ago.
     ///
     /// Starts never ask for a longer lease, so that they don't prolong the lease of an unreachable worker.
     fn start_terms(&self) -> Option<StartTerms> {
         let state = self.with_state(|state| *state);
         let (clock, end) = (state.clock?, state.lease_end?);
         let sent_at = self.platform.now();
+        let confirmed_at = self.confirmation.borrow().at;
         let is_useful = end >= sent_at + MIN_LEASE;
-        is_useful.then_some(())?;
+        let is_permitted = sent_at <= confirmed_at + MAX_START_PAST_CONFIRMATION;
+        (is_useful && is_permitted).then_some(())?;
         Some(StartTerms {
             fence: state.fence,
             clock,
