test(control): a renewal that an incarnation takes which the owner has not heard from

Cause: such an incarnation answers a start, from which the owner counts its lease. A renewal that waits for its reply meanwhile may reach it later, up to the timeout of 1.4 s, and prolongs the run to 10 s from then. Change: in-memory workers whose next incarnation answers with a clock far behind; the reply to the renewal arrives or is lost.

--- a/crates/hs-control/tests/links/main.rs
+++ b/crates/hs-control/tests/links/main.rs
@@ -6,6 +6,7 @@
 mod platform;
 mod process;
 mod renewals;
+mod replaced_workers;
 mod state_requests;
 mod store;
 mod takeover;
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -31,6 +31,9 @@
 /// Start time of all workers in Unix milliseconds.
 pub const BORN_MS: u64 = 1_000;
 
+/// Reading at which the clocks of the workers begin, in milliseconds.
+const FIRST_CLOCK_MS: u64 = 1_000_000;
+
 /// How a worker answers calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WorkerBehaviour {
@@ -44,6 +47,8 @@
     IgnoresOrders,
     /// Answers reports, but refuses to renew the lease.
     RefusesLeases,
+    /// Another incarnation answers, whose clock is far behind.
+    Replaced,
 }
 
 /// A call to a worker.
@@ -167,12 +172,17 @@
         calls.map(|call| call.at).collect()
     }
 
-    /// Returns the reading of the workers' clocks in milliseconds.
-    fn worker_clock_ms(&self) -> u64 {
+    /// Returns the reading of a worker's clock in milliseconds.
+    fn worker_clock_ms(&self, worker: &str) -> u64 {
         let now = self.now();
-        let began_at = *self.state().clocks_began_at.get_or_insert(now);
+        let mut state = self.state();
+        let began_at = *state.clocks_began_at.get_or_insert(now);
         let elapsed = now.saturating_duration_since(began_at);
-        u64::try_from(elapsed.as_millis()).expect("a test is short")
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).expect("a test is short");
+        match state.behaviours[worker] {
+            WorkerBehaviour::Replaced => elapsed_ms,
+            _ => FIRST_CLOCK_MS + elapsed_ms,
+        }
     }
 
     /// Records a call, and waits until the worker answers it.
@@ -192,7 +202,8 @@
                 }
                 WorkerBehaviour::Answers
                 | WorkerBehaviour::IgnoresOrders
-                | WorkerBehaviour::RefusesLeases => sleep(LATENCY + wait).await,
+                | WorkerBehaviour::RefusesLeases
+                | WorkerBehaviour::Replaced => sleep(LATENCY + wait).await,
                 WorkerBehaviour::Silent => std::future::pending().await,
                 WorkerBehaviour::Refuses => {}
             }
@@ -274,7 +285,7 @@
         let call = self.call_worker(peer, CallKind::Start, Duration::ZERO, timeout);
         call.await.map(|()| StartAnswer {
             reply: StartReply::Started,
-            clock_ms: Some(self.worker_clock_ms()),
+            clock_ms: Some(self.worker_clock_ms(&peer.id)),
         })
     }
 
@@ -297,8 +308,14 @@
     ) -> Result<RenewalReply, PortError> {
         let call = self.call_worker(peer, CallKind::Renewal, renewal.wait, timeout);
         call.await?;
-        let clock_ms = self.worker_clock_ms();
+        let clock_ms = self.worker_clock_ms(&peer.id);
         let state = self.state();
+        match state.behaviours[&peer.id] {
+            WorkerBehaviour::Replaced => return Ok(RenewalReply::OtherIncarnation),
+            // It has become silent meanwhile.
+            WorkerBehaviour::Silent => return Err(no_reply(&peer.id, "no reply in time")),
+            _ => {}
+        }
         let refuses_leases = state.behaviours[&peer.id] == WorkerBehaviour::RefusesLeases;
         if refuses_leases && renewal.lease_end_ms.is_some() {
             return Err(no_reply(&peer.id, "status 500"));
