--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -119,8 +119,8 @@
     pub return_time: Duration,
     /// Number of workers that have crashed under a task.
     pub crash_counts: HashMap<TaskId, u32>,
-    /// Number of starts of a deadly task after [`COUNTED_CRASHES`].
-    late_starts: HashMap<TaskId, u32>,
+    /// Numbers of the runs of a deadly task that were started after `COUNTED_CRASHES` and have not failed.
+    late_starts: HashMap<TaskId, Vec<u32>>,
     /// Number of runs that have ended as failed, by task.
     failed_runs: HashMap<TaskId, u32>,
     /// Events that the cell has reported.
@@ -206,12 +206,6 @@
         (z ^ (z >> 31)) % bound
     }
 
-    /// Returns the age of a worker's incarnation.
-    fn age(&self, number: usize) -> Duration {
-        let started_ms = self.workers[number].started_ms;
-        Duration::from_millis(self.wall_clock_ms().saturating_sub(started_ms))
-    }
-
     /// Returns the time of day by which workers state their start.
     fn wall_clock_ms(&self) -> u64 {
         WORKER_AGE_MS + self.unix_ms()
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -29,6 +29,11 @@
 /// it grants. A new owner waits that long for a worker that it can't reach.
 pub(crate) const MAX_LEASE_PAST_CONFIRMATION: Duration = Duration::from_millis(9000);
 
+/// Upper bound of the time between the last confirmation of the owner's claim and the sending of a start. An incarnation that
+/// no owner has called takes a start of an owner that has lost the cell, and keeps the run for its longest lease. A store
+/// that answers late confirms the claim up to 1.5 s after the write was sent.
+pub(crate) const MAX_START_PAST_CONFIRMATION: Duration = Duration::from_millis(2000);
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
--- a/crates/hs-control/src/link/start_attempt.rs
+++ b/crates/hs-control/src/link/start_attempt.rs
@@ -5,7 +5,7 @@
 use hs_cell::{StartTaker, TaskRun};
 use hs_event::EventCode;
 
-use super::{LinkEvent, MIN_LEASE, WorkerClock, WorkerLink};
+use super::{LinkEvent, MAX_START_PAST_CONFIRMATION, MIN_LEASE, WorkerClock, WorkerLink};
 use crate::port::{OrderAnswer, Platform, PortError, StartReply};
 
 /// One attempt to send a start.
@@ -67,14 +67,16 @@
 
 impl<P: Platform> WorkerLink<P> {
     /// Returns what a start that is sent now carries, or `None` if too little of the lease remains that the last renewal
-    /// asked for.
+    /// asked for, or if the claim was confirmed too long ago.
     ///
     /// Starts never ask for a longer lease, so that they don't prolong the lease of an unreachable worker.
     pub(super) fn start_attempt(&self, number: u32) -> Option<StartAttempt> {
         let state = self.with_state(|state| *state);
         let (clock, end) = (state.clock?, state.lease_end?);
         let sent_at = self.platform.now();
-        if end < sent_at + MIN_LEASE {
+        let confirmed_at = self.confirmation.borrow().at;
+        let is_permitted = sent_at <= confirmed_at + MAX_START_PAST_CONFIRMATION;
+        if end < sent_at + MIN_LEASE || !is_permitted {
             return None;
         }
         Some(StartAttempt {
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -31,6 +31,9 @@
 /// Start time of all workers in Unix milliseconds.
 pub const BORN_MS: u64 = 1_000;
 
+/// Reading at which the clocks of the workers begin, in milliseconds.
+const FIRST_CLOCK_MS: u64 = 1_000_000;
+
 /// How a worker answers calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WorkerBehaviour {
@@ -46,6 +49,8 @@
     IgnoresReports,
     /// Answers reports, but refuses to renew the lease.
     RefusesLeases,
+    /// Another incarnation answers, whose clock is far behind.
+    Replaced,
 }
 
 /// A call to a worker.
@@ -171,17 +176,22 @@
         calls.map(|call| call.at).collect()
     }
 
-    /// Returns the reading of the workers' clocks in milliseconds.
-    fn worker_clock_ms(&self) -> u64 {
+    /// Returns the reading of a worker's clock in milliseconds.
+    fn worker_clock_ms(&self, worker: &str) -> u64 {
         let now = self.now();
-        let began_at = *self.state().clocks_began_at.get_or_insert(now);
+        let mut state = self.state();
+        let began_at = *state.clocks_began_at.get_or_insert(now);
         let elapsed = now.saturating_duration_since(began_at);
-        u64::try_from(elapsed.as_millis()).expect("a test is short")
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).expect("a test is short");
+        match state.behaviours[worker] {
+            WorkerBehaviour::Replaced => elapsed_ms,
+            _ => FIRST_CLOCK_MS + elapsed_ms,
+        }
     }
 
     /// Returns the answer to an order.
-    fn answer<R>(&self, reply: R) -> OrderAnswer<R> {
-        let clock_ms = self.worker_clock_ms() + self.state().order_clock_offset_ms;
+    fn answer<R>(&self, worker: &str, reply: R) -> OrderAnswer<R> {
+        let clock_ms = self.worker_clock_ms(worker) + self.state().order_clock_offset_ms;
         OrderAnswer {
             reply,
             clock_ms: Some(clock_ms),
@@ -209,7 +219,8 @@
                 WorkerBehaviour::Answers
                 | WorkerBehaviour::IgnoresReports
                 | WorkerBehaviour::IgnoresOrders
-                | WorkerBehaviour::RefusesLeases => sleep(LATENCY + wait).await,
+                | WorkerBehaviour::RefusesLeases
+                | WorkerBehaviour::Replaced => sleep(LATENCY + wait).await,
                 WorkerBehaviour::Silent => std::future::pending().await,
                 WorkerBehaviour::Refuses => {}
             }
@@ -289,7 +300,8 @@
             return Err(no_reply(&peer.id, "no reply in time"));
         }
         let call = self.call_worker(peer, CallKind::Start, Duration::ZERO, timeout);
-        call.await.map(|()| self.answer(StartReply::Started))
+        call.await
+            .map(|()| self.answer(&peer.id, StartReply::Started))
     }
 
     async fn stop(
@@ -300,7 +312,8 @@
         timeout: Duration,
     ) -> Result<OrderAnswer<StopReply>, PortError> {
         let call = self.call_worker(peer, CallKind::Stop, Duration::ZERO, timeout);
-        call.await.map(|()| self.answer(StopReply::Stopped))
+        call.await
+            .map(|()| self.answer(&peer.id, StopReply::Stopped))
     }
 
     async fn renew_lease(
@@ -311,8 +324,14 @@
     ) -> Result<RenewalReply, PortError> {
         let call = self.call_worker(peer, CallKind::Renewal, renewal.wait, timeout);
         call.await?;
-        let clock_ms = self.worker_clock_ms();
+        let clock_ms = self.worker_clock_ms(&peer.id);
         let state = self.state();
+        match state.behaviours[&peer.id] {
+            WorkerBehaviour::Replaced => return Ok(RenewalReply::OtherIncarnation),
+            // It has become silent meanwhile.
+            WorkerBehaviour::Silent => return Err(no_reply(&peer.id, "no reply in time")),
+            _ => {}
+        }
         let refuses_leases = state.behaviours[&peer.id] == WorkerBehaviour::RefusesLeases;
         if refuses_leases && renewal.lease_end_ms.is_some() {
             return Err(no_reply(&peer.id, "status 500"));
