fix(control): a start is not repeated once its run is to be stopped

Cause: a link repeats a start that has no reply, also after the cell has stopped the run. If the stop is lost or late, the worker starts the run although the cell no longer wants it. Change: the tasks of a link see its pending stops, and a start of such a run is not sent any more. The cell leaves the decision to the stop, as before.

--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -94,6 +94,7 @@
     ) -> Self {
         let (orders, order_receiver) = mpsc::unbounded_channel();
         let (acknowledged, cursor) = watch::channel(0);
+        let pending_stops = PendingStops::default();
         let link = Arc::new(WorkerLink {
             platform,
             key,
@@ -107,11 +108,12 @@
             state: Mutex::default(),
             contact: watch::Sender::new(WorkerContact::None),
             order_turns: Semaphore::new(MAX_ORDERS_AT_ONCE),
+            pending_stops: pending_stops.clone(),
         });
         tokio::spawn(link.run(order_receiver, cursor));
         Self {
             orders,
-            pending_stops: PendingStops::default(),
+            pending_stops,
             acknowledged,
         }
     }
@@ -208,6 +210,7 @@
     contact: watch::Sender<WorkerContact>,
     /// Turns of the orders, which share a connection.
     order_turns: Semaphore,
+    pending_stops: PendingStops,
 }
 
 impl<P: Platform> WorkerLink<P> {
--- a/crates/hs-control/src/link/orders.rs
+++ b/crates/hs-control/src/link/orders.rs
@@ -58,6 +58,10 @@
                 // The next incarnation would start the run under a lease that does not end when this one assumes.
                 break;
             }
+            if self.pending_stops.contains(run) {
+                // The cell no longer wants the run, and the worker may not have received the stop.
+                break;
+            }
             let Some(terms) = self.start_terms() else {
                 break;
             };
--- a/crates/hs-control/src/link/pending_stops.rs
+++ b/crates/hs-control/src/link/pending_stops.rs
@@ -28,6 +28,11 @@
         })
     }
 
+    /// Returns whether a stop of a run is in flight.
+    pub(super) fn contains(&self, run: TaskRun) -> bool {
+        self.lock().contains(&run)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeSet<TaskRun>> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/hs-control/tests/links/orders.rs
+++ b/crates/hs-control/tests/links/orders.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hs_cell::{JobId, StepId, TaskRun};
+use hs_control::CancelReply;
 use tokio::time::sleep;
 
 use crate::platform::{CallKind, FakePlatform, WorkerBehaviour};
@@ -102,3 +103,23 @@
     let stops = platform.call_times("w1", CallKind::Stop);
     assert!(!stops.is_empty(), "the run is not stopped");
 }
+
+/// Guards against a start that is sent again although its run is to be stopped: the worker would start it if the stop is
+/// lost or late.
+#[tokio::test(start_paused = true)]
+async fn a_start_is_not_repeated_after_a_stop() {
+    const JOB: u64 = 1;
+    let platform = FakePlatform::default();
+    platform.add_worker("w1", 1_000, WorkerBehaviour::IgnoresOrders);
+    put_job(&platform, JOB, None);
+    let process = Process::start(&platform).await;
+    while platform.call_times("w1", CallKind::Start).is_empty() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let limit = Duration::from_secs(1);
+    let reply = process.control.cancel(JobId(JOB), None, limit).await;
+    assert_eq!(reply, CancelReply::Cancelled);
+    sleep(Duration::from_secs(2)).await;
+    assert!(!platform.call_times("w1", CallKind::Stop).is_empty());
+    assert_eq!(platform.call_times("w1", CallKind::Start).len(), 1);
+}
