fix(cell): a new owner counts the longest lease for workers that have been running for long

Cause: two runs of a task at a time. A worker that has been running for long loses power, and its next incarnation takes starts before the registry lists it, under its longest lease (until 10.4 s later: 10 s on a clock that is 2 % slow, and 200 ms to stop). The owner hands the cell over or is lost. The next one reads the age of the former incarnation, takes the worker for settled, and starts its runs elsewhere 9.725 s after its takeover. Ruled out: the fix of starts on unlisted incarnations, which only the owner that has sent them counts. Change: earlier_lease_end no longer depends on the age, so that a new owner counts 10.75 s for all workers. The first report of a worker limits that, as before. What it costs: runs of a worker that is lost together with its owner start 1.025 s later (calculated, not measured).

--- a/crates/hs-cell/src/options.rs
+++ b/crates/hs-cell/src/options.rs
@@ -84,18 +84,10 @@
     /// Returns the time at which the runs have ended that earlier owners may have started on a worker. No lease that
     /// they have asked for ends after `asked_end`.
     ///
-    /// Unless the worker has been running for long, a stale call may have granted its longest lease. The age of a
-    /// worker that the registry does not list is not known, since it may be a later incarnation than the recorded one.
-    pub fn earlier_lease_end(
-        &self,
-        asked_end: Instant,
-        ownership_start: Instant,
-        age: Option<Duration>,
-    ) -> Instant {
-        match age.is_some_and(|age| age >= self.settled_age()) {
-            true => asked_end,
-            false => asked_end.max(ownership_start + self.max_stale_lease()),
-        }
+    /// A stale call may have granted the longest lease of a later incarnation than the one that the registry lists, whose
+    /// age therefore does not matter. Workers that answer the new owner are not waited for that long.
+    pub fn earlier_lease_end(&self, asked_end: Instant, ownership_start: Instant) -> Instant {
+        asked_end.max(ownership_start + self.max_stale_lease())
     }
 }
 
--- a/crates/hs-cell/tests/cell/world.rs
+++ b/crates/hs-cell/tests/cell/world.rs
@@ -208,12 +208,6 @@
         (z ^ (z >> 31)) % bound
     }
 
-    /// Returns the age of a worker's incarnation.
-    fn age(&self, number: usize) -> Duration {
-        let started_ms = self.workers[number].started_ms;
-        Duration::from_millis(self.wall_clock_ms().saturating_sub(started_ms))
-    }
-
     /// Returns the time of day by which workers state their start.
     fn wall_clock_ms(&self) -> u64 {
         WORKER_AGE_MS + self.unix_ms()
--- a/crates/hs-cell/tests/cell/world/store.rs
+++ b/crates/hs-cell/tests/cell/world/store.rs
@@ -55,7 +55,7 @@
         }
         let now = self.now;
         let options = CellOptions::default();
-        let earlier_lease_end = |age| options.earlier_lease_end(now + TAKEOVER_LEASE, now, age);
+        let lease_end = options.earlier_lease_end(now + TAKEOVER_LEASE, now);
         for number in 0..self.workers.len() {
             self.keys[number] = None;
             self.workers[number].has_answered = false;
@@ -63,10 +63,9 @@
             self.last_renewal_answered[number] = false;
             self.requested_lease_ends[number] = None;
             if self.workers[number].up && self.workers[number].listed {
-                self.register(number, earlier_lease_end(Some(self.age(number))));
+                self.register(number, lease_end);
             }
         }
-        let lease_end = earlier_lease_end(None);
         let store = self.store.clone();
         let now_ms = self.unix_ms();
         let (log, mut states) = RecordLog::restore(store.records);
--- a/crates/hs-control/src/owner/links.rs
+++ b/crates/hs-control/src/owner/links.rs
@@ -1,7 +1,7 @@
 //! The workers of the cell: their restoration at a takeover, their links, and what the links report.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use hs_cell::WorkerKey;
 use hs_event::EventCode;
@@ -24,10 +24,10 @@
             portions.item_done().await;
         }
         let revision = state.cell.intake_revision;
-        let unlisted_lease_end = self.earlier_lease_end(None);
+        let earlier_lease_end = self.earlier_lease_end();
         let restored = state
             .cell
-            .restore(&mut self.cell, &self.platform, unlisted_lease_end);
+            .restore(&mut self.cell, &self.platform, earlier_lease_end);
         self.planner.log = restored.await;
         for key in self.cell.contact_order() {
             if let Some(endpoint) = endpoints.remove(&key) {
@@ -59,18 +59,16 @@
             started_ms: worker.entry.started_ms,
         };
         let now = self.platform.now();
-        let age = worker.entry.age(self.platform.unix_ms());
-        let lease_end = self.earlier_lease_end(Some(age)).max(now);
+        let lease_end = self.earlier_lease_end().max(now);
         let key = self.cell.worker_listed(worker.entry, lease_end, now);
         (key, endpoint)
     }
 
-    /// Returns the time at which the runs have ended that an earlier owner may have started on a worker, whose age is
-    /// known if the registry lists it.
-    fn earlier_lease_end(&self, age: Option<Duration>) -> Instant {
+    /// Returns the time at which the runs have ended that an earlier owner may have started on a worker.
+    fn earlier_lease_end(&self) -> Instant {
         let ownership_start = self.ownership_start.at;
         self.options
-            .earlier_lease_end(self.earlier_leases_end, ownership_start, age)
+            .earlier_lease_end(self.earlier_leases_end, ownership_start)
     }
 
     fn link_worker(&mut self, key: WorkerKey, endpoint: WorkerEndpoint) {
