--- a/crates/hs-control/tests/simulation/power_losses.rs
+++ b/crates/hs-control/tests/simulation/power_losses.rs
@@ -76,6 +76,9 @@
 /// Upper bound of the time for which an owner is paused, in milliseconds. Its claim may be lost meanwhile.
 const MAX_PAUSE_MS: u64 = 5000;
 
+/// Upper bound of the time from the submission of jobs to the end of an owner that starts them, in milliseconds.
+const MAX_STARTING_MS: u64 = 100;
+
 /// Time in which an owner that is shut down releases the cell.
 const SHUTDOWN_TIME: Duration = Duration::from_millis(300);
 
@@ -288,6 +291,12 @@
     for _ in 0..DISRUPTIONS {
         disrupt(&mut simulation);
         submit_jobs(&mut simulation);
+        if simulation.world.lock().random_below(4) == 0 {
+            // The next owner does not know which incarnations have taken the starts.
+            let starting = simulation.world.lock().random_below(MAX_STARTING_MS);
+            simulation.run_for(Duration::from_millis(starting));
+            shut_owner_down(&mut simulation);
+        }
         let pause = simulation.world.lock().random_below(MAX_INTERVAL_MS);
         simulation.run_for(Duration::from_millis(pause));
     }
