--- a/crates/hs-control/tests/simulation/main.rs
+++ b/crates/hs-control/tests/simulation/main.rs
@@ -21,6 +21,7 @@
 mod paused_owners;
 mod peer_client;
 mod platform;
+mod power_losses;
 mod process;
 mod registry;
 mod simulation;
