fix(control): bound open calls and receive windows of the listener for other processes

Cause: a call took memory from its head until its reply had been flushed, and only the calls of one connection were limited, to 1,024. Callers that read no reply, without a window for their streams or without reading their socket, kept them all. Small messages waited for a budget that the calls themselves had exhausted, and each release of bytes woke all of them, each of which sorted all holders: the process was busy for a minute. HTTP/2 kept up to 1 MiB of each connection beside the budget before it was read.

Beyond them no connection is read, and the one whose calls times the time without a reply are highest is closed. Receive windows are 64 KiB, heads 2 KiB.

--- a/crates/hs-control/src/peer_listener.rs
+++ b/crates/hs-control/src/peer_listener.rs
@@ -22,7 +22,9 @@
 use tonic::codegen::Service;
 
 use crate::control::Control;
+use crate::flush_stream::FlushStream;
 use crate::message::cell_server::CellServer;
+use crate::open_calls::{CallWindow, OpenCalls, ReplyBody};
 use crate::peer_connections::{PeerConnection, PeerConnections};
 use crate::port::{ListenerPort, NetworkPort, Platform};
 use crate::server::PeerServer;
@@ -36,14 +38,14 @@
 const MAX_STREAMS: u32 = 1024;
 
 /// Maximum size of the head of a call. Those of peers have about 300 bytes.
-const MAX_HEAD_BYTES: u32 = 4 << 10;
-
-/// Bytes that a call takes beside its message: its head and the state of its stream.
-const STREAM_BYTES: usize = 4 << 10;
+const MAX_HEAD_BYTES: u32 = 2 << 10;
 
 /// Maximum size of a message with its prefix: the default of `tonic`, which the offers of earlier versions stay under.
 const MAX_BODY_BYTES: usize = (4 << 20) + 5;
 
+/// Bytes that a connection, and each of its calls, may have in flight. HTTP/2 keeps them until the call reads them.
+const RECEIVE_WINDOW_BYTES: u32 = 64 << 10;
+
 /// Maximum time for a message to arrive. Peers give up after 3 s at most.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -52,6 +54,8 @@
 pub struct PeerLimits {
     /// Maximum number of connections.
     pub connections: Option<usize>,
+    /// Maximum number of open calls, from the head of a call until its reply has been sent.
+    pub calls: Option<usize>,
     /// Budget of connections, and of messages that have arrived and are not handled yet.
     pub budget: ArrivalBudget,
 }
@@ -63,6 +67,7 @@
     limits: PeerLimits,
 ) {
     let connections = PeerConnections::new(limits.connections.unwrap_or(usize::MAX));
+    let calls = OpenCalls::new(limits.calls.unwrap_or(usize::MAX));
     let exchange = PeerExchange {
         service: CellServer::new(PeerServer {
             control: control.clone(),
@@ -80,7 +85,9 @@
                     let metrics = &exchange.control.context.metrics;
                     metrics.record_turned_away("peer_connections", closed);
                 }
-                tokio::spawn(serve_connection(stream, exchange.clone(), connection));
+                let window = calls.add_connection();
+                let served = serve_connection(stream, exchange.clone(), connection, window);
+                tokio::spawn(served);
             }
             Err(error) if concerns_one_connection(&error) => {
                 log::debug!("failed to accept a connection: {error}");
@@ -113,14 +120,25 @@
     stream: <P as NetworkPort>::Stream,
     exchange: PeerExchange<P>,
     connection: PeerConnection,
+    window: Arc<CallWindow>,
 ) {
     let _lease = exchange.budget.connection_lease();
     let connection = Arc::new(connection);
-    let called = connection.clone();
+    let metrics = exchange.control.context.metrics.clone();
+    let (called, calls) = (connection.clone(), window.clone());
     let service = service_fn(move |request| {
         let (exchange, connection) = (exchange.clone(), called.clone());
-        async move { Ok::<_, Infallible>(exchange.reply(request, &connection).await) }
+        let mut call = calls.begin();
+        async move {
+            let response = exchange.reply(request, &connection).await;
+            call.hand_over().await;
+            Ok::<_, Infallible>(response.map(|body| ReplyBody::new(body, call)))
+        }
     });
+    let stream = FlushStream {
+        stream,
+        window: window.clone(),
+    };
     let mut builder = http2::Builder::new(TokioExecutor::new());
     // All calls of a process use one connection.
     builder
@@ -128,6 +146,8 @@
         // Peers don't read it, and the time of day would change the size of replies.
         .auto_date_header(false)
         .max_header_list_size(MAX_HEAD_BYTES)
+        .initial_stream_window_size(RECEIVE_WINDOW_BYTES)
+        .initial_connection_window_size(RECEIVE_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS);
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::select! {
@@ -135,6 +155,10 @@
             log::debug!("connection of a peer ended: {error}");
         },
         () = connection.closed() => log::debug!("connection of a peer closed for others"),
+        () = window.closed() => {
+            metrics.record_turned_away("peer_calls", 1);
+            log::debug!("connection of a peer closed, which has many open calls");
+        }
     }
 }
 
@@ -154,9 +178,7 @@
         connection: &PeerConnection,
     ) -> Response<tonic::body::Body> {
         let (parts, mut body) = request.into_parts();
-        let read = self
-            .budget
-            .read_body(&mut body, MAX_BODY_BYTES, STREAM_BYTES);
+        let read = self.budget.read_body(&mut body, MAX_BODY_BYTES);
         let message = match timeout(MESSAGE_TIMEOUT, read).await {
             Ok(Ok(message)) => message,
             Ok(Err(error)) => return self.refuse(&error.to_string()),
--- a/crates/hs-http/src/arrival_budget.rs
+++ b/crates/hs-http/src/arrival_budget.rs
@@ -85,7 +85,7 @@
         ByteLease { lease }
     }
 
-    /// Reads a body of at most `max_bytes` to its end. Its request counts `overhead_bytes` beside it.
+    /// Reads a body of at most `max_bytes` to its end.
     ///
     /// # Errors
     ///
@@ -94,13 +94,11 @@
         &self,
         body: &mut B,
         max_bytes: usize,
-        overhead_bytes: usize,
     ) -> Result<ArrivedBody, ReadError>
     where
         B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
     {
         let lease = self.lease(HolderKind::Request);
-        lease.take(overhead_bytes).await?;
         let bytes = read_body(body, max_bytes, &lease).await?;
         Ok(ArrivedBody {
             bytes,
