--- a/crates/hs-http/src/serve.rs
+++ b/crates/hs-http/src/serve.rs
@@ -95,21 +95,35 @@
 {
     let (_sender, limits) = watch::channel(limits);
     let guard = ListenerGuard::default();
-    serve_guarded(listener, limits, guard, shutdown, |_| None, handler).await;
+    let confirm = |_, refusal| std::future::ready(refusal);
+    serve_guarded(
+        listener,
+        limits,
+        guard,
+        shutdown,
+        |_| None,
+        confirm,
+        handler,
+    )
+    .await;
 }
 
 /// Serves requests like [`serve`], under limits that may change, and a budget that listeners share.
 ///
-/// `check_head` may refuse a request before its body is read. The number of connections does not change.
-pub async fn serve_guarded<Check, Handler, Reply>(
+/// `check_head` may refuse a request before its body is read. `confirm` returns the reply to a request, without its body,
+/// that is refused because memory is short, from the refusal that it would get. The number of connections does not change.
+pub async fn serve_guarded<Check, Confirm, Confirmed, Handler, Reply>(
     listener: TcpListener,
     limits: watch::Receiver<ServeLimits>,
     guard: ListenerGuard,
     mut shutdown: watch::Receiver<bool>,
     check_head: Check,
+    confirm: Confirm,
     handler: Handler,
 ) where
     Check: Fn(RequestHead<'_>) -> Option<HttpReply> + Clone + Send + Sync + 'static,
+    Confirm: Fn(HttpRequest, HttpReply) -> Confirmed + Clone + Send + Sync + 'static,
+    Confirmed: Future<Output = HttpReply> + Send + 'static,
     Handler: Fn(HttpRequest) -> Reply + Clone + Send + Sync + 'static,
     Reply: Future<Output = HttpReply> + Send + 'static,
 {
@@ -132,6 +146,7 @@
                 guard: guard.clone(),
                 reporter: entry.reporter(),
                 check_head: check_head.clone(),
+                confirm: confirm.clone(),
                 handler: handler.clone(),
             };
             let connection = graceful.watch(build_connection(stream, exchange));
@@ -171,20 +186,23 @@
 
 /// What a connection needs for its requests.
 #[derive(Clone)]
-struct Exchange<Check, Handler> {
+struct Exchange<Check, Confirm, Handler> {
     limits: watch::Receiver<ServeLimits>,
     guard: ListenerGuard,
     reporter: PhaseReporter,
     check_head: Check,
+    confirm: Confirm,
     handler: Handler,
 }
 
-fn build_connection<Check, Handler, Reply>(
+fn build_connection<Check, Confirm, Confirmed, Handler, Reply>(
     stream: TcpStream,
-    exchange: Exchange<Check, Handler>,
+    exchange: Exchange<Check, Confirm, Handler>,
 ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> + Send
 where
     Check: Fn(RequestHead<'_>) -> Option<HttpReply> + Clone + Send + Sync + 'static,
+    Confirm: Fn(HttpRequest, HttpReply) -> Confirmed + Clone + Send + Sync + 'static,
+    Confirmed: Future<Output = HttpReply> + Send + 'static,
     Handler: Fn(HttpRequest) -> Reply + Clone + Send + Sync + 'static,
     Reply: Future<Output = HttpReply> + Send + 'static,
 {
@@ -207,9 +225,11 @@
         .serve_connection(TokioIo::new(stream), service)
 }
 
-impl<Check, Handler, Reply> Exchange<Check, Handler>
+impl<Check, Confirm, Confirmed, Handler, Reply> Exchange<Check, Confirm, Handler>
 where
     Check: Fn(RequestHead<'_>) -> Option<HttpReply>,
+    Confirm: Fn(HttpRequest, HttpReply) -> Confirmed,
+    Confirmed: Future<Output = HttpReply>,
     Handler: Fn(HttpRequest) -> Reply,
     Reply: Future<Output = HttpReply>,
 {
@@ -261,7 +281,10 @@
                 return Err(self.refusal(TurnedAway::BodySize, limits));
             }
             Ok(Err(ReadError::BudgetShort)) => {
-                return Err(self.refusal(TurnedAway::Memory, limits));
+                drop(lease);
+                let refusal = self.refusal(TurnedAway::Memory, limits);
+                let request = request_from_parts(parts, Bytes::new());
+                return Err((self.confirm)(request, refusal).await);
             }
             Ok(Err(ReadError::Broken(error))) => {
                 return Err(HttpReply::error(400, "body_unreadable", error.to_string()));
@@ -271,14 +294,7 @@
         if !self.reporter.enter(ConnectionPhase::Handling) {
             return Err(self.refusal(TurnedAway::Memory, limits));
         }
-        let request = HttpRequest {
-            method: parts.method,
-            path: parts.uri.path().to_owned(),
-            query: parts.uri.query().unwrap_or_default().to_owned(),
-            headers: parts.headers,
-            body,
-        };
-        let reply = (self.handler)(request).await;
+        let reply = (self.handler)(request_from_parts(parts, body)).await;
         drop(lease);
         Ok(reply)
     }
@@ -306,3 +322,13 @@
         reply.with_header("connection", "close")
     }
 }
+
+fn request_from_parts(parts: Parts, body: Bytes) -> HttpRequest {
+    HttpRequest {
+        method: parts.method,
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
+        headers: parts.headers,
+        body,
+    }
+}
--- a/crates/hs-http/tests/serve/main.rs
+++ b/crates/hs-http/tests/serve/main.rs
@@ -49,6 +49,7 @@
             guard.clone(),
             stopped,
             check_head,
+            |_, refusal| std::future::ready(refusal),
             handler,
         ));
         Self {
