fix(control): receive windows that show a slow owner its lag

Cause: with receive windows of 64 KiB, peers wait to send to a slowed owner, so it sees less lag and hands the cell over late.

Change: windows of 128 KiB.

--- a/crates/hs-control/src/peer_listener.rs
+++ b/crates/hs-control/src/peer_listener.rs
@@ -43,8 +43,9 @@
 /// Maximum size of a message with its prefix: the default of `tonic`, which the offers of earlier versions stay under.
 const MAX_BODY_BYTES: usize = (4 << 20) + 5;
 
-/// Bytes that a connection, and each of its calls, may have in flight. HTTP/2 keeps them until the call reads them.
-const RECEIVE_WINDOW_BYTES: u32 = 64 << 10;
+/// Bytes that a connection, and each of its calls, may have in flight. HTTP/2 keeps them until the call reads them. With
+/// less than 128 KiB, senders wait for a slow owner, which then does not see how much it is behind.
+const RECEIVE_WINDOW_BYTES: u32 = 128 << 10;
 
 /// Maximum time for a message to arrive. Peers give up after 3 s at most.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(10);
