--- a/crates/hs-control/tests/simulation/power_losses.rs
+++ b/crates/hs-control/tests/simulation/power_losses.rs
@@ -341,3 +341,27 @@
     repair(&simulation);
     assert_all_end(&mut simulation);
 }
+
+/// Runs on the slowest workers that start elsewhere while they go on, after the workers were cut off: the drift of a clock
+/// and the time of a stop are not in the counted lease.
+#[test]
+fn runs_on_the_slowest_workers_end_before_they_start_elsewhere() {
+    let mut simulation = start_with_old_workers(&calm_cluster());
+    for worker in &mut simulation.world.lock().workers {
+        worker.clock_slowness_ppm = u32::try_from(MAX_SLOWNESS_PPM).expect("a small share");
+        worker.stop_time = Duration::from_millis(MAX_STOP_MS);
+    }
+    // Clocks that are read before the change would seem to be others.
+    simulation.run_for(Duration::from_secs(3));
+    for _ in 0..30 {
+        simulation.submit(LONG_JOB);
+    }
+    simulation.run_for(Duration::from_millis(700));
+    for worker in &mut simulation.world.lock().workers {
+        worker.reachable = worker.run_count() == 0;
+    }
+    simulation.run_for(Duration::from_secs(12));
+    assert!(simulation.world.lock().observer.broken_runs > 0);
+    repair(&simulation);
+    assert_all_end(&mut simulation);
+}
