fix(cell): the release of a gang does not end the owner task

Cause: expire_leases collects the runs of a worker and releases them one by one. Change: a run that is gone is not reported. A test of its own is still to be written; the rest of hs-cell was not run again after this change.

--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -198,10 +198,12 @@
         }
     }
 
-    /// Reports that a run is released, unless its start was not sent.
+    /// Reports that a run is released, unless its start was not sent. The release of another member of its gang may have
+    /// undone its placement.
     fn report_release(&mut self, key: WorkerKey, run: TaskRun) {
         let worker = &self.workers[key];
-        if worker.slots[&run].phase == SlotPhase::Recording {
+        let slot = worker.slots.get(&run);
+        if slot.is_none_or(|slot| slot.phase == SlotPhase::Recording) {
             return;
         }
         let released = ReleasedRun {
