--- a/crates/hs-cell/tests/cell/unconfirmed_starts.rs
+++ b/crates/hs-cell/tests/cell/unconfirmed_starts.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{
-    Cell, CellEffect, CellOptions, CrashEvent, StartOrder, StartTaker, TaskRun, WorkerEntry,
-    WorkerKey, WorkerReport,
+    Cell, CellEffect, CellOptions, CrashEvent, StartOrder, StartTaker, StepSpec, TaskRun,
+    WorkerEntry, WorkerKey, WorkerReport,
 };
 
 use crate::fixture::{entry, id, job, queue, step};
@@ -229,3 +229,24 @@
         assert!(!is_alone, "{taker:?}, {return_time:?}: {crashes:?}");
     }
 }
+
+/// Guards against a panic of the owner: the release of one member of a gang undoes the placements of the others, which
+/// were to be released next.
+#[test]
+fn a_gang_whose_starts_are_not_sent_is_released_with_its_worker() {
+    let now = Instant::now();
+    let mut cell = Cell::new(CellOptions::default());
+    cell.configure(vec![queue("check", 0, 3)]);
+    let key = cell.worker_listed(entry(0, 1), now, now);
+    cell.lease_renewed(key, now + RENEWED_LEASE, now);
+    cell.worker_reported(key, WorkerReport::default(), now, now);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 1000, 500)
+    };
+    cell.add_job(id(1), job("check", vec![gang]), now, 0);
+    cell.advance(now, 0);
+    assert_eq!(cell.allocated_runs(), 2);
+    cell.advance(now + LONGEST_LEASE, 0);
+    assert_eq!(cell.allocated_runs(), 0);
+}
