--- a/crates/hs-cell/src/absent_runs.rs
+++ b/crates/hs-cell/src/absent_runs.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use crate::cell::Cell;
-use crate::worker::{ReportScope, Slot, SlotPhase, WorkerReport};
+use crate::slot::{Slot, SlotPhase};
+use crate::worker::{ReportScope, WorkerReport};
 use crate::{TaskRun, WorkerKey};
 
 impl Cell {
--- a/crates/hs-cell/src/capacity.rs
+++ b/crates/hs-cell/src/capacity.rs
@@ -10,8 +10,9 @@
 use crate::StepId;
 use crate::cell::Cell;
 use crate::job_spec::StepSpec;
+use crate::slot::{Slot, SlotPhase};
 use crate::step_order::{OrderKey, StepRank, Timeliness};
-use crate::worker::{Slot, SlotPhase, Worker};
+use crate::worker::Worker;
 
 /// Properties of a step that determine how many of its tasks fit on a worker.
 #[derive(Clone, Copy, Debug)]
--- a/crates/hs-cell/src/crashes.rs
+++ b/crates/hs-cell/src/crashes.rs
@@ -13,7 +13,8 @@
 use crate::effect::{CellEffect, CrashEvent};
 use crate::job::{Task, TaskState};
 use crate::job_record::{CrashRecord, JobRecord, TaskPlace, TaskRecord, WorkerIncarnation};
-use crate::worker::{Slot, SlotPhase, Worker};
+use crate::slot::{Slot, SlotPhase};
+use crate::worker::Worker;
 use crate::{JobId, StepId, TaskId, TaskRun, WorkerKey};
 
 /// Run that may have been started on a worker that is gone.
--- a/crates/hs-cell/src/free_index.rs
+++ b/crates/hs-cell/src/free_index.rs
@@ -10,7 +10,8 @@
 use crate::TaskRun;
 use crate::WorkerKey;
 use crate::cell::Cell;
-use crate::worker::{Slot, Worker};
+use crate::slot::Slot;
+use crate::worker::Worker;
 
 /// Reachable workers ordered by their free CPU.
 ///
--- a/crates/hs-cell/src/incarnations.rs
+++ b/crates/hs-cell/src/incarnations.rs
@@ -9,7 +9,8 @@
 use crate::cell::Cell;
 use crate::effect::{CellEffect, ReleasedRun};
 use crate::job::TaskState;
-use crate::worker::{Slot, SlotPhase, Worker, WorkerEntry};
+use crate::slot::{Slot, SlotPhase};
+use crate::worker::{Worker, WorkerEntry};
 use crate::{StepId, TaskRun, WorkerKey};
 
 impl Cell {
--- a/crates/hs-cell/src/isolation.rs
+++ b/crates/hs-cell/src/isolation.rs
@@ -15,8 +15,9 @@
 use crate::crash_history::{CrashHistory, Isolation};
 use crate::job::{StepRun, Task};
 use crate::queue_spec::AdviceSpec;
+use crate::slot::SlotPhase;
 use crate::step_order::OrderKey;
-use crate::worker::{SlotPhase, Worker};
+use crate::worker::Worker;
 use crate::{StepId, WorkerKey};
 
 /// At most the number of workers divided by this is vacated at a time, but always one.
--- a/crates/hs-cell/src/job_end.rs
+++ b/crates/hs-cell/src/job_end.rs
@@ -8,7 +8,7 @@
 
 use crate::cell::Cell;
 use crate::job_record::{JobOutcome, WorkerIncarnation};
-use crate::worker::{Slot, SlotPhase};
+use crate::slot::{Slot, SlotPhase};
 use crate::{JobId, StepId, TaskRun, WorkerKey};
 
 /// End of a job. Without a team it is stored as the outcome alone.
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -52,7 +52,9 @@
 mod reserve;
 mod run_orders;
 mod segment;
+mod slot;
 mod stalls;
+mod start_replies;
 mod step_group;
 mod step_order;
 mod surplus_backlogs;
@@ -86,7 +88,7 @@
     WorkerIncarnation,
 };
 pub use job_spec::{JobSchedule, JobSpec, MAX_STEPS, MAX_TASKS, SpecError, StepSpec};
-pub use options::CellOptions;
+pub use options::{CLOCK_DRIFT_MARGIN, CellOptions};
 pub use queue_spec::{AdviceSpec, QueueSpec};
 pub use record_log::{LogWrites, RecordLog, StoredRecords};
 pub use segment::{RecordStamp, SegmentRow, SegmentState, StampedRecord};
--- a/crates/hs-cell/src/options.rs
+++ b/crates/hs-cell/src/options.rs
@@ -31,8 +31,8 @@
     }
 }
 
-/// Fraction of a lease that is added to it on the owner's clock, since the clock of a worker may run slow.
-const CLOCK_DRIFT_MARGIN: f64 = 0.025;
+/// Fraction of a lease that is added to it on the owner's clock, since the clock of a worker may run 2 % slow.
+pub const CLOCK_DRIFT_MARGIN: f64 = 0.025;
 
 /// Maximum time that a worker takes to end its runs after the lease has expired.
 const LEASE_STOP_TIME: Duration = Duration::from_millis(500);
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -19,8 +19,9 @@
 use crate::isolation::PlannedTask;
 use crate::job::{Job, StepRun, TaskState};
 use crate::job_spec::StepSpec;
+use crate::slot::{Slot, SlotPhase};
 use crate::step_order::OrderKey;
-use crate::worker::{Slot, SlotPhase, Worker};
+use crate::worker::Worker;
 use crate::{StepId, TaskRun, WorkerKey};
 
 /// Worker on which tasks of a step fit.
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -7,7 +7,8 @@
 use crate::job::{Job, Occurrence, StepRun, Task, TaskState};
 use crate::job_record::{JobRecord, StepRecord, TaskPlace, TaskRecord, WorkerIncarnation};
 use crate::job_spec::JobSpec;
-use crate::worker::{Slot, SlotPhase, Worker, WorkerEntry};
+use crate::slot::{Slot, SlotPhase};
+use crate::worker::{Worker, WorkerEntry};
 use crate::{JobId, StepId, TaskRun, WorkerKey};
 
 impl Cell {
--- a/crates/hs-cell/src/reserve.rs
+++ b/crates/hs-cell/src/reserve.rs
@@ -15,8 +15,8 @@
 
 use crate::capacity::StepDemand;
 use crate::cell::Cell;
+use crate::slot::{Slot, SlotPhase};
 use crate::step_order::{OrderKey, StepRank, Timeliness};
-use crate::worker::{Slot, SlotPhase};
 use crate::{StepId, TaskRun, WorkerKey};
 
 /// Maximum number of gangs of one priority that hold reservations at a time.
--- a/crates/hs-cell/src/run_orders.rs
+++ b/crates/hs-cell/src/run_orders.rs
@@ -6,7 +6,8 @@
 use crate::cell::Cell;
 use crate::effect::{CellEffect, StartOrder};
 use crate::job::TaskState;
-use crate::worker::{Slot, SlotPhase, WorkerReport};
+use crate::slot::{Slot, SlotPhase};
+use crate::worker::WorkerReport;
 use crate::{TaskRun, WorkerKey};
 
 /// Time after the confirmation of a stop from which a run that is still reported is stopped again. Workers take a
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -1,4 +1,4 @@
-//! Events from workers: replies to starts and stops, and reports on running and ended runs.
+//! Events from workers: replies to stops, and reports on running and ended runs.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -7,97 +7,14 @@
 use crate::effect::CellEffect;
 use crate::job::TaskState;
 use crate::job_record::JobOutcome;
-use crate::worker::{
-    EndReport, RunEnd, RunReport, Slot, SlotPhase, StartRefusal, StartTaker, WorkerReport,
-};
+use crate::slot::{Slot, SlotPhase};
+use crate::worker::{EndReport, RunEnd, RunReport, WorkerReport};
 use crate::{StepId, TaskRun, WorkerKey};
 
 /// Longest time from the request of a report to the state that it shows. A worker may delay its reply by this.
 const MAX_REPORT_DELAY: Duration = Duration::from_secs(1);
 
 impl Cell {
-    /// Processes the confirmation that a worker has started a run.
-    pub fn start_confirmed(&mut self, key: WorkerKey, run: TaskRun, now: Instant) {
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        if let Some(slot) = worker.slots.get_mut(&run) {
-            if slot.phase == SlotPhase::Sent {
-                slot.phase = SlotPhase::Running;
-            }
-            slot.visible_since.get_or_insert(now);
-            slot.unconfirmed_until = None;
-            slot.last_progress_at = now;
-            slot.started_at = now;
-        }
-        if let Some(job) = self.jobs.get_mut(&run.task.job()) {
-            job.started = true;
-        }
-        self.observe_start(key, run, now);
-    }
-
-    /// Processes the refusal of a start. The placement is undone, so that the task waits again.
-    pub fn start_refused(&mut self, key: WorkerKey, run: TaskRun, why: StartRefusal, now: Instant) {
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        let Some(slot) = worker.slots.get(&run) else {
-            return;
-        };
-        if slot.phase == SlotPhase::Stopping {
-            // The pending stop decides, since an earlier copy of the start may have arrived.
-            return;
-        }
-        if matches!(why, StartRefusal::Unhealthy | StartRefusal::Invalid) {
-            worker.quarantine(now);
-        }
-        let id = run.task.step;
-        if let Some(step) = self.jobs.get_mut(&id.job).and_then(|job| job.step_mut(id))
-            && why == StartRefusal::Ticket
-        {
-            step.advice.tickets.retain(|ticket| ticket.worker != key);
-        }
-        self.undo_placement(key, run);
-        self.stop_incomplete_gang(id);
-    }
-
-    /// Handles a start that remained unanswered. The run is stopped, since it may still begin.
-    ///
-    /// An incarnation that the owner has not heard from keeps the run under its longest lease. Only such runs count as going
-    /// on for that long: the others of the worker are known to the incarnation that has reported them.
-    pub fn start_unanswered(
-        &mut self,
-        key: WorkerKey,
-        run: TaskRun,
-        taker: StartTaker,
-        now: Instant,
-    ) {
-        let unconfirmed_until = match taker {
-            StartTaker::Reported => None,
-            StartTaker::Any => Some(now + self.options.max_stale_lease()),
-        };
-        let Some(worker) = self.workers.get_mut(key) else {
-            return;
-        };
-        let Some(slot) = worker.slots.get_mut(&run) else {
-            return;
-        };
-        if slot.phase == SlotPhase::Running {
-            // A report has shown the run meanwhile.
-            return;
-        }
-        let is_sent = slot.phase == SlotPhase::Sent;
-        slot.unconfirmed_until = unconfirmed_until;
-        if let Some(until) = unconfirmed_until {
-            worker.extend_unconfirmed(until, now);
-        }
-        if is_sent {
-            worker.quarantine(now);
-            self.stop_run(key, run);
-            self.stop_incomplete_gang(run.task.step);
-        }
-    }
-
     /// Processes the confirmation of a stop, after which the run can no longer begin.
     pub fn stop_confirmed(&mut self, key: WorkerKey, run: TaskRun, now: Instant) {
         let worker = self.workers.get_mut(key);
--- a/crates/hs-control/src/link/clock.rs
+++ b/crates/hs-control/src/link/clock.rs
@@ -2,8 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-/// Fraction by which a worker's clock may be slower or faster than the owner's.
-const MAX_DRIFT: f64 = 0.025;
+use hs_cell::CLOCK_DRIFT_MARGIN;
 
 /// Tolerance for readings in whole milliseconds.
 const READING_TOLERANCE: Duration = Duration::from_millis(2);
@@ -34,9 +33,9 @@
         let shortest = earliest.saturating_duration_since(self.read_at);
         let longest = latest.saturating_duration_since(self.requested_at);
         let shortest = shortest
-            .mul_f64(1.0 - MAX_DRIFT)
+            .mul_f64(1.0 - CLOCK_DRIFT_MARGIN)
             .saturating_sub(READING_TOLERANCE);
-        let longest = longest.mul_f64(1.0 + MAX_DRIFT) + READING_TOLERANCE;
+        let longest = longest.mul_f64(1.0 + CLOCK_DRIFT_MARGIN) + READING_TOLERANCE;
         let lowest_ms = self.clock_ms.saturating_add(whole_ms(shortest));
         let highest_ms = self.clock_ms.saturating_add(whole_ms(longest));
         (lowest_ms..=highest_ms).contains(&clock_ms)
--- a/crates/hs-control/src/link/renewal.rs
+++ b/crates/hs-control/src/link/renewal.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::WorkerReport;
+use hs_cell::{CLOCK_DRIFT_MARGIN, WorkerReport};
 use hs_event::EventCode;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -11,10 +11,6 @@
 use super::{LinkEvent, RETRY_PAUSE, WorkerClock, WorkerContact, WorkerLink};
 use crate::port::{LeaseRenewal, Platform, PortError, RenewalReply};
 
-/// Fraction of a lease's duration that is added to its end on the owner's clock, because a worker's clock
-/// may be 2 % slow. `CLOCK_DRIFT_FACTOR` of the owner task is 1 plus this.
-const CLOCK_DRIFT_MARGIN: f64 = 0.025;
-
 /// Time added to the end of a lease for the worker to stop its runs.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{Cell, CellOptions, WorkerKey};
+use hs_cell::{CLOCK_DRIFT_MARGIN, Cell, CellOptions, WorkerKey};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinSet, yield_now};
 
@@ -60,10 +60,6 @@
 /// Maximum number of events of each kind that may wait for the owner task.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
 
-/// Factor that converts a duration on a worker's clock to an upper bound on the owner's clock. It is 1
-/// plus `CLOCK_DRIFT_MARGIN` of the worker links, because a worker's clock may be 2 % slow.
-const CLOCK_DRIFT_FACTOR: f64 = 1.025;
-
 /// Safety margin added to the end of leases that an earlier owner granted.
 const EARLIER_LEASE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -211,7 +207,7 @@
         // Earlier owners last confirmed their claim before this process acquired it, which bounds the end
         // of their leases.
         earlier_leases_end: started
-            + MAX_LEASE_PAST_CONFIRMATION.mul_f64(CLOCK_DRIFT_FACTOR)
+            + MAX_LEASE_PAST_CONFIRMATION.mul_f64(1.0 + CLOCK_DRIFT_MARGIN)
             + EARLIER_LEASE_MARGIN,
         links: BTreeMap::new(),
         contact_permits: ContactPermits::default(),
