feat(control): log how a configuration came, failed calls for it, and what it refuses

E5001 does not say whether a watch or a read showed the version, failed calls are debug lines without their duration, and a 404 leaves no line. Ruled out: a line for each failed call; an outage would write six a second. Change: E5001 has source and heard_ms_ago. E5006 names a failed call, how long it waited and the calls since the last line, once a second at most. E5007 names a refused call with the version in force and the ages of the last answer and of the last read, eight a second at most. The counter of refused calls has no_queue and no_configuration.

--- a/crates/hs-control/src/access.rs
+++ b/crates/hs-control/src/access.rs
@@ -32,6 +32,19 @@
     pub is_confirmed: bool,
 }
 
+impl Access<'_> {
+    /// Returns the name of the reason for which a call is refused, or `None` if it is allowed.
+    pub fn refusal_reason(&self) -> Option<&'static str> {
+        match self {
+            Self::Team(..) | Self::Public(_) => None,
+            Self::UnknownKey => Some("unknown_key"),
+            Self::NoQueue => Some("no_queue"),
+            Self::NoConfiguration => Some("no_configuration"),
+            Self::Unconfirmed => Some("unconfirmed"),
+        }
+    }
+}
+
 impl CurrentRules {
     /// Decides on a call with this host, path and key.
     pub fn access(&self, host: &str, path: &str, key: Option<&str>) -> Access<'_> {
--- a/crates/hs-control/src/config.rs
+++ b/crates/hs-control/src/config.rs
@@ -7,7 +7,7 @@
 use hs_cell::{CapExceeded, JobSpec, QueueSpec, TeamSpec};
 use tokio::time::sleep;
 
-use crate::config_state::ConfigState;
+use crate::config_state::{ConfigSource, ConfigState};
 use crate::port::{ConfigReply, Platform};
 use crate::store_health::StoreHealth;
 
@@ -105,25 +105,35 @@
         let sent = platform.boot_now();
         let answer = platform.config(known, WATCH_WAIT, timeout).await;
         health.record_call(answer.is_ok(), platform.now());
+        let now = platform.boot_now();
         // Without a known configuration the call is a read, and otherwise a watch, which confirms nothing.
-        if let (None, Ok(reply)) = (&known, &answer) {
-            state.record_read(sent, reply);
+        let source = match known {
+            None => ConfigSource::Read,
+            Some(_) => ConfigSource::Watch,
+        };
+        if let (ConfigSource::Read, Ok(reply)) = (source, &answer) {
+            state.record_read(sent, now, reply);
         }
         match answer {
             Ok(ConfigReply::Newest(config, revision)) => {
-                known = Some((state.apply(config, revision), revision));
+                let version = state.apply(config, revision, source, now);
+                state.record_heard(now);
+                known = Some((version, revision));
+            }
+            Ok(ConfigReply::Unchanged(revision)) => {
+                state.record_heard(now);
+                match &mut known {
+                    Some((_, old)) => *old = revision.max(*old),
+                    // The configuration is unreadable, and without a known one the call does not wait for changes.
+                    None => sleep(RETRY_PAUSE).await,
+                }
             }
-            Ok(ConfigReply::Unchanged(revision)) => match &mut known {
-                Some((_, old)) => *old = revision.max(*old),
-                // The configuration is unreadable, and without a known one the call does not wait for changes.
-                None => sleep(RETRY_PAUSE).await,
-            },
             Ok(ConfigReply::Unknown) => {
                 known = None;
                 sleep(RETRY_PAUSE).await;
             }
             Err(error) => {
-                log::debug!("failed to read the configuration: {error}");
+                state.record_failure(source, sent, now, &error);
                 known = None;
                 sleep(RETRY_PAUSE).await;
             }
--- a/crates/hs-control/src/config_state.rs
+++ b/crates/hs-control/src/config_state.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use hs_event::EventCode;
+use hs_event::{EventCode, LogText};
 use tokio::sync::watch;
 
 use crate::access::{AccessRules, CurrentRules};
 use crate::config::ClusterConfig;
-use crate::port::ConfigReply;
+use crate::line_limit::LineLimit;
+use crate::port::{ConfigReply, PortError};
 
 /// Part of the time until which a withdrawn key must be refused during which a read confirms the configuration.
 ///
@@ -21,6 +22,24 @@
 /// Time until which a withdrawn key must be refused, if the settings do not state it.
 const DEFAULT_REVOKE_TIME: Duration = Duration::from_millis(5000);
 
+/// Minimum time between two lines about failed calls for the configuration.
+const FAILURE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum number of refusals that are logged in [`REFUSAL_LOG_INTERVAL`].
+const MAX_LOGGED_REFUSALS: u32 = 8;
+
+/// Interval of [`MAX_LOGGED_REFUSALS`].
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How a process learns of a configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConfigSource {
+    /// A call that waits for changes.
+    Watch,
+    /// A linearizable read.
+    Read,
+}
+
 /// Settings of the checks of keys.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct KeyOptions {
@@ -44,13 +63,29 @@
 }
 
 /// Rules and confirmation, which are read together: the rules are at least as new as the read that confirms them.
-#[derive(Clone, Default)]
 struct AccessState {
     rules: Option<Arc<AccessRules>>,
     /// When the latest successful linearizable read was sent, on the clock that counts suspended time.
     confirmed_at: Option<Instant>,
+    /// When the latest answer of the store to a call for the configuration arrived, on the same clock.
+    heard_at: Option<Instant>,
     /// Whether the loss of the confirmation was logged.
     is_lost: bool,
+    failure_lines: LineLimit,
+    refusal_lines: LineLimit,
+}
+
+impl Default for AccessState {
+    fn default() -> Self {
+        Self {
+            rules: None,
+            confirmed_at: None,
+            heard_at: None,
+            is_lost: false,
+            failure_lines: LineLimit::new(1, FAILURE_LOG_INTERVAL),
+            refusal_lines: LineLimit::new(MAX_LOGGED_REFUSALS, REFUSAL_LOG_INTERVAL),
+        }
+    }
 }
 
 /// Publishes the configuration in force. Clones share their state.
@@ -75,17 +110,24 @@
     }
 
     /// Puts a configuration in force if it is newer than the current one. Returns the version in force.
-    pub(crate) fn apply(&self, config: Arc<ClusterConfig>, revision: u64) -> u64 {
+    pub(crate) fn apply(
+        &self,
+        config: Arc<ClusterConfig>,
+        revision: u64,
+        source: ConfigSource,
+        now: Instant,
+    ) -> u64 {
         let mut access = self.lock();
         let current = access.rules.as_ref().map(|rules| rules.config().version);
         if let Some(current) = current.filter(|current| *current >= config.version) {
             return current;
         }
         EventCode::ManifestApplied.log(format_args!(
-            "version={} previous={} routes={} revision={revision}",
+            "version={} previous={} routes={} revision={revision} source={source:?} heard_ms_ago={:?}",
             config.version,
             current.unwrap_or(0),
-            config.routes.len()
+            config.routes.len(),
+            age_ms(access.heard_at, now),
         ));
         let rules = AccessRules::new(config.clone(), self.options.always_needed);
         access.rules = Some(Arc::new(rules));
@@ -94,36 +136,90 @@
         version
     }
 
+    /// Records that the store has answered a call for the configuration.
+    pub(crate) fn record_heard(&self, now: Instant) {
+        let mut access = self.lock();
+        access.heard_at = access.heard_at.max(Some(now));
+    }
+
+    /// Logs a call for the configuration that was sent at `sent` and got no usable reply.
+    pub(crate) fn record_failure(
+        &self,
+        source: ConfigSource,
+        sent: Instant,
+        now: Instant,
+        error: &PortError,
+    ) {
+        let mut access = self.lock();
+        let Some(left_out) = access.failure_lines.next_line(now) else {
+            return;
+        };
+        EventCode::ConfigCallFailed.log(format_args!(
+            "source={source:?} waited_ms={} heard_ms_ago={:?} failed={} cause=\"{error}\"",
+            now.saturating_duration_since(sent).as_millis(),
+            age_ms(access.heard_at, now),
+            left_out + 1,
+        ));
+    }
+
+    /// Logs a request to this host and path that is refused for `reason`.
+    pub(crate) fn record_refusal(
+        &self,
+        reason: &'static str,
+        host: &str,
+        path: &str,
+        now: Instant,
+    ) {
+        let mut access = self.lock();
+        let Some(left_out) = access.refusal_lines.next_line(now) else {
+            return;
+        };
+        let version = access.rules.as_ref().map(|rules| rules.config().version);
+        EventCode::RefusedByConfig.log(format_args!(
+            "reason={reason} host={} path={} version={version:?} heard_ms_ago={:?} confirmed_ms_ago={:?} \
+            left_out={left_out}",
+            LogText(host),
+            LogText(path),
+            age_ms(access.heard_at, now),
+            age_ms(access.confirmed_at, now),
+        ));
+    }
+
     /// Records the reply to a linearizable read that was sent at `sent`, and puts a newer configuration in force.
     ///
     /// A configuration that can't be decoded, or is older, confirms the one in force, which stays. None at all confirms
     /// nothing.
-    pub(crate) fn record_read(&self, sent: Instant, reply: &ConfigReply) {
+    pub(crate) fn record_read(&self, sent: Instant, now: Instant, reply: &ConfigReply) {
         match reply {
             ConfigReply::Newest(config, revision) => {
-                self.apply(config.clone(), *revision);
+                self.apply(config.clone(), *revision, ConfigSource::Read, now);
             }
             ConfigReply::Unchanged(_) => {}
             ConfigReply::Unknown => return,
         }
         let mut access = self.lock();
         access.confirmed_at = access.confirmed_at.max(Some(sent));
+        access.heard_at = access.heard_at.max(Some(now));
     }
 
     /// Returns the rules in force, and whether keys may be relied on. `now` is read after the state, since a process
     /// may be suspended at any time.
     pub(crate) fn current_rules(&self, now: impl FnOnce() -> Instant) -> CurrentRules {
-        let access = self.lock().clone();
+        let (rules, confirmed_at) = {
+            let access = self.lock();
+            (access.rules.clone(), access.confirmed_at)
+        };
         CurrentRules {
-            is_confirmed: self.is_confirmed(&access, now()),
-            rules: access.rules,
+            is_confirmed: self.is_confirmed(confirmed_at, now()),
+            rules,
         }
     }
 
     /// Returns whether calls that need keys can be served, and logs when this changes because of the confirmation.
     pub(crate) fn check_confirmation(&self, now: Instant) -> bool {
         let mut access = self.lock();
-        let is_confirmed = !self.needs_confirmation(&access) || self.is_confirmed(&access, now);
+        let is_confirmed =
+            !self.needs_confirmation(&access) || self.is_confirmed(access.confirmed_at, now);
         // A process that has just started has lost nothing.
         let is_lost = !is_confirmed && access.confirmed_at.is_some();
         if std::mem::replace(&mut access.is_lost, is_lost) != is_lost {
@@ -154,12 +250,12 @@
         self.options.max_age.is_some() && needs_keys
     }
 
-    fn is_confirmed(&self, access: &AccessState, now: Instant) -> bool {
+    fn is_confirmed(&self, confirmed_at: Option<Instant>, now: Instant) -> bool {
         let Some(max_age) = self.options.max_age else {
             return true;
         };
         let is_young = |at: Instant| now.saturating_duration_since(at) < max_age;
-        access.confirmed_at.is_some_and(is_young)
+        confirmed_at.is_some_and(is_young)
     }
 
     fn lock(&self) -> MutexGuard<'_, AccessState> {
@@ -167,6 +263,11 @@
     }
 }
 
+/// Returns the milliseconds since a time, or `None` if there is none.
+fn age_ms(at: Option<Instant>, now: Instant) -> Option<u128> {
+    at.map(|at| now.saturating_duration_since(at).as_millis())
+}
+
 /// Leaves out the configuration.
 impl fmt::Debug for ConfigState {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/hs-control/src/confirmation.rs
+++ b/crates/hs-control/src/confirmation.rs
@@ -5,7 +5,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::config_state::ConfigState;
+use crate::config_state::{ConfigSource, ConfigState};
 use crate::port::{ConfigReply, Platform};
 
 /// Shortest time between two reads of this task.
@@ -39,11 +39,12 @@
             let (platform, state) = (platform.clone(), state.clone());
             reads.spawn(async move {
                 let reply = platform.read_config(decoded, max_age).await;
+                let answered_at = platform.boot_now();
                 let reply = reply.inspect_err(|error| {
-                    log::debug!("failed to confirm the configuration: {error}");
+                    state.record_failure(ConfigSource::Read, now, answered_at, error);
                 });
                 let reply = reply.ok()?;
-                state.record_read(now, &reply);
+                state.record_read(now, answered_at, &reply);
                 match reply {
                     ConfigReply::Newest(_, revision) | ConfigReply::Unchanged(revision) => {
                         Some(revision)
--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -95,9 +95,13 @@
         self.config_state.current_rules(|| self.platform.boot_now())
     }
 
-    /// Counts a call that was refused because of its key.
-    pub fn record_refused_call(&self, access: Access<'_>) {
+    /// Counts and logs a call to this host and path that is refused.
+    pub fn record_refused_call(&self, access: Access<'_>, host: &str, path: &str) {
         self.context.metrics.record_refused_call(access);
+        if let Some(reason) = access.refusal_reason() {
+            let now = self.platform.boot_now();
+            self.config_state.record_refusal(reason, host, path, now);
+        }
     }
 
     /// Returns a receiver of the configurations, which sees each change.
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -36,6 +36,7 @@
 mod job_phase;
 mod keys;
 mod lag;
+mod line_limit;
 mod link;
 pub mod link_speed;
 mod load;
--- a/crates/hs-control/src/metrics.rs
+++ b/crates/hs-control/src/metrics.rs
@@ -58,7 +58,7 @@
             submissions: counter("hornbeamshunt_submissions", "Submissions by result"),
             refused_calls: counter(
                 "hornbeamshunt_refused_calls",
-                "Calls refused because of their key, by reason",
+                "Calls refused because of the configuration, by reason",
             ),
             starts: counter("hornbeamshunt_starts", "Starts sent to workers"),
             start_refusals: counter("hornbeamshunt_start_refusals", "Starts refused by reason"),
@@ -113,14 +113,10 @@
     }
 
     pub(crate) fn record_refused_call(&self, access: Access<'_>) {
-        let reason = match access {
-            Access::UnknownKey => "unknown_key",
-            Access::Unconfirmed => "unconfirmed",
-            Access::Team(..) | Access::Public(_) => return,
-            Access::NoQueue | Access::NoConfiguration => return,
-        };
-        self.refused_calls
-            .add(1, &[KeyValue::new("reason", reason)]);
+        if let Some(reason) = access.refusal_reason() {
+            self.refused_calls
+                .add(1, &[KeyValue::new("reason", reason)]);
+        }
     }
 
     pub(crate) fn record_start(&self) {
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -93,6 +93,10 @@
     ConfigUnconfirmed = 5004, Warn, "configuration unconfirmed";
     /// The configuration was read again.
     ConfigConfirmed = 5005, Info, "configuration confirmed";
+    /// A call for the configuration got no usable reply.
+    ConfigCallFailed = 5006, Info, "configuration not read";
+    /// A request was refused because of what the configuration says.
+    RefusedByConfig = 5007, Info, "request refused by the configuration";
     /// A ledger partition was taken over.
     PartitionTaken = 6001, Info, "ledger partition taken over";
     /// A ledger partition was lost to another owner.
