--- a/crates/hs-http/tests/call.rs
+++ b/crates/hs-http/tests/call.rs
@@ -1,6 +1,8 @@
 //! Errors of calls without a reply.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hs_http::HttpClient;
@@ -165,3 +167,67 @@
         assert_eq!(reply.expect("the reply arrived in time").status, 200);
     }
 }
+
+/// Starts a peer whose first connections, as many as this, answer one request and are silent after that. Returns its
+/// address and the number of its connections.
+async fn peer_that_falls_silent(silent: usize) -> (SocketAddr, Arc<AtomicUsize>) {
+    const REPLY_DELAY: Duration = Duration::from_millis(30);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listen");
+    let address = listener.local_addr().expect("address");
+    let connections = Arc::new(AtomicUsize::new(0));
+    let counter = connections.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let number = counter.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let (mut buffer, mut requests) = ([0; 4096], 0);
+                while stream
+                    .read(&mut buffer)
+                    .await
+                    .is_ok_and(|length| length > 0)
+                {
+                    requests += 1;
+                    if number < silent && requests > 1 {
+                        continue;
+                    }
+                    tokio::time::sleep(REPLY_DELAY).await;
+                    let reply = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+                    let _ = stream.write_all(reply).await;
+                }
+            });
+        }
+    });
+    (address, connections)
+}
+
+/// Guards against calls that fail one after the other because the open connections to a peer have gone silent, while
+/// new ones would be answered.
+#[tokio::test]
+async fn a_new_connection_is_used_after_a_call_without_reply() {
+    const SILENT: usize = 6;
+    let (peer, connections) = peer_that_falls_silent(SILENT).await;
+    let peer = peer.to_string();
+    let client = HttpClient::default();
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..SILENT {
+        let (client, peer) = (client.clone(), peer.clone());
+        calls.spawn(async move {
+            client
+                .get("first", &peer, "/", Duration::from_secs(2))
+                .await
+        });
+    }
+    for reply in calls.join_all().await {
+        assert_eq!(reply.expect("a reply").status, 200);
+    }
+    assert_eq!(connections.load(Ordering::Relaxed), SILENT);
+    let lost = client
+        .get("query", &peer, "/", Duration::from_millis(100))
+        .await;
+    lost.expect_err("the connection is silent");
+    let reply = client
+        .get("query", &peer, "/", Duration::from_secs(2))
+        .await;
+    assert_eq!(reply.expect("a reply on a new connection").status, 200);
+    assert_eq!(connections.load(Ordering::Relaxed), SILENT + 1);
+}
