fix(http): a call without a reply is followed by calls on new connections

Callers of a queue that had just been added got 404 from the owner for seconds after its connections to the store had fallen silent without a reset (CONFIG). Cause: HttpClient kept the other idle connections to the store after a call had timed out, of any number and up to 15 s old. The next call took one of them and waited for its own timeout, 1.3 s for the watch of the configuration. An owner has twenty. DirectClient, for workers, closed them already. Ruled out: a shorter idle time, which leaves as many connections to a busy peer; one pool for all peers that is renewed, since one slow peer would cost all their connections. Change: ConnectionPools gives a peer a new pool once a call to it has timed out that began after the last renewal. Calls in progress go on.

--- a/crates/hs-http/src/call.rs
+++ b/crates/hs-http/src/call.rs
@@ -1,5 +1,6 @@
 //! HTTP client.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -7,15 +8,13 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, IF_NONE_MATCH};
 use hyper::{HeaderMap, Method, Request};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
 use crate::ArrivalBudget;
 use crate::byte_budget::HolderKind;
+use crate::connection_pools::ConnectionPools;
 use crate::read_body::read_body;
 
 /// Error of a call that got no reply.
@@ -81,46 +80,15 @@
 }
 
 /// An HTTP client with a connection pool, which clones share.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
+    pools: Arc<ConnectionPools>,
     budget: ArrivalBudget,
 }
 
 /// Largest reply body in bytes. Values in the store are limited to one megabyte.
 pub(crate) const MAX_REPLY_BYTES: usize = 4 << 20;
 
-/// Largest read buffer of a connection in bytes. A reply in one piece would otherwise raise it to 400 KiB, which the
-/// connection keeps.
-pub(crate) const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
-
-/// Timeout for opening a connection. Workers, store and peers reply within milliseconds.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Time after which an idle connection is closed. It is shorter than the head timeout of
-/// `ServeLimits`, so that the server does not close a connection at the moment of its reuse.
-pub(crate) const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
-impl Default for HttpClient {
-    fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let inner = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-            // If a pooled connection closes during a request, the client reports an error instead
-            // of sending the request again, so that the caller decides whether a retry is safe.
-            .retry_canceled_requests(false)
-            .http1_max_buf_size(MAX_READ_BUFFER_BYTES)
-            .build(connector);
-        Self {
-            inner,
-            budget: ArrivalBudget::default(),
-        }
-    }
-}
-
 impl HttpClient {
     /// Creates a client whose replies are read under a budget.
     pub fn with_budget(budget: ArrivalBudget) -> Self {
@@ -219,6 +187,8 @@
 
     /// Sends a prepared request. The time in which this process is late does not count towards the timeout.
     ///
+    /// After a call without a reply in time, later ones to the peer use new connections.
+    ///
     /// # Errors
     ///
     /// The same as for [`HttpClient::call`].
@@ -229,8 +199,10 @@
         request: Request<Full<Bytes>>,
         call_timeout: Duration,
     ) -> Result<CallReply, CallError> {
+        let began_at = Instant::now();
+        let pool = self.pools.pool(peer);
         let exchange = async {
-            let response = match self.inner.request(request).await {
+            let response = match pool.request(request).await {
                 Ok(response) => response,
                 Err(error) if error.is_connect() => return Err(not_sent(operation, peer, &error)),
                 Err(error) => return Err(no_reply(operation, peer, None, &error)),
@@ -247,7 +219,10 @@
         };
         match timeout(call_timeout, exchange).await {
             Ok(result) => result,
-            Err(elapsed) => Err(no_reply(operation, peer, None, &elapsed)),
+            Err(elapsed) => {
+                self.pools.renew(peer, began_at);
+                Err(no_reply(operation, peer, None, &elapsed))
+            }
         }
     }
 }
--- a/crates/hs-http/src/connection.rs
+++ b/crates/hs-http/src/connection.rs
@@ -17,7 +17,7 @@
 
 use crate::CallReply;
 use crate::arrival_budget::ByteLease;
-use crate::call::MAX_READ_BUFFER_BYTES;
+use crate::connection_pools::MAX_READ_BUFFER_BYTES;
 use crate::read_body::read_body;
 
 /// Future that reads and writes the socket of a connection.
--- a/crates/hs-http/src/direct.rs
+++ b/crates/hs-http/src/direct.rs
@@ -14,8 +14,9 @@
 use tokio::time::sleep;
 
 use crate::byte_budget::HolderKind;
-use crate::call::{CONNECT_TIMEOUT, MAX_REPLY_BYTES, POOL_IDLE_TIMEOUT, no_reply, not_sent};
+use crate::call::{MAX_REPLY_BYTES, no_reply, not_sent};
 use crate::connection::{Connection, ExchangeError};
+use crate::connection_pools::{CONNECT_TIMEOUT, POOL_IDLE_TIMEOUT};
 use crate::{ArrivalBudget, CallError, CallReply};
 
 /// Interval at which idle connections are checked for their age.
--- a/crates/hs-http/src/lib.rs
+++ b/crates/hs-http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod call;
 mod connection;
 pub mod connection_phase;
+mod connection_pools;
 mod connections;
 pub mod direct;
 mod read_body;
