fix(platform): a refusal by the configuration is confirmed by a read

Cause: the process concluded from the absence of a queue in its copy that there is none, however long ago the store had last confirmed that copy. Any reason for a late copy showed up as a false refusal: silent connections, a store out of reach, a change that the watch does not show. Ruled out: refusing all calls while the copy is unconfirmed, which would take processes that still reach the owner away from their callers; a periodic read on all deployments, a call a second for a case that needs one now and then. Change: 404 and 401 need a linearizable read that was sent less than half of configApplyMs ago. KeyOptions is named AccessOptions, since it has the bound of refusals as well.

--- a/crates/hs-control/src/access.rs
+++ b/crates/hs-control/src/access.rs
@@ -21,6 +21,8 @@
     NoConfiguration,
     /// The configuration may be out of date, so that no key can be relied on.
     Unconfirmed,
+    /// The configuration refuses the call and may be out of date. It has to be read again to know.
+    UnconfirmedRefusal,
 }
 
 /// The rules in force at one moment.
@@ -30,6 +32,8 @@
     pub rules: Option<Arc<AccessRules>>,
     /// Whether the keys of the rules may be relied on.
     pub is_confirmed: bool,
+    /// Whether the rules are new enough to refuse a call for good.
+    pub may_refuse: bool,
 }
 
 impl Access<'_> {
@@ -41,6 +45,7 @@
             Self::NoQueue => Some("no_queue"),
             Self::NoConfiguration => Some("no_configuration"),
             Self::Unconfirmed => Some("unconfirmed"),
+            Self::UnconfirmedRefusal => Some("unconfirmed_refusal"),
         }
     }
 }
@@ -48,6 +53,14 @@
 impl CurrentRules {
     /// Decides on a call with this host, path and key.
     pub fn access(&self, host: &str, path: &str, key: Option<&str>) -> Access<'_> {
+        match self.decide(host, path, key) {
+            Access::NoQueue | Access::UnknownKey if !self.may_refuse => Access::UnconfirmedRefusal,
+            access => access,
+        }
+    }
+
+    /// Decides on a call as if the rules were the newest.
+    fn decide(&self, host: &str, path: &str, key: Option<&str>) -> Access<'_> {
         let Some(rules) = &self.rules else {
             return Access::NoConfiguration;
         };
--- a/crates/hs-control/src/config_state.rs
+++ b/crates/hs-control/src/config_state.rs
@@ -40,25 +40,55 @@
     Read,
 }
 
-/// Settings of the checks of keys.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct KeyOptions {
+/// Part of the time in which a configuration has to be in force during which a read lets calls be refused.
+///
+/// Each part up to 1 is right for clocks that run at the same rate, as a read that is sent after a change shows it.
+const REFUSAL_PART: f64 = 0.5;
+
+/// Time in which a configuration has to be in force, if the settings do not state it.
+const DEFAULT_APPLY_TIME: Duration = Duration::from_millis(2000);
+
+/// Settings of the decision whether a call is allowed.
+#[derive(Clone, Copy, Debug)]
+pub struct AccessOptions {
     /// Whether calls need a key even if the configuration has no teams.
-    pub always_needed: bool,
+    pub keys_always_needed: bool,
     /// Age of the latest read of the configuration up to which keys may be relied on; `None` if keys follow the
     /// configuration without a bound.
-    pub max_age: Option<Duration>,
+    pub max_key_age: Option<Duration>,
+    /// Age of the latest read of the configuration up to which a call may be refused for good by it.
+    pub max_refusal_age: Duration,
+}
+
+impl Default for AccessOptions {
+    fn default() -> Self {
+        Self {
+            keys_always_needed: false,
+            max_key_age: None,
+            max_refusal_age: Self::refusal_age_for(Duration::ZERO),
+        }
+    }
 }
 
-impl KeyOptions {
+impl AccessOptions {
     /// Returns the largest age with which withdrawn keys are refused after `revoke_time`, or after the default time if
     /// that is zero.
-    pub fn max_age_for(revoke_time: Duration) -> Duration {
-        let revoke_time = match revoke_time {
-            Duration::ZERO => DEFAULT_REVOKE_TIME,
-            revoke_time => revoke_time,
-        };
-        revoke_time.mul_f64(CONFIRMED_PART)
+    pub fn key_age_for(revoke_time: Duration) -> Duration {
+        time_or(revoke_time, DEFAULT_REVOKE_TIME).mul_f64(CONFIRMED_PART)
+    }
+
+    /// Returns the largest age with which no call is refused that a configuration allows which was acknowledged longer
+    /// ago than `apply_time`, or than the default time if that is zero.
+    pub fn refusal_age_for(apply_time: Duration) -> Duration {
+        time_or(apply_time, DEFAULT_APPLY_TIME).mul_f64(REFUSAL_PART)
+    }
+}
+
+/// Returns a time, or a default if it is zero.
+fn time_or(time: Duration, default: Duration) -> Duration {
+    match time {
+        Duration::ZERO => default,
+        time => time,
     }
 }
 
@@ -93,14 +123,14 @@
 pub(crate) struct ConfigState {
     sender: watch::Sender<Option<Arc<ClusterConfig>>>,
     access: Arc<Mutex<AccessState>>,
-    options: KeyOptions,
+    options: AccessOptions,
 }
 
 impl ConfigState {
     /// Creates the state of a process without a configuration, which is published to `sender`.
     pub(crate) fn new(
         sender: watch::Sender<Option<Arc<ClusterConfig>>>,
-        options: KeyOptions,
+        options: AccessOptions,
     ) -> Self {
         Self {
             sender,
@@ -129,7 +159,7 @@
             config.routes.len(),
             age_ms(access.heard_at, now),
         ));
-        let rules = AccessRules::new(config.clone(), self.options.always_needed);
+        let rules = AccessRules::new(config.clone(), self.options.keys_always_needed);
         access.rules = Some(Arc::new(rules));
         let version = config.version;
         self.sender.send_replace(Some(config));
@@ -202,15 +232,17 @@
         access.heard_at = access.heard_at.max(Some(now));
     }
 
-    /// Returns the rules in force, and whether keys may be relied on. `now` is read after the state, since a process
+    /// Returns the rules in force, and what they may be relied on for. `now` is read after the state, since a process
     /// may be suspended at any time.
     pub(crate) fn current_rules(&self, now: impl FnOnce() -> Instant) -> CurrentRules {
         let (rules, confirmed_at) = {
             let access = self.lock();
             (access.rules.clone(), access.confirmed_at)
         };
+        let now = now();
         CurrentRules {
-            is_confirmed: self.is_confirmed(confirmed_at, now()),
+            is_confirmed: self.is_confirmed(confirmed_at, now),
+            may_refuse: is_young(confirmed_at, now, self.options.max_refusal_age),
             rules,
         }
     }
@@ -246,16 +278,13 @@
     fn needs_confirmation(&self, access: &AccessState) -> bool {
         let needs_keys = |rules: &Arc<AccessRules>| rules.needs_keys();
         let needs_keys =
-            self.options.always_needed || access.rules.as_ref().is_some_and(needs_keys);
-        self.options.max_age.is_some() && needs_keys
+            self.options.keys_always_needed || access.rules.as_ref().is_some_and(needs_keys);
+        self.options.max_key_age.is_some() && needs_keys
     }
 
     fn is_confirmed(&self, confirmed_at: Option<Instant>, now: Instant) -> bool {
-        let Some(max_age) = self.options.max_age else {
-            return true;
-        };
-        let is_young = |at: Instant| now.saturating_duration_since(at) < max_age;
-        confirmed_at.is_some_and(is_young)
+        let max_age = self.options.max_key_age;
+        max_age.is_none_or(|max_age| is_young(confirmed_at, now, max_age))
     }
 
     fn lock(&self) -> MutexGuard<'_, AccessState> {
@@ -263,6 +292,11 @@
     }
 }
 
+/// Returns whether a read was sent less than `max_age` ago.
+fn is_young(sent: Option<Instant>, now: Instant, max_age: Duration) -> bool {
+    sent.is_some_and(|at| now.saturating_duration_since(at) < max_age)
+}
+
 /// Returns the milliseconds since a time, or `None` if there is none.
 fn age_ms(at: Option<Instant>, now: Instant) -> Option<u128> {
     at.map(|at| now.saturating_duration_since(at).as_millis())
--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -9,6 +9,7 @@
 
 use crate::access::{Access, CurrentRules};
 use crate::config::ClusterConfig;
+use crate::config_reader::ConfigReader;
 use crate::config_state::ConfigState;
 use crate::intake::{IntakeHandle, IntakeResult};
 use crate::job_phase::state_from_phase;
@@ -17,7 +18,7 @@
 use crate::metrics::ControlMetrics;
 use crate::notify::{Notice, NotifyHandle};
 use crate::peers::PeerError;
-use crate::port::{ClockPort, StorePort};
+use crate::port::{CatalogPort, ClockPort, StorePort};
 use crate::recover::JobValue;
 use crate::shared::{NodeContext, OwnerRequest, Ownership};
 use crate::unknown_cancellations::UnknownCancellations;
@@ -79,11 +80,24 @@
     pub(crate) notify: NotifyHandle,
     pub(crate) ready: watch::Receiver<bool>,
     pub(crate) config_state: ConfigState,
+    pub(crate) config_reader: ConfigReader,
     /// State requests that this process may handle at a time.
     pub(crate) state_permits: Arc<Semaphore>,
     pub(crate) unknown_cancellations: Arc<Mutex<UnknownCancellations>>,
 }
 
+impl<P: CatalogPort + ClockPort> Control<P> {
+    /// Returns the rules after a read of the configuration, for a call that [`Control::current_rules`] would refuse and
+    /// that may be allowed meanwhile. Nothing is read while the store is known to be down.
+    pub async fn read_rules(&self) -> CurrentRules {
+        if !self.context.store_health.is_down(self.platform.now()) {
+            let (platform, state) = (&self.platform, &self.config_state);
+            self.config_reader.read(platform, state).await;
+        }
+        self.config_state.current_rules(|| self.platform.boot_now())
+    }
+}
+
 impl<P: StorePort + ClockPort> Control<P> {
     /// Returns the current configuration, or `None` if none has been read yet.
     pub fn config(&self) -> Option<Arc<ClusterConfig>> {
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -21,6 +21,7 @@
 mod claim_writer;
 mod commits;
 mod config;
+mod config_reader;
 mod config_state;
 mod confirmation;
 mod congestion;
@@ -67,7 +68,7 @@
 
 pub use access::{Access, AccessRules, CurrentRules};
 pub use config::{ClusterConfig, QueueRoute, RequestLimits, TeamConfig};
-pub use config_state::KeyOptions;
+pub use config_state::AccessOptions;
 pub use control::{CancelReply, Control, JobStateReply, SubmitReply};
 pub use metrics::ControlMetrics;
 pub use peer_listener::PeerLimits;
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -12,7 +12,8 @@
 
 use crate::cell_facts::CellFacts;
 use crate::config;
-use crate::config_state::{ConfigState, KeyOptions};
+use crate::config_reader::ConfigReader;
+use crate::config_state::{AccessOptions, ConfigState};
 use crate::confirmation;
 use crate::congestion::CongestedTeams;
 use crate::control::{Control, MAX_STATE_REQUESTS};
@@ -53,8 +54,8 @@
     pub limits: VmLimits,
     /// What the listener for other processes may use.
     pub peer_limits: PeerLimits,
-    /// Settings of the checks of keys.
-    pub keys: KeyOptions,
+    /// Settings of the decision whether a call is allowed.
+    pub access: AccessOptions,
 }
 
 /// Why a process failed to start.
@@ -89,7 +90,7 @@
     let (ownership_sender, ownership) = watch::channel(Ownership::Unknown);
     let (ready_sender, ready) = watch::channel(false);
     let (owner_last_seen_sender, owner_last_seen) = watch::channel(None);
-    let config_state = ConfigState::new(config_sender, options.keys);
+    let config_state = ConfigState::new(config_sender, options.access);
     let store_health = StoreHealth::default();
     let context = NodeContext {
         node: options.node.as_str().into(),
@@ -109,11 +110,12 @@
         intake: IntakeHandle::spawn(platform.clone(), store_health.clone()),
         notify: NotifyHandle::spawn(context.clone()),
         config_state: config_state.clone(),
+        config_reader: ConfigReader::default(),
         state_permits: Arc::new(Semaphore::new(MAX_STATE_REQUESTS)),
         unknown_cancellations: Arc::new(Mutex::new(UnknownCancellations::new(platform.now()))),
         ready,
     };
-    if let Some(max_age) = options.keys.max_age {
+    if let Some(max_age) = options.access.max_key_age {
         let (platform, state) = (platform.clone(), config_state.clone());
         tokio::spawn(restart_on_panic("confirmation", move || {
             confirmation::confirm(platform.clone(), state.clone(), max_age)
--- a/crates/hs-control/tests/access.rs
+++ b/crates/hs-control/tests/access.rs
@@ -5,7 +5,7 @@
 
 use hs_cell::{QueueSpec, TeamSpec};
 use hs_control::{
-    Access, AccessRules, ClusterConfig, CurrentRules, KeyOptions, QueueRoute, TeamConfig,
+    Access, AccessOptions, AccessRules, ClusterConfig, CurrentRules, QueueRoute, TeamConfig,
 };
 use hs_wire::Resources;
 
@@ -58,6 +58,7 @@
         name: &'static str,
         rules: Option<Arc<AccessRules>>,
         is_confirmed: bool,
+        may_refuse: bool,
         path: &'static str,
         key: Option<&'static str>,
         /// Name of the decision, and of the team if there is one.
@@ -69,6 +70,7 @@
         name,
         rules: with_teams.clone(),
         is_confirmed: true,
+        may_refuse: true,
         path,
         key,
         expected,
@@ -77,6 +79,10 @@
         is_confirmed: false,
         ..case(name, path, key, expected)
     };
+    let outdated = |name, path, key, expected| Case {
+        may_refuse: false,
+        ..case(name, path, key, expected)
+    };
     let no_teams = |name, always, key, expected| Case {
         rules: rules(Vec::new(), always),
         ..case(name, "/q/1", key, expected)
@@ -100,6 +106,16 @@
         unconfirmed("late other key", "/q/1", Some("x"), ("unconfirmed", "")),
         unconfirmed("late public", "/q/open/1", None, ("public", "")),
         unconfirmed("late, no queue", "/x", None, ("no queue", "")),
+        outdated("old key", "/q/1", Some("k1"), ("team", "a")),
+        outdated("old public", "/q/open/1", None, ("public", "")),
+        outdated("old, no queue", "/x", None, ("unconfirmed refusal", "")),
+        outdated("old, no key", "/q/1", None, ("unconfirmed refusal", "")),
+        outdated(
+            "old other key",
+            "/q/1",
+            Some("x"),
+            ("unconfirmed refusal", ""),
+        ),
         no_teams("no teams", false, None, ("public", "")),
         no_teams("no teams, key", false, Some("k1"), ("public", "")),
         no_teams("no teams yet", true, Some("k1"), ("unknown key", "")),
@@ -108,6 +124,7 @@
         let current = CurrentRules {
             rules: case.rules,
             is_confirmed: case.is_confirmed,
+            may_refuse: case.may_refuse,
         };
         let decision = match current.access("h", case.path, case.key) {
             Access::Team(_, team) => ("team", &**team),
@@ -116,6 +133,7 @@
             Access::NoQueue => ("no queue", ""),
             Access::NoConfiguration => ("none", ""),
             Access::Unconfirmed => ("unconfirmed", ""),
+            Access::UnconfirmedRefusal => ("unconfirmed refusal", ""),
         };
         assert_eq!(decision, case.expected, "{}", case.name);
     }
@@ -134,8 +152,19 @@
 #[test]
 fn the_bound_of_the_confirmation_is_below_the_time_of_revocation() {
     for (revoke_ms, longest_ms) in [(5000, 5000), (0, 5000), (20_000, 20_000)] {
-        let max_age = KeyOptions::max_age_for(Duration::from_millis(revoke_ms));
+        let max_age = AccessOptions::key_age_for(Duration::from_millis(revoke_ms));
         let longest = Duration::from_millis(longest_ms);
         assert!((longest.mul_f64(0.6)..longest).contains(&max_age));
     }
 }
+
+/// Guards against refusals by a configuration that may be older than the bound allows, and against a bound without any
+/// margin.
+#[test]
+fn the_bound_of_refusals_is_below_the_time_in_which_a_configuration_applies() {
+    for (apply_ms, longest_ms) in [(3000, 3000), (0, 2000), (8000, 8000)] {
+        let max_age = AccessOptions::refusal_age_for(Duration::from_millis(apply_ms));
+        let longest = Duration::from_millis(longest_ms);
+        assert!((Duration::from_millis(1)..longest.mul_f64(0.8)).contains(&max_age));
+    }
+}
--- a/crates/hs-control/tests/links/confirmation.rs
+++ b/crates/hs-control/tests/links/confirmation.rs
@@ -5,8 +5,9 @@
 
 use hs_cell::TeamSpec;
 use hs_control::port::PortError;
-use hs_control::{Access, ClusterConfig, KeyOptions, TeamConfig};
+use hs_control::{Access, AccessOptions, ClusterConfig, Control, TeamConfig};
 use hs_wire::Resources;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::platform::FakePlatform;
@@ -100,11 +101,12 @@
 async fn run_steps(name: &str, steps: &[Step]) -> Process {
     let platform = FakePlatform::default();
     platform.state().config.stored = Some(config(1, "old"));
-    let keys = KeyOptions {
-        always_needed: false,
-        max_age: Some(MAX_AGE),
+    let access = AccessOptions {
+        keys_always_needed: false,
+        max_key_age: Some(MAX_AGE),
+        max_refusal_age: MAX_AGE,
     };
-    let process = Process::start_with(&platform, keys).await;
+    let process = Process::start_with(&platform, access).await;
     sleep(Duration::from_millis(2500)).await;
     for (number, step) in steps.iter().enumerate() {
         let place = format!("{name}, step {number} {step:?}");
@@ -273,14 +275,90 @@
     for case in cases {
         let platform = FakePlatform::default();
         platform.state().config.stored = case.stored;
-        let keys = KeyOptions {
-            always_needed: false,
-            max_age: case.max_age,
+        let access = AccessOptions {
+            max_key_age: case.max_age,
+            ..AccessOptions::default()
         };
-        let process = Process::start_with(&platform, keys).await;
+        let process = Process::start_with(&platform, access).await;
         processes.push(process);
         sleep(Duration::from_secs(10)).await;
         let reads = platform.state().config.reads;
         assert!(case.reads.contains(&reads), "{}: {reads}", case.name);
     }
 }
+
+/// Returns the decision on a call with a key, with a read of the configuration if it is needed to know.
+async fn settled(control: Control<FakePlatform>, key: &str) -> &'static str {
+    let mut rules = control.current_rules();
+    if rules.access("", "/", Some(key)) == Access::UnconfirmedRefusal {
+        rules = control.read_rules().await;
+    }
+    match rules.access("", "/", Some(key)) {
+        Access::Team(..) => "team",
+        Access::UnknownKey => "unknown",
+        Access::UnconfirmedRefusal => "unconfirmed",
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a refusal that a newer configuration would not have given, against one read for each refused call, and
+/// against callers that wait for the reads of others.
+#[tokio::test(start_paused = true)]
+async fn refusals_are_confirmed_by_one_read() {
+    const CALLS: usize = 20;
+    struct Case {
+        name: &'static str,
+        fault: ReadFault,
+        /// Time between the change of the configuration and the calls.
+        pause: Duration,
+        expected: &'static str,
+        reads: std::ops::RangeInclusive<usize>,
+        longest_wait: Duration,
+    }
+    let case = |name, fault, pause_ms, expected, reads, wait_ms| Case {
+        name,
+        fault,
+        pause: Duration::from_millis(pause_ms),
+        expected,
+        reads,
+        longest_wait: Duration::from_millis(wait_ms),
+    };
+    let slow = ReadFault::Late(Duration::from_millis(300));
+    let cases = [
+        case("store answers", ReadFault::None, 1500, "team", 1..=1, 20),
+        case("slow store", slow, 1500, "team", 1..=1, 320),
+        case(
+            "reads are lost",
+            ReadFault::Lost,
+            1500,
+            "unconfirmed",
+            1..=1,
+            520,
+        ),
+        case("just confirmed", ReadFault::Lost, 0, "unknown", 0..=0, 20),
+    ];
+    let mut processes = Vec::new();
+    for case in cases {
+        let platform = FakePlatform::default();
+        platform.state().config.stored = Some(config(1, "old"));
+        let process = Process::start_with(&platform, AccessOptions::default()).await;
+        sleep(Duration::from_millis(100)).await;
+        platform.state().config.stored = Some(config(2, "new"));
+        sleep(case.pause).await;
+        platform.state().config.fault = case.fault;
+        let earlier = platform.state().config.reads;
+        let began_at = tokio::time::Instant::now();
+        let mut calls = JoinSet::new();
+        for _ in 0..CALLS {
+            calls.spawn(settled(process.control.clone(), "new"));
+        }
+        for decision in calls.join_all().await {
+            assert_eq!(decision, case.expected, "{}", case.name);
+        }
+        let reads = platform.state().config.reads - earlier;
+        assert!(case.reads.contains(&reads), "{}: {reads} reads", case.name);
+        let waited = began_at.elapsed();
+        assert!(waited <= case.longest_wait, "{}: {waited:?}", case.name);
+        processes.push(process);
+    }
+}
--- a/crates/hs-control/tests/links/process.rs
+++ b/crates/hs-control/tests/links/process.rs
@@ -6,7 +6,9 @@
     CellOptions, JobId, JobRecord, JobSpec, StampedRecord, StepRecord, StepSpec, TaskPlace,
     TaskRecord, WorkerIncarnation,
 };
-use hs_control::{Control, ControlMetrics, ControlOptions, KeyOptions, PeerLimits, VmLimits, run};
+use hs_control::{
+    AccessOptions, Control, ControlMetrics, ControlOptions, PeerLimits, VmLimits, run,
+};
 use hs_metrics::MetricRegistry;
 use hs_wire::Resources;
 use tokio::sync::watch;
@@ -25,18 +27,18 @@
 
 impl Process {
     pub async fn start(platform: &FakePlatform) -> Self {
-        Self::start_with(platform, KeyOptions::default()).await
+        Self::start_with(platform, AccessOptions::default()).await
     }
 
-    /// Starts a process with settings of the checks of keys.
-    pub async fn start_with(platform: &FakePlatform, keys: KeyOptions) -> Self {
+    /// Starts a process with settings of the decision whether a call is allowed.
+    pub async fn start_with(platform: &FakePlatform, access: AccessOptions) -> Self {
         let options = ControlOptions {
             node: "node-1".to_owned(),
             peer_listen: "127.0.0.1:0".parse().expect("address"),
             cell: CellOptions::default(),
             limits: VmLimits::default(),
             peer_limits: PeerLimits::default(),
-            keys,
+            access,
         };
         let metrics = ControlMetrics::new(MetricRegistry::new().expect("registry"));
         let (stop, stopped) = watch::channel(false);
--- a/crates/hs-control/tests/simulation/process.rs
+++ b/crates/hs-control/tests/simulation/process.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use hs_cell::CellOptions;
-use hs_control::{Control, ControlMetrics, ControlOptions, KeyOptions, PeerLimits, VmLimits};
+use hs_control::{AccessOptions, Control, ControlMetrics, ControlOptions, PeerLimits, VmLimits};
 use hs_metrics::MetricRegistry;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
@@ -103,7 +103,7 @@
             cell: CellOptions::default(),
             limits: self.limits,
             peer_limits: PeerLimits::default(),
-            keys: KeyOptions::default(),
+            access: AccessOptions::default(),
         };
         let registry = MetricRegistry::new().expect("a registry starts");
         let metrics = ControlMetrics::new(registry);
