fix(control): a late process does not wait on a silent connection for the configuration

Cause: hs_timer::timeout gives a call more time whenever its timer fires 10 ms late, three times the limit in all. The watch waited for that long, and connections were renewed only at the end of it. Change: a call for the configuration is given up after 1.6 s, whatever the lateness. HttpClient renews the connections to a peer when the limit of a call has passed, also while that is given more time.

--- a/crates/hs-control/src/config.rs
+++ b/crates/hs-control/src/config.rs
@@ -5,17 +5,21 @@
 use std::time::Duration;
 
 use hs_cell::{CapExceeded, JobSpec, QueueSpec, TeamSpec};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::config_state::{ConfigSource, ConfigState};
-use crate::port::{ConfigReply, Platform};
+use crate::port::{ConfigReply, Platform, PortError};
 use crate::store_health::StoreHealth;
 
 /// Longest wait of one call for changes. It is short so that a dead connection is detected soon.
 const WATCH_WAIT: Duration = Duration::from_millis(900);
 
-/// Added to the wait to get the timeout of the call.
-const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(400);
+/// Timeout of a call for the configuration, which gives it more time if this process is late.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1300);
+
+/// Time after which a call is given up in any case, so that a connection that is silent for good does not hold up a
+/// process that is always late. It is longer than the timeout, with which later calls get new connections.
+const MAX_CALL_TIME: Duration = Duration::from_millis(1600);
 
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -101,9 +105,12 @@
 pub(crate) async fn follow<P: Platform>(platform: P, health: StoreHealth, state: ConfigState) {
     let mut known = None;
     loop {
-        let timeout = WATCH_WAIT + WATCH_TIMEOUT_MARGIN;
         let sent = platform.boot_now();
-        let answer = platform.config(known, WATCH_WAIT, timeout).await;
+        let call = platform.config(known, WATCH_WAIT, CALL_TIMEOUT);
+        let answer = match timeout(MAX_CALL_TIME, call).await {
+            Ok(answer) => answer,
+            Err(_) => Err(given_up()),
+        };
         health.record_call(answer.is_ok(), platform.now());
         let now = platform.boot_now();
         // Without a known configuration the call is a read, and otherwise a watch, which confirms nothing.
@@ -140,3 +147,13 @@
         }
     }
 }
+
+/// Returns the error of a call that took [`MAX_CALL_TIME`].
+fn given_up() -> PortError {
+    PortError::NoReply {
+        operation: "configuration",
+        peer: "the store".to_owned(),
+        opened_at: None,
+        cause: format!("given up after {} ms", MAX_CALL_TIME.as_millis()),
+    }
+}
--- a/crates/hs-control/tests/links/confirmation.rs
+++ b/crates/hs-control/tests/links/confirmation.rs
@@ -33,22 +33,28 @@
     /// Configuration that the next watch returns.
     pub watched: Option<Arc<ClusterConfig>>,
     pub fault: ReadFault,
+    /// Time for which each watch waits before it fails, as a call of a late process does; watches work if there is none.
+    pub watch_hang: Option<Duration>,
     /// Number of reads.
     pub reads: usize,
 }
 
+/// Returns the error of a call that got no reply.
+pub fn lost() -> PortError {
+    PortError::NoReply {
+        operation: "configuration",
+        peer: "store".to_owned(),
+        opened_at: None,
+        cause: "lost".to_owned(),
+    }
+}
+
 /// Delays or fails a read.
 ///
 /// # Errors
 ///
 /// Fails if reads are lost.
 pub async fn read_fault(fault: ReadFault, timeout: Duration) -> Result<(), PortError> {
-    let lost = || PortError::NoReply {
-        operation: "configuration",
-        peer: "store".to_owned(),
-        opened_at: None,
-        cause: "lost".to_owned(),
-    };
     match fault {
         ReadFault::None => Ok(()),
         ReadFault::Late(time) if time < timeout => {
@@ -362,3 +368,28 @@
         processes.push(process);
     }
 }
+
+/// Guards against a process that keeps an old configuration, also for queues that were dropped, while its watch waits for
+/// a reply that does not come. On a late process a timeout lasts four times as long.
+#[tokio::test(start_paused = true)]
+async fn a_watch_without_reply_does_not_delay_a_configuration() {
+    const APPLY_TIME: Duration = Duration::from_millis(2000);
+    const HANG: Duration = Duration::from_millis(5200);
+    for max_key_age in [None, Some(MAX_AGE)] {
+        let platform = FakePlatform::default();
+        let access = AccessOptions {
+            max_key_age,
+            ..AccessOptions::default()
+        };
+        let process = Process::start_with(&platform, access).await;
+        sleep(Duration::from_millis(100)).await;
+        platform.state().config.watch_hang = Some(HANG);
+        // The watch in progress is answered within 0.9 s, and the next one is not.
+        sleep(Duration::from_millis(1000)).await;
+        platform.state().config.stored = Some(config(2, "new"));
+        sleep(APPLY_TIME).await;
+        let version = process.control.config().map(|config| config.version);
+        assert_eq!(version, Some(2), "{max_key_age:?}");
+        std::mem::forget(process);
+    }
+}
--- a/crates/hs-control/tests/links/store.rs
+++ b/crates/hs-control/tests/links/store.rs
@@ -12,7 +12,7 @@
 use hs_control::{ClusterConfig, QueueRoute, RequestLimits};
 use tokio::time::sleep;
 
-use crate::confirmation::read_fault;
+use crate::confirmation::{lost, read_fault};
 use crate::platform::{FakePlatform, SERVICE};
 
 /// Name of the only queue.
@@ -140,6 +140,11 @@
         timeout: Duration,
     ) -> Result<ConfigReply, PortError> {
         if let Some((_, revision)) = known {
+            let hang = self.state().config.watch_hang;
+            if let Some(hang) = hang {
+                sleep(hang).await;
+                return Err(lost());
+            }
             sleep(wait).await;
             let watched = self.state().config.watched.take();
             return Ok(match watched {
--- a/crates/hs-http/src/call.rs
+++ b/crates/hs-http/src/call.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hs_timer::timeout;
+use hs_timer::timeout_noting;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, IF_NONE_MATCH};
 use hyper::{HeaderMap, Method, Request};
@@ -187,7 +187,8 @@
 
     /// Sends a prepared request. The time in which this process is late does not count towards the timeout.
     ///
-    /// After a call without a reply in time, later ones to the peer use new connections.
+    /// Once a call has had no reply for `call_timeout`, later ones to the peer use new connections, also if this one is
+    /// given more time.
     ///
     /// # Errors
     ///
@@ -217,12 +218,10 @@
                 body,
             })
         };
-        match timeout(call_timeout, exchange).await {
+        let renew = || self.pools.renew(peer, began_at);
+        match timeout_noting(call_timeout, exchange, renew).await {
             Ok(result) => result,
-            Err(elapsed) => {
-                self.pools.renew(peer, began_at);
-                Err(no_reply(operation, peer, None, &elapsed))
-            }
+            Err(elapsed) => Err(no_reply(operation, peer, None, &elapsed)),
         }
     }
 }
--- a/crates/hs-http/tests/call.rs
+++ b/crates/hs-http/tests/call.rs
@@ -200,17 +200,16 @@
     (address, connections)
 }
 
-/// Guards against calls that fail one after the other because the open connections to a peer have gone silent, while
-/// new ones would be answered.
-#[tokio::test]
-async fn a_new_connection_is_used_after_a_call_without_reply() {
-    const SILENT: usize = 6;
-    let (peer, connections) = peer_that_falls_silent(SILENT).await;
-    let peer = peer.to_string();
+/// Returns a client with this number of idle connections to a peer, which are silent from now on.
+async fn client_with_silent_connections(
+    peer: &str,
+    connections: &AtomicUsize,
+    silent: usize,
+) -> HttpClient {
     let client = HttpClient::default();
     let mut calls = tokio::task::JoinSet::new();
-    for _ in 0..SILENT {
-        let (client, peer) = (client.clone(), peer.clone());
+    for _ in 0..silent {
+        let (client, peer) = (client.clone(), peer.to_owned());
         calls.spawn(async move {
             client
                 .get("first", &peer, "/", Duration::from_secs(2))
@@ -220,7 +219,18 @@
     for reply in calls.join_all().await {
         assert_eq!(reply.expect("a reply").status, 200);
     }
-    assert_eq!(connections.load(Ordering::Relaxed), SILENT);
+    assert_eq!(connections.load(Ordering::Relaxed), silent);
+    client
+}
+
+/// Guards against calls that fail one after the other because the open connections to a peer have gone silent, while
+/// new ones would be answered.
+#[tokio::test]
+async fn a_new_connection_is_used_after_a_call_without_reply() {
+    const SILENT: usize = 6;
+    let (peer, connections) = peer_that_falls_silent(SILENT).await;
+    let peer = peer.to_string();
+    let client = client_with_silent_connections(&peer, &connections, SILENT).await;
     let lost = client
         .get("query", &peer, "/", Duration::from_millis(100))
         .await;
@@ -231,3 +241,29 @@
     assert_eq!(reply.expect("a reply on a new connection").status, 200);
     assert_eq!(connections.load(Ordering::Relaxed), SILENT + 1);
 }
+
+/// Guards against calls that take a silent connection while an earlier one still waits on another: a process that was
+/// late gives it more time than its timeout.
+#[tokio::test]
+async fn a_late_process_uses_a_new_connection_in_time() {
+    const SILENT: usize = 3;
+    const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+    const PAUSE_BEGIN: Duration = Duration::from_millis(300);
+    const PAUSE: Duration = Duration::from_millis(700);
+    let (peer, connections) = peer_that_falls_silent(SILENT).await;
+    let peer = peer.to_string();
+    let client = client_with_silent_connections(&peer, &connections, SILENT).await;
+    let lost = async {
+        let reply = client.get("query", &peer, "/", CALL_TIMEOUT).await;
+        reply.expect_err("the connection is silent");
+    };
+    let next = async {
+        tokio::time::sleep(PAUSE_BEGIN).await;
+        std::thread::sleep(PAUSE);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let reply = client.get("query", &peer, "/", CALL_TIMEOUT).await;
+        assert_eq!(reply.expect("a reply on a new connection").status, 200);
+    };
+    tokio::join!(lost, next);
+    assert_eq!(connections.load(Ordering::Relaxed), SILENT + 1);
+}
