--- a/crates/hs-control/tests/links/main.rs
+++ b/crates/hs-control/tests/links/main.rs
@@ -3,6 +3,7 @@
 mod cancellations;
 mod confirmation;
 mod orders;
+mod outdated_config;
 mod platform;
 mod process;
 mod renewals;
