fix(http): connections are renewed when a call ends, not while it is given more time

Beside load the demo lost records ("the store does not take the record"), so that callers of the product's own interface got unknown outcomes. Cause: renewed the connections to a peer at the limit of a call, also while hs_timer gave the call more time because this process was late. Every call then opened a connection, whose 500 ms take no account of lateness.

--- a/crates/hs-http/src/call.rs
+++ b/crates/hs-http/src/call.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hs_timer::timeout_noting;
+use hs_timer::timeout;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, IF_NONE_MATCH};
 use hyper::{HeaderMap, Method, Request};
@@ -187,8 +187,8 @@
 
     /// Sends a prepared request. The time in which this process is late does not count towards the timeout.
     ///
-    /// Once a call has had no reply for `call_timeout`, later ones to the peer use new connections, also if this one is
-    /// given more time.
+    /// After a call without a reply in time, later ones to the peer use new connections, also if the caller has given it up
+    /// later than `call_timeout`.
     ///
     /// # Errors
     ///
@@ -200,7 +200,6 @@
         request: Request<Full<Bytes>>,
         call_timeout: Duration,
     ) -> Result<CallReply, CallError> {
-        let began_at = Instant::now();
         let pool = self.pools.pool(peer);
         let exchange = async {
             let response = match pool.request(request).await {
@@ -218,9 +217,12 @@
                 body,
             })
         };
-        let renew = || self.pools.renew(peer, began_at);
-        match timeout_noting(call_timeout, exchange, renew).await {
-            Ok(result) => result,
+        let mut silence = self.pools.watch_silence(peer, call_timeout);
+        match timeout(call_timeout, exchange).await {
+            Ok(result) => {
+                silence.end();
+                result
+            }
             Err(elapsed) => Err(no_reply(operation, peer, None, &elapsed)),
         }
     }
--- a/crates/hs-http/src/connection_pools.rs
+++ b/crates/hs-http/src/connection_pools.rs
@@ -57,9 +57,20 @@
         own.unwrap_or(&self.common).clone()
     }
 
+    /// Watches a call to a peer, which begins now, for a reply within `limit`.
+    pub(crate) fn watch_silence<'a>(&'a self, peer: &'a str, limit: Duration) -> SilenceGuard<'a> {
+        SilenceGuard {
+            pools: self,
+            peer,
+            began_at: Instant::now(),
+            limit,
+            has_ended: false,
+        }
+    }
+
     /// Lets later calls to a peer use new connections, after one that began at this time got no reply. What has silenced
     /// one connection for good, without a reset, has often silenced all that were open. Calls in progress go on.
-    pub(crate) fn renew(&self, peer: &str, began_at: Instant) {
+    fn renew(&self, peer: &str, began_at: Instant) {
         let mut renewed = self.lock();
         if renewed
             .get(peer)
@@ -82,6 +93,32 @@
     }
 }
 
+/// A call in progress. The connections to its peer are renewed if it is dropped after its limit without a reply or an error.
+///
+/// A call that ends in time because this process gives it up says nothing about its connection.
+pub(crate) struct SilenceGuard<'a> {
+    pools: &'a ConnectionPools,
+    peer: &'a str,
+    began_at: Instant,
+    limit: Duration,
+    has_ended: bool,
+}
+
+impl SilenceGuard<'_> {
+    /// Records that the call has a reply or an error.
+    pub(crate) fn end(&mut self) {
+        self.has_ended = true;
+    }
+}
+
+impl Drop for SilenceGuard<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended && self.began_at.elapsed() >= self.limit {
+            self.pools.renew(self.peer, self.began_at);
+        }
+    }
+}
+
 fn new_pool() -> SharedPool {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
--- a/crates/hs-timer/src/lib.rs
+++ b/crates/hs-timer/src/lib.rs
@@ -35,21 +35,7 @@
 ///
 /// Returns [`TimedOut`] if the call has not completed by then.
 pub async fn timeout<T>(limit: Duration, call: impl Future<Output = T>) -> Result<T, TimedOut> {
-    timeout_noting(limit, call, || {}).await
-}
-
-/// Waits like [`timeout`], and calls `note_limit` once `limit` has passed, also if the call is given more time.
-///
-/// # Errors
-///
-/// Returns [`TimedOut`] if the call has not completed by then.
-pub async fn timeout_noting<T>(
-    limit: Duration,
-    call: impl Future<Output = T>,
-    note_limit: impl FnOnce(),
-) -> Result<T, TimedOut> {
     let mut call = pin!(call);
-    let mut note_limit = Some(note_limit);
     let mut deadline = Instant::now() + limit;
     let latest = deadline + limit * MAX_EXTENSION_FACTOR;
     loop {
@@ -58,9 +44,6 @@
             result = &mut call => return Ok(result),
             () = sleep_until(deadline) => {}
         }
-        if let Some(note_limit) = note_limit.take() {
-            note_limit();
-        }
         let now = Instant::now();
         let lateness = now.saturating_duration_since(deadline);
         if lateness < MIN_LATENESS || deadline >= latest {
