review: a gang that waits beside tasks that last stops lower priorities

Cause: the expected end of a task that lasts is "now" once it reports 100 percent, so a waiting gang reserves all workers on which such tasks run, for as long as it waits.

--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-3/cases waiting-gang review/11
