--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -49,7 +49,9 @@
                     return;
                 }
                 let Ok(stream) = stream else { continue };
-                let (Ok(copy), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else { continue };
+                let (Ok(copy), Ok(peer)) = (stream.try_clone(), stream.peer_addr()) else {
+                    continue;
+                };
                 served.streams.lock().unwrap().insert(peer, copy);
                 let (handler, streams) = (handler.clone(), served.streams.clone());
                 std::thread::spawn(move || {
@@ -126,7 +128,9 @@
 }
 
 fn read_body(reader: &mut impl BufRead, headers: &BTreeMap<String, String>) -> Option<String> {
-    let length = headers.get("content-length").and_then(|value| value.parse().ok());
+    let length = headers
+        .get("content-length")
+        .and_then(|value| value.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body).ok()?;
     String::from_utf8(body).ok()
@@ -143,7 +147,9 @@
     Some(Request {
         method,
         path: path.to_owned(),
-        query: pairs.map(|(name, value)| (name.to_owned(), unescape(value))).collect(),
+        query: pairs
+            .map(|(name, value)| (name.to_owned(), unescape(value)))
+            .collect(),
         headers,
         body,
     })
--- a/review/standin-3/json.rs
+++ b/review/standin-3/json.rs
@@ -18,7 +18,11 @@
     /// Builds an object from its fields.
     pub fn object(fields: impl IntoIterator<Item = (&'static str, Json)>) -> Self {
         let fields = fields.into_iter();
-        Self::Object(fields.map(|(name, value)| (name.to_owned(), value)).collect())
+        Self::Object(
+            fields
+                .map(|(name, value)| (name.to_owned(), value))
+                .collect(),
+        )
     }
 
     /// Returns a field of an object, or `Null`.
@@ -52,7 +56,10 @@
 
     /// Parses a text. Returns `None` if it is malformed.
     pub fn parse(text: &str) -> Option<Self> {
-        let mut parser = Parser { text: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            text: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.space();
         (parser.at == text.len()).then_some(value)
@@ -144,7 +151,8 @@
 
     fn take(&mut self, token: &str) -> Option<()> {
         let rest = self.text.get(self.at..)?;
-        rest.starts_with(token.as_bytes()).then(|| self.at += token.len())
+        rest.starts_with(token.as_bytes())
+            .then(|| self.at += token.len())
     }
 
     fn value(&mut self) -> Option<Json> {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -30,7 +30,10 @@
         }
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    record.note(format!("case {name}, {} the disruption", if has_trouble { "with" } else { "without" }));
+    record.note(format!(
+        "case {name}, {} the disruption",
+        if has_trouble { "with" } else { "without" }
+    ));
     let verdict = cases::run(name, record.clone(), has_trouble);
     let (line, code) = match verdict {
         Ok(None) => ("the rule held".to_owned(), 0),
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -47,7 +47,10 @@
 
 impl State {
     fn set(&mut self, key: &str, value: Option<String>) {
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
         let item = value.map(|value| Item {
             value,
             revision: self.revision,
@@ -63,7 +66,10 @@
             item,
             at: Instant::now(),
         });
-        let old = self.history.iter().take_while(|change| change.at.elapsed() > HISTORY);
+        let old = self
+            .history
+            .iter()
+            .take_while(|change| change.at.elapsed() > HISTORY);
         let old = old.count();
         if let Some(change) = old.checked_sub(1).and_then(|last| self.history.get(last)) {
             self.forgotten = change.revision;
@@ -153,7 +159,9 @@
             if key.as_str() <= after {
                 continue;
             }
-            if items.len() >= MAX_PAGE_ITEMS || (bytes > 0 && bytes + item.value.len() > MAX_PAGE_BYTES) {
+            if items.len() >= MAX_PAGE_ITEMS
+                || (bytes > 0 && bytes + item.value.len() > MAX_PAGE_BYTES)
+            {
                 has_more = true;
                 break;
             }
@@ -175,15 +183,20 @@
             if after < state.forgotten {
                 return (410, "{}".to_owned());
             }
-            let is_new = |change: &&Change| change.revision > after && change.key.starts_with(prefix);
-            let events = state.history.iter().filter(is_new).map(|change| match &change.item {
-                Some(item) => item_json(&change.key, item),
-                None => Json::object([
-                    ("key", change.key.as_str().into()),
-                    ("revision", change.revision.into()),
-                    ("deleted", Json::Bool(true)),
-                ]),
-            });
+            let is_new =
+                |change: &&Change| change.revision > after && change.key.starts_with(prefix);
+            let events = state
+                .history
+                .iter()
+                .filter(is_new)
+                .map(|change| match &change.item {
+                    Some(item) => item_json(&change.key, item),
+                    None => Json::object([
+                        ("key", change.key.as_str().into()),
+                        ("revision", change.revision.into()),
+                        ("deleted", Json::Bool(true)),
+                    ]),
+                });
             let events: Vec<Json> = events.collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -198,7 +211,8 @@
     }
 
     fn transact(&self, body: &Json) -> Reply {
-        let (expect, writes, deletes) = (body.get("expect"), body.get("writes"), body.get("deletes"));
+        let (expect, writes, deletes) =
+            (body.get("expect"), body.get("writes"), body.get("deletes"));
         let entries = expect.list().len() + writes.list().len() + deletes.list().len();
         if entries > MAX_TXN_ENTRIES {
             return (400, "{}".to_owned());
@@ -207,13 +221,17 @@
             let size = write.get("value").text().len() / 4 * 3;
             if size > VALUE_BYTES {
                 let key = write.get("key").text();
-                self.record.detail(format!("store: value of {key} has {size} bytes, more than valueBytes; 400"));
+                self.record.detail(format!(
+                    "store: value of {key} has {size} bytes, more than valueBytes; 400"
+                ));
                 return (400, "{}".to_owned());
             }
         }
         let mut state = self.state.lock().unwrap();
         let current = |key: &str| state.items.get(key).map_or(0, |item| item.revision);
-        let holds = |row: &Json| current(row.get("key").text()) == row.get("revision").number().unwrap_or(0);
+        let holds = |row: &Json| {
+            current(row.get("key").text()) == row.get("revision").number().unwrap_or(0)
+        };
         if !expect.list().iter().all(holds) {
             let items = expect.list().iter().filter_map(|row| {
                 let key = row.get("key").text();
@@ -234,7 +252,10 @@
         }
         let revision = state.revision;
         self.changed.notify_all();
-        (200, Json::object([("revision", revision.into())]).to_string())
+        (
+            200,
+            Json::object([("revision", revision.into())]).to_string(),
+        )
     }
 }
 
--- a/review/standin-3/system.rs
+++ b/review/standin-3/system.rs
@@ -66,12 +66,17 @@
 
 impl System {
     /// Starts the stand-ins and the processes, and waits until all processes are ready.
-    pub fn start(record: Arc<Record>, worker_count: usize, queues: &[Queue]) -> Result<Self, String> {
+    pub fn start(
+        record: Arc<Record>,
+        worker_count: usize,
+        queues: &[Queue],
+    ) -> Result<Self, String> {
         let store = Store::new(record.clone());
         let store_server = Server::start(free_address("127.2.0.1"), store.clone());
         let store_server = store_server.map_err(|error| error.to_string())?;
         let runs: Runs = Arc::new(Mutex::new(Vec::new()));
-        let start_worker = |number| Worker::start(number, SERVICE, store.clone(), runs.clone(), record.clone());
+        let start_worker =
+            |number| Worker::start(number, SERVICE, store.clone(), runs.clone(), record.clone());
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let mut system = Self {
@@ -93,9 +98,11 @@
             system.processes.push(process);
             system.start_process(number)?;
         }
-        system.wait_until("all processes are ready", Duration::from_secs(10), |system| {
-            (0..PROCESSES).all(|number| system.is_ready(number))
-        })?;
+        system.wait_until(
+            "all processes are ready",
+            Duration::from_secs(10),
+            |system| (0..PROCESSES).all(|number| system.is_ready(number)),
+        )?;
         Ok(system)
     }
 
@@ -139,7 +146,10 @@
         ]);
         self.store.put("op/config", &config.to_string());
         let names: Vec<&str> = queues.iter().map(|queue| queue.name).collect();
-        self.record.note(format!("operator: configuration {} with queues {names:?} is acknowledged", self.version));
+        self.record.note(format!(
+            "operator: configuration {} with queues {names:?} is acknowledged",
+            self.version
+        ));
     }
 
     fn settings_of(&self, number: usize, store: SocketAddr) -> Result<Process, String> {
@@ -189,13 +199,21 @@
             .stderr(log)
             .spawn();
         process.child = Some(child.map_err(|error| format!("{PROGRAM}: {error}"))?);
-        self.record.note(format!("{}: process started", process.node));
+        self.record
+            .note(format!("{}: process started", process.node));
         Ok(())
     }
 
     fn is_ready(&self, number: usize) -> bool {
         let address = self.processes[number].ready;
-        let reply = http::call(address, "GET", "/v1/ready", "ready", "", Duration::from_millis(500));
+        let reply = http::call(
+            address,
+            "GET",
+            "/v1/ready",
+            "ready",
+            "",
+            Duration::from_millis(500),
+        );
         reply.is_some_and(|reply| reply.0 == 200)
     }
 
@@ -204,7 +222,10 @@
         let claim = self.store.value("hs/owner").unwrap_or_default();
         let claim = Json::parse(&claim).unwrap_or(Json::Null);
         let leader = claim.get("node").text().to_owned();
-        let found = self.processes.iter().position(|process| process.node == leader);
+        let found = self
+            .processes
+            .iter()
+            .position(|process| process.node == leader);
         let number = found.ok_or("no process has written a claim")?;
         if let Some(mut child) = self.processes[number].child.take() {
             let _ = child.kill();
@@ -221,7 +242,10 @@
             let reply = http::call(process.front, method, path, HOST, body, CLIENT_DEADLINE);
             if reply.as_ref().is_none_or(|reply| reply.0 >= 500) {
                 let status = reply.as_ref().map(|reply| reply.0);
-                self.record.note(format!("client: {method} {path} at {} -> {status:?}", process.node));
+                self.record.note(format!(
+                    "client: {method} {path} at {} -> {status:?}",
+                    process.node
+                ));
             }
             if let Some(reply) = reply.filter(|reply| !matches!(reply.0, 502..=504)) {
                 return Some(reply);
@@ -231,15 +255,47 @@
     }
 
     /// Submits a job of these steps. Returns its ID once it is accepted.
-    pub fn submit(&mut self, queue: &Queue, spec: &str, steps: Vec<Json>) -> Result<String, String> {
+    pub fn submit(
+        &mut self,
+        queue: &Queue,
+        spec: &str,
+        steps: Vec<Json>,
+    ) -> Result<String, String> {
+        self.submit_timed(queue, spec, steps, 0)
+    }
+
+    /// Submits a job with occurrences that are all due, or without any if `count` is 0.
+    pub fn submit_timed(
+        &mut self,
+        queue: &Queue,
+        spec: &str,
+        steps: Vec<Json>,
+        count: u64,
+    ) -> Result<String, String> {
         self.next_job += 1;
         let id = format!("{:016x}", self.next_job);
         let cpu = steps[0].get("cpu").number().unwrap_or(0);
-        let body = Json::object([("spec", spec.into()), ("steps", Json::List(steps))]).to_string();
+        let mut body = Json::object([("spec", spec.into()), ("steps", Json::List(steps))]);
+        if let (Json::Object(fields), 1..) = (&mut body, count) {
+            fields.insert("repeatCount".to_owned(), count.into());
+            fields.insert("intervalMs".to_owned(), 1000.into());
+            fields.insert(
+                "firstMs".to_owned(),
+                (crate::worker::unix_ms() - count * 1000).into(),
+            );
+        }
+        let body = body.to_string();
         let path = format!("{}{id}", queue.prefix);
         let reply = self.call("POST", &path, &body);
-        let shown = if body.len() > 300 { &body[..300] } else { &body };
-        self.record.note(format!("client: POST {path} {shown} -> {:?}", reply.as_ref().map(|reply| reply.0)));
+        let shown = if body.len() > 300 {
+            &body[..300]
+        } else {
+            &body
+        };
+        self.record.note(format!(
+            "client: POST {path} {shown} -> {:?}",
+            reply.as_ref().map(|reply| reply.0)
+        ));
         if reply.is_none_or(|reply| reply.0 != 200) {
             return Err(format!("job {id} was not accepted"));
         }
@@ -251,7 +307,9 @@
     pub fn state(&self, queue: &Queue, id: &str) -> String {
         let path = format!("{}{id}", queue.prefix);
         match self.call("GET", &path, "") {
-            Some((200, body)) => Json::parse(&body).map_or(body, |body| body.get("state").text().to_owned()),
+            Some((200, body)) => {
+                Json::parse(&body).map_or(body, |body| body.get("state").text().to_owned())
+            }
             Some((status, _)) => status.to_string(),
             None => "no answer".to_owned(),
         }
@@ -277,28 +335,40 @@
     /// Returns the worker on which a task of a job runs now.
     pub fn worker_of(&self, id: &str) -> Option<Arc<Worker>> {
         let runs = self.runs.lock().unwrap();
-        let run = runs.iter().find(|run| run.task.starts_with(id) && run.end.is_none())?;
-        self.workers.iter().find(|worker| worker.id == run.worker).cloned()
+        let run = runs
+            .iter()
+            .find(|run| run.task.starts_with(id) && run.end.is_none())?;
+        self.workers
+            .iter()
+            .find(|worker| worker.id == run.worker)
+            .cloned()
     }
 
     /// Returns how many tasks of a job run now.
     pub fn running(&self, id: &str) -> usize {
         let runs = self.runs.lock().unwrap();
-        runs.iter().filter(|run| run.task.starts_with(id) && run.end.is_none()).count()
+        runs.iter()
+            .filter(|run| run.task.starts_with(id) && run.end.is_none())
+            .count()
     }
 
     /// Returns how many tasks of a job have ended as done.
     pub fn done(&self, id: &str) -> usize {
         let runs = self.runs.lock().unwrap();
         let is_done = |run: &&crate::worker::RunLog| run.end.is_some_and(|(_, how)| how == "done");
-        runs.iter().filter(|run| run.task.starts_with(id)).filter(is_done).count()
+        runs.iter()
+            .filter(|run| run.task.starts_with(id))
+            .filter(is_done)
+            .count()
     }
 
     /// Returns how many runs of a job have ended in this way.
     pub fn ended(&self, id: &str, how: &str) -> usize {
         let runs = self.runs.lock().unwrap();
         let of_job = runs.iter().filter(|run| run.task.starts_with(id));
-        of_job.filter(|run| run.end.is_some_and(|end| end.1 == how)).count()
+        of_job
+            .filter(|run| run.end.is_some_and(|end| end.1 == how))
+            .count()
     }
 
     /// Returns the tasks of a job that do not run, each with the time since its last run.
@@ -308,7 +378,9 @@
         for run in runs.iter().filter(|run| run.task.starts_with(id)) {
             ends.insert(run.task.as_str(), run.end.map(|end| end.0));
         }
-        let gaps = ends.into_iter().filter_map(|(task, end)| Some((task.to_owned(), end?.elapsed())));
+        let gaps = ends
+            .into_iter()
+            .filter_map(|(task, end)| Some((task.to_owned(), end?.elapsed())));
         gaps.collect()
     }
 
@@ -322,7 +394,14 @@
         }
         let up = self.workers.iter().filter(|worker| worker.is_up());
         let free: Vec<u64> = up
-            .map(|worker| CPU_MILLI - used.get(worker.id.as_str()).copied().unwrap_or(0).min(CPU_MILLI))
+            .map(|worker| {
+                CPU_MILLI
+                    - used
+                        .get(worker.id.as_str())
+                        .copied()
+                        .unwrap_or(0)
+                        .min(CPU_MILLI)
+            })
             .collect();
         let total = free.len() as u64 * CPU_MILLI;
         let in_use = total - free.iter().sum::<u64>();
@@ -347,6 +426,20 @@
         longest
     }
 
+    /// Returns the resident memory of the processes in MB.
+    pub fn memory_mb(&self) -> Vec<u64> {
+        let children = self
+            .processes
+            .iter()
+            .filter_map(|process| process.child.as_ref());
+        let sizes = children.filter_map(|child| {
+            let status = fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+            let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+            line.split_whitespace().nth(1)?.parse::<u64>().ok()
+        });
+        sizes.map(|kb| kb / 1024).collect()
+    }
+
     /// Copies the log lines of the processes that contain one of these words to the record.
     pub fn record_log(&self, words: &[&str]) {
         for process in &self.processes {
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -93,14 +93,19 @@
     }
 
     fn end(&self, state: &mut LifeState, key: &(String, u64), how: &'static str) {
-        let Some(run) = state.runs.remove(key) else { return };
+        let Some(run) = state.runs.remove(key) else {
+            return;
+        };
         let (task, number) = key;
         self.runs.lock().unwrap()[run.log].end = Some((Instant::now(), how));
-        self.record.detail(format!("{}: {task} run {number} ended {how}", self.id));
+        self.record
+            .detail(format!("{}: {task} run {number} ended {how}", self.id));
         let highest = state.highest.entry(task.clone()).or_default();
         *highest = (*highest).max(*number);
         state.last_end += 1;
-        state.ends.push((state.last_end, task.clone(), *number, how));
+        state
+            .ends
+            .push((state.last_end, task.clone(), *number, how));
         self.changed.notify_all();
     }
 
@@ -111,7 +116,9 @@
         let keys: Vec<_> = state.runs.keys().cloned().collect();
         for key in keys {
             let run = &state.runs[&key];
-            let is_done = run.length.is_some_and(|length| now >= run.began_at + length);
+            let is_done = run
+                .length
+                .is_some_and(|length| now >= run.began_at + length);
             let how = match (run.stops_at, has_lapsed) {
                 (Some(at), _) if now >= at => "stopped",
                 (_, true) => "lapsed",
@@ -131,11 +138,17 @@
     }
 
     fn refuse(&self, reason: &'static str) -> Reply {
-        (409, Json::object([self.clock(), ("reason", reason.into())]).to_string())
+        (
+            409,
+            Json::object([self.clock(), ("reason", reason.into())]).to_string(),
+        )
     }
 
     fn start(&self, state: &mut LifeState, body: &Json) -> Reply {
-        let (task, number) = (body.get("task").text(), body.get("run").number().unwrap_or(0));
+        let (task, number) = (
+            body.get("task").text(),
+            body.get("run").number().unwrap_or(0),
+        );
         let key = (task.to_owned(), number);
         if body.get("untilMs").number().unwrap_or(0) <= self.clock_ms() {
             return self.refuse("late");
@@ -144,7 +157,11 @@
         if state.runs.contains_key(&key) {
             return (200, Json::object([self.clock()]).to_string());
         }
-        if state.highest.get(task).is_some_and(|highest| number <= *highest) {
+        if state
+            .highest
+            .get(task)
+            .is_some_and(|highest| number <= *highest)
+        {
             return self.refuse("old");
         }
         let spec = body.get("spec").text();
@@ -165,18 +182,23 @@
             end: None,
         });
         drop(runs);
-        self.record.detail(format!("{}: {task} run {number} begins", self.id));
+        self.record
+            .detail(format!("{}: {task} run {number} begins", self.id));
         state.runs.insert(key, run);
         (200, Json::object([self.clock()]).to_string())
     }
 
     fn stop(&self, state: &mut LifeState, body: &Json) -> Reply {
-        let (task, number) = (body.get("task").text(), body.get("run").number().unwrap_or(0));
+        let (task, number) = (
+            body.get("task").text(),
+            body.get("run").number().unwrap_or(0),
+        );
         let highest = state.highest.entry(task.to_owned()).or_default();
         *highest = (*highest).max(number);
         if let Some(run) = state.runs.get_mut(&(task.to_owned(), number)) {
             run.stops_at.get_or_insert(Instant::now() + STOP_TIME);
-            self.record.detail(format!("{}: stop of {task} run {number}", self.id));
+            self.record
+                .detail(format!("{}: stop of {task} run {number}", self.id));
         }
         (200, Json::object([self.clock()]).to_string())
     }
@@ -187,12 +209,23 @@
                 let elapsed = run.began_at.elapsed().as_millis();
                 (elapsed * 100 / length.as_millis().max(1)).min(99) as u64
             });
-            let row = vec![task.as_str().into(), (*number).into(), "".into(), percent.into()];
+            let row = vec![
+                task.as_str().into(),
+                (*number).into(),
+                "".into(),
+                percent.into(),
+            ];
             Json::List(row)
         });
         let ended = state.ends.iter().take(MAX_LISTED_ENDS);
         let ended = ended.map(|(end, task, number, how)| {
-            let row = vec![(*end).into(), task.as_str().into(), (*number).into(), (*how).into(), "".into()];
+            let row = vec![
+                (*end).into(),
+                task.as_str().into(),
+                (*number).into(),
+                (*how).into(),
+                "".into(),
+            ];
             Json::List(row)
         });
         let reply = Json::object([
@@ -279,7 +312,13 @@
 
 impl Worker {
     /// Starts a worker, and the thread that writes its entry.
-    pub fn start(number: usize, service: &str, store: Arc<Store>, runs: Runs, record: Arc<Record>) -> Arc<Self> {
+    pub fn start(
+        number: usize,
+        service: &str,
+        store: Arc<Store>,
+        runs: Runs,
+        record: Arc<Record>,
+    ) -> Arc<Self> {
         let address = crate::system::free_address(&format!("127.3.0.{}", number + 1));
         let worker = Arc::new(Self {
             id: format!("i-{number:08x}"),
@@ -294,12 +333,14 @@
         });
         worker.boot();
         let beating = worker.clone();
-        std::thread::spawn(move || loop {
-            sleep(HEARTBEAT);
-            if beating.is_up() {
-                beating.register();
-            } else if beating.heard_at.lock().unwrap().elapsed() > HEARTBEAT * 3 {
-                beating.store.delete(&format!("servers/{}", beating.id));
+        std::thread::spawn(move || {
+            loop {
+                sleep(HEARTBEAT);
+                if beating.is_up() {
+                    beating.register();
+                } else if beating.heard_at.lock().unwrap().elapsed() > HEARTBEAT * 3 {
+                    beating.store.delete(&format!("servers/{}", beating.id));
+                }
             }
         });
         worker
@@ -321,7 +362,8 @@
             runs: self.runs.clone(),
             record: self.record.clone(),
         });
-        let server = Server::start(self.address, life.clone()).expect("the worker's address is free");
+        let server =
+            Server::start(self.address, life.clone()).expect("the worker's address is free");
         let ticking = life.clone();
         std::thread::spawn(move || {
             while !ticking.is_over.load(Ordering::SeqCst) {
@@ -336,7 +378,9 @@
 
     /// Ends the incarnation with all its runs, without a word.
     pub fn crash(&self) {
-        let Some(up) = self.up.lock().unwrap().take() else { return };
+        let Some(up) = self.up.lock().unwrap().take() else {
+            return;
+        };
         up.life.is_over.store(true, Ordering::SeqCst);
         up.server.close();
         let state = up.life.state.lock().unwrap();
@@ -344,14 +388,26 @@
         for run in state.runs.values() {
             runs[run.log].end = Some((Instant::now(), "crashed"));
         }
-        self.record.note(format!("{}: CRASHED with {} runs", self.id, state.runs.len()));
+        self.record.note(format!(
+            "{}: CRASHED with {} runs",
+            self.id,
+            state.runs.len()
+        ));
     }
 
     fn register(&self) {
         let up = self.up.lock().unwrap();
         let Some(up) = &*up else { return };
-        let capacity = [("cpu", CPU_MILLI.into()), ("memMb", MEM_MB.into()), ("gpu", 0.into())];
-        let kind = if self.number < KIND_B_WORKERS { "b" } else { "a" };
+        let capacity = [
+            ("cpu", CPU_MILLI.into()),
+            ("memMb", MEM_MB.into()),
+            ("gpu", 0.into()),
+        ];
+        let kind = if self.number < KIND_B_WORKERS {
+            "b"
+        } else {
+            "a"
+        };
         let rack = format!("r1-{}", self.number);
         let entry = Json::object([
             ("service", self.service.as_str().into()),
@@ -362,12 +418,16 @@
             ("state", "ready".into()),
             ("coldRemainingMs", 0.into()),
             ("capacity", Json::object(capacity)),
-            ("labels", Json::List(vec![kind.into(), rack.as_str().into()])),
+            (
+                "labels",
+                Json::List(vec![kind.into(), rack.as_str().into()]),
+            ),
             ("clockMs", up.life.clock_ms().into()),
             ("born", up.life.born.into()),
             ("seq", up.life.clock_ms().into()),
         ]);
         *self.heard_at.lock().unwrap() = Instant::now();
-        self.store.put(&format!("servers/{}", self.id), &entry.to_string());
+        self.store
+            .put(&format!("servers/{}", self.id), &entry.to_string());
     }
 }
