review: a job whose record exceeds a value of the store stops the cell

Cause: the size of a job's record has no bound, and the owner repeats a write that is refused for good.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3/cases crashing-worker review/13
+exec target/review-3/cases large-job review/13
