fix(cell): a waiting gang keeps no room from others that it can't use itself

Cause: a run without a known end, or past its expected one, counted as ending now at each look, so the gang's reservation of all workers was renewed without end; and a reservation closed its workers to all steps of the same or a lower priority however distant the gang's start was. The same figure made gangs preempt runs again and again, and vacated workers for suspects that can't start there.

Ruled out: the order of the steps and the budget of a pass. With the log lines added here (E8063, kept_out in E8053) and no other change, the waiting steps have kept_out=96, all free room of the workers that the gang has reserved.

Change: a task that lasts has no expected end; a run past its expected end is expected to go on for as long as it has exceeded it; a reserved worker is open to backfill, which delays the gang by its own overrun at most. One constructor of slots in place of four copies.

--- a/crates/hs-cell/src/capacity.rs
+++ b/crates/hs-cell/src/capacity.rs
@@ -26,6 +26,8 @@
     /// Maximum number of tasks of the step on one worker.
     pub max_per_worker: u32,
     pub sharing: Sharing,
+    /// Time that a task is expected to take; `None` if it lasts until it is cancelled, or its client has given no estimate.
+    pub run_time: Option<Duration>,
 }
 
 /// What may run beside a task on its worker.
@@ -50,6 +52,7 @@
             0 => u32::MAX,
             limit => u32::from(limit),
         };
+        let has_end = !spec.long_running && spec.estimate_ms > 0;
         Self {
             step: order.step,
             need: spec.allocated_resources(),
@@ -57,6 +60,7 @@
             rank: order.rank,
             max_per_worker,
             sharing: Sharing::Shared,
+            run_time: has_end.then(|| Duration::from_millis(spec.estimate_ms)),
         }
     }
 
@@ -81,15 +85,14 @@
 impl Worker {
     /// Returns how many further tasks of a step can be placed on the worker now. Tickets are not considered.
     pub(crate) fn placeable_tasks(&self, demand: &StepDemand, now: Instant) -> u32 {
-        if !self.accepts_runs(now) || self.is_reserved_for_another(demand) {
+        if !self.accepts_runs(now) {
             return 0;
         }
         // A worker that has shrunk gets nothing, not even tasks that need none of what it lacks.
         if !self.used.fits(self.entry.capacity) {
             return 0;
         }
-        let fits = demand.need.max_copies_in(self.free());
-        match fits {
+        match self.unreserved_fits(demand, now) {
             0 => 0,
             fits => fits.min(self.task_limit(demand, now)),
         }
@@ -149,11 +152,6 @@
             false => u32::MAX,
         }
     }
-
-    fn is_reserved_for_another(&self, demand: &StepDemand) -> bool {
-        let holder = self.reserved_by.filter(|holder| holder.step != demand.step);
-        holder.is_some_and(|holder| holder.holds_against(demand))
-    }
 }
 
 impl Slot {
--- a/crates/hs-cell/src/census.rs
+++ b/crates/hs-cell/src/census.rs
@@ -7,8 +7,9 @@
 use std::time::{Duration, Instant};
 
 use crate::StepId;
+use crate::capacity::StepDemand;
 use crate::cell::Cell;
-use crate::job::TaskState;
+use crate::job::{Job, TaskState};
 use crate::step_order::Timeliness;
 use crate::worker::Worker;
 
@@ -75,6 +76,8 @@
     pub valid_fits: u32,
     /// Number of workers that are reserved for the step.
     pub reserved: usize,
+    /// Number of tasks that have room on workers where the reservation of a gang keeps them out.
+    pub kept_out: u32,
 }
 
 impl WorkerCensus {
@@ -174,6 +177,22 @@
                 .map(fits_on)
                 .fold(0, total),
             reserved: reservation.map_or(0, |r| r.workers.len()),
+            kept_out: self.kept_out_tasks(job, &demand, now),
         })
     }
+
+    /// Returns how many tasks of a step fit on workers on which only reservations keep them from being placed.
+    fn kept_out_tasks(&self, job: &Job, demand: &StepDemand, now: Instant) -> u32 {
+        let Some(eligibility) = self.eligibility(job, demand.step) else {
+            return 0;
+        };
+        let reserved = self.reservations.iter().flat_map(|r| &r.workers);
+        let workers = reserved.filter_map(|reserved| self.workers.get(reserved.key));
+        let closed = workers.filter(|worker| {
+            let is_open = worker.accepts_runs(now) && eligibility.admits(worker, now);
+            is_open && worker.placeable_tasks(demand, now) == 0
+        });
+        let fits = closed.map(|worker| demand.need.max_copies_in(worker.free()));
+        fits.fold(0, u32::saturating_add)
+    }
 }
--- a/crates/hs-cell/src/isolation.rs
+++ b/crates/hs-cell/src/isolation.rs
@@ -26,9 +26,6 @@
 /// Time after which another worker is chosen if the vacated one does not accept the suspect.
 const VACATING_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Time for which a run whose end is not known is assumed to go on.
-const UNKNOWN_RUN_TIME: Duration = Duration::from_secs(3600);
-
 /// When a worker can be vacated. The least is the best.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Vacancy {
@@ -335,32 +332,32 @@
         };
         let workers = self.workers.iter();
         let usable = workers.filter(|(key, worker)| is_usable(*key, worker));
-        let soonest = usable.min_by_key(|(_, worker)| self.vacancy(worker, need, now));
-        soonest.map(|(key, _)| key)
+        let vacancies =
+            usable.filter_map(|(key, worker)| Some((self.vacancy(worker, need, now)?, key)));
+        vacancies.min().map(|(_, key)| key)
     }
 
     /// Returns whether a worker is too full for a suspect beside its runs, and the time at which they have ended
     /// or, unless it is too full, have lasted for long. On a worker that is not too full that takes
-    /// [`SETTLED_RUN_TIME`] at most.
-    fn vacancy(&self, worker: &Worker, need: Resources, now: Instant) -> Vacancy {
+    /// [`SETTLED_RUN_TIME`] at most. Returns `None` if the worker is too full and the end of a run is not known: nothing
+    /// else would be placed there, and the suspect neither.
+    fn vacancy(&self, worker: &Worker, need: Resources, now: Instant) -> Option<Vacancy> {
         let is_too_full = !need.fits(worker.free());
-        let times = worker.slots.iter().map(|(run, slot)| {
+        let mut at = now;
+        for (run, slot) in &worker.slots {
             let settled_at = slot.started_at + SETTLED_RUN_TIME;
             let end = match slot.phase {
                 SlotPhase::Stopping => Some(now),
                 _ => self.expected_end(*run, slot, now),
             };
-            match end {
-                Some(end) if is_too_full => end,
+            let vacant_at = match end {
+                end if is_too_full => end?,
                 Some(end) => end.min(settled_at),
-                None if is_too_full => now + UNKNOWN_RUN_TIME,
                 None => settled_at,
-            }
-        });
-        Vacancy {
-            is_too_full,
-            at: times.max().unwrap_or(now).max(now),
+            };
+            at = at.max(vacant_at);
         }
+        Some(Vacancy { is_too_full, at })
     }
 
     /// Ends the vacating of workers whose suspects no longer wait, or that do not accept them.
--- a/crates/hs-cell/src/job_end.rs
+++ b/crates/hs-cell/src/job_end.rs
@@ -156,19 +156,7 @@
                 task: step.task(stored.index),
                 run: stored.run,
             };
-            let slot = Slot {
-                need: stored.need,
-                team,
-                phase: SlotPhase::Running,
-                visible_since: Some(now),
-                unconfirmed_until: None,
-                has_outlasted_others: false,
-                percent: 0,
-                last_progress_at: now,
-                started_at: now,
-                is_isolated: false,
-                is_suspect: false,
-            };
+            let slot = Slot::new(stored.need, team, SlotPhase::Running, now);
             self.stop_restored_run(key, run, slot);
         }
     }
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -49,11 +49,13 @@
 mod record;
 mod record_log;
 mod request_class;
+mod reservation;
 mod reserve;
 mod run_orders;
 mod segment;
 mod slot;
 mod stalls;
+mod start_plan;
 mod start_replies;
 mod step_group;
 mod step_order;
@@ -91,6 +93,7 @@
 pub use options::{CLOCK_DRIFT_MARGIN, CellOptions};
 pub use queue_spec::{AdviceSpec, QueueSpec};
 pub use record_log::{LogWrites, RecordLog, StoredRecords};
+pub use reservation::ReservationState;
 pub use segment::{RecordStamp, SegmentRow, SegmentState, StampedRecord};
 pub use team_spec::{CapExceeded, TeamSpec};
 pub use worker::{
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -170,6 +170,8 @@
         is_isolated: bool,
         now: Instant,
     ) {
+        let demand = self.step_demand(id);
+        let backfill = demand.and_then(|demand| self.workers.get(key)?.backfill(&demand, now));
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
@@ -191,17 +193,10 @@
         };
         job.pending_starts.push((key, run));
         let slot = Slot {
-            need,
-            team: job.team,
-            phase: SlotPhase::Recording,
-            visible_since: None,
-            unconfirmed_until: None,
-            has_outlasted_others: false,
-            percent: 0,
-            last_progress_at: now,
-            started_at: now,
             is_isolated,
             is_suspect,
+            backfill,
+            ..Slot::new(need, job.team, SlotPhase::Recording, now)
         };
         self.allocate(key, run, slot);
         self.observe_placement(key, run, now);
--- a/crates/hs-cell/src/record.rs
+++ b/crates/hs-cell/src/record.rs
@@ -176,17 +176,9 @@
                     run: record.run,
                 };
                 let slot = Slot {
-                    need,
-                    team,
-                    phase: SlotPhase::Running,
-                    visible_since: Some(now),
-                    unconfirmed_until: None,
-                    has_outlasted_others: false,
-                    percent: 0,
-                    last_progress_at: now,
-                    started_at: now,
                     is_isolated: record.crashes.as_ref().is_some_and(|c| c.isolated),
                     is_suspect: record.crashes.is_some(),
+                    ..Slot::new(need, team, SlotPhase::Running, now)
                 };
                 self.allocate(key, run, slot);
             }
--- a/crates/hs-cell/src/slot.rs
+++ b/crates/hs-cell/src/slot.rs
@@ -4,6 +4,7 @@
 
 use hs_wire::Resources;
 
+use crate::reservation::Backfill;
 use crate::team_usage::TeamKey;
 
 /// Phase of a run on a worker, as known to the owner.
@@ -43,6 +44,8 @@
     pub is_isolated: bool,
     /// Whether workers have crashed under the task.
     pub is_suspect: bool,
+    /// Mark of a run that was placed on a worker which a gang had reserved.
+    pub backfill: Option<Backfill>,
 }
 
 /// Minimum time without progress after which a run counts as stalled. Reports are up to a second apart.
@@ -55,6 +58,32 @@
 const STALL_FACTOR: u32 = 5;
 
 impl Slot {
+    /// Creates the slot of a run that begins now, or is known from now on, and of which nothing special is known.
+    pub(crate) fn new(
+        need: Resources,
+        team: Option<TeamKey>,
+        phase: SlotPhase,
+        now: Instant,
+    ) -> Self {
+        Self {
+            need,
+            team,
+            phase,
+            visible_since: match phase {
+                SlotPhase::Running => Some(now),
+                SlotPhase::Recording | SlotPhase::Sent | SlotPhase::Stopping => None,
+            },
+            unconfirmed_until: None,
+            has_outlasted_others: false,
+            percent: 0,
+            last_progress_at: now,
+            started_at: now,
+            is_isolated: false,
+            is_suspect: false,
+            backfill: None,
+        }
+    }
+
     /// Returns whether a report at `reported_at` shows that the run is stalled, compared with its own progress so
     /// far.
     pub(crate) fn is_stalled(&self, reported_at: Instant) -> bool {
--- a/crates/hs-cell/src/ticket_renewal.rs
+++ b/crates/hs-cell/src/ticket_renewal.rs
@@ -50,7 +50,7 @@
             Some(reservation) if reservation.start_at > now + spec.ticket_validity / 2 => {
                 Vec::new()
             }
-            Some(reservation) => reservation.workers.clone(),
+            Some(reservation) => reservation.workers.iter().map(|w| w.key).collect(),
             None => workers_with_free_capacity(allowed, enough, need.wanted),
         };
         let ends_within = |key: WorkerKey, time: Duration| {
--- a/crates/hs-cell/src/worker.rs
+++ b/crates/hs-cell/src/worker.rs
@@ -9,7 +9,7 @@
 
 use crate::effect::LeaseSource;
 use crate::isolation::Vacating;
-use crate::reserve::ReservationHolder;
+use crate::reservation::WorkerReservation;
 use crate::slot::Slot;
 use crate::{TaskId, TaskRun};
 
@@ -180,8 +180,8 @@
     pub quarantined_until: Option<Instant>,
     /// Duration of the next quarantine.
     pub quarantine_time: Duration,
-    /// Gang that has reserved the worker.
-    pub reserved_by: Option<ReservationHolder>,
+    /// Reservation of the worker for a gang.
+    pub reserved_by: Option<WorkerReservation>,
     /// Number of isolated runs. There can be several after a takeover.
     pub isolated_runs: u32,
     /// Step for a suspect of which the worker is being vacated.
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -95,19 +95,17 @@
         // is stopped, and occupies its resources until the worker reports its end.
         let job = self.jobs.get(&run.task.job());
         let need = job.and_then(|job| Some(job.step_spec(run.task.step)?.allocated_resources()));
+        let team = job.and_then(|job| job.team);
         let slot = Slot {
-            need: need.unwrap_or(worker.entry.capacity),
-            team: job.and_then(|job| job.team),
-            phase: SlotPhase::Running,
-            visible_since: Some(now),
-            unconfirmed_until: None,
-            has_outlasted_others: false,
             percent: report.percent,
-            last_progress_at: now,
-            started_at: now,
             // What a run of an unknown job occupies is not known, so nothing is placed beside it.
             is_isolated: need.is_none(),
-            is_suspect: false,
+            ..Slot::new(
+                need.unwrap_or(worker.entry.capacity),
+                team,
+                SlotPhase::Running,
+                now,
+            )
         };
         self.allocate(key, run, slot);
         self.stop_run(key, run);
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -30,6 +30,7 @@
 mod record_log;
 mod records;
 mod regressions;
+mod reservations;
 mod shrinking;
 mod team_jobs;
 mod team_shares;
--- a/crates/hs-control/src/metrics.rs
+++ b/crates/hs-control/src/metrics.rs
@@ -36,6 +36,7 @@
     unfinished_jobs: Gauge<u64>,
     allocated_runs: Gauge<u64>,
     waiting_steps: Gauge<u64>,
+    reserved_workers: Gauge<u64>,
     workers_by_speed: Gauge<u64>,
     interfering_pairs: Gauge<u64>,
 }
@@ -94,6 +95,10 @@
             unfinished_jobs: gauge("hornbeamshunt_unfinished_jobs", "Jobs that have not ended"),
             allocated_runs: gauge("hornbeamshunt_runs", "Runs that hold room on workers"),
             waiting_steps: gauge("hornbeamshunt_waiting_steps", "Steps with waiting tasks"),
+            reserved_workers: gauge(
+                "hornbeamshunt_reserved_workers",
+                "Workers that waiting gangs have reserved",
+            ),
             workers_by_speed: gauge("hornbeamshunt_workers_by_speed", "Workers by speed class"),
             interfering_pairs: gauge(
                 "hornbeamshunt_interfering_pairs",
@@ -211,6 +216,11 @@
         self.waiting_steps.record(to_u64(waiting_steps), &[]);
     }
 
+    pub(crate) fn record_reserved_workers(&self, count: usize) {
+        self.reserved_workers
+            .record(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+    }
+
     /// Returns all metrics in the text format of the metrics endpoint.
     pub fn render(&self) -> Vec<u8> {
         self.registry.render()
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -50,6 +50,12 @@
 /// Maximum number of waiting steps that are described in the log in each [`CELL_METRICS_INTERVAL`].
 const MAX_LOGGED_WAITS: usize = 8;
 
+/// Maximum number of reservations that the log describes each second.
+const MAX_LOGGED_RESERVATIONS: usize = 8;
+
+/// Maximum number of workers that the log names of each reservation.
+const MAX_LOGGED_WORKERS: usize = 8;
+
 /// Maximum number of transactions that may wait for the claim writer. The owner orders one at a time.
 const MAX_WRITE_ORDERS: usize = 1;
 
--- a/crates/hs-control/src/owner/report.rs
+++ b/crates/hs-control/src/owner/report.rs
@@ -2,9 +2,9 @@
 
 use std::time::Instant;
 
-use hs_event::EventCode;
+use hs_event::{EventCode, LogText};
 
-use super::{MAX_LOGGED_WAITS, OwnerTask};
+use super::{MAX_LOGGED_RESERVATIONS, MAX_LOGGED_WAITS, MAX_LOGGED_WORKERS, OwnerTask};
 use crate::port::Platform;
 
 impl<P: Platform> OwnerTask<P> {
@@ -37,11 +37,12 @@
             census.free_cpu_milli,
         ));
         self.report_evidence();
+        self.report_reservations(now);
         for wait in self.cell.longest_waits(MAX_LOGGED_WAITS, now) {
             EventCode::StepWaiting.log(format_args!(
                 "step={} queue={} age_ms={} timeliness={} position={} waiting={} placed={} \
                  cpu_milli={} advice={:?} denied={} allowed={} valid={} allowed_fits={} \
-                 valid_fits={} reserved={}",
+                 valid_fits={} reserved={} kept_out={}",
                 wait.step,
                 wait.queue,
                 wait.age.as_millis(),
@@ -57,6 +58,26 @@
                 wait.allowed_fits,
                 wait.valid_fits,
                 wait.reserved,
+                wait.kept_out,
+            ));
+        }
+    }
+
+    /// Publishes which gangs hold which workers.
+    fn report_reservations(&mut self, now: Instant) {
+        self.metrics
+            .record_reserved_workers(self.cell.reserved_workers());
+        let states = self
+            .cell
+            .reservation_states(MAX_LOGGED_RESERVATIONS, MAX_LOGGED_WORKERS, now);
+        for state in states {
+            EventCode::WorkersReserved.log(format_args!(
+                "step={} count={} workers={} age_ms={} start_in_ms={}",
+                state.step,
+                state.worker_count,
+                LogText(&state.workers),
+                state.age.as_millis(),
+                state.start_in.as_millis(),
             ));
         }
     }
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -191,6 +191,8 @@
     OwnerLoad = 8061, Info, "owner load";
     /// Numbers of workers by whether they accept runs.
     WorkerCensus = 8062, Info, "workers by state";
+    /// A gang holds a reservation of workers.
+    WorkersReserved = 8063, Info, "workers reserved";
     /// A worker crashed while it had a run.
     WorkerCrashed = 8071, Warn, "worker crashed under a run";
     /// Several workers crashed under a task, which runs alone from now on.
