--- a/crates/hs-cell/src/batches.rs
+++ b/crates/hs-cell/src/batches.rs
@@ -6,6 +6,7 @@
 use crate::cell::Cell;
 use crate::dirty_jobs::RecordUrgency;
 use crate::effect::{CellBatch, CellEffect, RecordRow};
+use crate::job_record::JobOutcome;
 
 /// Share of the rows of a batch that starts may take while other changes wait.
 const START_ROWS_SHARE: f64 = 0.75;
@@ -13,11 +14,26 @@
 /// Share of the rows of a batch that starts, ends and outcomes may take while other changes wait.
 const URGENT_ROWS_SHARE: f64 = 0.9;
 
-/// Number of rows and tasks that fit into a batch.
+/// What fits into a batch. It ends with the row that reaches a limit.
 #[derive(Clone, Copy, Debug)]
-struct BatchLimits {
-    rows: usize,
-    tasks: usize,
+pub struct BatchLimits {
+    /// Number of rows.
+    pub rows: usize,
+    /// Number of tasks that the rows list.
+    pub tasks: usize,
+    /// Upper bound of the bytes that the rows take in the store.
+    pub bytes: usize,
+}
+
+impl BatchLimits {
+    fn part(self, share: f64) -> Self {
+        let part = |limit: usize| (limit as f64 * share).ceil() as usize;
+        Self {
+            rows: part(self.rows),
+            tasks: part(self.tasks),
+            bytes: part(self.bytes),
+        }
+    }
 }
 
 impl Cell {
@@ -29,22 +45,25 @@
     }
 
     /// Takes the next batch of changes, which ends after `max_jobs` rows or once its rows list at least
-    /// `max_tasks` tasks.
+    /// `max_tasks` tasks. See [`Cell::take_batch_within`].
+    pub fn take_batch(&mut self, max_jobs: usize, max_tasks: usize) -> CellBatch {
+        self.take_batch_within(BatchLimits {
+            rows: max_jobs,
+            tasks: max_tasks,
+            bytes: usize::MAX,
+        })
+    }
+
+    /// Takes the next batch of changes.
     ///
     /// Jobs whose starts wait for the batch come first, then those with ends or an outcome. Some rows are left to
     /// the others, so that each change is recorded at some time.
-    pub fn take_batch(&mut self, max_jobs: usize, max_tasks: usize) -> CellBatch {
+    pub fn take_batch_within(&mut self, all: BatchLimits) -> CellBatch {
         let mut batch = CellBatch::default();
-        let part = |share: f64| BatchLimits {
-            rows: (max_jobs as f64 * share).ceil() as usize,
-            tasks: (max_tasks as f64 * share).ceil() as usize,
-        };
-        let all = BatchLimits {
-            rows: max_jobs,
-            tasks: max_tasks,
-        };
-        self.add_rows(&mut batch, RecordUrgency::Start, part(START_ROWS_SHARE));
-        self.add_rows(&mut batch, RecordUrgency::End, part(URGENT_ROWS_SHARE));
+        let start_limits = all.part(START_ROWS_SHARE);
+        let urgent_limits = all.part(URGENT_ROWS_SHARE);
+        self.add_rows(&mut batch, RecordUrgency::Start, start_limits);
+        self.add_rows(&mut batch, RecordUrgency::End, urgent_limits);
         self.add_rows(&mut batch, RecordUrgency::Update, all);
         self.add_rows(&mut batch, RecordUrgency::Start, all);
         self.add_rows(&mut batch, RecordUrgency::End, all);
@@ -54,8 +73,10 @@
     /// Adds rows of jobs until the batch reaches the limits.
     fn add_rows(&mut self, batch: &mut CellBatch, urgency: RecordUrgency, limits: BatchLimits) {
         let mut task_count: usize = batch.rows.iter().map(RecordRow::task_count).sum();
+        let mut bytes: usize = batch.rows.iter().map(RecordRow::max_bytes).sum();
         while batch.rows.len() < limits.rows
             && task_count < limits.tasks
+            && bytes < limits.bytes
             && let Some(id) = self.dirty_jobs.take(urgency)
         {
             let Some(job) = self.jobs.get_mut(&id) else {
@@ -63,16 +84,41 @@
             };
             job.dirty_place = None;
             batch.starts.append(&mut job.pending_starts);
-            batch.ends.append(&mut job.pending_ends);
+            let ends = std::mem::take(&mut job.pending_ends);
+            let ends = ends.into_iter().map(|(key, number)| (id, key, number));
+            batch.ends.extend(ends);
             let row = match job.outcome {
                 Some(outcome) => RecordRow::Finished(id, self.job_end(id, outcome)),
                 None => RecordRow::Progress(id, self.job_record(id)),
             };
             task_count += row.task_count();
+            bytes = bytes.saturating_add(row.max_bytes());
             batch.rows.push(row);
         }
     }
 
+    /// Takes a batch back that cannot be written, so that the next batches contain its changes.
+    pub fn return_batch(&mut self, batch: CellBatch) {
+        for (key, run) in batch.starts {
+            if let Some(job) = self.jobs.get_mut(&run.task.job()) {
+                job.pending_starts.push((key, run));
+            }
+        }
+        for (id, key, number) in batch.ends {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.pending_ends.push((key, number));
+            }
+        }
+        for row in &batch.rows {
+            self.mark_dirty(row.job());
+        }
+    }
+
+    /// Fails a job whose record the store can't hold, so that the other jobs go on.
+    pub fn fail_unstorable(&mut self, id: JobId) {
+        self.end_job(id, JobOutcome::Failed);
+    }
+
     /// Emits the starts and acknowledgements that waited for a batch, which is now in the store.
     pub fn committed(&mut self, batch: CellBatch, now: Instant) {
         for row in &batch.rows {
@@ -81,7 +127,7 @@
             }
         }
         self.send_starts(batch.starts, now);
-        for (key, number) in batch.ends {
+        for (_, key, number) in batch.ends {
             let Some(worker) = self.workers.get_mut(key) else {
                 continue;
             };
--- a/crates/hs-cell/src/effect.rs
+++ b/crates/hs-cell/src/effect.rs
@@ -5,7 +5,7 @@
 
 use hs_share::JobClass;
 
-use crate::job_end::JobEnd;
+use crate::job_end::{JobEnd, MAX_STOPPING_RUN_BYTES};
 use crate::job_record::JobRecord;
 use crate::queue_spec::AdviceSpec;
 use crate::{JobId, StepId, TaskId, WorkerKey};
@@ -130,6 +130,9 @@
     UnconfirmedStart,
 }
 
+/// Upper bound of the bytes that a row takes in a segment beside its record, with the name of a team.
+const MAX_ROW_BYTES: usize = 512;
+
 /// Change of a job to be written to the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RecordRow {
@@ -140,6 +143,13 @@
 }
 
 impl RecordRow {
+    /// Returns the job that has changed.
+    pub fn job(&self) -> JobId {
+        match self {
+            Self::Progress(id, _) | Self::Finished(id, _) => *id,
+        }
+    }
+
     /// Returns the number of tasks that the row lists, which determines its size.
     pub fn task_count(&self) -> usize {
         match self {
@@ -147,6 +157,14 @@
             Self::Finished(..) => 0,
         }
     }
+
+    /// Returns an upper bound of the bytes that the row takes in the store.
+    pub fn max_bytes(&self) -> usize {
+        match self {
+            Self::Progress(_, record) => record.max_json_bytes() + MAX_ROW_BYTES,
+            Self::Finished(_, end) => end.stopping.len() * MAX_STOPPING_RUN_BYTES + MAX_ROW_BYTES,
+        }
+    }
 }
 
 /// Changes to be written in one transaction, with the starts and ends that wait for the commit.
@@ -155,7 +173,8 @@
     /// Changes, one for each job.
     pub rows: Vec<RecordRow>,
     pub(crate) starts: Vec<(WorkerKey, TaskRun)>,
-    pub(crate) ends: Vec<(WorkerKey, u64)>,
+    /// Ends by the jobs whose rows record them.
+    pub(crate) ends: Vec<(JobId, WorkerKey, u64)>,
 }
 
 impl CellBatch {
--- a/crates/hs-cell/src/job_end.rs
+++ b/crates/hs-cell/src/job_end.rs
@@ -11,6 +11,12 @@
 use crate::slot::{Slot, SlotPhase};
 use crate::{JobId, StepId, TaskRun, WorkerKey};
 
+/// Upper bound of the bytes that a run takes in the stored end of a job.
+pub(crate) const MAX_STOPPING_RUN_BYTES: usize = 512;
+
+/// An end lists as many runs as take the size of a value of the store divided by this.
+const STOPPING_BYTES_DIVISOR: usize = 4;
+
 /// End of a job. Without a team it is stored as the outcome alone.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(from = "StoredEnd", into = "StoredEnd")]
@@ -107,7 +113,8 @@
 }
 
 impl Cell {
-    /// Returns what is stored about the end of a job.
+    /// Returns what is stored about the end of a job. Of very many runs it lists as many as a value of the store holds; the
+    /// others count for the team again once their workers have reported to the next owner.
     pub(crate) fn job_end(&self, id: JobId, outcome: JobOutcome) -> JobEnd {
         let job = self.jobs.get(&id);
         let team = job.and_then(|job| self.team_usage.name(job.team?).cloned());
@@ -130,9 +137,10 @@
                 need: slot.need,
             })
         });
+        let max_bytes = self.options.max_value_bytes / STOPPING_BYTES_DIVISOR;
         JobEnd {
             outcome,
-            stopping: stopping.collect(),
+            stopping: stopping.take(max_bytes / MAX_STOPPING_RUN_BYTES).collect(),
             team,
         }
     }
--- a/crates/hs-cell/src/job_record.rs
+++ b/crates/hs-cell/src/job_record.rs
@@ -16,6 +16,46 @@
     pub steps: Vec<StepRecord>,
 }
 
+/// Upper bounds of the bytes that the parts of a record take in JSON, without texts and lists.
+const MAX_WORKER_BYTES: usize = 48;
+const MAX_STEP_BYTES: usize = 64;
+const MAX_TASK_BYTES: usize = 112;
+const MAX_CRASHES_BYTES: usize = 128;
+const MAX_LOSS_BYTES: usize = 64;
+
+/// Maximum number of bytes that a number in a list takes in JSON.
+const MAX_NUMBER_BYTES: usize = 11;
+
+/// Maximum number of bytes that a byte of a text takes in JSON.
+const MAX_ESCAPED_BYTES: usize = 6;
+
+impl JobRecord {
+    /// Returns an upper bound of the length of the record in JSON, in bytes. It costs far less than the JSON.
+    pub fn max_json_bytes(&self) -> usize {
+        let workers = self.workers.iter();
+        let workers = workers.map(|worker| MAX_WORKER_BYTES + worker.id.len() * MAX_ESCAPED_BYTES);
+        let steps = self.steps.iter();
+        let steps = steps.map(|step| {
+            let tasks = step.tasks.iter().map(TaskRecord::max_json_bytes);
+            MAX_STEP_BYTES + tasks.sum::<usize>()
+        });
+        MAX_STEP_BYTES + workers.sum::<usize>() + steps.sum::<usize>()
+    }
+}
+
+impl TaskRecord {
+    fn max_json_bytes(&self) -> usize {
+        let crashes = self.crashes.as_ref();
+        let crashes = crashes.map_or(0, |crashes| {
+            MAX_CRASHES_BYTES + crashes.losses.len() * MAX_LOSS_BYTES
+        });
+        MAX_TASK_BYTES
+            + self.checkpoint.len() * MAX_ESCAPED_BYTES
+            + self.earlier_failed_runs.len() * MAX_NUMBER_BYTES
+            + crashes
+    }
+}
+
 /// Final outcome of a job.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/hs-cell/src/lib.rs
+++ b/crates/hs-cell/src/lib.rs
@@ -73,6 +73,7 @@
 pub use advice::AdviceReply;
 pub use advice_callers::AdviceCaller;
 pub use advice_queue::{AdvicePart, AdviceQueue};
+pub use batches::BatchLimits;
 pub use bounded_steps::bounded_steps;
 pub use cell::{AddedJob, Cell, JobState};
 pub use census::{AdviceWait, StepWait, WorkerCensus};
@@ -92,7 +93,7 @@
 pub use job_spec::{JobSchedule, JobSpec, MAX_STEPS, MAX_TASKS, SpecError, StepSpec};
 pub use options::{CLOCK_DRIFT_MARGIN, CellOptions};
 pub use queue_spec::{AdviceSpec, QueueSpec};
-pub use record_log::{LogWrites, RecordLog, StoredRecords};
+pub use record_log::{ChunkCounts, ChunkedRecord, LogWrites, RecordLog, StoredRecords};
 pub use reservation::ReservationState;
 pub use segment::{RecordStamp, SegmentRow, SegmentState, StampedRecord};
 pub use team_spec::{CapExceeded, TeamSpec};
--- a/crates/hs-cell/src/options.rs
+++ b/crates/hs-cell/src/options.rs
@@ -16,6 +16,8 @@
     pub lease: Duration,
     /// Longest lease that a worker grants, on its clock, whatever it is asked for.
     pub longest_lease: Duration,
+    /// Maximum size of a value of the store in bytes.
+    pub max_value_bytes: usize,
     /// Which estimates from the progress of runs may change the order of workers.
     pub learning: LearningOptions,
 }
@@ -26,6 +28,7 @@
             status_retention: Duration::from_secs(120),
             lease: Duration::from_millis(7500),
             longest_lease: Duration::from_secs(10),
+            max_value_bytes: 1 << 20,
             learning: LearningOptions::default(),
         }
     }
--- a/crates/hs-cell/src/record_log.rs
+++ b/crates/hs-cell/src/record_log.rs
@@ -5,6 +5,10 @@
 //! go into a segment, a single item with any number of rows. The last write of a job is the current one,
 //! wherever it is. Segments without a current row are deleted, and the outcomes of jobs that ended in a
 //! segment are written to the job items when transactions have free entries.
+//!
+//! A record that exceeds the size of a value is divided into chunks. They have items of their own, which are written in
+//! the same transaction as the item of the record; that says how many there are. Chunks that it does not
+//! count have no meaning, and are deleted when transactions have free entries.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -31,6 +35,19 @@
     pub segment: Option<(RecordStamp, Vec<SegmentRow>)>,
     /// Segments to delete.
     pub dropped_segments: Vec<RecordStamp>,
+    /// The one of `records` that is written in chunks.
+    pub chunked: Option<ChunkedRecord>,
+    /// Jobs and zero-based numbers of chunks to delete.
+    pub dropped_chunks: Vec<(JobId, u32)>,
+}
+
+/// Record that is too large for its own item, and therefore written in chunks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ChunkedRecord {
+    /// Job of the record.
+    pub job: JobId,
+    /// Number of chunks.
+    pub chunks: u32,
 }
 
 /// Records of jobs as read from the store.
@@ -40,6 +57,17 @@
     pub records: BTreeMap<JobId, StampedRecord>,
     /// Segments, ordered by their stamps.
     pub segments: BTreeMap<RecordStamp, Vec<SegmentRow>>,
+    /// Numbers of chunks in the store and of those that belong to the records of their jobs.
+    pub chunks: BTreeMap<JobId, ChunkCounts>,
+}
+
+/// Numbers of chunks of a job.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ChunkCounts {
+    /// Chunks in the store. Their numbers are below this.
+    pub stored: u32,
+    /// Chunks of the record of the job. The others have no meaning.
+    pub used: u32,
 }
 
 /// Index of the store items that hold records.
@@ -53,6 +81,8 @@
     segments: BTreeMap<RecordStamp, BTreeSet<JobId>>,
     /// Outcomes that are only in a segment, and have yet to be written to the job items.
     unwritten_outcomes: VecDeque<(JobId, JobEnd)>,
+    /// Jobs with chunks in the store.
+    chunks: BTreeMap<JobId, ChunkCounts>,
 }
 
 impl LogWrites {
@@ -63,13 +93,29 @@
             + self.outcomes.len()
             + usize::from(self.segment.is_some())
             + self.dropped_segments.len()
+            + self.chunked.map_or(0, ChunkedRecord::entry_count)
+            + self.dropped_chunks.len()
+    }
+
+    /// Returns the number of entries that the outcomes take, with the records that they replace.
+    fn outcome_entry_count(&self) -> usize {
+        self.outcomes.len() + self.dropped_records.len()
+    }
+}
+
+impl ChunkedRecord {
+    fn entry_count(self) -> usize {
+        usize::try_from(self.chunks).unwrap_or(usize::MAX)
     }
 }
 
 impl RecordLog {
     /// Rebuilds the log from the store. Returns it with the current state of each job in it.
     pub fn restore(stored: StoredRecords) -> (Self, BTreeMap<JobId, SegmentState>) {
-        let mut log = Self::default();
+        let mut log = Self {
+            chunks: stored.chunks,
+            ..Self::default()
+        };
         let mut stamps: BTreeMap<JobId, RecordStamp> = BTreeMap::new();
         let mut states: BTreeMap<JobId, SegmentState> = BTreeMap::new();
         for (job, stamped) in stored.records {
@@ -100,24 +146,40 @@
     pub fn forget_job(&mut self, job: JobId) {
         self.clear_current_row(job);
         self.unwritten_outcomes.retain(|(other, _)| *other != job);
+        self.unuse_chunks(job);
     }
 
     /// Plans a transaction of at most `entries` entries: where rows are written, and what is cleaned up. All
-    /// rows fit if there is at least one entry.
-    pub fn plan(&mut self, stamp: RecordStamp, rows: &[RecordRow], entries: usize) -> LogWrites {
-        let mut writes = LogWrites::default();
+    /// rows fit if there is at least one entry, and two more than the chunks of a row that is `chunked`.
+    pub fn plan(
+        &mut self,
+        stamp: RecordStamp,
+        rows: &[RecordRow],
+        chunked: Option<ChunkedRecord>,
+        entries: usize,
+    ) -> LogWrites {
+        let mut writes = LogWrites {
+            chunked,
+            ..LogWrites::default()
+        };
         let costs = rows.iter().map(|row| self.entry_cost(row));
-        let fits = costs.sum::<usize>() <= entries;
-        let outcome_entries = entries.saturating_sub(1) / OUTCOME_ENTRIES_DIVISOR;
+        let chunk_entries = chunked.map_or(0, ChunkedRecord::entry_count);
+        let fits = costs.sum::<usize>() + chunk_entries <= entries;
+        let taken = chunk_entries + usize::from(chunked.is_some());
+        let free = entries.saturating_sub(taken);
+        let outcome_entries = free.saturating_sub(1) / OUTCOME_ENTRIES_DIVISOR;
+        let is_chunked = |job: JobId| chunked.is_some_and(|chunked| chunked.job == job);
         let mut overflow = Vec::new();
         for row in rows {
             match row {
                 RecordRow::Finished(job, end)
-                    if fits || writes.entry_count() + self.entry_cost(row) <= outcome_entries =>
+                    if fits
+                        || writes.outcome_entry_count() + self.entry_cost(row)
+                            <= outcome_entries =>
                 {
                     self.add_outcome(&mut writes, *job, end.clone());
                 }
-                RecordRow::Progress(job, record) if fits => {
+                RecordRow::Progress(job, record) if fits || is_chunked(*job) => {
                     let record = record.clone();
                     writes.records.push((*job, StampedRecord { stamp, record }));
                 }
@@ -138,9 +200,22 @@
         for (job, _) in writes.records {
             self.items.insert(job);
             self.clear_current_row(job);
+            self.unuse_chunks(job);
+        }
+        if let Some(chunked) = writes.chunked {
+            let counts = self.chunks.entry(chunked.job).or_default();
+            counts.used = chunked.chunks;
+            counts.stored = counts.stored.max(chunked.chunks);
         }
+        for (job, number) in writes.dropped_chunks {
+            if let Some(counts) = self.chunks.get_mut(&job) {
+                counts.stored = counts.stored.min(number);
+            }
+        }
+        self.chunks.retain(|_, counts| counts.stored > 0);
         for job in writes.dropped_records {
             self.items.remove(&job);
+            self.unuse_chunks(job);
         }
         for (job, _) in writes.outcomes {
             self.clear_current_row(job);
@@ -174,7 +249,31 @@
 
     /// Returns whether outcomes have to be written to job items, or segments have to be deleted.
     pub fn needs_cleanup(&self) -> bool {
-        !self.unwritten_outcomes.is_empty() || self.segments.values().any(BTreeSet::is_empty)
+        !self.unwritten_outcomes.is_empty()
+            || self.segments.values().any(BTreeSet::is_empty)
+            || self
+                .chunks
+                .values()
+                .any(|counts| counts.stored > counts.used)
+    }
+
+    /// Undoes what planning has changed, after writes that were refused.
+    pub fn refused(&mut self, writes: LogWrites) {
+        for (job, end) in writes.outcomes {
+            let is_listed = self
+                .unwritten_outcomes
+                .iter()
+                .any(|(other, _)| *other == job);
+            if self.row_segments.contains_key(&job) && !is_listed {
+                self.unwritten_outcomes.push_back((job, end));
+            }
+        }
+    }
+
+    fn unuse_chunks(&mut self, job: JobId) {
+        if let Some(counts) = self.chunks.get_mut(&job) {
+            counts.used = 0;
+        }
     }
 
     fn entry_cost(&self, row: &RecordRow) -> usize {
@@ -207,6 +306,15 @@
         let free_entries = entries.saturating_sub(writes.entry_count());
         let empty = empty.map(|(stamp, _)| *stamp).take(free_entries);
         writes.dropped_segments = empty.collect();
+        let free_entries = entries.saturating_sub(writes.entry_count());
+        let is_written = |job: &JobId| writes.records.iter().any(|(other, _)| other == job);
+        let unused = self.chunks.iter().filter(|(job, _)| !is_written(job));
+        // The last chunks come first, so that those which remain are numbered without gaps.
+        let unused = unused.flat_map(|(job, counts)| {
+            let numbers = (counts.used..counts.stored).rev();
+            numbers.map(move |number| (*job, number))
+        });
+        writes.dropped_chunks = unused.take(free_entries).collect();
     }
 
     fn set_current_row(&mut self, job: JobId, stamp: RecordStamp) {
--- a/crates/hs-cell/tests/cell/record_log.rs
+++ b/crates/hs-cell/tests/cell/record_log.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use hs_cell::{
-    JobEnd, JobId, JobOutcome, JobRecord, LogWrites, RecordLog, RecordRow, RecordStamp,
-    SegmentState, StoredRecords,
+    ChunkedRecord, JobEnd, JobId, JobOutcome, JobRecord, LogWrites, RecordLog, RecordRow,
+    RecordStamp, SegmentState, StoredRecords,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -23,6 +23,9 @@
     progress: Vec<u64>,
     /// Jobs that end.
     ended: Vec<u64>,
+    /// Number of chunks of the last record of the batch, as far as the entries of the transaction allow; 0 if it is not
+    /// written in chunks.
+    chunks: u32,
     /// Maximum number of entries of the transaction.
     entries: usize,
     /// Whether a new owner, which knows only the store, takes over after the batch.
@@ -38,6 +41,7 @@
         Self {
             progress: jobs(7),
             ended: jobs(3),
+            chunks: u32::arbitrary(g) % 6,
             entries: 1 + usize::arbitrary(g) % 8,
             takeover: u8::arbitrary(g).is_multiple_of(4),
         }
@@ -48,6 +52,10 @@
 #[derive(Default)]
 struct FakeStore {
     records: StoredRecords,
+    /// Number of chunks that the item of each record counts.
+    chunk_counts: BTreeMap<JobId, u32>,
+    /// Chunks, each with the stamp of its write.
+    chunks: BTreeMap<(JobId, u32), RecordStamp>,
     outcomes: BTreeMap<JobId, JobEnd>,
 }
 
@@ -55,9 +63,23 @@
     fn write(&mut self, writes: &LogWrites) {
         for (job, record) in &writes.records {
             self.records.records.insert(*job, record.clone());
+            self.chunk_counts.remove(job);
         }
         for job in &writes.dropped_records {
             self.records.records.remove(job);
+            self.chunk_counts.remove(job);
+        }
+        if let Some(chunked) = writes.chunked {
+            let stamp = self.records.records[&chunked.job].stamp;
+            self.chunk_counts.insert(chunked.job, chunked.chunks);
+            let chunks = (0..chunked.chunks).map(|number| ((chunked.job, number), stamp));
+            self.chunks.extend(chunks);
+        }
+        for chunk in &writes.dropped_chunks {
+            assert!(
+                self.chunks.remove(chunk).is_some(),
+                "{chunk:?} is not there"
+            );
         }
         if let Some((stamp, rows)) = &writes.segment {
             self.records.segments.insert(*stamp, rows.clone());
@@ -70,7 +92,18 @@
 
     /// Restores the log and the states of jobs as a new owner does.
     fn restore(&self) -> (RecordLog, BTreeMap<JobId, SegmentState>) {
-        let (mut log, mut states) = RecordLog::restore(self.records.clone());
+        for (job, count) in &self.chunk_counts {
+            let stamp = self.records.records[job].stamp;
+            let is_of_record = |number| self.chunks.get(&(*job, number)) == Some(&stamp);
+            assert!((0..*count).all(is_of_record), "chunks of {job}");
+        }
+        let mut records = self.records.clone();
+        for (job, number) in self.chunks.keys() {
+            let counts = records.chunks.entry(*job).or_default();
+            counts.stored = counts.stored.max(number + 1);
+            counts.used = self.chunk_counts.get(job).copied().unwrap_or(0);
+        }
+        let (mut log, mut states) = RecordLog::restore(records);
         for (job, outcome) in &self.outcomes {
             log.forget_job(*job);
             states.insert(*job, SegmentState::Ended(outcome.clone()));
@@ -84,9 +117,18 @@
     let mut log = RecordLog::default();
     let mut model: BTreeMap<JobId, SegmentState> = BTreeMap::new();
     let mut stamp = RecordStamp::default();
-    let mut write = |store: &mut FakeStore, log: &mut RecordLog, rows: &[RecordRow], entries| {
+    let mut write = |store: &mut FakeStore,
+                     log: &mut RecordLog,
+                     rows: &[RecordRow],
+                     chunks: u32,
+                     entries: usize| {
         stamp.sequence += 1;
-        let writes = log.plan(stamp, rows, entries);
+        let mut progress = rows.iter().rev();
+        let last = progress.find(|row| matches!(row, RecordRow::Progress(..)));
+        let fits = chunks > 0 && chunks as usize + 2 <= entries;
+        let job = last.filter(|_| fits).map(RecordRow::job);
+        let chunked = job.map(|job| ChunkedRecord { job, chunks });
+        let writes = log.plan(stamp, rows, chunked, entries);
         assert!(writes.entry_count() <= entries, "{writes:?} of {entries}");
         store.write(&writes);
         log.committed(writes);
@@ -112,7 +154,7 @@
             rows.insert(job, RecordRow::Finished(job, JobOutcome::Completed.into()));
         }
         let rows: Vec<RecordRow> = rows.into_values().collect();
-        write(&mut store, &mut log, &rows, batch.entries);
+        write(&mut store, &mut log, &rows, batch.chunks, batch.entries);
         let (restored, states) = store.restore();
         let states: BTreeMap<JobId, SegmentState> = states.into_iter().collect();
         assert_eq!(states, model, "after {batch:?}");
@@ -125,14 +167,15 @@
         .keys()
         .map(|job| RecordRow::Finished(*job, JobOutcome::Completed.into()))
         .collect();
-    write(&mut store, &mut log, &rows, 4);
+    write(&mut store, &mut log, &rows, 0, 4);
     for _ in 0..CLEANUP_TRANSACTIONS {
-        write(&mut store, &mut log, &[], 4);
+        write(&mut store, &mut log, &[], 0, 4);
     }
     assert!(!log.needs_cleanup());
     assert_eq!(store.outcomes.len(), model.len());
     assert!(store.records.records.is_empty(), "{:?}", store.records);
     assert!(store.records.segments.is_empty(), "{:?}", store.records);
+    assert!(store.chunks.is_empty(), "{:?}", store.chunks);
 }
 
 /// Guards against records that are lost, or superseded by older ones, between items and segments.
@@ -157,7 +200,7 @@
             .map(|job| RecordRow::Progress(JobId(job), JobRecord::default()))
             .into();
         let sequence = number;
-        let writes = log.plan(RecordStamp { fence: 1, sequence }, &rows, 1);
+        let writes = log.plan(RecordStamp { fence: 1, sequence }, &rows, None, 1);
         log.committed(writes);
     }
     let mut sequence = 100;
@@ -167,7 +210,7 @@
         let rows: Vec<RecordRow> = jobs
             .map(|job| RecordRow::Progress(job, JobRecord::default()))
             .collect();
-        let writes = log.plan(RecordStamp { fence: 1, sequence }, &rows, 20);
+        let writes = log.plan(RecordStamp { fence: 1, sequence }, &rows, None, 20);
         log.committed(writes);
         assert!(sequence < 200, "{} segments stay", log.segment_count());
     }
--- a/crates/hs-cell/tests/cell/world/store.rs
+++ b/crates/hs-cell/tests/cell/world/store.rs
@@ -136,7 +136,9 @@
             fence: self.fence,
             sequence: self.sequence,
         };
-        let writes = self.log.plan(stamp, &batch.rows, MAX_TRANSACTION_ENTRIES);
+        let writes = self
+            .log
+            .plan(stamp, &batch.rows, None, MAX_TRANSACTION_ENTRIES);
         assert!(
             writes.entry_count() <= MAX_TRANSACTION_ENTRIES,
             "too many entries: {writes:?}"
--- a/crates/hs-control/src/claim.rs
+++ b/crates/hs-control/src/claim.rs
@@ -87,6 +87,9 @@
     /// The claim no longer exists or can't be decoded.
     #[error("the claim is unreadable")]
     Unreadable,
+    /// The store does not accept the write, however often it is repeated. The claim is still held.
+    #[error("{0}")]
+    Rejected(String),
 }
 
 /// The claim of this process and its revision in the store, which the next transaction expects.
@@ -198,7 +201,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`ClaimError`] if the claim is lost. Then this call has written nothing, unless an earlier
+/// Returns [`ClaimError::Rejected`] if the store never accepts the write, and otherwise that the claim is lost. Then this call has written nothing, unless an earlier
 /// attempt was applied before the claim was lost.
 pub(crate) async fn write_with_claim<P: StorePort + ClockPort>(
     port: &P,
@@ -256,6 +259,10 @@
                     None => Err(ClaimError::Unreadable),
                 };
             }
+            // The same holds for earlier attempts without an answer, which were the same transaction.
+            Err(error) if error.is_rejected() => {
+                return Err(ClaimError::Rejected(error.to_string()));
+            }
             Err(error) => {
                 log::debug!("write sequence={} failed: {error}", claim.sequence);
                 if error.is_refused() {
--- a/crates/hs-control/src/claim_writer.rs
+++ b/crates/hs-control/src/claim_writer.rs
@@ -8,16 +8,19 @@
 
 use hs_cell::{CellBatch, LogWrites};
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::claim::{self, ClaimChange, ClaimConfirmation, ClaimError, HeldClaim};
-use crate::commits::OwnerWrites;
+use crate::commits::{OwnerWrites, RefusedWrites};
 use crate::port::Platform;
 
 /// Time after the last confirmation of the claim at which it is confirmed again. A follower
 /// considers the owner cut off from the store once the last confirmation is 600 ms old.
 const CLAIM_CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Pause after a write that the store never accepts.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time without a round of the owner task after which the claim is no longer confirmed, so that another process takes the
 /// cell over. It covers the reading and restoring of a large state on a slow VM.
 const MAX_OWNER_SILENCE: Duration = Duration::from_secs(30);
@@ -47,6 +50,8 @@
 pub(crate) enum WriterEvent {
     /// An order has been carried out.
     Written(Box<WriteEnd>),
+    /// The store never accepts the writes of an order, although it has accepted a transaction with the claim alone since.
+    Refused(Box<RefusedWrites>),
     /// The claim is lost. No further order is carried out.
     Lost(ClaimError),
 }
@@ -95,7 +100,7 @@
             let is_last = match &event {
                 Some(WriterEvent::Written(end)) => end.change != ClaimChange::Confirm,
                 Some(WriterEvent::Lost(_)) => true,
-                None => false,
+                Some(WriterEvent::Refused(_)) | None => false,
             };
             if let Some(event) = event {
                 // The receiver is gone if the owner task has ended.
@@ -122,6 +127,7 @@
             log,
             writes,
             deletes,
+            ..
         } = writes;
         let began_at = self.platform.now();
         let written = writes.iter().map(|(key, value)| key.len() + value.len());
@@ -130,6 +136,17 @@
         let result = claim::write_with_claim(&self.platform, held, writes, deletes, &change).await;
         let (held, confirmed_at) = match result {
             Ok(confirmed) => confirmed,
+            Err(ClaimError::Rejected(cause)) if is_ordered => {
+                let refused = RefusedWrites {
+                    batch,
+                    log,
+                    cause,
+                    is_conclusive: true,
+                };
+                return Some(self.confirm_after(refused).await);
+            }
+            // The store accepts nothing at all. The claim is confirmed again after the usual interval.
+            Err(ClaimError::Rejected(_)) => return None,
             Err(error) => return Some(WriterEvent::Lost(error)),
         };
         let now = self.platform.now();
@@ -146,6 +163,31 @@
     }
 }
 
+impl<P: Platform> ClaimWriter<P> {
+    /// Confirms the claim after refused writes, which shows that it is the writes that the store doesn't accept.
+    async fn confirm_after(&mut self, mut refused: RefusedWrites) -> WriterEvent {
+        let confirm = ClaimChange::Confirm;
+        // Writes that are refused again and again must not take the store's rate of calls.
+        sleep(REFUSAL_PAUSE).await;
+        loop {
+            let held = &self.keeper.held;
+            let (writes, deletes) = (Vec::new(), Vec::new());
+            match claim::write_with_claim(&self.platform, held, writes, deletes, &confirm).await {
+                Ok((held, confirmed_at)) => {
+                    let now = self.platform.now();
+                    self.keeper.record_confirmation(held, confirmed_at, now);
+                    return WriterEvent::Refused(Box::new(refused));
+                }
+                Err(ClaimError::Rejected(_)) => {
+                    refused.is_conclusive = false;
+                    sleep(CLAIM_CONFIRM_INTERVAL).await;
+                }
+                Err(error) => return WriterEvent::Lost(error),
+            }
+        }
+    }
+}
+
 impl ClaimKeeper {
     /// Records that a write conditional on the claim has been committed, by an answer to the attempt sent at `confirmed_at`.
     fn record_confirmation(&mut self, held: HeldClaim, confirmed_at: Instant, now: Instant) {
--- a/crates/hs-control/src/control.rs
+++ b/crates/hs-control/src/control.rs
@@ -14,6 +14,7 @@
 use crate::intake::{IntakeHandle, IntakeResult};
 use crate::job_phase::state_from_phase;
 use crate::keys;
+use crate::large_record::RecordLimits;
 use crate::message::{AcceptRequest, AcceptResult, JobRow, PendingRequest, StateRequest};
 use crate::metrics::ControlMetrics;
 use crate::notify::{Notice, NotifyHandle};
@@ -45,6 +46,8 @@
     Refused,
     /// The job may have been stored.
     Unknown,
+    /// The store can't hold the job, or its progress. It is not stored and never runs.
+    TooLarge,
 }
 
 /// The result of a cancellation.
@@ -83,6 +86,7 @@
     pub(crate) config_reader: ConfigReader,
     /// State requests that this process may handle at a time.
     pub(crate) state_permits: Arc<Semaphore>,
+    pub(crate) record_limits: RecordLimits,
     pub(crate) unknown_cancellations: Arc<Mutex<UnknownCancellations>>,
 }
 
@@ -155,6 +159,9 @@
         let Ok(value) = serde_json::to_vec(&JobValue::Accepted(&spec)) else {
             return SubmitReply::Refused;
         };
+        if !self.record_limits.can_hold(&spec, value.len()) {
+            return SubmitReply::TooLarge;
+        }
         let result = self
             .store_row(keys::job(id), &value, id, false, timeout)
             .await;
--- a/crates/hs-control/src/intake.rs
+++ b/crates/hs-control/src/intake.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::sleep;
 
-use crate::port::{ClockPort, StoreItem, StorePort, StoreTxn, TxnReply};
+use crate::port::{ClockPort, PortError, StoreItem, StorePort, StoreTxn, TxnReply};
 use crate::store_health::StoreHealth;
 
 /// Maximum number of rows in one transaction. Each takes two entries, a condition and a write, of the
@@ -149,7 +149,8 @@
             return;
         }
         let reply = store.transact(&transaction(&rows), timeout).await;
-        health.record_call(reply.is_ok(), store.now());
+        let error = reply.as_ref().err();
+        health.record_call(error.is_none_or(PortError::is_rejected), store.now());
         match reply {
             Ok(TxnReply::Committed(_)) => {
                 for row in rows {
@@ -171,6 +172,10 @@
                 }
                 rows = left;
             }
+            Err(error) if error.is_rejected() && !in_doubt => {
+                log::debug!("write of {} rows was rejected: {error}", rows.len());
+                return write_apart(store, health, rows).await;
+            }
             Err(error) if error.is_refused() => {
                 log::debug!("write of rows was refused: {error}");
                 sleep(RETRY_PAUSE).await;
@@ -184,6 +189,21 @@
     }
 }
 
+/// Writes rows one by one, since the store accepts no transaction with all of them. One that is alone is refused.
+async fn write_apart<S: StorePort + ClockPort>(
+    store: S,
+    health: StoreHealth,
+    rows: Vec<IntakeRow>,
+) {
+    let is_alone = rows.len() == 1;
+    for row in rows {
+        match is_alone {
+            true => answer(row, IntakeResult::Refused),
+            false => Box::pin(write(store.clone(), health.clone(), vec![row])).await,
+        }
+    }
+}
+
 /// Separates the rows that a conflict shows in the store.
 fn split_present(
     rows: Vec<IntakeRow>,
--- a/crates/hs-control/src/keys.rs
+++ b/crates/hs-control/src/keys.rs
@@ -35,6 +35,27 @@
     format!("{RUN}{id}")
 }
 
+/// Returns the key of a chunk of a job's progress record.
+pub(crate) fn chunk(id: JobId, number: u32) -> String {
+    format!("{RUN}{id}/{number}")
+}
+
+/// A parsed key under [`RUN`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ProgressKey {
+    Record(JobId),
+    Chunk(JobId, u32),
+}
+
+/// Parses a key under [`RUN`]. Returns `None` for any other key.
+pub(crate) fn parse_progress_key(key: &str) -> Option<ProgressKey> {
+    let rest = key.strip_prefix(RUN)?;
+    match rest.split_once('/') {
+        None => rest.parse().ok().map(ProgressKey::Record),
+        Some((id, number)) => Some(ProgressKey::Chunk(id.parse().ok()?, number.parse().ok()?)),
+    }
+}
+
 /// Returns the key of a segment.
 pub(crate) fn segment(stamp: RecordStamp) -> String {
     format!("{SEGMENT}{stamp}")
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -37,6 +37,7 @@
 mod job_phase;
 mod keys;
 mod lag;
+mod large_record;
 mod line_limit;
 mod link;
 pub mod link_speed;
--- a/crates/hs-control/src/metrics.rs
+++ b/crates/hs-control/src/metrics.rs
@@ -31,6 +31,7 @@
     tasks_given_up: Counter<u64>,
     turned_away: Counter<u64>,
     commits: Histogram<f64>,
+    refused_writes: Counter<u64>,
     start_waits: Histogram<f64>,
     owner_bytes: Counter<u64>,
     unfinished_jobs: Gauge<u64>,
@@ -84,6 +85,10 @@
                 "hornbeamshunt_turned_away",
                 "Requests and connections turned away by reason",
             ),
+            refused_writes: counter(
+                "hornbeamshunt_refused_writes",
+                "Transactions of the owner that the store never accepts",
+            ),
             commits: histogram(
                 "hornbeamshunt_commit_seconds",
                 "Duration of the owner's writes",
@@ -113,6 +118,7 @@
             SubmitReply::Accepted => "accepted",
             SubmitReply::Refused => "refused",
             SubmitReply::Unknown => "unknown",
+            SubmitReply::TooLarge => "too_large",
         };
         self.submissions.add(1, &[KeyValue::new("result", result)]);
     }
@@ -181,6 +187,10 @@
         self.commits.record(duration.as_secs_f64(), &[]);
     }
 
+    pub(crate) fn record_refused_write(&self) {
+        self.refused_writes.add(1, &[]);
+    }
+
     pub(crate) fn record_traffic(&self, traffic: &TrafficCounts) {
         for (kind, bytes) in traffic.0 {
             let kind = KeyValue::new("kind", kind.name());
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -204,7 +204,7 @@
         fence,
         worker_fences: WorkerFences::new(fence, confirmation.clone()),
         confirmation,
-        planner: CommitPlanner::new(fence),
+        planner: CommitPlanner::new(fence, &inputs.options),
         write_orders,
         last_round,
         committing: false,
--- a/crates/hs-control/src/owner/commit.rs
+++ b/crates/hs-control/src/owner/commit.rs
@@ -9,6 +9,7 @@
 use super::{OwnerEnd, OwnerTask};
 use crate::claim::ClaimChange;
 use crate::claim_writer::{WriteEnd, WriteOrder, WriterEvent};
+use crate::commits::RefusedWrites;
 use crate::handover::{self, OwnerDelay, OwnerStanding};
 use crate::port::Platform;
 use crate::rank::{VmMeasurements, VmRank};
@@ -64,10 +65,22 @@
     pub(super) fn handle_writer_event(&mut self, event: WriterEvent) {
         match event {
             WriterEvent::Written(end) => self.finish_commit(*end),
+            WriterEvent::Refused(refused) => self.take_back_commit(*refused),
             WriterEvent::Lost(error) => self.end = Some(OwnerEnd::Lost(error.to_string())),
         }
     }
 
+    /// Takes back a transaction that the store never accepts.
+    fn take_back_commit(&mut self, refused: RefusedWrites) {
+        self.committing = false;
+        self.metrics.record_refused_write();
+        let rows = refused.batch.rows.len();
+        let cause = refused.cause.clone();
+        let failed = self.planner.take_back(refused, &mut self.cell);
+        let job = failed.map(|job| job.to_string()).unwrap_or_default();
+        EventCode::RecordRefused.log(format_args!("job={job} rows={rows} cause=\"{cause}\""));
+    }
+
     fn finish_commit(&mut self, end: WriteEnd) {
         self.committing = false;
         self.metrics.record_commit(end.duration);
--- a/crates/hs-control/src/port.rs
+++ b/crates/hs-control/src/port.rs
@@ -25,6 +25,16 @@
         /// Answer of the other side, or the reason why the call was not sent.
         cause: String,
     },
+    /// The call certainly had no effect, and would not have any if it were repeated.
+    #[error("{operation} at {peer} was rejected for good: {cause}")]
+    Rejected {
+        /// Name of the call.
+        operation: &'static str,
+        /// Address of the other side.
+        peer: String,
+        /// Answer of the other side.
+        cause: String,
+    },
     /// The call has no usable reply. It may have had an effect, or may still have one.
     #[error("{operation} at {peer} has no reply: {cause}")]
     NoReply {
@@ -42,13 +52,18 @@
 impl PortError {
     /// Returns whether the call certainly had no effect.
     pub fn is_refused(&self) -> bool {
-        matches!(self, Self::Refused { .. })
+        matches!(self, Self::Refused { .. } | Self::Rejected { .. })
+    }
+
+    /// Returns whether the call is in vain however often it is repeated.
+    pub fn is_rejected(&self) -> bool {
+        matches!(self, Self::Rejected { .. })
     }
 
     /// Returns whether a process may have received the call that has started after this time.
     pub fn may_have_reached_later_process(&self, time: Instant) -> bool {
         match self {
-            Self::Refused { .. } => false,
+            Self::Refused { .. } | Self::Rejected { .. } => false,
             Self::NoReply { opened_at, .. } => opened_at.is_none_or(|opened_at| opened_at >= time),
         }
     }
--- a/crates/hs-control/src/recover.rs
+++ b/crates/hs-control/src/recover.rs
@@ -1,15 +1,19 @@
 //! Restores the state of a cell from the store.
 
 use hs_event::{EventCode, LogText};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{Cell, JobEnd, JobId, JobRecord, JobSpec, RecordLog, SegmentState, StoredRecords};
+use hs_cell::{
+    Cell, ChunkCounts, JobEnd, JobId, JobRecord, JobSpec, RecordLog, SegmentState, StoredRecords,
+};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
-use crate::keys::{self, IntakeKey};
+use crate::keys::{self, IntakeKey, ProgressKey};
+use crate::large_record::ChunkedValue;
 use crate::port::{Platform, PortError, StoreItem, StorePort};
 use crate::work_portions::WorkPortions;
 
@@ -75,6 +79,10 @@
     jobs: Vec<(JobId, JobValue)>,
     cancelled: Vec<JobId>,
     records: StoredRecords,
+    /// Chunks of large records, by their numbers.
+    chunks: BTreeMap<JobId, BTreeMap<u32, Vec<u8>>>,
+    /// Jobs whose records are in chunks, and how many these are.
+    chunked: BTreeMap<JobId, u32>,
     /// Revision after which changes of the intake must be watched so that none is missed.
     pub intake_revision: u64,
 }
@@ -123,6 +131,7 @@
             portions.item_done().await;
         }
     }
+    cell.join_chunks();
     cell.intake_revision = revision;
     Ok(cell)
 }
@@ -165,13 +174,16 @@
     /// Adds an item. Returns whether it could be decoded.
     fn add_item(&mut self, item: &StoreItem) -> bool {
         let value = item.value.as_deref().unwrap_or_default();
-        if let Some(id) = item.key.strip_prefix(keys::RUN) {
-            let record = serde_json::from_slice(value);
-            let (Ok(id), Ok(record)) = (id.parse(), record) else {
-                return false;
+        if item.key.starts_with(keys::RUN) {
+            return match keys::parse_progress_key(&item.key) {
+                Some(ProgressKey::Record(id)) => self.add_record(id, value),
+                Some(ProgressKey::Chunk(id, number)) => {
+                    let chunks = self.chunks.entry(id).or_default();
+                    chunks.insert(number, value.to_vec());
+                    true
+                }
+                None => false,
             };
-            self.records.records.insert(id, record);
-            return true;
         }
         if let Some(stamp) = item.key.strip_prefix(keys::SEGMENT) {
             let rows = serde_json::from_slice(value);
@@ -192,6 +204,41 @@
         true
     }
 
+    fn add_record(&mut self, id: JobId, value: &[u8]) -> bool {
+        if let Ok(record) = serde_json::from_slice(value) {
+            self.records.records.insert(id, record);
+            return true;
+        }
+        let Ok(chunked) = serde_json::from_slice::<ChunkedValue>(value) else {
+            return false;
+        };
+        self.chunked.insert(id, chunked.chunks);
+        true
+    }
+
+    /// Decodes the records that are in chunks.
+    fn join_chunks(&mut self) {
+        for (id, chunks) in std::mem::take(&mut self.chunks) {
+            let used = self.chunked.get(&id).copied().unwrap_or(0);
+            let stored = chunks.keys().max().map_or(0, |number| number + 1);
+            let counts = ChunkCounts { stored, used };
+            self.records.chunks.insert(id, counts);
+            if used == 0 {
+                continue;
+            }
+            let value: Vec<u8> = chunks.range(..used).flat_map(|(_, c)| c).copied().collect();
+            match serde_json::from_slice(&value) {
+                Ok(record) => {
+                    self.records.records.insert(id, record);
+                }
+                Err(_) => EventCode::RecordUnreadable.log(format_args!(
+                    "key={} chunks={used}",
+                    LogText(&keys::progress(id))
+                )),
+            }
+        }
+    }
+
     /// Restores jobs and runs in a cell whose workers are already known. Returns the log of which item
     /// holds which record.
     ///
--- a/crates/hs-control/src/run.rs
+++ b/crates/hs-control/src/run.rs
@@ -20,6 +20,7 @@
 use crate::election::Election;
 use crate::intake::IntakeHandle;
 use crate::keys;
+use crate::large_record::RecordLimits;
 use crate::metrics::ControlMetrics;
 use crate::notify::NotifyHandle;
 use crate::peer_listener::{self, PeerLimits};
@@ -112,6 +113,7 @@
         config_state: config_state.clone(),
         config_reader: ConfigReader::default(),
         state_permits: Arc::new(Semaphore::new(MAX_STATE_REQUESTS)),
+        record_limits: RecordLimits::new(options.cell.max_value_bytes),
         unknown_cancellations: Arc::new(Mutex::new(UnknownCancellations::new(platform.now()))),
         ready,
     };
--- a/crates/hs-control/src/takeover.rs
+++ b/crates/hs-control/src/takeover.rs
@@ -118,7 +118,8 @@
             }
             event = writer_events.recv() => match event {
                 Some(WriterEvent::Lost(error)) => return Err(OwnerEnd::Lost(error.to_string())),
-                Some(WriterEvent::Written(_)) => {}
+                // Nothing but confirmations of the claim has been written.
+                Some(WriterEvent::Written(_) | WriterEvent::Refused(_)) => {}
                 None => return Err(OwnerEnd::Lost("the claim writer has ended".to_owned())),
             },
             Some(request) = requests.recv() => match request {
--- /dev/null
+++ b/crates/hs-control/tests/links/large_records.rs
@@ -0,0 +1,277 @@
+//! Jobs whose records exceed the size of a value of the store, and writes that the store never accepts.
+
+use std::time::Duration;
+
+use hs_cell::{
+    CellOptions, JobId, JobOutcome, JobRecord, JobSpec, JobState, StampedRecord, StepId, StepSpec,
+    TaskRun,
+};
+use hs_control::{AccessOptions, JobStateReply, SubmitReply};
+use tokio::time::{Instant, sleep};
+
+use crate::platform::{CallKind, FakePlatform, WorkerBehaviour};
+use crate::process::{ELECTION_TIME, Process, job_spec, put_job};
+
+/// Size of a value of the store in bytes.
+const VALUE_BYTES: usize = 4 << 10;
+
+/// Number of tasks of a step of the large job. Its record takes some ten values of the store.
+const LARGE_STEP: u16 = 300;
+
+const LARGE: JobId = JobId(1);
+const SMALL: JobId = JobId(2);
+
+/// Time in which a job is accepted and started.
+const START_TIME: Duration = Duration::from_secs(3);
+
+/// Time in which a submission has to be answered that can never be accepted.
+const REFUSAL_TIME: Duration = Duration::from_millis(50);
+
+fn large_spec(steps: usize, count: u16) -> JobSpec {
+    let step = StepSpec {
+        count,
+        estimate_ms: 3_000,
+        ..StepSpec::default()
+    };
+    JobSpec {
+        steps: vec![step; steps],
+        ..job_spec()
+    }
+}
+
+async fn start(platform: &FakePlatform) -> Process {
+    platform.state().store.max_value_bytes = Some(VALUE_BYTES);
+    platform.state().keeps_started_runs = true;
+    platform.add_worker("w1", 64_000, WorkerBehaviour::Answers);
+    let cell = CellOptions {
+        max_value_bytes: VALUE_BYTES,
+        ..CellOptions::default()
+    };
+    let process = Process::start_cell(platform, AccessOptions::default(), cell).await;
+    sleep(ELECTION_TIME).await;
+    process
+}
+
+async fn submit(process: &Process, id: JobId, spec: JobSpec) -> SubmitReply {
+    process.control.submit(id, spec, START_TIME).await
+}
+
+async fn state(process: &Process, id: JobId) -> JobStateReply {
+    process.control.state(id, Duration::ZERO).await
+}
+
+fn start_count(platform: &FakePlatform) -> usize {
+    let state = platform.state();
+    let starts = state
+        .calls
+        .iter()
+        .filter(|call| call.kind == CallKind::Start);
+    starts.count()
+}
+
+/// Returns the record of a job, as the next owner joins it.
+fn stored_record(platform: &FakePlatform, id: JobId) -> Option<JobRecord> {
+    let state = platform.state();
+    let count = state.store.value(&format!("hs/run/{id}"))?;
+    let count: serde_json::Value = serde_json::from_slice(&count).ok()?;
+    let chunks = (0..count["x"].as_u64()?).map(|n| state.store.value(&format!("hs/run/{id}/{n}")));
+    let value: Option<Vec<Vec<u8>>> = chunks.collect();
+    let record: StampedRecord = serde_json::from_slice(&value?.concat()).ok()?;
+    Some(record.record)
+}
+
+/// Guards against a cell that stops because the record of one job exceeds a value of the store: its write was repeated for
+/// ever, and no other job started.
+#[tokio::test(start_paused = true)]
+async fn a_job_with_a_large_record_stops_no_other() {
+    let platform = FakePlatform::default();
+    let process = start(&platform).await;
+    let accepted = submit(&process, LARGE, large_spec(3, LARGE_STEP)).await;
+    assert_eq!(accepted, SubmitReply::Accepted);
+    sleep(START_TIME).await;
+    assert!(start_count(&platform) > 100, "the large job does not run");
+    let record = stored_record(&platform, LARGE).expect("a record in chunks");
+    let tasks = record.steps.iter().map(|step| step.tasks.len());
+    assert_eq!(tasks.sum::<usize>(), 3 * usize::from(LARGE_STEP));
+    assert_eq!(
+        submit(&process, SMALL, job_spec()).await,
+        SubmitReply::Accepted
+    );
+    sleep(START_TIME).await;
+    let keys = platform.state().store.keys(&format!("hs/run/{SMALL}"));
+    assert_eq!(keys.len(), 1, "the small job has no record");
+    assert_eq!(platform.state().store.rejections, 0);
+}
+
+/// Guards against chunks that stay in the store once the job has ended.
+#[tokio::test(start_paused = true)]
+async fn the_chunks_of_an_ended_job_are_deleted() {
+    let platform = FakePlatform::default();
+    let process = start(&platform).await;
+    submit(&process, LARGE, large_spec(3, LARGE_STEP)).await;
+    sleep(START_TIME).await;
+    assert!(platform.state().store.keys("hs/run/").len() > 2);
+    process.control.cancel(LARGE, None, START_TIME).await;
+    sleep(START_TIME).await;
+    let ended = JobStateReply::State(JobState::Ended(JobOutcome::Cancelled));
+    assert_eq!(state(&process, LARGE).await, ended);
+    assert!(platform.state().store.keys("hs/run/").is_empty());
+}
+
+/// Guards against an owner that starts running tasks again, because it does not join the chunks of their record, or joins
+/// those of an earlier record too.
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_joins_the_chunks_of_a_record() {
+    struct Case {
+        name: &'static str,
+        /// Whether the item of the record counts all chunks.
+        is_complete: bool,
+        starts: usize,
+    }
+    let cases = [
+        Case {
+            name: "all chunks",
+            is_complete: true,
+            starts: 0,
+        },
+        Case {
+            name: "no record",
+            is_complete: false,
+            starts: 1,
+        },
+    ];
+    // A process whose handle is dropped would not let the paused time go on.
+    let mut processes = Vec::new();
+    for Case {
+        name,
+        is_complete,
+        starts,
+    } in cases
+    {
+        let platform = FakePlatform::default();
+        put_job(&platform, LARGE.0, Some("w1"));
+        let key = format!("hs/run/{LARGE}");
+        let record = platform.state().store.value(&key).expect("a record");
+        let chunks: Vec<&[u8]> = record.chunks(16).collect();
+        let count = if is_complete { chunks.len() } else { 0 };
+        platform.put(key.clone(), format!("{{\"x\":{count}}}").into_bytes());
+        for (number, chunk) in chunks.iter().enumerate() {
+            platform.put(format!("{key}/{number}"), chunk.to_vec());
+        }
+        let stale = format!("{key}/{}", chunks.len());
+        platform.put(stale, b"of an earlier record".to_vec());
+        let step = StepId {
+            job: LARGE,
+            occurrence: 0,
+            step: 0,
+        };
+        let task = step.task(0);
+        platform.report_run("w1", TaskRun { task, run: 1 });
+        processes.push(start(&platform).await);
+        sleep(START_TIME).await;
+        assert_eq!(start_count(&platform), starts, "{name}");
+    }
+}
+
+/// Guards against a record that the store never accepts: it may cost its own job, and not the cell.
+#[tokio::test(start_paused = true)]
+async fn a_refused_record_costs_one_job() {
+    let platform = FakePlatform::default();
+    let process = start(&platform).await;
+    let rejected = format!("hs/run/{LARGE}");
+    platform.state().store.rejected_keys.push(rejected);
+    let both = tokio::join!(
+        submit(&process, LARGE, job_spec()),
+        submit(&process, SMALL, job_spec())
+    );
+    assert_eq!(both, (SubmitReply::Accepted, SubmitReply::Accepted));
+    sleep(START_TIME).await;
+    let failed = JobStateReply::State(JobState::Ended(JobOutcome::Failed));
+    assert_eq!(state(&process, LARGE).await, failed);
+    let keys = platform.state().store.keys(&format!("hs/run/{SMALL}"));
+    assert_eq!(keys.len(), 1, "the other job has no record");
+    assert_eq!(start_count(&platform), 1);
+}
+
+/// Guards against a store that accepts nothing for a while: no job may fail for that.
+#[tokio::test(start_paused = true)]
+async fn no_job_fails_while_the_store_rejects_the_claim() {
+    let platform = FakePlatform::default();
+    let process = start(&platform).await;
+    submit(&process, SMALL, job_spec()).await;
+    platform
+        .state()
+        .store
+        .rejected_keys
+        .push("hs/owner".to_owned());
+    sleep(START_TIME).await;
+    platform.state().store.rejected_keys.clear();
+    sleep(START_TIME).await;
+    assert_ne!(
+        state(&process, SMALL).await,
+        JobStateReply::State(JobState::Ended(JobOutcome::Failed))
+    );
+    assert_eq!(start_count(&platform), 1);
+}
+
+/// Guards against a job that is accepted although the store can never hold it or its record, and against one whose row is
+/// repeated until the deadlines of all rows in its transaction.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_cannot_be_stored_is_refused_at_once() {
+    struct Case {
+        name: &'static str,
+        spec: JobSpec,
+        is_key_rejected: bool,
+        reply: SubmitReply,
+    }
+    let cases = [
+        Case {
+            name: "too many tasks",
+            spec: large_spec(64, 4096),
+            is_key_rejected: false,
+            reply: SubmitReply::TooLarge,
+        },
+        Case {
+            name: "a long input",
+            spec: JobSpec {
+                input: "x".repeat(VALUE_BYTES).into(),
+                ..job_spec()
+            },
+            is_key_rejected: false,
+            reply: SubmitReply::TooLarge,
+        },
+        Case {
+            name: "a row that the store rejects",
+            spec: job_spec(),
+            is_key_rejected: true,
+            reply: SubmitReply::Refused,
+        },
+    ];
+    let mut processes = Vec::new();
+    for Case {
+        name,
+        spec,
+        is_key_rejected,
+        reply,
+    } in cases
+    {
+        let platform = FakePlatform::default();
+        let process = start(&platform).await;
+        if is_key_rejected {
+            let key = format!("hs/in/job/{LARGE}");
+            platform.state().store.rejected_keys.push(key);
+        }
+        let submitted_at = Instant::now();
+        let (refused, other) = tokio::join!(
+            async {
+                let refused = submit(&process, LARGE, spec).await;
+                (refused, submitted_at.elapsed())
+            },
+            submit(&process, SMALL, job_spec())
+        );
+        assert_eq!(refused.0, reply, "{name}");
+        assert!(refused.1 <= REFUSAL_TIME, "{name}: {:?}", refused.1);
+        assert_eq!(other, SubmitReply::Accepted, "{name}");
+        processes.push(process);
+    }
+}
--- a/crates/hs-control/tests/links/main.rs
+++ b/crates/hs-control/tests/links/main.rs
@@ -2,6 +2,7 @@
 
 mod cancellations;
 mod confirmation;
+mod large_records;
 mod orders;
 mod outdated_config;
 mod platform;
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -79,6 +79,8 @@
     pub late_starts: usize,
     /// Workers whose next reply is lost.
     lost_replies: Vec<Arc<str>>,
+    /// Whether the workers report the runs that they start.
+    pub keeps_started_runs: bool,
     /// Runs that the workers report.
     reported_runs: HashMap<Arc<str>, Vec<TaskRun>>,
     /// All calls to workers, in order.
@@ -290,7 +292,7 @@
         peer: &WorkerEndpoint,
         _: u64,
         _: u64,
-        _: &StartOrder,
+        order: &StartOrder,
         timeout: Duration,
     ) -> Result<OrderAnswer<StartReply>, PortError> {
         let is_late = self.state().take_late_start();
@@ -300,8 +302,11 @@
             return Err(no_reply(&peer.id, "no reply in time"));
         }
         let call = self.call_worker(peer, CallKind::Start, Duration::ZERO, timeout);
-        call.await
-            .map(|()| self.answer(&peer.id, StartReply::Started))
+        call.await?;
+        if self.state().keeps_started_runs {
+            self.report_run(&peer.id, order.run);
+        }
+        Ok(self.answer(&peer.id, StartReply::Started))
     }
 
     async fn stop(
--- a/crates/hs-control/tests/links/process.rs
+++ b/crates/hs-control/tests/links/process.rs
@@ -32,10 +32,19 @@
 
     /// Starts a process with settings of the decision whether a call is allowed.
     pub async fn start_with(platform: &FakePlatform, access: AccessOptions) -> Self {
+        Self::start_cell(platform, access, CellOptions::default()).await
+    }
+
+    /// Starts a process with settings of its cell.
+    pub async fn start_cell(
+        platform: &FakePlatform,
+        access: AccessOptions,
+        cell: CellOptions,
+    ) -> Self {
         let options = ControlOptions {
             node: "node-1".to_owned(),
             peer_listen: "127.0.0.1:0".parse().expect("address"),
-            cell: CellOptions::default(),
+            cell,
             limits: VmLimits::default(),
             peer_limits: PeerLimits::default(),
             access,
--- a/crates/hs-control/tests/links/store.rs
+++ b/crates/hs-control/tests/links/store.rs
@@ -18,6 +18,9 @@
 /// Name of the only queue.
 pub const QUEUE: &str = "queue";
 
+/// Maximum number of entries of a transaction.
+const MAX_TXN_ENTRIES: usize = 32;
+
 /// Number of items on a page of the store.
 const PAGE_ITEMS: usize = 200;
 
@@ -26,6 +29,12 @@
 pub struct MemoryStore {
     items: BTreeMap<String, StoreItem>,
     revision: u64,
+    /// Maximum size of a value in bytes; `None` for no limit.
+    pub max_value_bytes: Option<usize>,
+    /// Keys of items that the store never accepts.
+    pub rejected_keys: Vec<String>,
+    /// Number of transactions that were rejected for good.
+    pub rejections: usize,
 }
 
 impl MemoryStore {
@@ -56,6 +65,27 @@
         }
     }
 
+    /// Returns the value of an item.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.items.get(key)?.value.clone()
+    }
+
+    /// Returns the keys with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let keys = self.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
+    fn is_rejected(&self, txn: &StoreTxn) -> bool {
+        let entries = txn.expect.len() + txn.writes.len() + txn.deletes.len();
+        let mut writes = txn.writes.iter();
+        let is_bad = |(key, value): &(String, Vec<u8>)| {
+            let is_large = self.max_value_bytes.is_some_and(|max| value.len() > max);
+            is_large || self.rejected_keys.contains(key)
+        };
+        entries > MAX_TXN_ENTRIES || writes.any(is_bad)
+    }
+
     fn transact(&mut self, txn: &StoreTxn) -> TxnReply {
         let revision_of = |key: &String| self.items.get(key).map_or(0, |item| item.revision);
         let is_met = |(key, revision): &(String, u64)| revision_of(key) == *revision;
@@ -102,7 +132,16 @@
     }
 
     async fn transact(&self, txn: &StoreTxn, _: Duration) -> Result<TxnReply, PortError> {
-        Ok(self.state().store.transact(txn))
+        let store = &mut self.state().store;
+        if store.is_rejected(txn) {
+            store.rejections += 1;
+            return Err(PortError::Rejected {
+                operation: "store write",
+                peer: "store".to_owned(),
+                cause: "status 400".to_owned(),
+            });
+        }
+        Ok(store.transact(txn))
     }
 }
 
--- a/crates/hs-control/tests/simulation/observer.rs
+++ b/crates/hs-control/tests/simulation/observer.rs
@@ -108,7 +108,7 @@
     pub fn submitted(&mut self, id: JobId, reply: SubmitReply) {
         match reply {
             SubmitReply::Accepted => self.stored(id),
-            SubmitReply::Refused => {
+            SubmitReply::Refused | SubmitReply::TooLarge => {
                 self.refused.insert(id);
             }
             SubmitReply::Unknown => self.unknown_submissions += 1,
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -225,6 +225,8 @@
     RowUnreadable = 8108, Warn, "row of a reply unreadable";
     /// The listener for other processes could not accept a connection. It goes on after a pause.
     PeerAcceptFailed = 8109, Warn, "peer connection not accepted";
+    /// The store refuses a record for good, or cannot hold it. Its job fails.
+    RecordRefused = 8110, Error, "record refused by the store";
 }
 
 impl EventCode {
