--- a/crates/hs-control/src/claim.rs
+++ b/crates/hs-control/src/claim.rs
@@ -201,8 +201,9 @@
 ///
 /// # Errors
 ///
-/// Returns [`ClaimError::Rejected`] if the store never accepts the write, and otherwise that the claim is lost. Then this call has written nothing, unless an earlier
-/// attempt was applied before the claim was lost.
+/// Returns [`ClaimError::Rejected`] if the store never accepts the write. The claim is still held, and nothing is written.
+/// Any other error means that the claim is lost. Then this call has written nothing, unless an earlier attempt was applied
+/// before the claim was lost.
 pub(crate) async fn write_with_claim<P: StorePort + ClockPort>(
     port: &P,
     held: &HeldClaim,
--- a/crates/hs-control/src/claim_writer.rs
+++ b/crates/hs-control/src/claim_writer.rs
@@ -161,9 +161,7 @@
             }))
         })
     }
-}
 
-impl<P: Platform> ClaimWriter<P> {
     /// Confirms the claim after refused writes, which shows that it is the writes that the store doesn't accept.
     async fn confirm_after(&mut self, mut refused: RefusedWrites) -> WriterEvent {
         let confirm = ClaimChange::Confirm;
--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -35,6 +35,7 @@
 mod handover;
 mod intake;
 mod job_phase;
+mod job_query;
 mod keys;
 mod lag;
 mod large_record;
