fix(cell): jobs that come before a late gang don't take its room each time its reservation is renewed

What callers see: a gang that is late, or no longer useful, does not start while small jobs of the same or a lower priority keep coming, however much of the workers is free. Cause: a reservation was dropped after 100 ms and made again at the visit to its gang. The steps of jobs that are on time come before a late gang in a pass, so in each such pass they found the workers unreserved. Change: a reservation is outdated after 100 ms and stays in force until its gang is visited, or for 1 s; other gangs may reserve its workers meanwhile, as before. The tests of the reservations also distinguish a run past its estimate from one that ends now, tasks without a known end before the start of a gang, a backfill without end, and the reported state.

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -103,8 +103,8 @@
     pub(crate) pass_work: PassWork,
     pub(crate) turns: StepTurns,
     pub(crate) reservations: Vec<Reservation>,
-    /// Reservations that have expired a short time ago.
-    pub(crate) expired_reservations: Vec<Reservation>,
+    /// Reservations that were dropped a short time ago.
+    pub(crate) dropped_reservations: Vec<Reservation>,
     /// CPU that the earlier single-task steps of the current pass are expected to use, by worker.
     pub(crate) expected_use: SecondaryMap<WorkerKey, u32>,
     /// Workers that are vacated for suspects, and some that were.
@@ -150,7 +150,7 @@
             pass_work: PassWork::default(),
             turns: StepTurns::default(),
             reservations: Vec::new(),
-            expired_reservations: Vec::new(),
+            dropped_reservations: Vec::new(),
             expected_use: SecondaryMap::new(),
             vacated_workers: Vec::new(),
             lost_tasks: HashMap::new(),
--- a/crates/hs-cell/src/reservation.rs
+++ b/crates/hs-cell/src/reservation.rs
@@ -16,10 +16,13 @@
 use crate::worker::Worker;
 use crate::{StepId, TaskRun, WorkerKey};
 
-/// Time after which a reservation expires, so that the workers are chosen again.
+/// Time after which a reservation is outdated, so that the workers are chosen again.
 const RESERVATION_TTL: Duration = Duration::from_millis(100);
 
-/// Time for which an expired reservation is remembered. A gang that reserves again meanwhile has waited all along.
+/// Time for which an outdated reservation stays in force if its gang is not visited.
+const MAX_RESERVATION_AGE: Duration = Duration::from_secs(1);
+
+/// Time for which a dropped reservation is remembered. A gang that reserves again meanwhile has waited all along.
 const RESERVATION_GAP: Duration = Duration::from_secs(1);
 
 /// Maximum time before the expected start of a gang for which its reservation keeps out tasks without an expected end.
@@ -51,6 +54,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerReservation {
     pub holder: ReservationHolder,
+    made_at: Instant,
     start_at: Instant,
     need: Resources,
     ending: SmallVec<[TaskRun; 4]>,
@@ -88,6 +92,18 @@
     pub start_in: Duration,
 }
 
+impl Reservation {
+    /// Returns whether the workers are to be chosen again. Until that is done the reservation keeps them from the steps
+    /// that come before the gang in a pass, since they would otherwise take its room each time.
+    pub(crate) fn is_outdated(&self, now: Instant) -> bool {
+        is_outdated(self.made_at, now)
+    }
+}
+
+fn is_outdated(made_at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(made_at) >= RESERVATION_TTL
+}
+
 impl ReservationHolder {
     /// Returns whether the reservation keeps the workers from another step. Among jobs of one class the priority
     /// decides. A surplus gang holds nothing against owed steps, and an owed one holds its workers against the
@@ -114,6 +130,11 @@
 }
 
 impl WorkerReservation {
+    /// Returns whether another gang can't reserve the worker.
+    pub(crate) fn excludes_gang(&self, class: JobClass, now: Instant) -> bool {
+        self.holder.rank.class <= class && !is_outdated(self.made_at, now)
+    }
+
     /// Returns the expected end of a task if it is placed now and ends before the gang starts.
     fn backfill_end(&self, demand: &StepDemand, now: Instant) -> Option<Instant> {
         let end = now + demand.run_time?;
@@ -171,8 +192,7 @@
 }
 
 impl Cell {
-    /// Drops reservations that have expired or whose steps no longer wait, and marks the workers of the
-    /// remaining ones.
+    /// Drops reservations that are too old or whose steps no longer wait, and marks the workers of the remaining ones.
     pub(crate) fn refresh_reservations(&mut self, now: Instant) {
         let mut reservations = std::mem::take(&mut self.reservations);
         for reserved in reservations.iter().flat_map(|r| &r.workers) {
@@ -181,15 +201,11 @@
             }
         }
         let age = |made_at: Instant| now.saturating_duration_since(made_at);
-        self.expired_reservations
-            .retain(|expired| age(expired.made_at) < RESERVATION_GAP);
+        self.dropped_reservations
+            .retain(|dropped| age(dropped.made_at) < RESERVATION_GAP);
         reservations.retain(|reservation| {
-            let is_fresh = age(reservation.made_at) < RESERVATION_TTL;
-            let waits = self.has_waiting_tasks(reservation.holder.step);
-            if waits && !is_fresh {
-                self.expired_reservations.push(reservation.clone());
-            }
-            waits && is_fresh
+            age(reservation.made_at) < MAX_RESERVATION_AGE
+                && self.has_waiting_tasks(reservation.holder.step)
         });
         for reservation in &reservations {
             self.mark_reserved(reservation);
@@ -206,9 +222,9 @@
 
     /// Returns the time since which a gang that reserves workers now has reserved some.
     pub(crate) fn reserved_since(&self, step: StepId, now: Instant) -> Instant {
-        let expired = self.expired_reservations.iter();
-        let earlier = expired.filter(|expired| expired.holder.step == step);
-        earlier.map(|expired| expired.since).min().unwrap_or(now)
+        let dropped = self.dropped_reservations.iter();
+        let earlier = dropped.filter(|dropped| dropped.holder.step == step);
+        earlier.map(|dropped| dropped.since).min().unwrap_or(now)
     }
 
     /// Drops the reservation of a step, if it has one.
@@ -217,11 +233,12 @@
         let Some(reservation) = reservation.map(|index| self.reservations.remove(index)) else {
             return;
         };
-        for reserved in reservation.workers {
+        for reserved in &reservation.workers {
             if let Some(worker) = self.workers.get_mut(reserved.key) {
                 worker.reserved_by = None;
             }
         }
+        self.dropped_reservations.push(reservation);
     }
 
     /// Drops reservations of a lower class whose workers a new one takes.
@@ -243,6 +260,7 @@
             if let Some(worker) = self.workers.get_mut(reserved.key) {
                 worker.reserved_by = Some(WorkerReservation {
                     holder: reservation.holder,
+                    made_at: reservation.made_at,
                     start_at: reservation.start_at,
                     need: reserved.need,
                     ending: reserved.ending.clone(),
--- a/crates/hs-cell/src/reserve.rs
+++ b/crates/hs-cell/src/reserve.rs
@@ -37,17 +37,21 @@
     /// Reserves workers for a gang that does not fit, and preempts runs there if that lets it start sooner.
     pub(crate) fn reserve(&mut self, order: OrderKey, wanted: u32, now: Instant) {
         let id = order.step;
-        let already_reserved = self.reservations.iter().any(|r| r.holder.step == id);
+        let own = self.reservations.iter().find(|r| r.holder.step == id);
+        if own.is_some_and(|own| !own.is_outdated(now)) {
+            return;
+        }
+        self.drop_reservation(id);
         let class = order.rank.class;
         let same_priority =
             |r: &&Reservation| r.holder.priority == order.priority && r.holder.rank.class == class;
-        let count = self.reservations.iter().filter(same_priority).count();
+        let count = self.current_reservations(now).filter(same_priority).count();
         let limit = match order.rank.timeliness {
             Timeliness::OnTime | Timeliness::Late => MAX_RESERVATIONS_PER_PRIORITY,
             // Its objective can no longer be met, so it reserves only if no other gang of its priority does.
             Timeliness::Overdue => 1,
         };
-        if already_reserved || count >= limit {
+        if count >= limit {
             return;
         }
         let Some(allowed) = self.allowed_workers(order, now) else {
@@ -74,8 +78,9 @@
             }
         }
         let workers = self.reserved_workers_of(&plan, gang, now);
-        let reservations = self.reservations.iter();
-        let of_class = reservations.filter(|r| r.holder.rank.class <= class);
+        let of_class = self
+            .current_reservations(now)
+            .filter(|r| r.holder.rank.class <= class);
         let reserved: usize = of_class.map(|r| r.workers.len()).sum();
         if reserved + workers.len() > (self.workers.len() / RESERVABLE_WORKERS_DIVISOR).max(1)
             && reserved > 0
@@ -96,6 +101,12 @@
         });
     }
 
+    /// Returns the reservations whose workers are not to be chosen again.
+    fn current_reservations(&self, now: Instant) -> impl Iterator<Item = &Reservation> {
+        let reservations = self.reservations.iter();
+        reservations.filter(move |reservation| !reservation.is_outdated(now))
+    }
+
     /// Returns the unreserved workers that accept runs and on which a step may run. If its queue uses advice, these are only the
     /// workers with a ticket.
     fn allowed_workers(&self, order: OrderKey, now: Instant) -> Option<Vec<WorkerKey>> {
@@ -109,8 +120,7 @@
                 return false;
             };
             let reservation = worker.reserved_by.as_ref();
-            let holder_class = reservation.map(|reservation| reservation.holder.rank.class);
-            let is_free = holder_class.is_none_or(|holder_class| holder_class > class);
+            let is_free = !reservation.is_some_and(|r| r.excludes_gang(class, now));
             is_free && worker.accepts_runs(now) && eligibility.admits(worker, now)
         };
         Some(match queue.advice {
--- a/crates/hs-cell/tests/cell/reservations.rs
+++ b/crates/hs-cell/tests/cell/reservations.rs
@@ -27,6 +27,7 @@
 
 /// Small jobs that are submitted one after the other, and when each has started.
 struct SmallJobs {
+    queue: &'static str,
     spec: StepSpec,
     /// How long each run takes, whatever its estimate says.
     run_time: Duration,
@@ -36,8 +37,9 @@
 }
 
 impl SmallJobs {
-    fn new(spec: StepSpec, run_time: Duration) -> Self {
+    fn new(queue: &'static str, spec: StepSpec, run_time: Duration) -> Self {
         Self {
+            queue,
             spec,
             run_time,
             submitted: Vec::new(),
@@ -49,7 +51,7 @@
     fn submit(&mut self, world: &mut World) {
         let small = id(FIRST_SMALL + self.submitted.len() as u64);
         self.submitted.push((small, world.now));
-        world.submit(small, job("night", vec![self.spec.clone()]));
+        world.submit(small, job(self.queue, vec![self.spec.clone()]));
     }
 
     /// Notes the starts, and ends the runs whose time is over.
@@ -126,9 +128,9 @@
     }
 }
 
-/// Guards against small jobs of a lower priority that never start beside a gang: it waits for runs of which no end is
-/// in sight, and its reservation keeps room from the jobs that it can't use itself. The gang has to start once those
-/// runs are gone, however many small jobs there are.
+/// Guards against small jobs that never start beside a gang: it waits for runs of which no end is in sight, and its
+/// reservation keeps room from the jobs that it can't use itself. The gang has to start once those runs are gone, however
+/// many small jobs there are, and although it is late by then and they are not.
 #[test]
 fn small_jobs_run_beside_a_gang_that_cannot_start_soon() {
     struct Case {
@@ -164,15 +166,16 @@
             progress: Progress::Fixed(100),
         },
     ];
-    for Case {
-        name,
-        obstacle,
-        progress,
-    } in cases
-    {
-        let mut world = world_with_obstacle(obstacle);
+    // The jobs of the gang's own queue, and those of a lower priority.
+    let queues = ["desk", "night"];
+    let cases = cases.iter().flat_map(|case| queues.map(|q| (case, q)));
+    for (case, small_queue) in cases {
+        let name = format!("{}, small jobs of {small_queue}", case.name);
+        let progress = case.progress;
+        let mut world = world_with_obstacle(case.obstacle.clone());
         let began_at = world.now;
-        let mut small = SmallJobs::new(step(2, 500, 500), Duration::from_millis(500));
+        // More than the 1 of 8 cores that a worker has beside a member of the gang.
+        let mut small = SmallJobs::new(small_queue, step(2, 1500, 500), Duration::from_millis(500));
         // Runs past their estimate have been so for some time when the gang comes.
         for _ in 0..40 {
             set_progress(&mut world, progress, began_at);
@@ -248,7 +251,7 @@
         let obstacle_time = Duration::from_secs(3);
         let mut world = world_with_obstacle(step(WORKERS, 2000, 3000));
         let began_at = world.now;
-        let mut small = SmallJobs::new(step(6, 3000, estimate_ms), run_time);
+        let mut small = SmallJobs::new("night", step(6, 3000, estimate_ms), run_time);
         world.submit(GANG, job("desk", vec![gang()]));
         let submitted_at = world.now;
         for round in 0..400 {
@@ -300,19 +303,116 @@
     assert_eq!(runs, vec![1; usize::from(WORKERS)]);
 }
 
-/// Guards against a task that lasts and waits for as long as a gang of a higher priority does, beside room for both.
+/// Guards against a task without a known end that waits for as long as a gang of a higher priority does, beside room for
+/// both, and against one that takes the room of a gang which is about to start.
 #[test]
-fn a_task_that_lasts_does_not_wait_for_a_gang_with_a_distant_start() {
-    let mut world = world_with_obstacle(step(WORKERS, 2000, 60_000));
-    world.submit(GANG, job("desk", vec![gang()]));
-    rounds(&mut world, 4);
+fn tasks_without_a_known_end_wait_only_for_a_gang_that_is_about_to_start() {
+    struct Case {
+        name: &'static str,
+        obstacle_ms: u64,
+        spec: StepSpec,
+        may_start: bool,
+    }
     let lasting = StepSpec {
         long_running: true,
         ..step(1, 3000, 800)
     };
-    world.submit(id(3), job("night", vec![lasting]));
-    rounds(&mut world, 20);
-    assert_eq!(world.placed(id(3)).len(), 1);
+    let cases = [
+        Case {
+            name: "a task that lasts, long before the start",
+            obstacle_ms: 60_000,
+            spec: lasting.clone(),
+            may_start: true,
+        },
+        Case {
+            name: "a task that lasts, shortly before the start",
+            obstacle_ms: 1500,
+            spec: lasting,
+            may_start: false,
+        },
+        Case {
+            name: "a task without an estimate, shortly before the start",
+            obstacle_ms: 1500,
+            spec: step(1, 3000, 0),
+            may_start: false,
+        },
+    ];
+    for Case {
+        name,
+        obstacle_ms,
+        spec,
+        may_start,
+    } in cases
+    {
+        let obstacle_time = Duration::from_millis(obstacle_ms);
+        let mut world = world_with_obstacle(step(WORKERS, 2000, obstacle_ms));
+        let began_at = world.now;
+        world.submit(GANG, job("desk", vec![gang()]));
+        for round in 0..20 {
+            if round == 14 {
+                world.submit(id(3), job("night", vec![spec.clone()]));
+            }
+            set_progress(&mut world, Progress::Over(obstacle_time), began_at);
+            world.fault_free_round(ROUND_TIME);
+        }
+        let expected = usize::from(may_start);
+        assert_eq!(world.placed(id(3)).len(), expected, "{name}");
+    }
+}
+
+/// Guards against jobs that wait for as long as a run goes on which was to end before a gang's start and doesn't.
+#[test]
+fn a_run_far_past_its_estimate_keeps_no_others_out() {
+    let mut world = world_with_obstacle(step(WORKERS, 2000, 3000));
+    let began_at = world.now;
+    let obstacle_time = Duration::from_secs(3);
+    world.submit(GANG, job("desk", vec![gang()]));
+    rounds(&mut world, 4);
+    let endless = id(3);
+    world.submit(endless, job("night", vec![step(1, 3000, 200)]));
+    let mut small = SmallJobs::new("night", step(2, 1500, 500), Duration::from_millis(500));
+    for round in 0..400 {
+        set_progress(&mut world, Progress::Over(obstacle_time), began_at);
+        if world.now - began_at >= obstacle_time {
+            for (worker, run) in world.placed(OBSTACLE) {
+                world.end(worker, run, RunEnd::Done);
+            }
+        }
+        // From 10 s on the gang waits for the endless run alone.
+        if round >= 200 && round % SMALL_JOB_ROUNDS == 0 {
+            small.submit(&mut world);
+        }
+        world.fault_free_round(ROUND_TIME);
+        small.update(&mut world);
+    }
+    assert_eq!(world.placed(endless).len(), 1);
+    let wait = small.longest_wait(world.now);
+    assert!(wait <= MAX_SMALL_WAIT, "a small job waits {wait:?}");
+}
+
+/// Guards against reservations of which nobody can tell whose they are, and since when.
+#[test]
+fn the_state_of_a_reservation_tells_its_age_and_its_start() {
+    let mut world = world_with_obstacle(step(WORKERS, 2000, 60_000));
+    let began_at = world.now;
+    world.submit(GANG, job("desk", vec![gang()]));
+    for _ in 0..60 {
+        set_progress(
+            &mut world,
+            Progress::Over(Duration::from_secs(60)),
+            began_at,
+        );
+        world.fault_free_round(ROUND_TIME);
+    }
+    let states = world.cell.reservation_states(9, 9, world.now);
+    let [state] = states.as_slice() else {
+        panic!("{} reservations", states.len());
+    };
+    assert_eq!(state.step.job, GANG);
+    assert_eq!(state.worker_count, usize::from(WORKERS));
+    assert!(state.age >= Duration::from_secs(2), "{:?}", state.age);
+    let start_in = Duration::from_secs(40)..Duration::from_secs(70);
+    assert!(start_in.contains(&state.start_in), "{:?}", state.start_in);
 }
 
 /// Guards against small tasks that are kept from a worker on which a gang leaves room for them beside its members.
