test(control): refusals that pass, full segments and a record that outgrows a transaction

Change: three tests in large_records.rs; the one of a store that rejects the claim is a table now, with its earlier case.

--- a/crates/hs-control/tests/links/large_records.rs
+++ b/crates/hs-control/tests/links/large_records.rs
@@ -7,6 +7,7 @@
     TaskRun,
 };
 use hs_control::{AccessOptions, JobStateReply, SubmitReply};
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use crate::platform::{CallKind, FakePlatform, WorkerBehaviour};
@@ -24,6 +25,9 @@
 /// Time in which a job is accepted and started.
 const START_TIME: Duration = Duration::from_secs(3);
 
+/// Time in which a run that no worker has is started again.
+const LOSS_TIME: Duration = Duration::from_secs(30);
+
 /// Time in which a submission has to be answered that can never be accepted.
 const REFUSAL_TIME: Duration = Duration::from_millis(50);
 
@@ -80,6 +84,18 @@
     Some(record.record)
 }
 
+/// Stores a record in chunks of a size. Returns their number.
+fn put_chunks(platform: &FakePlatform, id: JobId, record: &[u8], size: usize) -> usize {
+    let key = format!("hs/run/{id}");
+    let chunks: Vec<&[u8]> = record.chunks(size).collect();
+    let count = chunks.len();
+    platform.put(key.clone(), format!("{{\"x\":{count}}}").into_bytes());
+    for (number, chunk) in chunks.iter().enumerate() {
+        platform.put(format!("{key}/{number}"), chunk.to_vec());
+    }
+    count
+}
+
 /// Guards against a cell that stops because the record of one job exceeds a value of the store: its write was repeated for
 /// ever, and no other job started.
 #[tokio::test(start_paused = true)]
@@ -152,13 +168,11 @@
         put_job(&platform, LARGE.0, Some("w1"));
         let key = format!("hs/run/{LARGE}");
         let record = platform.state().store.value(&key).expect("a record");
-        let chunks: Vec<&[u8]> = record.chunks(16).collect();
-        let count = if is_complete { chunks.len() } else { 0 };
-        platform.put(key.clone(), format!("{{\"x\":{count}}}").into_bytes());
-        for (number, chunk) in chunks.iter().enumerate() {
-            platform.put(format!("{key}/{number}"), chunk.to_vec());
+        let count = put_chunks(&platform, LARGE, &record, 16);
+        if !is_complete {
+            platform.put(key.clone(), b"{\"x\":0}".to_vec());
         }
-        let stale = format!("{key}/{}", chunks.len());
+        let stale = format!("{key}/{count}");
         platform.put(stale, b"of an earlier record".to_vec());
         let step = StepId {
             job: LARGE,
@@ -193,25 +207,112 @@
     assert_eq!(start_count(&platform), 1);
 }
 
-/// Guards against a store that accepts nothing for a while: no job may fail for that.
+/// Guards against jobs that fail, or start twice, because the store accepts nothing, or not their records, for a while.
 #[tokio::test(start_paused = true)]
-async fn no_job_fails_while_the_store_rejects_the_claim() {
+async fn no_job_fails_while_the_store_rejects_writes_for_a_while() {
+    struct Case {
+        name: &'static str,
+        rejected_key: String,
+        /// Whether the job has started when the store begins to reject writes.
+        has_started: bool,
+        rejected_for: Duration,
+    }
+    let claim = "hs/owner".to_owned();
+    let cases = [
+        Case {
+            name: "the claim, after the start of the job",
+            rejected_key: claim.clone(),
+            has_started: true,
+            rejected_for: START_TIME,
+        },
+        Case {
+            name: "the claim, before the start of the job",
+            rejected_key: claim,
+            has_started: false,
+            rejected_for: START_TIME,
+        },
+        Case {
+            name: "the record, once",
+            rejected_key: format!("hs/run/{SMALL}"),
+            has_started: false,
+            rejected_for: Duration::from_millis(60),
+        },
+    ];
+    let mut processes = Vec::new();
+    for Case {
+        name,
+        rejected_key,
+        has_started,
+        rejected_for,
+    } in cases
+    {
+        let platform = FakePlatform::default();
+        let process = start(&platform).await;
+        let reject = || platform.state().store.rejected_keys.push(rejected_key);
+        if has_started {
+            submit(&process, SMALL, job_spec()).await;
+            sleep(START_TIME).await;
+            reject();
+        } else {
+            reject();
+            submit(&process, SMALL, job_spec()).await;
+        }
+        sleep(rejected_for).await;
+        assert!(platform.state().store.rejections > 0, "{name}");
+        platform.state().store.rejected_keys.clear();
+        sleep(START_TIME).await;
+        let failed = JobStateReply::State(JobState::Ended(JobOutcome::Failed));
+        assert_ne!(state(&process, SMALL).await, failed, "{name}");
+        assert_eq!(start_count(&platform), 1, "{name}");
+        processes.push(process);
+    }
+}
+
+/// Guards against a segment that exceeds a value of the store, since it has the records of many jobs.
+#[tokio::test(start_paused = true)]
+async fn the_records_of_many_jobs_fit_in_values() {
+    const JOBS: u64 = 40;
     let platform = FakePlatform::default();
     let process = start(&platform).await;
-    submit(&process, SMALL, job_spec()).await;
-    platform
-        .state()
-        .store
-        .rejected_keys
-        .push("hs/owner".to_owned());
-    sleep(START_TIME).await;
-    platform.state().store.rejected_keys.clear();
+    let mut submissions = JoinSet::new();
+    for number in 1..=JOBS {
+        let control = process.control.clone();
+        submissions.spawn(async move {
+            let spec = large_spec(1, 20);
+            control.submit(JobId(number), spec, START_TIME).await
+        });
+    }
+    let replies = submissions.join_all().await;
+    assert!(replies.iter().all(|reply| *reply == SubmitReply::Accepted));
     sleep(START_TIME).await;
-    assert_ne!(
-        state(&process, SMALL).await,
-        JobStateReply::State(JobState::Ended(JobOutcome::Failed))
-    );
-    assert_eq!(start_count(&platform), 1);
+    for number in 1..=JOBS {
+        let reply = state(&process, JobId(number)).await;
+        assert_eq!(reply, JobStateReply::State(JobState::Running), "{number}");
+    }
+    assert_eq!(platform.state().store.rejections, 0);
+}
+
+/// Guards against a record that outgrows a transaction after its job was accepted: it may cost its own job, and no write that
+/// is bound to be refused.
+#[tokio::test(start_paused = true)]
+async fn a_record_that_outgrows_a_transaction_costs_one_job() {
+    let platform = FakePlatform::default();
+    put_job(&platform, LARGE.0, Some("w1"));
+    let record = platform.state().store.value(&format!("hs/run/{LARGE}"));
+    let mut record: StampedRecord =
+        serde_json::from_slice(&record.expect("a record")).expect("a valid record");
+    record.record.steps[0].tasks[0].checkpoint = "x".repeat(40 * VALUE_BYTES);
+    let record = serde_json::to_vec(&record).expect("a record");
+    put_chunks(&platform, LARGE, &record, VALUE_BYTES);
+    // No worker has the run of the record, so that the task starts again.
+    let process = start(&platform).await;
+    submit(&process, SMALL, job_spec()).await;
+    sleep(LOSS_TIME).await;
+    let failed = JobStateReply::State(JobState::Ended(JobOutcome::Failed));
+    assert_eq!(state(&process, LARGE).await, failed);
+    let keys = platform.state().store.keys(&format!("hs/run/{SMALL}"));
+    assert_eq!(keys.len(), 1, "the small job has no record");
+    assert_eq!(platform.state().store.rejections, 0);
 }
 
 /// Guards against a job that is accepted although the store can never hold it or its record, and against one whose row is
