test(control): a refusal counts only if the claim is accepted

Cause: the condition could be removed without a test that fails. Change: the fake store rejects transactions with the claim by a list.

--- a/crates/hs-control/tests/links/large_records.rs
+++ b/crates/hs-control/tests/links/large_records.rs
@@ -12,6 +12,7 @@
 
 use crate::platform::{CallKind, FakePlatform, WorkerBehaviour};
 use crate::process::{ELECTION_TIME, Process, job_spec, put_job};
+use crate::store::CLAIM;
 
 /// Size of a value of the store in bytes.
 const VALUE_BYTES: usize = 4 << 10;
@@ -217,7 +218,7 @@
         has_started: bool,
         rejected_for: Duration,
     }
-    let claim = "hs/owner".to_owned();
+    let claim = CLAIM.to_owned();
     let cases = [
         Case {
             name: "the claim, after the start of the job",
@@ -268,6 +269,22 @@
     }
 }
 
+/// Guards against a job that fails because its row was refused twice, while the store refused the claim alone as well.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_counts_only_if_the_claim_is_accepted() {
+    let platform = FakePlatform::default();
+    let process = start(&platform).await;
+    // Twice the write with the record and the confirmation after it, and then an accepted confirmation.
+    let rejections = [true, true, false, true, true, false];
+    platform.state().store.claim_rejections.extend(rejections);
+    submit(&process, SMALL, job_spec()).await;
+    sleep(START_TIME).await;
+    assert_eq!(platform.state().store.rejections, 4);
+    let running = JobStateReply::State(JobState::Running);
+    assert_eq!(state(&process, SMALL).await, running);
+    assert_eq!(start_count(&platform), 1);
+}
+
 /// Guards against a segment that exceeds a value of the store, since it has the records of many jobs.
 #[tokio::test(start_paused = true)]
 async fn the_records_of_many_jobs_fit_in_values() {
--- a/crates/hs-control/tests/links/store.rs
+++ b/crates/hs-control/tests/links/store.rs
@@ -1,6 +1,6 @@
 //! The store and the catalog of the platform.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +21,9 @@
 /// Maximum number of entries of a transaction.
 const MAX_TXN_ENTRIES: usize = 32;
 
+/// Key of the claim.
+pub const CLAIM: &str = "hs/owner";
+
 /// Number of items on a page of the store.
 const PAGE_ITEMS: usize = 200;
 
@@ -33,6 +36,8 @@
     pub max_value_bytes: Option<usize>,
     /// Keys of items that the store never accepts.
     pub rejected_keys: Vec<String>,
+    /// Whether each of the next transactions with the claim is rejected for good. Later ones are not.
+    pub claim_rejections: VecDeque<bool>,
     /// Number of transactions that were rejected for good.
     pub rejections: usize,
 }
@@ -76,7 +81,11 @@
         keys.cloned().collect()
     }
 
-    fn is_rejected(&self, txn: &StoreTxn) -> bool {
+    fn is_rejected(&mut self, txn: &StoreTxn) -> bool {
+        let has_claim = txn.writes.iter().any(|(key, _)| key == CLAIM);
+        if has_claim && self.claim_rejections.pop_front() == Some(true) {
+            return true;
+        }
         let entries = txn.expect.len() + txn.writes.len() + txn.deletes.len();
         let mut writes = txn.writes.iter();
         let is_bad = |(key, value): &(String, Vec<u8>)| {
