test(cell): a gang on time starts before a late one of its queue

Cause: that other gangs may reserve the workers of an outdated reservation had no test. Change: a test. Measured: holds; fails if an outdated reservation excludes other gangs.

--- a/crates/hs-cell/tests/cell/reservations.rs
+++ b/crates/hs-cell/tests/cell/reservations.rs
@@ -415,6 +415,34 @@
     assert!(start_in.contains(&state.start_in), "{:?}", state.start_in);
 }
 
+/// Guards against a late gang that keeps the workers which it has reserved from a gang of its queue that is on time and
+/// comes first.
+#[test]
+fn a_gang_on_time_starts_before_a_late_one_of_its_queue() {
+    let obstacle_time = Duration::from_secs(30);
+    let mut world = world_with_obstacle(step(WORKERS, 2000, 30_000));
+    let began_at = world.now;
+    world.submit(GANG, job("desk", vec![gang()]));
+    let on_time = id(3);
+    let mut is_submitted = false;
+    while world.placed(GANG).is_empty() && world.placed(on_time).is_empty() {
+        let elapsed = world.now - began_at;
+        assert!(elapsed < obstacle_time * 2, "neither gang starts");
+        if elapsed >= obstacle_time - Duration::from_secs(1) && !is_submitted {
+            world.submit(on_time, job("desk", vec![gang()]));
+            is_submitted = true;
+        }
+        set_progress(&mut world, Progress::Over(obstacle_time), began_at);
+        if elapsed >= obstacle_time {
+            for (worker, run) in world.placed(OBSTACLE) {
+                world.end(worker, run, RunEnd::Done);
+            }
+        }
+        world.fault_free_round(ROUND_TIME);
+    }
+    assert!(world.placed(GANG).is_empty(), "the late gang starts first");
+}
+
 /// Guards against small tasks that are kept from a worker on which a gang leaves room for them beside its members.
 #[test]
 fn room_beside_the_members_of_a_gang_is_not_reserved() {
