--- a/crates/hs-cell/src/reservation.rs
+++ b/crates/hs-cell/src/reservation.rs
@@ -3,6 +3,9 @@
 //! Until its gang starts, a reserved worker is open to tasks that are expected to end before that, and to those that
 //! have room beside the members of the gang. A task without an expected end may delay the gang for ever; it is kept
 //! out only if the gang is about to start.
+//!
+//! A reservation is outdated after a short time, so that the gang chooses its workers again once a pass visits it. It stays
+//! in force until then: steps that come before the gang in the pass would otherwise take its room each time.
 
 use std::time::{Duration, Instant};
 
@@ -93,8 +96,7 @@
 }
 
 impl Reservation {
-    /// Returns whether the workers are to be chosen again. Until that is done the reservation keeps them from the steps
-    /// that come before the gang in a pass, since they would otherwise take its room each time.
+    /// Returns whether the workers are to be chosen again.
     pub(crate) fn is_outdated(&self, now: Instant) -> bool {
         is_outdated(self.made_at, now)
     }
@@ -213,7 +215,7 @@
         self.reservations = reservations;
     }
 
-    /// Adds a reservation, which replaces those of a lower class on its workers.
+    /// Adds a reservation, which replaces outdated ones and those of a lower class on its workers.
     pub(crate) fn add_reservation(&mut self, reservation: Reservation) {
         self.drop_overlapping(&reservation);
         self.mark_reserved(&reservation);
@@ -241,7 +243,7 @@
         self.dropped_reservations.push(reservation);
     }
 
-    /// Drops reservations of a lower class whose workers a new one takes.
+    /// Drops the reservations whose workers a new one takes.
     fn drop_overlapping(&mut self, taker: &Reservation) {
         let is_taken_worker = |worker: &ReservedWorker| {
             let mut taken = taker.workers.iter();
