test(cell): two rules of reservations that no test guarded

A worker on probation has no room beside a member of a gang, and a run that was placed beside the reservation of another gang does not count as about to end. Each test fails if its rule is broken by hand; the other ten tests of reservations don't.

--- a/crates/hs-cell/tests/cell/reservations.rs
+++ b/crates/hs-cell/tests/cell/reservations.rs
@@ -508,3 +508,84 @@
     rounds(&mut world, 20);
     assert_eq!(world.placed(id(4)).len(), 3);
 }
+
+/// Guards against a gang that is delayed by a small task which takes a worker on probation from it: such a worker runs one
+/// task at a time, so that it has no room beside a member of the gang.
+#[test]
+fn a_worker_on_probation_has_no_room_beside_a_gang() {
+    let queues = vec![queue("desk", 0, 3), queue("night", 1, 3)];
+    let mut world = World::with_reports(usize::from(WORKERS), queues);
+    let failing = id(3);
+    world.submit(failing, job("night", vec![step(3 * WORKERS, 2600, 60_000)]));
+    rounds(&mut world, 3);
+    let last = usize::from(WORKERS) - 1;
+    world.fail_runs(last);
+    world.cancel(failing);
+    rounds(&mut world, 4);
+    let obstacle = StepSpec {
+        max_per_worker: 1,
+        ..step(WORKERS - 1, 2000, 4000)
+    };
+    world.submit(OBSTACLE, job("night", vec![obstacle]));
+    rounds(&mut world, 3);
+    let began_at = world.now;
+    let obstacle_time = Duration::from_secs(4);
+    let obstacles = world.placed(OBSTACLE);
+    assert!(obstacles.iter().all(|(worker, _)| *worker != last));
+    world.submit(GANG, job("desk", vec![gang()]));
+    // The quarantine of 2 s is over, and the probation of 3 s after it is not.
+    while world.now - began_at < Duration::from_millis(2500) {
+        set_progress(&mut world, Progress::Over(obstacle_time), began_at);
+        world.fault_free_round(ROUND_TIME);
+    }
+    assert_eq!(world.cell.reserved_workers(), usize::from(WORKERS));
+    let small = StepSpec {
+        max_per_worker: 1,
+        ..step(WORKERS, 1000, 60_000)
+    };
+    world.submit(id(4), job("night", vec![small]));
+    while world.now - began_at < obstacle_time {
+        set_progress(&mut world, Progress::Over(obstacle_time), began_at);
+        world.fault_free_round(ROUND_TIME);
+    }
+    assert_eq!(world.placed(id(4)).len(), usize::from(WORKERS) - 1);
+    for (worker, run) in world.placed(OBSTACLE) {
+        world.end(worker, run, RunEnd::Done);
+    }
+    rounds(&mut world, 4);
+    assert_eq!(world.placed(GANG).len(), usize::from(WORKERS));
+}
+
+/// Guards against a gang that takes a run for about to end because the run was placed beside the reservation of another
+/// gang: then it keeps others out for a start that is not near.
+#[test]
+fn only_its_own_backfills_count_as_about_to_end_for_a_gang() {
+    let mut world = world_with_obstacle(step(WORKERS, 2000, 2000));
+    let began_at = world.now;
+    let obstacle_time = Duration::from_secs(2);
+    let other_gang = id(3);
+    world.submit(other_gang, job("desk", vec![gang()]));
+    rounds(&mut world, 4);
+    let backfill = id(4);
+    world.submit(backfill, job("night", vec![step(1, 3000, 500)]));
+    rounds(&mut world, 3);
+    assert_eq!(world.placed(backfill).len(), 1);
+    world.cancel(other_gang);
+    world.submit(GANG, job("desk", vec![gang()]));
+    while world.now - began_at < obstacle_time {
+        set_progress(&mut world, Progress::Over(obstacle_time), began_at);
+        world.fault_free_round(ROUND_TIME);
+    }
+    for (worker, run) in world.placed(OBSTACLE) {
+        world.end(worker, run, RunEnd::Done);
+    }
+    rounds(&mut world, 6);
+    let states = world.cell.reservation_states(9, 9, world.now);
+    let [state] = states.as_slice() else {
+        panic!("{} reservations", states.len());
+    };
+    assert_eq!(state.step.job, GANG);
+    // The run has exceeded its estimate for longer than this, and is expected to go on for as long.
+    let min_start_in = Duration::from_millis(500);
+    assert!(state.start_in >= min_start_in, "{:?}", state.start_in);
+}
