test(control): a refused confirmation leaves the cell with its owner

It fails if the writer takes a confirmation that the store refuses for a lost claim. The other ten tests of large records don't, since the same process takes the cell over again.

--- a/crates/hs-control/tests/links/large_records.rs
+++ b/crates/hs-control/tests/links/large_records.rs
@@ -91,6 +91,13 @@
     Some(record.record)
 }
 
+/// Returns the fencing token of the owner, which each new owner raises.
+fn claim_fence(platform: &FakePlatform) -> Option<u64> {
+    let claim = platform.state().store.value(CLAIM)?;
+    let claim: serde_json::Value = serde_json::from_slice(&claim).ok()?;
+    claim["fence"].as_u64()
+}
+
 /// Stores a record in chunks of a size, numbered from `first` on. Returns the number that follows.
 fn put_chunks(
     platform: &FakePlatform,
@@ -335,6 +342,21 @@
     assert_eq!(start_count(&platform), 1);
 }
 
+/// Guards against an owner that gives the cell up because the store refused a confirmation of its claim.
+#[tokio::test(start_paused = true)]
+async fn a_refused_confirmation_leaves_the_cell_with_its_owner() {
+    let platform = FakePlatform::default();
+    let process = start(&platform).await;
+    let fence = claim_fence(&platform);
+    assert!(fence.is_some(), "the cell has no owner");
+    platform.state().store.claim_rejections.push_back(true);
+    sleep(START_TIME).await;
+    assert_eq!(platform.state().store.rejections, 1);
+    assert_eq!(claim_fence(&platform), fence);
+    let accepted = submit(&process, SMALL, job_spec()).await;
+    assert_eq!(accepted, SubmitReply::Accepted);
+}
+
 /// Guards against a segment that exceeds a value of the store, since it has the records of many jobs.
 #[tokio::test(start_paused = true)]
 async fn the_records_of_many_jobs_fit_in_values() {
