test(control): a link that becomes slow while portions of a record are large

Found by breaking rules by hand: no test failed when the portions of a large record were never made smaller. Cause: portions grow to 1 MiB on a fast link. At 400 kB/s such a portion takes 2.6 s, by calculation, and the timeout of a write is 1.5 s at most; the same portion is repeated, since the size follows successful writes only. Seen: 'the small job has no record' 9 s after the link became slow; in a trial that waits longer it has one after 21 s, with the same owner. Ruled out: the slow link by itself, since a_large_record_on_a_slow_link_stops_no_other_job holds at the same speed.

--- a/crates/hs-control/tests/links/large_records.rs
+++ b/crates/hs-control/tests/links/large_records.rs
@@ -163,6 +163,26 @@
     assert_eq!(tasks.sum::<usize>(), 8 * 4096);
 }
 
+/// Guards against a cell that stops because the link of its owner became slow after the portions of a large record had
+/// grown: a portion that takes longer than the timeout of a write is repeated.
+#[tokio::test(start_paused = true)]
+async fn a_link_that_becomes_slow_stops_no_other_job() {
+    const SLOW_VALUE_BYTES: usize = 256 << 10;
+    const BYTES_PER_SECOND: usize = 400_000;
+    let platform = FakePlatform::default();
+    let process = start_with(&platform, SLOW_VALUE_BYTES).await;
+    let accepted = submit(&process, LARGE, large_spec(8, 4096)).await;
+    assert_eq!(accepted, SubmitReply::Accepted);
+    sleep(START_TIME).await;
+    platform.state().store.bytes_per_second = Some(BYTES_PER_SECOND);
+    sleep(START_TIME).await;
+    let accepted = submit(&process, SMALL, job_spec()).await;
+    assert_eq!(accepted, SubmitReply::Accepted);
+    sleep(2 * START_TIME).await;
+    let keys = platform.state().store.keys(&format!("hs/run/{SMALL}"));
+    assert_eq!(keys.len(), 1, "the small job has no record");
+}
+
 /// Guards against chunks that stay in the store once the job has ended.
 #[tokio::test(start_paused = true)]
 async fn the_chunks_of_an_ended_job_are_deleted() {
