fix(cell): a job that fills each batch leaves every other one to the rest

Cause: a record that lists more tasks than a batch may have fills the batch by itself. Such a job changes all the time, and its starts go before ends, so that rows of other jobs were only written when it had no pending start.

Ruled out: reports that arrive late (their lag is 0 to 13 ms in the log), the write itself (3 to 13 ms).

Change: after a batch with such a row, the next one leaves these jobs out, unless there is nothing else to write. They keep their places.

The test fails before: [[0], [1], [2, 0], [1], ...] in place of [[0], [1], [2], [0], ...].

--- a/crates/hs-cell/src/batches.rs
+++ b/crates/hs-cell/src/batches.rs
@@ -4,7 +4,7 @@
 
 use crate::JobId;
 use crate::cell::Cell;
-use crate::dirty_jobs::RecordUrgency;
+use crate::dirty_jobs::{DirtyPlace, RecordUrgency};
 use crate::effect::{CellBatch, CellEffect, RecordRow};
 use crate::job_record::JobOutcome;
 
@@ -58,7 +58,52 @@
     ///
     /// Jobs whose starts wait for the batch come first, then those with ends or an outcome. Some rows are left to
     /// the others, so that each change is recorded at some time.
+    ///
+    /// A row that fills a batch by itself leaves the next one to the other jobs, since a job of many tasks changes all the
+    /// time.
     pub fn take_batch_within(&mut self, all: BatchLimits) -> CellBatch {
+        let deferred = match std::mem::take(&mut self.defers_filling_rows) {
+            true => self.defer_filling_rows(),
+            false => Vec::new(),
+        };
+        let mut batch = self.take_rows(all);
+        for (id, place) in deferred {
+            self.dirty_jobs.restore(id, place);
+        }
+        if batch.is_empty() {
+            batch = self.take_rows(all);
+        }
+        self.defers_filling_rows = self.note_filling_rows(&batch, all);
+        batch
+    }
+
+    /// Takes the jobs whose last rows have each filled a batch from those that have changed. Returns their places.
+    fn defer_filling_rows(&mut self) -> Vec<(JobId, DirtyPlace)> {
+        self.filling_jobs.retain(|id| self.jobs.contains_key(id));
+        let ids = self.filling_jobs.iter();
+        let places = ids.filter_map(|id| Some((*id, self.jobs.get(id)?.dirty_place?)));
+        let deferred: Vec<(JobId, DirtyPlace)> = places.collect();
+        for (id, place) in &deferred {
+            self.dirty_jobs.remove(*id, *place);
+        }
+        deferred
+    }
+
+    /// Notes which jobs of a batch have rows that fill it. Returns whether there are any.
+    fn note_filling_rows(&mut self, batch: &CellBatch, limits: BatchLimits) -> bool {
+        let mut has_filling_rows = false;
+        for row in &batch.rows {
+            let is_filling = row.task_count() >= limits.tasks || row.max_bytes() >= limits.bytes;
+            has_filling_rows |= is_filling;
+            match is_filling {
+                true => self.filling_jobs.insert(row.job()),
+                false => self.filling_jobs.remove(&row.job()),
+            };
+        }
+        has_filling_rows
+    }
+
+    fn take_rows(&mut self, all: BatchLimits) -> CellBatch {
         let mut batch = CellBatch::default();
         let start_limits = all.part(START_ROWS_SHARE);
         let urgent_limits = all.part(URGENT_ROWS_SHARE);
--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -92,6 +92,10 @@
     /// Jobs whose next occurrence is not due yet, by due time in Unix milliseconds.
     pub(crate) due_occurrences: BTreeMap<(u64, JobId), ()>,
     pub(crate) dirty_jobs: DirtyJobs,
+    /// Jobs whose last rows have each filled a batch.
+    pub(crate) filling_jobs: BTreeSet<JobId>,
+    /// Whether the last batch had a row that filled it.
+    pub(crate) defers_filling_rows: bool,
     pub(crate) effects: Vec<CellEffect>,
     /// Whether something has changed since the last scheduling pass.
     pub(crate) pass_requested: bool,
@@ -142,6 +146,8 @@
             ticket_margin: TicketMargin::default(),
             due_occurrences: BTreeMap::new(),
             dirty_jobs: DirtyJobs::default(),
+            filling_jobs: BTreeSet::new(),
+            defers_filling_rows: false,
             effects: Vec::new(),
             pass_requested: false,
             last_pass_at: None,
--- a/crates/hs-cell/src/dirty_jobs.rs
+++ b/crates/hs-cell/src/dirty_jobs.rs
@@ -44,6 +44,16 @@
         Some(entry.1)
     }
 
+    /// Removes a job from its place.
+    pub(crate) fn remove(&mut self, id: JobId, place: DirtyPlace) {
+        self.jobs.remove(&(place, id));
+    }
+
+    /// Returns a job that was removed to its place.
+    pub(crate) fn restore(&mut self, id: JobId, place: DirtyPlace) {
+        self.jobs.insert((place, id));
+    }
+
     /// Adds a job, or moves it ahead. Returns its place.
     fn insert(
         &mut self,
--- a/crates/hs-cell/tests/cell/batch_order.rs
+++ b/crates/hs-cell/tests/cell/batch_order.rs
@@ -53,3 +53,25 @@
     let starts = rows.iter().filter(|row| **row < id(FIRST_WAITING)).count();
     assert!((128..MAX_ROWS).contains(&starts), "{starts} starts");
 }
+
+/// Guards against ends that are recorded seconds late, since the record of a job of many tasks fills each batch.
+#[test]
+fn a_job_that_fills_batches_leaves_every_other_one_to_the_rest() {
+    const LARGE: [JobId; 2] = [JobId(0), JobId(1)];
+    const SMALL: JobId = JobId(2);
+    let mut world = World::with_reports(60, vec![queue("check", 0, 3)]);
+    for large in LARGE {
+        world.submit(large, job("check", vec![step(40, 1000, 500)]));
+    }
+    world.submit(SMALL, job("check", vec![step(1, 1000, 500)]));
+    world.advance_cell();
+    let mut batches = Vec::new();
+    for _ in 0..6 {
+        world.cell.rerecord_jobs(&[LARGE[0], LARGE[1], SMALL]);
+        let batch = world.cell.take_batch(MAX_ROWS, 10);
+        batches.push(batch.rows.iter().map(RecordRow::job).collect::<Vec<_>>());
+    }
+    // The first row of a job shows that it fills a batch.
+    let expected = [LARGE[0], LARGE[1], SMALL, LARGE[0], SMALL, LARGE[1]].map(|id| vec![id]);
+    assert_eq!(batches, expected);
+}
