fix(cell): starts are given out as fast as they are answered

Cause: placement asked for resources only, so one pass gave out all tasks that fit (E8061 starts=65536 in the first second). Once given out, a start waits behind all others of its worker, in no order: the priorities end at the cell's door.

Change: starts without an answer are bounded for each worker and for all (`open_starts.rs`). What is beyond it stays in the cell, in its order. A job takes no more than it leaves free (dynamic thresholds), so that the next one starts at once whatever its priority. Gangs exceed the windows, since their members start together, and take half of one from the others at most. Advice, reservations, isolation and preemption see all room, as before. E8061 and metrics show open starts, their bound and the age of the oldest.

The tests in `open_starts.rs` show both ways: a small job beside a large one, and a gang of 4,096 members.

--- a/crates/hs-cell/src/cell.rs
+++ b/crates/hs-cell/src/cell.rs
@@ -19,6 +19,7 @@
 use crate::job_end::JobEnd;
 use crate::job_record::JobOutcome;
 use crate::job_spec::JobSpec;
+use crate::open_starts::OpenStarts;
 use crate::options::CellOptions;
 use crate::pass_budget::{PassBudget, PassWork};
 use crate::passes::StepTurns;
@@ -106,6 +107,8 @@
     /// Work of the current pass, or else of the last one.
     pub(crate) pass_work: PassWork,
     pub(crate) turns: StepTurns,
+    /// Starts without an answer, and how many there may be.
+    pub(crate) open_starts: OpenStarts,
     pub(crate) reservations: Vec<Reservation>,
     /// Reservations that were dropped a short time ago.
     pub(crate) dropped_reservations: Vec<Reservation>,
@@ -155,6 +158,7 @@
             pass_budget: PassBudget::default(),
             pass_work: PassWork::default(),
             turns: StepTurns::default(),
+            open_starts: OpenStarts::default(),
             reservations: Vec::new(),
             dropped_reservations: Vec::new(),
             expected_use: SecondaryMap::new(),
@@ -281,6 +285,22 @@
         self.workers.values().map(|worker| worker.slots.len()).sum()
     }
 
+    /// Returns the number of starts that are given out and not answered.
+    pub fn open_starts(&self) -> usize {
+        self.open_starts.count()
+    }
+
+    /// Returns the number of starts that may be given out and not answered.
+    pub fn max_open_starts(&self) -> usize {
+        self.open_starts.limit()
+    }
+
+    /// Returns for how long the oldest of the sent starts has had no answer.
+    pub fn oldest_open_start(&self, now: Instant) -> Option<Duration> {
+        let sent_at = self.open_starts.oldest_sent_at()?;
+        Some(now.saturating_duration_since(sent_at))
+    }
+
     /// Returns the number of steps with waiting tasks.
     pub fn waiting_steps(&self) -> usize {
         self.ready_steps.len() + self.ready_steps.parked.len()
--- a/crates/hs-cell/src/free_index.rs
+++ b/crates/hs-cell/src/free_index.rs
@@ -10,6 +10,7 @@
 use crate::TaskRun;
 use crate::WorkerKey;
 use crate::cell::Cell;
+use crate::open_starts::StartOutcome;
 use crate::slot::Slot;
 use crate::worker::Worker;
 
@@ -117,6 +118,7 @@
 
     pub(crate) fn take_worker(&mut self, key: WorkerKey) -> Option<Worker> {
         let worker = self.workers.remove(key)?;
+        self.open_starts.forget(key);
         self.observe_removal(key);
         self.free_index
             .replace(IndexedWorker::new(key, &worker), None);
@@ -152,12 +154,14 @@
 
     pub(crate) fn release(&mut self, key: WorkerKey, run: TaskRun) -> Option<Slot> {
         let slot = self.change_worker(key, |worker| worker.release(run))??;
+        self.close_start(key, run, StartOutcome::Withdrawn);
         self.remove_usage(&slot);
         Some(slot)
     }
 
     /// Removes all runs from a worker.
     pub(crate) fn take_slots(&mut self, key: WorkerKey) -> BTreeMap<TaskRun, Slot> {
+        self.open_starts.forget(key);
         let slots = self.change_worker(key, Worker::take_slots);
         let slots = slots.unwrap_or_default();
         for slot in slots.values() {
--- a/crates/hs-cell/src/job_spec.rs
+++ b/crates/hs-cell/src/job_spec.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::bounded_steps::bounded_steps;
+use crate::open_starts::StartKind;
 
 /// Maximum number of steps of a job.
 pub const MAX_STEPS: usize = 64;
@@ -189,6 +190,14 @@
 }
 
 impl StepSpec {
+    /// Returns whether a task has to start together with the others.
+    pub(crate) fn start_kind(&self) -> StartKind {
+        match self.gang {
+            true => StartKind::GangMember,
+            false => StartKind::Single,
+        }
+    }
+
     /// Returns the resources that a task occupies on its worker: what it needs, without CPU if it `fills`.
     pub fn allocated_resources(&self) -> Resources {
         let cpu_milli = if self.fills { 0 } else { self.need.cpu_milli };
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -63,6 +63,10 @@
             .as_ref()
             .and_then(|spec| self.queues.get(&spec.queue));
         let advice = queue.and_then(|queue| queue.advice);
+        if advice.is_none() && !self.open_starts.has_room(id.job, spec.start_kind()) {
+            self.open_starts.record_limit();
+            return;
+        }
         let Some(plan) = self.plan_isolation(key, advice, now) else {
             return;
         };
@@ -89,10 +93,7 @@
         let mut candidates = self.candidates(job, &demand, &spec, advice.is_some(), now);
         let is_taken = |key: WorkerKey| planned.iter().any(|task| task.worker == key);
         candidates.retain(|c| !is_taken(c.key));
-        let total_fits: u32 = candidates
-            .iter()
-            .map(|c| c.fits)
-            .fold(0, u32::saturating_add);
+        let total_fits = total_tasks(&candidates);
         if let Some(advice) = advice
             && is_active
             && (total_fits < wanted || job.step(id).is_some_and(|s| s.advice.tickets.is_empty()))
@@ -106,6 +107,11 @@
                 self.delay_rescan(id, now);
             }
         }
+        if spec.gang {
+            // One whose workers have too many open starts reserves them, so that no others follow.
+            candidates.retain(|candidate| self.open_starts.admits_gang(candidate.key, id.job));
+        }
+        let total_fits = total_tasks(&candidates);
         if (candidates.is_empty() && wanted > 0) || (spec.gang && total_fits < wanted) {
             // A reservation without the members that run alone would let the tickets of their workers expire.
             let is_plain = planned.is_empty() || advice.is_none();
@@ -139,7 +145,13 @@
         }
         let mut tasks = waiting.into_iter();
         for candidate in candidates {
-            for _ in 0..candidate.fits {
+            let left = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
+            let wanted = candidate.fits.min(left);
+            let admitted = match spec.gang {
+                true => wanted,
+                false => self.open_starts.admit(candidate.key, id.job, wanted),
+            };
+            for _ in 0..admitted {
                 let Some(index) = tasks.next() else {
                     return;
                 };
@@ -175,10 +187,10 @@
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        let need = job.step_spec(id).map(StepSpec::allocated_resources);
-        let Some(need) = need else {
+        let Some(spec) = job.step_spec(id) else {
             return;
         };
+        let (need, kind) = (spec.allocated_resources(), spec.start_kind());
         let Some(step) = job.step_mut(id) else {
             return;
         };
@@ -191,6 +203,7 @@
             task: id.task(index),
             run: task.run,
         };
+        self.open_starts.add(key, run, kind);
         job.pending_starts.push((key, run));
         let slot = Slot {
             is_isolated,
@@ -311,6 +324,12 @@
     }
 }
 
+/// Returns the number of tasks that fit on workers.
+fn total_tasks(candidates: &[Candidate]) -> u32 {
+    let fits = candidates.iter().map(|candidate| candidate.fits);
+    fits.fold(0, u32::saturating_add)
+}
+
 /// Conditions that a worker has to meet to run a step, regardless of its current load.
 #[derive(Clone, Debug)]
 pub(crate) struct Eligibility<'a> {
--- a/crates/hs-cell/src/run_orders.rs
+++ b/crates/hs-cell/src/run_orders.rs
@@ -6,6 +6,7 @@
 use crate::cell::Cell;
 use crate::effect::{CellEffect, StartOrder};
 use crate::job::TaskState;
+use crate::open_starts::StartOutcome;
 use crate::slot::{Slot, SlotPhase};
 use crate::worker::WorkerReport;
 use crate::{TaskRun, WorkerKey};
@@ -62,17 +63,20 @@
             slot.phase = SlotPhase::Sent;
             slot.unconfirmed_until = Some(unconfirmed_until);
             slot.last_progress_at = now;
+            self.open_starts.record_sent(key, run, now);
             self.effects.push(CellEffect::Start(key, order));
         }
     }
 
     fn start_order(&self, key: WorkerKey, run: TaskRun, now: Instant) -> Option<StartOrder> {
         let job = self.jobs.get(&run.task.job())?;
+        let spec = job.spec.as_ref()?;
         let step = job.step(run.task.step)?;
         let task = step.tasks.get(usize::from(run.task.index))?;
         Some(StartOrder {
             run,
-            input: job.spec.as_ref()?.input.clone(),
+            priority: self.queues.get(&spec.queue)?.priority,
+            input: spec.input.clone(),
             checkpoint: task.checkpoint.clone(),
             ticket: self.start_ticket(key, run, now)?,
         })
@@ -93,6 +97,7 @@
                 slot.phase = SlotPhase::Stopping;
                 slot.visible_since = None;
                 self.effects.push(CellEffect::Stop(key, run));
+                self.close_start(key, run, StartOutcome::Withdrawn);
             }
         }
     }
--- a/crates/hs-cell/src/start_replies.rs
+++ b/crates/hs-cell/src/start_replies.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use crate::cell::Cell;
+use crate::open_starts::StartOutcome;
 use crate::slot::SlotPhase;
 use crate::worker::{StartRefusal, StartTaker};
 use crate::{TaskRun, WorkerKey};
@@ -25,9 +26,15 @@
         if let Some(job) = self.jobs.get_mut(&run.task.job()) {
             job.started = true;
         }
+        self.close_start(key, run, StartOutcome::Confirmed(now));
         self.observe_start(key, run, now);
     }
 
+    /// Closes a start, if it is open, and requests a pass if tasks have waited for that.
+    pub(crate) fn close_start(&mut self, key: WorkerKey, run: TaskRun, outcome: StartOutcome) {
+        self.pass_requested |= self.open_starts.close(key, run, outcome);
+    }
+
     /// Processes the refusal of a start. The placement is undone, so that the task waits again.
     pub fn start_refused(&mut self, key: WorkerKey, run: TaskRun, why: StartRefusal, now: Instant) {
         let Some(worker) = self.workers.get_mut(key) else {
@@ -78,6 +85,7 @@
             // A report has shown the run meanwhile.
             return;
         }
+        self.pass_requested |= self.open_starts.close(key, run, StartOutcome::Unanswered);
         let is_sent = slot.phase == SlotPhase::Sent;
         slot.unconfirmed_until = unconfirmed_until;
         if let Some(until) = unconfirmed_until {
--- a/crates/hs-cell/src/worker_events.rs
+++ b/crates/hs-cell/src/worker_events.rs
@@ -7,6 +7,7 @@
 use crate::effect::CellEffect;
 use crate::job::TaskState;
 use crate::job_record::JobOutcome;
+use crate::open_starts::StartOutcome;
 use crate::slot::{Slot, SlotPhase};
 use crate::worker::{EndReport, RunEnd, RunReport, WorkerReport};
 use crate::{StepId, TaskRun, WorkerKey};
@@ -88,6 +89,7 @@
             if let Some(job) = self.jobs.get_mut(&run.task.job()) {
                 job.started = true;
             }
+            self.close_start(key, run, StartOutcome::Withdrawn);
             self.record_checkpoint(run, &report.checkpoint);
             return;
         }
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -23,6 +23,7 @@
 mod late_crashes;
 mod late_failures;
 mod odd_reports;
+mod open_starts;
 mod owner_processor;
 mod pass_turns;
 mod patterns;
