feat(http): tell a shortage of this process from a failure of the peer

A connection that can't be opened for want of descriptors, ports or memory was reported like one that the peer refuses.

Both clients report `NoResources`.

--- a/crates/hs-control/src/port.rs
+++ b/crates/hs-control/src/port.rs
@@ -35,6 +35,16 @@
         /// Answer of the other side.
         cause: String,
     },
+    /// The call was not sent, since this process or its system lacks descriptors, ports or memory for it.
+    #[error("{operation} at {peer} was not sent for want of resources: {cause}")]
+    NoResources {
+        /// Name of the call.
+        operation: &'static str,
+        /// Address of the other side.
+        peer: String,
+        /// Error of the operating system.
+        cause: String,
+    },
     /// The call has no usable reply. It may have had an effect, or may still have one.
     #[error("{operation} at {peer} has no reply: {cause}")]
     NoReply {
@@ -52,7 +62,10 @@
 impl PortError {
     /// Returns whether the call certainly had no effect.
     pub fn is_refused(&self) -> bool {
-        matches!(self, Self::Refused { .. } | Self::Rejected { .. })
+        matches!(
+            self,
+            Self::Refused { .. } | Self::Rejected { .. } | Self::NoResources { .. }
+        )
     }
 
     /// Returns whether the call is in vain however often it is repeated.
@@ -63,7 +76,7 @@
     /// Returns whether a process may have received the call that has started after this time.
     pub fn may_have_reached_later_process(&self, time: Instant) -> bool {
         match self {
-            Self::Refused { .. } | Self::Rejected { .. } => false,
+            Self::Refused { .. } | Self::Rejected { .. } | Self::NoResources { .. } => false,
             Self::NoReply { opened_at, .. } => opened_at.is_none_or(|opened_at| opened_at >= time),
         }
     }
--- a/crates/hs-http/src/call.rs
+++ b/crates/hs-http/src/call.rs
@@ -1,5 +1,6 @@
 //! HTTP client.
 
+use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, IF_NONE_MATCH};
 use hyper::{HeaderMap, Method, Request};
+use rustix::io::Errno;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -30,6 +32,16 @@
         /// Messages of the error and its sources.
         cause: String,
     },
+    /// The request was certainly not sent, since this process or its system lacks descriptors, ports or memory for it.
+    #[error("{operation} to {peer} was not sent for want of resources: {cause}")]
+    NoResources {
+        /// Name of the call for messages, such as "task start".
+        operation: &'static str,
+        /// Address of the called process.
+        peer: String,
+        /// Messages of the error and its sources.
+        cause: String,
+    },
     /// The request may have been received and executed.
     #[error("{operation} to {peer} has no reply: {cause}")]
     NoReply {
@@ -48,7 +60,7 @@
 impl CallError {
     /// Returns whether the called process certainly did not receive the request.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::NotSent { .. })
+        matches!(self, Self::NotSent { .. } | Self::NoResources { .. })
     }
 }
 
@@ -102,7 +114,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`CallError::NotSent`] if no connection could be opened, else
+    /// Returns [`CallError::NotSent`] or [`CallError::NoResources`] if no connection could be opened, else
     /// [`CallError::NoReply`].
     pub async fn call(
         &self,
@@ -231,15 +243,39 @@
 pub(crate) fn not_sent(
     operation: &'static str,
     peer: &str,
-    cause: &dyn std::error::Error,
+    cause: &(dyn std::error::Error + 'static),
 ) -> CallError {
-    CallError::NotSent {
-        operation,
-        peer: peer.to_owned(),
-        cause: error_chain(cause),
+    let (peer, text) = (peer.to_owned(), error_chain(cause));
+    match is_shortage(cause) {
+        true => CallError::NoResources {
+            operation,
+            peer,
+            cause: text,
+        },
+        false => CallError::NotSent {
+            operation,
+            peer,
+            cause: text,
+        },
     }
 }
 
+/// Returns whether an error tells that this process or its system has run out of something that a connection needs.
+fn is_shortage(error: &(dyn std::error::Error + 'static)) -> bool {
+    const SHORTAGES: [Errno; 5] = [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+        Errno::ADDRNOTAVAIL,
+    ];
+    let errors = std::iter::successors(Some(error), |error| error.source());
+    let mut codes = errors
+        .filter_map(|error| error.downcast_ref::<io::Error>())
+        .filter_map(io::Error::raw_os_error);
+    codes.any(|code| SHORTAGES.iter().any(|errno| errno.raw_os_error() == code))
+}
+
 pub(crate) fn no_reply(
     operation: &'static str,
     peer: &str,
--- a/crates/hs-http/src/direct.rs
+++ b/crates/hs-http/src/direct.rs
@@ -85,7 +85,8 @@
     /// # Errors
     ///
     /// Returns [`CallError::NotSent`] if the request is invalid, no connection could be opened in time, or it ended
-    /// before any byte of the request was written, else [`CallError::NoReply`].
+    /// before any byte of the request was written; [`CallError::NoResources`] if this process can't open one; else
+    /// [`CallError::NoReply`].
     pub async fn post_json(
         &self,
         operation: &'static str,
