fix(control): orders to a worker open few connections, and wait in their queue

Cause, each shown by the log of at 1,024 and 4,096 open files (all descriptors taken, 148 to 176 MB, 29 to 153 MB of log in 40 s): - An order went on without its turn after 40 ms, on a connection of its own, so that thousands that waited together opened thousands. - Each order that waited was a task with its future and its timers. - An attempt that this process had no descriptor for counted as one of the worker, which was quarantined. - Stops of a cancelled job of many tasks did the same, and starts waited behind them. - Starts behind one without an answer were sent as well, and then had to wait for the end of the lease.

Change: at most eight orders to a worker at a time, of all links at most an eighth of the descriptors beside the first one of each. Orders wait in a queue, starts by priority and age, in turn with stops. While an order has no answer further starts wait until it is sent again; once it is given up, those that were not sent go elsewhere. A shortage of this process (E8048) is retried without an effect on the worker. Lines about single runs are bounded, for each job and in all (`run_lines.rs`).

All five tests of `many_orders.rs` fail before.

Two tests of large records: `a_large_record_on_a_slow_link_...` and `a_link_that_becomes_slow_...` relied on 32,768 tasks being given out at once. The record of that size now comes from an earlier owner, whose runs are all lost; the same bounds hold, and the first one also asks for second runs in the stored record. The second one is the known red test, and fails as before.

--- a/crates/hs-control/src/lib.rs
+++ b/crates/hs-control/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod rank;
 mod recover;
 mod run;
+mod run_lines;
 mod server;
 mod shared;
 mod speed;
--- a/crates/hs-control/src/link.rs
+++ b/crates/hs-control/src/link.rs
@@ -2,6 +2,9 @@
 
 mod clock;
 mod fences;
+mod order_contact;
+mod order_queue;
+mod order_turns;
 mod orders;
 mod pending_stops;
 mod renewal;
@@ -11,18 +14,22 @@
 use std::time::{Duration, Instant};
 
 use hs_cell::{StartOrder, StartRefusal, StartTaker, TaskRun, WorkerKey, WorkerReport};
-use tokio::sync::{Semaphore, mpsc, watch};
-use tokio::task::JoinSet;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{AbortHandle, JoinSet};
 
 use self::clock::WorkerClock;
 pub(crate) use self::fences::WorkerFences;
-use self::orders::MAX_ORDERS_AT_ONCE;
-use self::pending_stops::{PendingStop, PendingStops};
+use self::order_contact::OrderContact;
+use self::order_queue::{LinkOrder, OrderQueue, OrderSender, Queued, order_queue};
+pub(crate) use self::order_turns::FurtherConnections;
+use self::order_turns::OrderTurns;
+use self::pending_stops::PendingStops;
 use self::renewal::RenewalTask;
 use crate::claim::ClaimConfirmation;
 use crate::contact_permits::ContactPermits;
 use crate::metrics::ControlMetrics;
 use crate::port::{Platform, WorkerEndpoint};
+use crate::run_lines::RunLines;
 use crate::supervise::restart_on_panic;
 
 /// Upper bound of the time between the last confirmation of the owner's claim and the end of a lease that
@@ -64,13 +71,6 @@
     Fenced,
 }
 
-/// An order to a worker.
-#[derive(Debug)]
-enum LinkOrder {
-    Start(StartOrder),
-    Stop(PendingStop),
-}
-
 /// The fencing tokens and the lease that the owner's orders carry.
 #[derive(Clone, Debug)]
 pub(crate) struct LeaseTerms {
@@ -81,12 +81,27 @@
     pub confirmation: watch::Receiver<ClaimConfirmation>,
 }
 
+/// What bounds the links of an owner together.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkLimits {
+    pub contacts: ContactPermits,
+    pub connections: FurtherConnections,
+    pub run_lines: RunLines,
+}
+
 /// Handle of a link. The link's tasks end when the handle is dropped.
 #[derive(Debug)]
 pub(crate) struct LinkHandle {
-    orders: mpsc::UnboundedSender<LinkOrder>,
+    orders: OrderSender,
     pending_stops: PendingStops,
     acknowledged: watch::Sender<u64>,
+    task: AbortHandle,
+}
+
+impl Drop for LinkHandle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
 }
 
 impl LinkHandle {
@@ -96,11 +111,11 @@
         key: WorkerKey,
         peer: WorkerEndpoint,
         terms: LeaseTerms,
-        permits: ContactPermits,
+        limits: LinkLimits,
         metrics: ControlMetrics,
         events: mpsc::Sender<(WorkerKey, LinkEvent)>,
     ) -> Self {
-        let (orders, order_receiver) = mpsc::unbounded_channel();
+        let (orders, queue) = order_queue();
         let (acknowledged, cursor) = watch::channel(0);
         let pending_stops = PendingStops::default();
         let link = Arc::new(WorkerLink {
@@ -110,39 +125,42 @@
             fences: terms.fences,
             lease: terms.lease,
             confirmation: terms.confirmation,
-            permits,
+            contact_permits: limits.contacts,
+            run_lines: limits.run_lines,
             metrics,
             events,
             state: Mutex::default(),
             contact: watch::Sender::new(WorkerContact::None),
-            order_turns: Semaphore::new(MAX_ORDERS_AT_ONCE),
+            order_contact: OrderContact::default(),
+            order_turns: OrderTurns::new(limits.connections),
             pending_stops: pending_stops.clone(),
         });
-        tokio::spawn(link.run(order_receiver, cursor));
+        let task = tokio::spawn(link.run(queue, cursor)).abort_handle();
         Self {
             orders,
             pending_stops,
             acknowledged,
+            task,
         }
     }
 
     /// Queues a start for the worker.
-    pub(crate) fn start(&self, order: StartOrder) {
-        self.send(LinkOrder::Start(order));
+    pub(crate) fn start(&self, order: StartOrder, now: Instant) {
+        self.orders.send_start(order, now);
     }
 
     /// Queues a stop for the worker, unless one of the same run is in flight. Returns whether it was queued.
-    pub(crate) fn stop(&self, run: TaskRun) -> bool {
+    pub(crate) fn stop(&self, run: TaskRun, now: Instant) -> bool {
         let Some(stop) = self.pending_stops.begin(run) else {
             return false;
         };
-        self.send(LinkOrder::Stop(stop));
+        self.orders.send_stop(stop, now);
         true
     }
 
-    fn send(&self, order: LinkOrder) {
-        // A link only ends after it has reported the reason to the owner.
-        let _ = self.orders.send(order);
+    /// Returns the number of orders that wait for a turn.
+    pub(crate) fn waiting_orders(&self) -> usize {
+        self.orders.waiting()
     }
 
     /// Raises the number up to which the worker may forget the ends of runs.
@@ -192,33 +210,44 @@
     /// Duration of the lease that a renewal asks for.
     lease: Duration,
     confirmation: watch::Receiver<ClaimConfirmation>,
-    permits: ContactPermits,
+    contact_permits: ContactPermits,
+    run_lines: RunLines,
     metrics: ControlMetrics,
     events: mpsc::Sender<(WorkerKey, LinkEvent)>,
     state: Mutex<LinkState>,
     contact: watch::Sender<WorkerContact>,
+    order_contact: OrderContact,
     /// Turns of the orders, which share a connection.
-    order_turns: Semaphore,
+    order_turns: OrderTurns,
     pending_stops: PendingStops,
 }
 
 impl<P: Platform> WorkerLink<P> {
-    async fn run(
-        self: Arc<Self>,
-        mut orders: mpsc::UnboundedReceiver<LinkOrder>,
-        cursor: watch::Receiver<u64>,
-    ) {
+    async fn run(self: Arc<Self>, mut orders: OrderQueue, cursor: watch::Receiver<u64>) {
         // Dropping the set aborts all tasks of the link.
         let mut tasks = JoinSet::new();
         let link = self.clone();
         tasks.spawn(restart_on_panic("lease renewal", move || {
             RenewalTask::new(link.clone(), cursor.clone()).run()
         }));
-        while let Some(order) = orders.recv().await {
+        // The first contact is limited to a number of workers at a time, and no order goes before it.
+        self.first_contact().await;
+        // An order that waits for its turn stays in its queue, where it takes little memory.
+        while let Some(Queued { order, at }) = orders.next().await {
+            if let LinkOrder::Start(order) = &order {
+                self.order_contact.settled().await;
+                if self.is_silent() {
+                    self.refuse_unsent(order.run).await;
+                    continue;
+                }
+            }
+            let turn = self.order_turns.next(at, self.platform.now()).await;
             while tasks.try_join_next().is_some() {}
             match order {
-                LinkOrder::Start(order) => tasks.spawn(self.clone().send_start(order)),
-                LinkOrder::Stop(stop) => tasks.spawn(self.clone().send_stop(stop)),
+                LinkOrder::Start(order) => tasks.spawn(self.clone().send_start(order, turn)),
+                LinkOrder::Stop(stop, permit) => {
+                    tasks.spawn(self.clone().send_stop(stop, permit, turn))
+                }
             };
         }
     }
@@ -260,6 +289,12 @@
         fence >= self.fence()
     }
 
+    /// Returns whether starts that were not sent yet are to be given up, since the worker answers neither renewals nor orders.
+    fn is_silent(&self) -> bool {
+        *self.contact.borrow() == WorkerContact::Silent
+            || self.order_contact.is_silent(self.platform.now())
+    }
+
     /// Records whether another incarnation answers the calls.
     fn set_replaced(&self, is_replaced: bool) {
         self.with_state(|state| state.is_replaced = is_replaced);
--- a/crates/hs-control/src/link/orders.rs
+++ b/crates/hs-control/src/link/orders.rs
@@ -3,14 +3,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hs_cell::{StartOrder, StartRefusal, StartTaker};
+use hs_cell::{StartOrder, StartRefusal, StartTaker, TaskRun};
+use hs_event::{EventCode, LogText};
 use hs_timer::timeout;
-use tokio::sync::SemaphorePermit;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::sleep;
 
+use super::order_turns::OrderTurn;
 use super::pending_stops::PendingStop;
 use super::{LinkEvent, RETRY_PAUSE, WorkerContact, WorkerLink};
-use crate::port::{Platform, StartReply, StopReply};
+use crate::port::{Platform, PortError, StartReply, StopReply};
 
 /// Timeout of a start or a stop.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -26,33 +28,35 @@
 /// the lateness of the process.
 const MIN_LATENESS: Duration = Duration::from_millis(20);
 
-/// Maximum number of orders to a worker that are sent at a time, unless one takes longer than [`MAX_TURN_WAIT`].
-pub(super) const MAX_ORDERS_AT_ONCE: usize = 1;
-
-/// Maximum time that an order waits for the connection that earlier ones use. After that it opens another one, which
-/// costs more than the few milliseconds of an order.
-const MAX_TURN_WAIT: Duration = Duration::from_millis(40);
-
 /// Maximum time until a stop is sent again to a worker that does not answer renewals.
 const MAX_STOP_PAUSE: Duration = Duration::from_secs(2);
 
 impl<P: Platform> WorkerLink<P> {
-    /// Waits until the earlier orders to the worker have been answered, but at most [`MAX_TURN_WAIT`].
-    async fn order_turn(&self) -> Option<SemaphorePermit<'_>> {
-        let turn = timeout(MAX_TURN_WAIT, self.order_turns.acquire()).await;
-        turn.ok()?.ok()
+    /// Waits for the turn of an order that is sent again.
+    async fn next_turn(&self) -> OrderTurn {
+        let now = self.platform.now();
+        self.order_turns.next(now, now).await
     }
 
     /// Sends a start until the worker answers, with a bounded number of attempts. Repeating it is safe,
     /// because a worker starts a run only once.
-    pub(super) async fn send_start(self: Arc<Self>, order: StartOrder) {
+    ///
+    /// The first attempt has got its turn already.
+    pub(super) async fn send_start(self: Arc<Self>, order: StartOrder, turn: OrderTurn) {
         let run = order.run;
+        let mut turn = Some(turn);
         let mut in_doubt = false;
         let mut taker = StartTaker::Reported;
         let mut was_sent = false;
         let mut failures = 0;
         for number in 1..=MAX_ALL_START_ATTEMPTS {
-            let turn = self.order_turn().await;
+            let turn = match turn.take() {
+                Some(turn) => turn,
+                None => self.next_turn().await,
+            };
+            if !was_sent && self.is_silent() {
+                break;
+            }
             if self.with_state(|state| state.is_replaced) {
                 // The next incarnation would start the run under a lease that does not end when this one assumes.
                 break;
@@ -65,7 +69,6 @@
                 break;
             };
             let fence = attempt.fence;
-            was_sent = true;
             let sent = self
                 .platform
                 .start(
@@ -76,8 +79,16 @@
                     ORDER_TIMEOUT,
                 )
                 .await;
-            self.check_attempt(run, attempt, &sent).await;
             drop(turn);
+            if let Err(PortError::NoResources { cause, .. }) = &sent {
+                self.note_shortage(run, cause).await;
+                continue;
+            }
+            was_sent = true;
+            self.check_attempt(run, attempt, &sent).await;
+            if sent.is_ok() {
+                self.order_contact.note_answer();
+            }
             match sent.map(|answer| answer.reply) {
                 Ok(StartReply::Started) => return self.emit(LinkEvent::Started(run)).await,
                 Ok(StartReply::Fenced) if self.is_fenced_by_other(fence) => {
@@ -98,6 +109,7 @@
                 Err(error) => {
                     log::debug!("failed to start run={} {}: {error}", run.run, run.task);
                     self.record_failed_call();
+                    self.order_contact.note_failure();
                     in_doubt = in_doubt || !error.is_refused();
                     if attempt.taker(&error) == StartTaker::Any {
                         taker = StartTaker::Any;
@@ -115,10 +127,34 @@
         let event = match (was_sent, in_doubt) {
             (_, true) => LinkEvent::StartUnanswered(run, taker),
             (true, false) => LinkEvent::StartRefused(run, StartRefusal::Unhealthy),
-            // This process was too late to renew the lease, which does not show that the worker is unhealthy.
+            // This process was too late to renew the lease, or could not send the start, which does not show that the
+            // worker is unhealthy.
             (false, false) => LinkEvent::StartRefused(run, StartRefusal::Late),
         };
+        let is_unanswered = matches!(event, LinkEvent::StartUnanswered(..));
         self.emit(event).await;
+        if is_unanswered {
+            self.order_contact.note_silence(self.platform.now());
+        }
+    }
+
+    /// Reports that a start was not sent, so that its task starts elsewhere at once.
+    pub(super) async fn refuse_unsent(&self, run: TaskRun) {
+        self.emit(LinkEvent::StartRefused(run, StartRefusal::Late))
+            .await;
+    }
+
+    /// Logs that this process lacks resources for an order, and pauses. That says nothing about the worker.
+    async fn note_shortage(&self, run: TaskRun, cause: &str) {
+        self.log_shortage(run, cause);
+        sleep(RETRY_PAUSE).await;
+    }
+
+    fn log_shortage(&self, run: TaskRun, cause: &str) {
+        let (now, worker) = (self.platform.now(), &self.peer.id);
+        let fields = format_args!(" worker={worker} cause={}", LogText(cause));
+        self.run_lines
+            .log(EventCode::OrderNotSent, run, now, fields);
     }
 
     /// Returns whether this process was late during an order that has failed.
@@ -127,13 +163,20 @@
         elapsed >= ORDER_TIMEOUT + MIN_LATENESS
     }
 
-    /// Sends a stop until the worker answers. Its first contact comes before, since that is limited to a number
-    /// of workers at a time.
-    pub(super) async fn send_stop(self: Arc<Self>, pending: PendingStop) {
+    /// Sends a stop until the worker answers. The first attempt has got its turn already.
+    pub(super) async fn send_stop(
+        self: Arc<Self>,
+        pending: PendingStop,
+        _permit: OwnedSemaphorePermit,
+        turn: OrderTurn,
+    ) {
         let run = pending.run();
-        self.first_contact().await;
+        let mut turn = Some(turn);
         loop {
-            let turn = self.order_turn().await;
+            let turn = match turn.take() {
+                Some(turn) => turn,
+                None => self.next_turn().await,
+            };
             let (fence, clock) = self.with_state(|state| (state.fence, state.clock));
             let sent_at = self.platform.now();
             let sent = self
@@ -152,6 +195,10 @@
                 Ok(StopReply::Fenced) => continue,
                 // The run ended with the incarnation of the worker that had it.
                 Ok(StopReply::OtherIncarnation) => return,
+                Err(PortError::NoResources { cause, .. }) => {
+                    self.note_shortage(run, &cause).await;
+                    continue;
+                }
                 Err(error) => {
                     log::debug!("failed to stop {}: {error}", run.task);
                     self.record_failed_call();
--- a/crates/hs-control/src/link/renewal.rs
+++ b/crates/hs-control/src/link/renewal.rs
@@ -122,6 +122,8 @@
                     self.note_replacement();
                     self.handle_silence().await;
                 }
+                // It says nothing about the worker.
+                Err(PortError::NoResources { .. }) => sleep(RETRY_PAUSE).await,
                 Err(error) => {
                     log::debug!("{error}");
                     self.link.record_failed_call();
@@ -198,7 +200,7 @@
         };
         let contact = *link.contact.borrow();
         match contact {
-            WorkerContact::None => link.permits.call(call).await,
+            WorkerContact::None => link.contact_permits.call(call).await,
             WorkerContact::Answering | WorkerContact::Doubtful | WorkerContact::Silent => {
                 call.await
             }
@@ -241,10 +243,12 @@
             }
             let (run, how) = (end.run, end.end);
             link.metrics.record_run_end(how);
-            EventCode::RunEnded.log(format_args!(
-                "task={} run={} how={how:?} worker={} clock_ms={clock_ms}",
-                run.task, run.run, link.peer.id
-            ));
+            link.run_lines.log(
+                EventCode::RunEnded,
+                run,
+                link.platform.now(),
+                format_args!(" how={how:?} worker={} clock_ms={clock_ms}", link.peer.id),
+            );
             last_number = last_number.max(end.number);
         }
         let is_first_list = self.last_seen_end == 0 && last_number > 0;
--- a/crates/hs-control/src/link/start_attempt.rs
+++ b/crates/hs-control/src/link/start_attempt.rs
@@ -146,17 +146,18 @@
             Err(error) if error.is_refused() => (None, None),
             Err(error) => (None, Some(attempt.taker(error))),
         };
-        EventCode::StartAttempted.log(format_args!(
-            "task={} run={} worker={} attempt={} fence={} until_ms={} clock_age_ms={} \
-             answered={} clock_ms={answer_ms:?} clock={clock:?} taker={taker:?}",
-            run.task,
-            run.run,
+        let fields = format_args!(
+            " worker={} attempt={} fence={} until_ms={} clock_age_ms={} answered={} \
+             clock_ms={answer_ms:?} clock={clock:?} taker={taker:?}",
             self.peer.id,
             attempt.number,
             attempt.fence,
             attempt.lease_end_ms,
             age.as_millis(),
             sent.is_ok(),
-        ));
+        );
+        let now = self.platform.now();
+        self.run_lines
+            .log(EventCode::StartAttempted, run, now, fields);
     }
 }
--- a/crates/hs-control/src/metrics.rs
+++ b/crates/hs-control/src/metrics.rs
@@ -38,6 +38,9 @@
     allocated_runs: Gauge<u64>,
     waiting_steps: Gauge<u64>,
     reserved_workers: Gauge<u64>,
+    open_starts: Gauge<u64>,
+    max_open_starts: Gauge<u64>,
+    waiting_orders: Gauge<u64>,
     workers_by_speed: Gauge<u64>,
     interfering_pairs: Gauge<u64>,
 }
@@ -104,6 +107,18 @@
                 "hornbeamshunt_reserved_workers",
                 "Workers that waiting gangs have reserved",
             ),
+            open_starts: gauge(
+                "hornbeamshunt_open_starts",
+                "Starts that are given out and not answered",
+            ),
+            max_open_starts: gauge(
+                "hornbeamshunt_max_open_starts",
+                "Starts that may be given out and not answered",
+            ),
+            waiting_orders: gauge(
+                "hornbeamshunt_waiting_orders",
+                "Starts and stops that wait for their turn at a worker",
+            ),
             workers_by_speed: gauge("hornbeamshunt_workers_by_speed", "Workers by speed class"),
             interfering_pairs: gauge(
                 "hornbeamshunt_interfering_pairs",
@@ -226,6 +241,19 @@
         self.waiting_steps.record(to_u64(waiting_steps), &[]);
     }
 
+    /// Records the open starts, how many there may be, and the orders that wait on the links.
+    pub(crate) fn record_orders(
+        &self,
+        open_starts: usize,
+        max_open_starts: usize,
+        waiting_orders: usize,
+    ) {
+        let to_u64 = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+        self.open_starts.record(to_u64(open_starts), &[]);
+        self.max_open_starts.record(to_u64(max_open_starts), &[]);
+        self.waiting_orders.record(to_u64(waiting_orders), &[]);
+    }
+
     pub(crate) fn record_reserved_workers(&self, count: usize) {
         self.reserved_workers
             .record(u64::try_from(count).unwrap_or(u64::MAX), &[]);
--- a/crates/hs-control/src/owner.rs
+++ b/crates/hs-control/src/owner.rs
@@ -29,7 +29,10 @@
 use crate::feeds::FeedEvent;
 use crate::handover::OwnershipStart;
 use crate::lag::LagMeter;
-use crate::link::{LinkEvent, LinkHandle, MAX_LEASE_PAST_CONFIRMATION, WorkerFences};
+use crate::link::{
+    FurtherConnections, LinkEvent, LinkHandle, LinkLimits, MAX_LEASE_PAST_CONFIRMATION,
+    WorkerFences,
+};
 use crate::link_speed::LinkMeter;
 use crate::load::LoadMeter;
 use crate::metrics::ControlMetrics;
@@ -37,6 +40,7 @@
 use crate::peers::PeerPool;
 use crate::port::Platform;
 use crate::rank::VmLimits;
+use crate::run_lines::RunLines;
 use crate::shared::OwnerRequest;
 use crate::speed::SpeedMeter;
 use crate::takeover::{self, LoadLimit};
@@ -130,7 +134,8 @@
     /// Time at which all leases that an earlier owner asked for have certainly ended.
     earlier_leases_end: Instant,
     links: BTreeMap<WorkerKey, LinkHandle>,
-    contact_permits: ContactPermits,
+    link_limits: LinkLimits,
+    run_lines: RunLines,
     advice_dispatcher: AdviceDispatcher<P>,
     status: OwnerStatus,
     end_waiters: EndWaiters,
@@ -199,6 +204,7 @@
         config: inputs.config,
         ticks: tick_timer(),
     };
+    let run_lines = RunLines::default();
     let mut owner = OwnerTask {
         advice_dispatcher: AdviceDispatcher::new(platform.clone(), inputs.peers, advice_ends),
         cell: Cell::new(inputs.options),
@@ -218,7 +224,12 @@
             + MAX_LEASE_PAST_CONFIRMATION.mul_f64(1.0 + CLOCK_DRIFT_MARGIN)
             + EARLIER_LEASE_MARGIN,
         links: BTreeMap::new(),
-        contact_permits: ContactPermits::default(),
+        link_limits: LinkLimits {
+            contacts: ContactPermits::default(),
+            connections: FurtherConnections::new(inputs.limits.max_fds),
+            run_lines: run_lines.clone(),
+        },
+        run_lines,
         status: inputs.status,
         end_waiters: EndWaiters::default(),
         release: None,
--- a/crates/hs-control/src/owner/effects.rs
+++ b/crates/hs-control/src/owner/effects.rs
@@ -51,11 +51,9 @@
             return;
         };
         self.status.traffic.record_start(&order);
-        link.start(order);
-        EventCode::StartSent.log(format_args!(
-            "task={} run={} worker={worker}",
-            run.task, run.run
-        ));
+        link.start(order, now);
+        let fields = format_args!(" worker={worker}");
+        self.run_lines.log(EventCode::StartSent, run, now, fields);
         self.metrics.record_start();
         self.load.starts += 1;
         if let Some(wait) = self.cell.queue_wait(run.task.job(), now) {
@@ -64,17 +62,18 @@
     }
 
     fn send_stop(&mut self, key: WorkerKey, run: TaskRun) {
+        let now = self.platform.now();
         let Some(link) = self.links.get(&key) else {
             let worker = self.cell.worker_id(key).unwrap_or_default();
-            EventCode::StopDeferred.log(format_args!(
-                "task={} run={} worker={worker}",
-                run.task, run.run
-            ));
+            let fields = format_args!(" worker={worker}");
+            self.run_lines
+                .log(EventCode::StopDeferred, run, now, fields);
             return;
         };
-        if link.stop(run) {
+        if link.stop(run, now) {
             self.load.stops += 1;
-            EventCode::StopSent.log(format_args!("task={} run={}", run.task, run.run));
+            self.run_lines
+                .log(EventCode::StopSent, run, now, format_args!(""));
         }
     }
 
@@ -83,15 +82,12 @@
         let renewed_ms = released
             .renewed_at
             .map(|at| now.saturating_duration_since(at).as_millis());
-        EventCode::RunReleased.log(format_args!(
-            "task={} run={} worker={} born_ms={} renewed_ms_ago={renewed_ms:?} \
-             counted_by={:?}",
-            released.run.task,
-            released.run.run,
-            released.worker,
-            released.started_ms,
-            released.counted_by,
-        ));
+        let fields = format_args!(
+            " worker={} born_ms={} renewed_ms_ago={renewed_ms:?} counted_by={:?}",
+            released.worker, released.started_ms, released.counted_by,
+        );
+        self.run_lines
+            .log(EventCode::RunReleased, released.run, now, fields);
     }
 
     fn report_crash_event(&self, event: CrashEvent) {
--- a/crates/hs-control/src/owner/links.rs
+++ b/crates/hs-control/src/owner/links.rs
@@ -85,7 +85,7 @@
             key,
             endpoint,
             terms,
-            self.contact_permits.clone(),
+            self.link_limits.clone(),
             self.metrics.clone(),
             self.link_events.clone(),
         );
@@ -108,19 +108,16 @@
             }
             LinkEvent::Started(run) => self.cell.start_confirmed(key, run, now),
             LinkEvent::StartRefused(run, why) => {
-                EventCode::RunRefused.log(format_args!(
-                    "task={} run={} why={why:?}",
-                    run.task, run.run
-                ));
+                let fields = format_args!(" why={why:?}");
+                self.run_lines.log(EventCode::RunRefused, run, now, fields);
                 self.metrics.record_start_refusal(why);
                 self.cell.start_refused(key, run, why, now);
             }
             LinkEvent::StartUnanswered(run, taker) => {
                 self.load.unanswered_starts += 1;
-                EventCode::StartUnanswered.log(format_args!(
-                    "task={} run={} taker={taker:?}",
-                    run.task, run.run
-                ));
+                let fields = format_args!(" taker={taker:?}");
+                self.run_lines
+                    .log(EventCode::StartUnanswered, run, now, fields);
                 self.cell.start_unanswered(key, run, taker, now);
             }
             LinkEvent::StaleRenewal => self.cell.stale_renewal_taken(key, now),
--- a/crates/hs-control/src/owner/report.rs
+++ b/crates/hs-control/src/owner/report.rs
@@ -5,6 +5,7 @@
 use hs_event::{EventCode, LogText};
 
 use super::{MAX_LOGGED_RESERVATIONS, MAX_LOGGED_WAITS, MAX_LOGGED_WORKERS, OwnerTask};
+use crate::link::LinkHandle;
 use crate::port::Platform;
 
 impl<P: Platform> OwnerTask<P> {
@@ -15,11 +16,19 @@
         let waiting_steps = cell.waiting_steps();
         self.metrics
             .record_cell_size(unfinished_jobs, allocated_runs, waiting_steps);
+        let (open_starts, max_open_starts) = (cell.open_starts(), cell.max_open_starts());
+        let oldest_start = cell.oldest_open_start(now).unwrap_or_default();
+        let waiting_orders = self.links.values().map(LinkHandle::waiting_orders);
+        let waiting_orders: usize = waiting_orders.sum();
+        self.metrics
+            .record_orders(open_starts, max_open_starts, waiting_orders);
         let traffic = self.status.traffic.take();
         self.metrics.record_traffic(&traffic);
         EventCode::OwnerLoad.log(format_args!(
             "jobs={unfinished_jobs} runs={allocated_runs} waiting_steps={waiting_steps} \
-             mean_lag_ms={} members={} {}{traffic}",
+             open_starts={open_starts} max_open_starts={max_open_starts} oldest_start_ms={} \
+             waiting_orders={waiting_orders} mean_lag_ms={} members={} {}{traffic}",
+            oldest_start.as_millis(),
             self.lag.mean_lag().as_millis(),
             self.status.members().len(),
             self.load.take(),
--- a/crates/hs-control/tests/links/large_records.rs
+++ b/crates/hs-control/tests/links/large_records.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hs_cell::{
-    CellOptions, JobId, JobOutcome, JobRecord, JobSpec, JobState, StampedRecord, StepId, StepSpec,
-    TaskRun,
+    CellOptions, JobId, JobOutcome, JobRecord, JobSpec, JobState, StampedRecord, StepId,
+    StepRecord, StepSpec, TaskRecord, TaskRun,
 };
 use hs_control::{AccessOptions, JobStateReply, SubmitReply};
 use tokio::task::JoinSet;
@@ -20,6 +20,10 @@
 /// Number of tasks of a step of the large job. Its record takes some ten values of the store.
 const LARGE_STEP: u16 = 300;
 
+/// Number of steps and of tasks in each of the job whose runs are lost.
+const LOST_STEPS: usize = 8;
+const LOST_STEP: u16 = 4096;
+
 const LARGE: JobId = JobId(1);
 const SMALL: JobId = JobId(2);
 
@@ -116,6 +120,35 @@
     first + chunks.len()
 }
 
+/// Stores a job whose tasks have all started on the worker, which has none of the runs: they start again, and the whole
+/// record changes.
+fn put_lost_runs(platform: &FakePlatform, max_value_bytes: usize) {
+    put_job(platform, LARGE.0, Some("w1"));
+    let key = format!("hs/run/{LARGE}");
+    let record = platform.state().store.value(&key).expect("a record");
+    let mut record: StampedRecord = serde_json::from_slice(&record).expect("a valid record");
+    let steps = &mut record.record.steps;
+    let task = steps[0].tasks[0].clone();
+    steps[0].tasks = (0..LOST_STEP)
+        .map(|index| TaskRecord {
+            index,
+            ..task.clone()
+        })
+        .collect();
+    let first = steps[0].clone();
+    *steps = (0..LOST_STEPS)
+        .map(|step| StepRecord {
+            step: u16::try_from(step).expect("few steps"),
+            ..first.clone()
+        })
+        .collect();
+    let spec = large_spec(LOST_STEPS, LOST_STEP);
+    let job = serde_json::json!({ "a": spec }).to_string();
+    platform.put(format!("hs/in/job/{LARGE}"), job.into_bytes());
+    let record = serde_json::to_vec(&record).expect("a record");
+    put_chunks(platform, LARGE, &record, max_value_bytes / 2, 0);
+}
+
 /// Guards against a cell that stops because the record of one job exceeds a value of the store: its write was repeated for
 /// ever, and no other job started.
 #[tokio::test(start_paused = true)]
@@ -147,10 +180,9 @@
     /// The record takes more than 2 s.
     const BYTES_PER_SECOND: usize = 400_000;
     let platform = FakePlatform::default();
-    let process = start_with(&platform, SLOW_VALUE_BYTES).await;
+    put_lost_runs(&platform, SLOW_VALUE_BYTES);
     platform.state().store.bytes_per_second = Some(BYTES_PER_SECOND);
-    let accepted = submit(&process, LARGE, large_spec(8, 4096)).await;
-    assert_eq!(accepted, SubmitReply::Accepted);
+    let process = start_with(&platform, SLOW_VALUE_BYTES).await;
     sleep(START_TIME).await;
     let accepted = submit(&process, SMALL, job_spec()).await;
     assert_eq!(accepted, SubmitReply::Accepted);
@@ -159,8 +191,10 @@
     let keys = platform.state().store.keys(&format!("hs/run/{SMALL}"));
     assert_eq!(keys.len(), 1, "the small job has no record");
     let record = stored_record(&platform, LARGE).expect("a record in chunks");
-    let tasks = record.steps.iter().map(|step| step.tasks.len());
-    assert_eq!(tasks.sum::<usize>(), 8 * 4096);
+    let tasks = || record.steps.iter().flat_map(|step| &step.tasks);
+    assert_eq!(tasks().count(), LOST_STEPS * usize::from(LOST_STEP));
+    let second_runs = tasks().filter(|task| task.run == 2).count();
+    assert!(second_runs > 100, "{second_runs} second runs are recorded");
 }
 
 /// Guards against a cell that stops because the link of its owner became slow after the portions of a large record had
@@ -170,9 +204,8 @@
     const SLOW_VALUE_BYTES: usize = 256 << 10;
     const BYTES_PER_SECOND: usize = 400_000;
     let platform = FakePlatform::default();
+    put_lost_runs(&platform, SLOW_VALUE_BYTES);
     let process = start_with(&platform, SLOW_VALUE_BYTES).await;
-    let accepted = submit(&process, LARGE, large_spec(8, 4096)).await;
-    assert_eq!(accepted, SubmitReply::Accepted);
     sleep(START_TIME).await;
     platform.state().store.bytes_per_second = Some(BYTES_PER_SECOND);
     sleep(START_TIME).await;
--- a/crates/hs-control/tests/links/main.rs
+++ b/crates/hs-control/tests/links/main.rs
@@ -3,6 +3,7 @@
 mod cancellations;
 mod confirmation;
 mod large_records;
+mod many_orders;
 mod orders;
 mod outdated_config;
 mod platform;
--- /dev/null
+++ b/crates/hs-control/tests/links/many_orders.rs
@@ -0,0 +1,153 @@
+//! Orders by the thousand, as a job of many small tasks causes them.
+
+use std::time::Duration;
+
+use hs_cell::{JobId, JobSpec, StepSpec};
+use hs_control::{CancelReply, SubmitReply};
+use hs_wire::Resources;
+use tokio::time::sleep;
+
+use crate::platform::{CallKind, FakePlatform, WorkerBehaviour};
+use crate::process::{ELECTION_TIME, Process, job_spec};
+
+/// Number of tasks of the large job, which all fit on the worker.
+const TASKS: u16 = 2000;
+
+/// Most orders to a worker that may be sent at a time.
+const MAX_ORDERS: usize = 8;
+
+/// Time in which a job is accepted, and its start sent.
+const START_TIME: Duration = Duration::from_millis(200);
+
+const LARGE: JobId = JobId(1);
+const SMALL: JobId = JobId(2);
+
+fn large_spec() -> JobSpec {
+    let step = StepSpec {
+        count: TASKS,
+        need: Resources {
+            cpu_milli: 1,
+            ..Resources::ZERO
+        },
+        estimate_ms: 3_000,
+        ..StepSpec::default()
+    };
+    JobSpec {
+        steps: vec![step],
+        ..job_spec()
+    }
+}
+
+async fn submit(process: &Process, id: JobId, spec: JobSpec) {
+    let accepted = process.control.submit(id, spec, START_TIME).await;
+    assert_eq!(accepted, SubmitReply::Accepted);
+}
+
+/// Starts a process whose worker behaves in this way once it has answered a renewal.
+async fn start(platform: &FakePlatform, behaviour: WorkerBehaviour) -> Process {
+    platform.state().keeps_started_runs = true;
+    platform.add_worker("w1", 64_000, WorkerBehaviour::Answers);
+    let process = Process::start(platform).await;
+    sleep(ELECTION_TIME + Duration::from_secs(1)).await;
+    platform.set_behaviour("w1", behaviour);
+    process
+}
+
+/// Returns whether a run of a job is reported by the worker.
+fn has_started(platform: &FakePlatform, job: JobId) -> bool {
+    let runs = platform.reported_runs("w1");
+    runs.iter().any(|run| run.task.job() == job)
+}
+
+/// Guards against a connection for each of thousands of starts that have waited for more than 40 ms, which takes all
+/// descriptors of the process.
+#[tokio::test(start_paused = true)]
+async fn starts_open_few_connections() {
+    // A process whose handle is dropped would not let the paused time go on.
+    let mut processes = Vec::new();
+    for behaviour in [WorkerBehaviour::Answers, WorkerBehaviour::IgnoresOrders] {
+        let platform = FakePlatform::default();
+        let process = start(&platform, behaviour).await;
+        submit(&process, LARGE, large_spec()).await;
+        sleep(Duration::from_secs(3)).await;
+        let most = platform.state().max_orders;
+        assert!((1..=MAX_ORDERS).contains(&most), "{behaviour:?}: {most}");
+        processes.push(process);
+    }
+}
+
+/// Guards against a start that waits behind all tasks of a large job, which were given out at once.
+#[tokio::test(start_paused = true)]
+async fn a_start_overtakes_those_of_a_large_job() {
+    let platform = FakePlatform::default();
+    let process = start(&platform, WorkerBehaviour::Answers).await;
+    submit(&process, LARGE, large_spec()).await;
+    sleep(START_TIME).await;
+    submit(&process, SMALL, job_spec()).await;
+    sleep(START_TIME).await;
+    assert!(has_started(&platform, SMALL), "the small job waits");
+    let starts = platform.call_times("w1", CallKind::Start).len();
+    assert!(starts < usize::from(TASKS), "all {starts} starts are sent");
+}
+
+/// Guards against stops that hold up the starts behind them, or open a connection each, after the cancellation of a large job.
+#[tokio::test(start_paused = true)]
+async fn stops_of_a_large_job_leave_room_for_starts() {
+    let platform = FakePlatform::default();
+    let process = start(&platform, WorkerBehaviour::Answers).await;
+    submit(&process, LARGE, large_spec()).await;
+    // Runs without progress count as stalled after 2.6 s.
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(platform.reported_runs("w1").len(), usize::from(TASKS));
+    let cancelled = process.control.cancel(LARGE, None, START_TIME).await;
+    assert_eq!(cancelled, CancelReply::Cancelled);
+    submit(&process, SMALL, job_spec()).await;
+    sleep(START_TIME).await;
+    assert!(has_started(&platform, SMALL), "the small job waits");
+    sleep(Duration::from_secs(3)).await;
+    let stops = platform.call_times("w1", CallKind::Stop).len();
+    assert!(stops >= usize::from(TASKS), "{stops} stops are sent");
+    assert!(platform.state().max_orders <= MAX_ORDERS);
+}
+
+/// Guards against a worker that is quarantined because this process has no descriptor for the order.
+#[tokio::test(start_paused = true)]
+async fn a_shortage_of_this_process_does_not_count_against_the_worker() {
+    let platform = FakePlatform::default();
+    let process = start(&platform, WorkerBehaviour::Unreached).await;
+    submit(&process, SMALL, job_spec()).await;
+    // Longer than all attempts take.
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(!has_started(&platform, SMALL));
+    platform.set_behaviour("w1", WorkerBehaviour::Answers);
+    sleep(2 * START_TIME).await;
+    assert!(has_started(&platform, SMALL), "the worker is quarantined");
+    assert_eq!(platform.call_times("w1", CallKind::Stop).len(), 0);
+}
+
+/// Guards against tasks that wait for a silent worker one after the other, although they have not been sent and another
+/// worker has room.
+#[tokio::test(start_paused = true)]
+async fn starts_behind_a_silent_worker_go_elsewhere() {
+    const JOBS: u64 = 40;
+    // One start is in the hand of the link, and the worker is tried again after its quarantine.
+    const FURTHER_STARTS: usize = 2;
+    let platform = FakePlatform::default();
+    platform.add_worker("w2", 64_000, WorkerBehaviour::Answers);
+    let process = start(&platform, WorkerBehaviour::Answers).await;
+    submit(&process, SMALL, job_spec()).await;
+    sleep(START_TIME).await;
+    let is_first = has_started(&platform, SMALL);
+    let (silent, other) = if is_first { ("w1", "w2") } else { ("w2", "w1") };
+    platform.set_behaviour(silent, WorkerBehaviour::IgnoresOrders);
+    for number in 0..JOBS {
+        submit(&process, JobId(100 + number), job_spec()).await;
+    }
+    sleep(Duration::from_secs(3)).await;
+    let started = platform.reported_runs(other).len();
+    let all = usize::try_from(JOBS).expect("few jobs");
+    assert!(
+        started >= all - MAX_ORDERS - FURTHER_STARTS,
+        "{started} of {all} jobs"
+    );
+}
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -47,6 +47,8 @@
     IgnoresOrders,
     /// Answers starts and stops, but no renewals.
     IgnoresReports,
+    /// Answers renewals, while this process has no descriptor left for starts and stops.
+    Unreached,
     /// Answers reports, but refuses to renew the lease.
     RefusesLeases,
     /// Another incarnation answers, whose clock is far behind.
@@ -159,6 +161,12 @@
         state.reported_runs.entry(id.into()).or_default().push(run);
     }
 
+    /// Returns the runs that a worker reports.
+    pub fn reported_runs(&self, id: &str) -> Vec<TaskRun> {
+        let state = self.state();
+        state.reported_runs.get(id).cloned().unwrap_or_default()
+    }
+
     /// Returns the workers in the order in which they were first called.
     pub fn contacted_workers(&self) -> Vec<Arc<str>> {
         let mut workers = Vec::new();
@@ -223,6 +231,10 @@
                 | WorkerBehaviour::IgnoresOrders
                 | WorkerBehaviour::RefusesLeases
                 | WorkerBehaviour::Replaced => sleep(LATENCY + wait).await,
+                WorkerBehaviour::Unreached if kind == CallKind::Renewal => {
+                    sleep(LATENCY + wait).await;
+                }
+                WorkerBehaviour::Unreached => {}
                 WorkerBehaviour::Silent => std::future::pending().await,
                 WorkerBehaviour::Refuses => {}
             }
@@ -235,6 +247,13 @@
                 peer: worker.id.to_string(),
                 cause: "connection refused".to_owned(),
             }),
+            WorkerBehaviour::Unreached if kind != CallKind::Renewal => {
+                Err(PortError::NoResources {
+                    operation: "call",
+                    peer: worker.id.to_string(),
+                    cause: "too many open files".to_owned(),
+                })
+            }
             _ if !answered => Err(no_reply(&worker.id, "no reply in time")),
             _ => Ok(()),
         }
--- a/crates/hs-event/src/code.rs
+++ b/crates/hs-event/src/code.rs
@@ -41,6 +41,8 @@
     ProcessResumed = 1003, Warn, "process resumed after a pause";
     /// The process received a notification that its settings changed.
     SettingsReloaded = 1004, Info, "settings reloaded";
+    /// The number of files that the process may open is known.
+    DescriptorLimit = 1005, Info, "limit of open files";
     /// Work was started on a worker of this process.
     WorkPlaced = 2001, Info, "work placed on a worker";
     /// Work was put into a queue.
@@ -181,6 +183,8 @@
     StopDeferred = 8046, Info, "stop waits for its worker";
     /// An attempt to send a start failed, was repeated, or was answered by another clock than that of the last report.
     StartAttempted = 8047, Info, "start attempted";
+    /// This process lacks the descriptors, ports or memory for an order to a worker.
+    OrderNotSent = 8048, Warn, "order not sent for want of resources";
     /// An advice request was answered or failed.
     AdviceEnded = 8051, Info, "advice answered";
     /// A step needs tickets, and an advice request for it is queued.
