fix(control): each job has as many turns at a worker as any other

A gang exceeds the windows, and its members' starts stood before all others in the queues of the links (2,547 waiting orders).

Change: the starts in the queue of a link are taken in start-time fair queueing by job. The test with a gang fails before. The window of all workers is at least 1,024: an owner short of processor time answers late whatever its queue, and gives out a thousand starts a second or more.

--- a/crates/hs-cell/src/effect.rs
+++ b/crates/hs-cell/src/effect.rs
@@ -24,8 +24,6 @@
 pub struct StartOrder {
     /// Run to start.
     pub run: TaskRun,
-    /// Priority of the queue of the job. Among orders that wait for their worker, the lowest one comes first.
-    pub priority: u8,
     /// Opaque input of the job.
     pub input: Arc<str>,
     /// Checkpoint to resume from.
--- a/crates/hs-cell/src/open_starts.rs
+++ b/crates/hs-cell/src/open_starts.rs
@@ -20,10 +20,11 @@
     max: 2048,
 };
 
-/// Bounds of the window of all workers, which follows the speed of the owner.
+/// Bounds of the window of all workers, which follows the speed of the owner. An owner with too little processor time takes
+/// up to half a second to record and send a start, and gives out a thousand or more a second.
 const TOTAL_BOUNDS: WindowBounds = WindowBounds {
-    min: 128,
-    initial: 1024,
+    min: 1024,
+    initial: 2048,
     max: 16_384,
 };
 
--- a/crates/hs-cell/src/run_orders.rs
+++ b/crates/hs-cell/src/run_orders.rs
@@ -75,7 +75,6 @@
         let task = step.tasks.get(usize::from(run.task.index))?;
         Some(StartOrder {
             run,
-            priority: self.queues.get(&spec.queue)?.priority,
             input: spec.input.clone(),
             checkpoint: task.checkpoint.clone(),
             ticket: self.start_ticket(key, run, now)?,
--- a/crates/hs-control/src/link/order_queue.rs
+++ b/crates/hs-control/src/link/order_queue.rs
@@ -1,11 +1,11 @@
 //! Orders to a worker that wait for a turn.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use hs_cell::StartOrder;
+use hs_cell::{JobId, StartOrder};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc};
 
 use super::pending_stops::PendingStop;
@@ -13,9 +13,6 @@
 /// Maximum number of stops of a worker in progress. The others wait as long as none of these is answered.
 const MAX_OPEN_STOPS: usize = 32;
 
-/// Time for which starts of one priority may be overtaken by those of the next higher one.
-const PRIORITY_DELAY: Duration = Duration::from_millis(50);
-
 /// Sender of orders to a worker.
 #[derive(Clone, Debug)]
 pub(super) struct OrderSender {
@@ -34,7 +31,8 @@
     waiting_stops: Arc<AtomicUsize>,
 }
 
-/// Starts by priority and age.
+/// Starts that wait, of which each job has as many turns as any other (start-time fair queueing). A job with many starts, as a
+/// wide gang, does not delay the few of another one.
 #[derive(Debug, Default)]
 struct WaitingStarts {
     orders: Mutex<StartOrders>,
@@ -43,8 +41,12 @@
 
 #[derive(Debug, Default)]
 struct StartOrders {
-    /// Orders by the time from which none of a higher priority overtakes them, and number.
-    by_time: BTreeMap<(Instant, u64), Queued<StartOrder>>,
+    /// Orders by the round in which they have their turn, and number.
+    by_round: BTreeMap<(u64, u64), Queued<StartOrder>>,
+    /// Round of the last start of each job that has one in the queue.
+    last_rounds: HashMap<JobId, u64>,
+    /// Round of the order that was taken last.
+    round: u64,
     last_number: u64,
 }
 
@@ -97,7 +99,7 @@
 
     /// Returns the number of orders that wait in the queues.
     pub(super) fn waiting(&self) -> usize {
-        self.starts.lock().by_time.len() + self.waiting_stops.load(Ordering::Relaxed)
+        self.starts.lock().by_round.len() + self.waiting_stops.load(Ordering::Relaxed)
     }
 }
 
@@ -128,20 +130,15 @@
 
 impl WaitingStarts {
     fn add(&self, start: Queued<StartOrder>) {
-        let mut orders = self.lock();
-        orders.last_number += 1;
-        let delay = PRIORITY_DELAY * u32::from(start.order.priority);
-        let key = (start.at + delay, orders.last_number);
-        orders.by_time.insert(key, start);
-        drop(orders);
+        self.lock().push(start);
         self.added.notify_one();
     }
 
     /// Waits for the next start.
     async fn take(&self) -> Queued<StartOrder> {
         loop {
-            let first = self.lock().by_time.pop_first();
-            if let Some((_, start)) = first {
+            let first = self.lock().pop();
+            if let Some(start) = first {
                 return start;
             }
             self.added.notified().await;
@@ -152,3 +149,24 @@
         self.orders.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl StartOrders {
+    fn push(&mut self, start: Queued<StartOrder>) {
+        let job = start.order.run.task.job();
+        let next = self.last_rounds.get(&job).map_or(0, |last| last + 1);
+        let round = next.max(self.round);
+        self.last_rounds.insert(job, round);
+        self.last_number += 1;
+        self.by_round.insert((round, self.last_number), start);
+    }
+
+    fn pop(&mut self) -> Option<Queued<StartOrder>> {
+        let ((round, _), start) = self.by_round.pop_first()?;
+        self.round = round;
+        let job = start.order.run.task.job();
+        if self.last_rounds.get(&job) == Some(&round) {
+            self.last_rounds.remove(&job);
+        }
+        Some(start)
+    }
+}
--- a/crates/hs-control/tests/links/many_orders.rs
+++ b/crates/hs-control/tests/links/many_orders.rs
@@ -22,9 +22,10 @@
 const LARGE: JobId = JobId(1);
 const SMALL: JobId = JobId(2);
 
-fn large_spec() -> JobSpec {
+fn large_spec(gang: bool) -> JobSpec {
     let step = StepSpec {
         count: TASKS,
+        gang,
         need: Resources {
             cpu_milli: 1,
             ..Resources::ZERO
@@ -68,7 +69,7 @@
     for behaviour in [WorkerBehaviour::Answers, WorkerBehaviour::IgnoresOrders] {
         let platform = FakePlatform::default();
         let process = start(&platform, behaviour).await;
-        submit(&process, LARGE, large_spec()).await;
+        submit(&process, LARGE, large_spec(false)).await;
         sleep(Duration::from_secs(3)).await;
         let most = platform.state().max_orders;
         assert!((1..=MAX_ORDERS).contains(&most), "{behaviour:?}: {most}");
@@ -76,18 +77,23 @@
     }
 }
 
-/// Guards against a start that waits behind all tasks of a large job, which were given out at once.
+/// Guards against a start that waits behind all tasks of a large job, which were given out at once, or behind all members of a
+/// gang.
 #[tokio::test(start_paused = true)]
 async fn a_start_overtakes_those_of_a_large_job() {
-    let platform = FakePlatform::default();
-    let process = start(&platform, WorkerBehaviour::Answers).await;
-    submit(&process, LARGE, large_spec()).await;
-    sleep(START_TIME).await;
-    submit(&process, SMALL, job_spec()).await;
-    sleep(START_TIME).await;
-    assert!(has_started(&platform, SMALL), "the small job waits");
-    let starts = platform.call_times("w1", CallKind::Start).len();
-    assert!(starts < usize::from(TASKS), "all {starts} starts are sent");
+    let mut processes = Vec::new();
+    for gang in [false, true] {
+        let platform = FakePlatform::default();
+        let process = start(&platform, WorkerBehaviour::Answers).await;
+        submit(&process, LARGE, large_spec(gang)).await;
+        sleep(START_TIME).await;
+        submit(&process, SMALL, job_spec()).await;
+        sleep(START_TIME).await;
+        assert!(has_started(&platform, SMALL), "the job waits, {gang}");
+        let starts = platform.call_times("w1", CallKind::Start).len();
+        assert!(starts < usize::from(TASKS), "all {starts} starts are sent");
+        processes.push(process);
+    }
 }
 
 /// Guards against stops that hold up the starts behind them, or open a connection each, after the cancellation of a large job.
@@ -95,7 +101,7 @@
 async fn stops_of_a_large_job_leave_room_for_starts() {
     let platform = FakePlatform::default();
     let process = start(&platform, WorkerBehaviour::Answers).await;
-    submit(&process, LARGE, large_spec()).await;
+    submit(&process, LARGE, large_spec(false)).await;
     // Runs without progress count as stalled after 2.6 s.
     sleep(Duration::from_secs(2)).await;
     assert_eq!(platform.reported_runs("w1").len(), usize::from(TASKS));
