fix(control): the next order waits until the clock of the answer is known

Another order could then be sent to an incarnation that has not reported, which keeps its run under a lease that the owner does not count.

The turn is returned after the check again. A worker that refuses connections counts as silent for the starts behind, as one without an answer does. `place_step` is divided; it does the same.

--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -120,6 +120,28 @@
             }
             return;
         }
+        self.order_candidates(id, &spec, wanted, &mut candidates, now);
+        let run = self
+            .jobs
+            .get(&id.job)
+            .and_then(|job| job.step(id))
+            .map(|s| s.max_run_number() + 1);
+        let gang_run = run.filter(|_| spec.gang);
+        if spec.gang {
+            self.place_planned(id, &planned, gang_run, now);
+        }
+        self.place_waiting(id, &waiting, &candidates, gang_run, now);
+    }
+
+    /// Puts the workers on which tasks of a step are to be placed first to the front.
+    fn order_candidates(
+        &self,
+        id: StepId,
+        spec: &StepSpec,
+        wanted: u32,
+        candidates: &mut Vec<Candidate>,
+        now: Instant,
+    ) {
         let preference = self.worker_preference(id, now);
         candidates.sort_by_cached_key(|c| {
             (
@@ -131,32 +153,33 @@
             )
         });
         if spec.same_rack || spec.gang {
-            let alike = self.prefer_one_speed_class(id, &mut candidates, wanted, now);
+            let alike = self.prefer_one_speed_class(id, candidates, wanted, now);
             self.prefer_one_rack(alike, wanted);
         }
-        let run = self
-            .jobs
-            .get(&id.job)
-            .and_then(|job| job.step(id))
-            .map(|s| s.max_run_number() + 1);
-        let gang_run = run.filter(|_| spec.gang);
-        if spec.gang {
-            self.place_planned(id, &planned, gang_run, now);
-        }
-        let mut tasks = waiting.into_iter();
+    }
+
+    /// Places tasks on the candidates in their order, as far as these may have further starts. A gang starts whole.
+    fn place_waiting(
+        &mut self,
+        id: StepId,
+        waiting: &[u16],
+        candidates: &[Candidate],
+        gang_run: Option<u32>,
+        now: Instant,
+    ) {
+        let mut left = waiting;
         for candidate in candidates {
-            let left = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
-            let wanted = candidate.fits.min(left);
-            let admitted = match spec.gang {
-                true => wanted,
-                false => self.open_starts.admit(candidate.key, id.job, wanted),
+            let wanted = u32::try_from(left.len()).unwrap_or(u32::MAX);
+            let wanted = candidate.fits.min(wanted);
+            let admitted = match gang_run {
+                Some(_) => wanted,
+                None => self.open_starts.admit(candidate.key, id.job, wanted),
             };
-            for _ in 0..admitted {
-                let Some(index) = tasks.next() else {
-                    return;
-                };
-                self.place_task(id, index, candidate.key, gang_run, false, now);
+            let (placed, rest) = left.split_at(admitted as usize);
+            for index in placed {
+                self.place_task(id, *index, candidate.key, gang_run, false, now);
             }
+            left = rest;
         }
     }
 
--- a/crates/hs-control/src/link/orders.rs
+++ b/crates/hs-control/src/link/orders.rs
@@ -79,13 +79,15 @@
                     ORDER_TIMEOUT,
                 )
                 .await;
-            drop(turn);
             if let Err(PortError::NoResources { cause, .. }) = &sent {
+                drop(turn);
                 self.note_shortage(run, cause).await;
                 continue;
             }
             was_sent = true;
+            // The next order may only have its turn once it is known whether another incarnation has answered.
             self.check_attempt(run, attempt, &sent).await;
+            drop(turn);
             if sent.is_ok() {
                 self.order_contact.note_answer();
             }
@@ -131,9 +133,12 @@
             // worker is unhealthy.
             (false, false) => LinkEvent::StartRefused(run, StartRefusal::Late),
         };
-        let is_unanswered = matches!(event, LinkEvent::StartUnanswered(..));
+        let has_failed = matches!(
+            event,
+            LinkEvent::StartUnanswered(..) | LinkEvent::StartRefused(_, StartRefusal::Unhealthy)
+        );
         self.emit(event).await;
-        if is_unanswered {
+        if has_failed {
             self.order_contact.note_silence(self.platform.now());
         }
     }
