--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -139,7 +139,7 @@
         id: StepId,
         spec: &StepSpec,
         wanted: u32,
-        candidates: &mut Vec<Candidate>,
+        candidates: &mut [Candidate],
         now: Instant,
     ) {
         let preference = self.worker_preference(id, now);
