--- a/crates/hs-cell/src/open_starts.rs
+++ b/crates/hs-cell/src/open_starts.rs
@@ -20,8 +20,8 @@
     max: 2048,
 };
 
-/// Bounds of the window of all workers, which follows the speed of the owner. An owner with too little processor time takes
-/// up to half a second to record and send a start, and gives out a thousand or more a second.
+/// Bounds of the window of all workers, which follows the speed of the owner. An owner with too little processor time answers
+/// late however few starts are open, so that a smaller window would only slow it down.
 const TOTAL_BOUNDS: WindowBounds = WindowBounds {
     min: 1024,
     initial: 2048,
