fix(cell): a step looks at no worker after its last task is placed

Cause: after the last waiting task, the bounds of open starts were still asked for each further candidate, of which there are a thousand.

Change: the loop ends there. The starts of workers are kept by the index of their keys, which needs no hash.

--- a/crates/hs-cell/src/open_starts.rs
+++ b/crates/hs-cell/src/open_starts.rs
@@ -10,6 +10,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use slotmap::SecondaryMap;
+
 use crate::start_window::{StartWindow, WindowBounds};
 use crate::{JobId, TaskRun, WorkerKey};
 
@@ -34,7 +36,7 @@
 /// Starts without an answer, and the windows that bound their number.
 #[derive(Debug)]
 pub(crate) struct OpenStarts {
-    workers: HashMap<WorkerKey, WorkerStarts>,
+    workers: SecondaryMap<WorkerKey, WorkerStarts>,
     /// Window of the starts on all workers.
     total: WindowUse,
     /// Whether a window has kept tasks waiting since the last start was closed.
@@ -97,7 +99,7 @@
 impl Default for OpenStarts {
     fn default() -> Self {
         Self {
-            workers: HashMap::new(),
+            workers: SecondaryMap::new(),
             total: WindowUse::new(TOTAL_BOUNDS),
             is_limiting: false,
         }
@@ -132,13 +134,15 @@
     /// Returns whether a gang of a job may have members on a worker.
     pub(crate) fn admits_gang(&self, key: WorkerKey, job: JobId) -> bool {
         let room = |used: &WindowUse| used.room(job, StartKind::GangMember);
-        room(&self.total) > 0 && self.workers.get(&key).is_none_or(|w| room(&w.used) > 0)
+        room(&self.total) > 0 && self.workers.get(key).is_none_or(|w| room(&w.used) > 0)
     }
 
     /// Returns how many of the `wanted` starts of single tasks of a job a worker may get, and records the windows that keep the
     /// others waiting.
     pub(crate) fn admit(&mut self, key: WorkerKey, job: JobId, wanted: u32) -> u32 {
-        let worker = self.workers.entry(key).or_insert_with(WorkerStarts::new);
+        let Some(worker) = self.worker_mut(key) else {
+            return 0;
+        };
         let on_worker = worker.used.admit(job, wanted);
         let admitted = self.total.admit(job, on_worker);
         self.is_limiting |= admitted < wanted;
@@ -153,11 +157,13 @@
 
     /// Adds a start whose placement is to be recorded.
     pub(crate) fn add(&mut self, key: WorkerKey, run: TaskRun, kind: StartKind) {
-        let worker = self.workers.entry(key).or_insert_with(WorkerStarts::new);
         let start = OpenStart {
             kind,
             sent_at: None,
         };
+        let Some(worker) = self.worker_mut(key) else {
+            return;
+        };
         if worker.open.insert(run, start).is_none() {
             worker.used.add(run.task.job(), kind);
             self.total.add(run.task.job(), kind);
@@ -166,7 +172,7 @@
 
     /// Records that a start is sent.
     pub(crate) fn record_sent(&mut self, key: WorkerKey, run: TaskRun, now: Instant) {
-        let worker = self.workers.get_mut(&key);
+        let worker = self.workers.get_mut(key);
         if let Some(start) = worker.and_then(|worker| worker.open.get_mut(&run)) {
             start.sent_at = Some(now);
         }
@@ -174,7 +180,7 @@
 
     /// Removes a start, if it is open. Returns whether tasks have waited for room, which there may be now.
     pub(crate) fn close(&mut self, key: WorkerKey, run: TaskRun, outcome: StartOutcome) -> bool {
-        let Some(worker) = self.workers.get_mut(&key) else {
+        let Some(worker) = self.workers.get_mut(key) else {
             return false;
         };
         let Some(start) = worker.open.remove(&run) else {
@@ -195,9 +201,15 @@
         std::mem::take(&mut self.is_limiting)
     }
 
+    /// Returns the starts of a worker, or `None` if its key is that of an earlier worker.
+    fn worker_mut(&mut self, key: WorkerKey) -> Option<&mut WorkerStarts> {
+        let entry = self.workers.entry(key)?;
+        Some(entry.or_insert_with(WorkerStarts::new))
+    }
+
     /// Removes the open starts of a worker that is gone.
     pub(crate) fn forget(&mut self, key: WorkerKey) {
-        let Some(worker) = self.workers.remove(&key) else {
+        let Some(worker) = self.workers.remove(key) else {
             return;
         };
         for (run, start) in &worker.open {
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -169,6 +169,9 @@
     ) {
         let mut left = waiting;
         for candidate in candidates {
+            if left.is_empty() {
+                break;
+            }
             let wanted = u32::try_from(left.len()).unwrap_or(u32::MAX);
             let wanted = candidate.fits.min(wanted);
             let admitted = match gang_run {
