--- a/crates/hs-control/tests/links/main.rs
+++ b/crates/hs-control/tests/links/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the links of an owner to its workers, on a platform in memory.
 
 mod cancellations;
+#[path = "../../../../platform/tests/odd_entries/captured_log.rs"]
+mod captured_log;
 mod confirmation;
 mod large_records;
 mod many_orders;
--- a/crates/hs-control/tests/links/many_orders.rs
+++ b/crates/hs-control/tests/links/many_orders.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use hs_cell::{JobId, JobSpec, StepSpec};
-use hs_control::{CancelReply, SubmitReply};
+use hs_cell::{CellOptions, JobId, JobSpec, StepSpec};
+use hs_control::{AccessOptions, CancelReply, SubmitReply, VmLimits};
 use hs_wire::Resources;
 use tokio::time::sleep;
 
+use crate::captured_log;
 use crate::platform::{CallKind, FakePlatform, WorkerBehaviour};
 use crate::process::{ELECTION_TIME, Process, job_spec};
 
@@ -77,6 +78,54 @@
     }
 }
 
+/// Guards against links that each keep to their own bound, and take all descriptors of the process together.
+#[tokio::test(start_paused = true)]
+async fn links_share_the_descriptors_of_the_process() {
+    const WORKERS: usize = 4;
+    // An eighth of them is for connections beside the first one of each worker.
+    const MAX_FDS: usize = 32;
+    let platform = FakePlatform::default();
+    for number in 0..WORKERS {
+        platform.add_worker(&format!("w{number}"), 200, WorkerBehaviour::Answers);
+    }
+    let limits = VmLimits {
+        max_fds: Some(MAX_FDS),
+        ..VmLimits::default()
+    };
+    let (access, cell) = (AccessOptions::default(), CellOptions::default());
+    let process = Process::start_limited(&platform, access, cell, limits).await;
+    sleep(ELECTION_TIME + Duration::from_secs(1)).await;
+    for number in 0..WORKERS {
+        platform.set_behaviour(&format!("w{number}"), WorkerBehaviour::IgnoresOrders);
+    }
+    submit(&process, LARGE, large_spec(false)).await;
+    sleep(Duration::from_secs(1)).await;
+    let most = platform.state().max_orders;
+    let further = MAX_FDS / 8;
+    assert!((WORKERS..=WORKERS + further).contains(&most), "{most}");
+}
+
+/// Guards against a log in which a job of many tasks leaves no room for the lines of others.
+#[tokio::test(start_paused = true)]
+async fn lines_about_the_runs_of_a_job_are_bounded() {
+    const JOB: JobId = JobId(0x5eed_0000_0000_0001);
+    captured_log::capture();
+    let platform = FakePlatform::default();
+    let process = start(&platform, WorkerBehaviour::Answers).await;
+    submit(&process, JOB, large_spec(false)).await;
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(platform.reported_runs("w1").len(), usize::from(TASKS));
+    let lines = captured_log::lines_with(&format!("E8041 start sent task={JOB}"));
+    let seconds = 3;
+    assert!(
+        (100..=100 * (seconds + 1)).contains(&lines.len()),
+        "{}",
+        lines.len()
+    );
+    let left_out = lines.iter().any(|line| line.contains("left_out="));
+    assert!(left_out, "no line says that others were left out");
+}
+
 /// Guards against a start that waits behind all tasks of a large job, which were given out at once, or behind all members of a
 /// gang.
 #[tokio::test(start_paused = true)]
--- a/crates/hs-control/tests/links/process.rs
+++ b/crates/hs-control/tests/links/process.rs
@@ -40,12 +40,22 @@
         platform: &FakePlatform,
         access: AccessOptions,
         cell: CellOptions,
+    ) -> Self {
+        Self::start_limited(platform, access, cell, VmLimits::default()).await
+    }
+
+    /// Starts a process on a VM with these resources.
+    pub async fn start_limited(
+        platform: &FakePlatform,
+        access: AccessOptions,
+        cell: CellOptions,
+        limits: VmLimits,
     ) -> Self {
         let options = ControlOptions {
             node: "node-1".to_owned(),
             peer_listen: "127.0.0.1:0".parse().expect("address"),
             cell,
-            limits: VmLimits::default(),
+            limits,
             peer_limits: PeerLimits::default(),
             access,
         };
