test: rules of the bounds on starts, each broken by hand

Twenty rules of the change were broken one at a time. Seven were guarded by no test: growth, the part of a window that gangs leave, gangs behind gangs, distance, the window of all workers, shrinkage after a failure, and a shortage for renewals.

--- a/crates/hs-control/tests/links/main.rs
+++ b/crates/hs-control/tests/links/main.rs
@@ -16,3 +16,4 @@
 mod state_requests;
 mod store;
 mod takeover;
+mod worker_calls;
--- a/crates/hs-control/tests/links/many_orders.rs
+++ b/crates/hs-control/tests/links/many_orders.rs
@@ -180,6 +180,24 @@
     assert_eq!(platform.call_times("w1", CallKind::Stop).len(), 0);
 }
 
+/// Guards against a worker that counts as silent because this process has no descriptor for a renewal.
+#[tokio::test(start_paused = true)]
+async fn a_shortage_for_renewals_makes_no_worker_silent() {
+    const WORKER: &str = "w-without-renewals";
+    captured_log::capture();
+    let platform = FakePlatform::default();
+    platform.add_worker(WORKER, 64_000, WorkerBehaviour::Answers);
+    let _process = Process::start(&platform).await;
+    sleep(ELECTION_TIME + Duration::from_secs(1)).await;
+    let renewals = || platform.call_times(WORKER, CallKind::Renewal).len();
+    let before = renewals();
+    platform.set_behaviour(WORKER, WorkerBehaviour::OutOfReach);
+    sleep(Duration::from_secs(3)).await;
+    assert!((10..=40).contains(&(renewals() - before)));
+    let silent = format!("E8013 worker does not answer worker={WORKER}");
+    assert_eq!(captured_log::lines_with(&silent).len(), 0);
+}
+
 /// Guards against tasks that wait for a silent worker one after the other, although they have not been sent and another
 /// worker has room.
 #[tokio::test(start_paused = true)]
--- a/crates/hs-control/tests/links/platform.rs
+++ b/crates/hs-control/tests/links/platform.rs
@@ -18,6 +18,7 @@
 
 use crate::confirmation::ConfigScript;
 use crate::store::MemoryStore;
+pub use crate::worker_calls::{CallKind, WorkerBehaviour};
 
 /// Service of all workers.
 pub const SERVICE: &str = "service";
@@ -34,35 +35,6 @@
 /// Reading at which the clocks of the workers begin, in milliseconds.
 const FIRST_CLOCK_MS: u64 = 1_000_000;
 
-/// How a worker answers calls.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum WorkerBehaviour {
-    /// Answers each call.
-    Answers,
-    /// Answers no call.
-    Silent,
-    /// Refuses connections.
-    Refuses,
-    /// Answers renewals, but neither starts nor stops.
-    IgnoresOrders,
-    /// Answers starts and stops, but no renewals.
-    IgnoresReports,
-    /// Answers renewals, while this process has no descriptor left for starts and stops.
-    Unreached,
-    /// Answers reports, but refuses to renew the lease.
-    RefusesLeases,
-    /// Another incarnation answers, whose clock is far behind.
-    Replaced,
-}
-
-/// A call to a worker.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CallKind {
-    Renewal,
-    Start,
-    Stop,
-}
-
 /// A recorded call.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -234,7 +206,7 @@
                 WorkerBehaviour::Unreached if kind == CallKind::Renewal => {
                     sleep(LATENCY + wait).await;
                 }
-                WorkerBehaviour::Unreached => {}
+                WorkerBehaviour::Unreached | WorkerBehaviour::OutOfReach => {}
                 WorkerBehaviour::Silent => std::future::pending().await,
                 WorkerBehaviour::Refuses => {}
             }
@@ -247,13 +219,8 @@
                 peer: worker.id.to_string(),
                 cause: "connection refused".to_owned(),
             }),
-            WorkerBehaviour::Unreached if kind != CallKind::Renewal => {
-                Err(PortError::NoResources {
-                    operation: "call",
-                    peer: worker.id.to_string(),
-                    cause: "too many open files".to_owned(),
-                })
-            }
+            WorkerBehaviour::Unreached if kind != CallKind::Renewal => Err(shortage(&worker.id)),
+            WorkerBehaviour::OutOfReach => Err(shortage(&worker.id)),
             _ if !answered => Err(no_reply(&worker.id, "no reply in time")),
             _ => Ok(()),
         }
@@ -296,6 +263,14 @@
     }
 }
 
+fn shortage(worker: &str) -> PortError {
+    PortError::NoResources {
+        operation: "call",
+        peer: worker.to_owned(),
+        cause: "too many open files".to_owned(),
+    }
+}
+
 fn no_reply(worker: &str, cause: &str) -> PortError {
     PortError::NoReply {
         operation: "call",
