test(cell): a gang's part of the windows is looked at before they grow

Broken by hand (members take windows whole), the test held: the answers of 100 ms had let the window of all workers grow over the gang. It now fails with the rule broken.

--- a/crates/hs-cell/tests/cell/open_starts.rs
+++ b/crates/hs-cell/tests/cell/open_starts.rs
@@ -251,10 +251,11 @@
 fn a_gang_starts_together_however_many_members_it_has() {
     let mut links = SlowLinks::new(LinkTimes::answering_in(Duration::from_millis(1)));
     links.submit(LARGE, "bulk", many_tasks(true));
-    links.run_for(Duration::from_millis(100));
+    links.run_for(Duration::from_millis(10));
     assert_eq!(links.cell.allocated_runs(), 4096);
     links.submit(SMALL, "bulk", vec![step(2, 100, 500)]);
-    links.run_for(Duration::from_millis(100));
+    // Before the window has grown by answers.
+    links.run_for(Duration::from_millis(40));
     let placed = links.cell.allocated_runs();
     assert_eq!(placed, 4098, "the small job waits for the gang");
 }
