test(cell): open_starts keeps to the oldest supported compiler

Cause: VecDeque::pop_front_if is newer than the rust-version of the workspace, and clippy refuses it. Change: the front is looked at and then taken; the checks are the same.

--- a/crates/hs-cell/tests/cell/open_starts.rs
+++ b/crates/hs-cell/tests/cell/open_starts.rs
@@ -107,7 +107,8 @@
             }
         }
         for (key, queue) in &mut self.queues {
-            while let Some((run, _)) = queue.pop_front_if(|(_, at)| *at <= self.now) {
+            while queue.front().is_some_and(|(_, at)| *at <= self.now) {
+                let (run, _) = queue.pop_front().expect("a start");
                 self.cell.start_confirmed(*key, run, self.now);
                 self.started_at.entry(run.task.job()).or_insert(self.now);
                 self.answered += 1;
