fix(cell): the window of starts changes once in the time from a placement to its answer

Cause: a round ended after as many answers as the window is wide, or 100 ms, whatever had been placed since the last change. A change shows only in answers to starts placed after it, which takes the write of the placement and the way to the worker. The window therefore doubled several times before its effect showed, and then shrank several times on old answers. Ruled out: growth alone after an answer to a new start (far queues shorter, a slow store slower); the shortest delay of the burst that a new start belongs to (no effect); a further shrinkage after a start without an answer (no effect, since its worker is quarantined), which is removed. Change: answers to starts that were placed in the round decide, once. The window doubles for as long as that brings a quarter more answers; after that it is scaled by the time without the delay, and 60 ms, to the whole time (Vegas, FAST TCP).

--- a/crates/hs-cell/src/open_starts.rs
+++ b/crates/hs-cell/src/open_starts.rs
@@ -12,7 +12,7 @@
 
 use slotmap::SecondaryMap;
 
-use crate::start_window::{StartWindow, WindowBounds};
+use crate::start_window::{StartAnswer, StartWindow, WindowBounds};
 use crate::{JobId, TaskRun, WorkerKey};
 
 /// Bounds of the window of a worker.
@@ -65,6 +65,7 @@
 #[derive(Clone, Copy, Debug)]
 struct OpenStart {
     kind: StartKind,
+    placed_at: Instant,
     /// Time at which it was sent; `None` while its placement is recorded.
     sent_at: Option<Instant>,
 }
@@ -90,9 +91,7 @@
 pub(crate) enum StartOutcome {
     /// The worker has confirmed it, at this time.
     Confirmed(Instant),
-    /// It remains without an answer.
-    Unanswered,
-    /// It is not pending any more, which says nothing about the time to an answer.
+    /// It is not pending any more, or remains without an answer, which says nothing about the time to one.
     Withdrawn,
 }
 
@@ -156,9 +155,10 @@
     }
 
     /// Adds a start whose placement is to be recorded.
-    pub(crate) fn add(&mut self, key: WorkerKey, run: TaskRun, kind: StartKind) {
+    pub(crate) fn add(&mut self, key: WorkerKey, run: TaskRun, kind: StartKind, now: Instant) {
         let start = OpenStart {
             kind,
+            placed_at: now,
             sent_at: None,
         };
         let Some(worker) = self.worker_mut(key) else {
@@ -191,11 +191,14 @@
         match (outcome, start.sent_at) {
             (StartOutcome::Confirmed(now), Some(sent_at)) => {
                 let delay = worker.record_time(now.saturating_duration_since(sent_at), now);
-                worker.used.window.record_answer(delay, now);
-                self.total.window.record_answer(delay, now);
+                let answer = StartAnswer {
+                    placed_at: start.placed_at,
+                    answered_at: now,
+                    delay,
+                };
+                worker.used.window.record_answer(answer);
+                self.total.window.record_answer(answer);
             }
-            // Other workers may answer, so the window of all stays as it is.
-            (StartOutcome::Unanswered, _) => worker.used.window.record_failure(),
             (StartOutcome::Confirmed(_) | StartOutcome::Withdrawn, _) => {}
         }
         std::mem::take(&mut self.is_limiting)
--- a/crates/hs-cell/src/placement.rs
+++ b/crates/hs-cell/src/placement.rs
@@ -229,7 +229,7 @@
             task: id.task(index),
             run: task.run,
         };
-        self.open_starts.add(key, run, kind);
+        self.open_starts.add(key, run, kind, now);
         job.pending_starts.push((key, run));
         let slot = Slot {
             is_isolated,
--- a/crates/hs-cell/src/start_replies.rs
+++ b/crates/hs-cell/src/start_replies.rs
@@ -108,7 +108,7 @@
         }
         if is_sent {
             worker.quarantine(now);
-            self.close_start(key, run, StartOutcome::Unanswered);
+            self.close_start(key, run, StartOutcome::Withdrawn);
             self.stop_run(key, run);
             self.stop_incomplete_gang(run.task.step);
         }
--- a/crates/hs-cell/src/start_window.rs
+++ b/crates/hs-cell/src/start_window.rs
@@ -2,29 +2,26 @@
 //!
 //! A start that has been given out waits behind those before it, in no order of priority: on its link, in this process, on the
 //! network and on the worker. The window keeps this queue short, and leaves the other tasks in the cell, where the
-//! next pass takes them in their order. It follows the delay of the answers, as congestion control does (CoDel, LEDBAT): it
-//! grows while it keeps tasks waiting and the queue empties at times, and shrinks while the queue never does.
+//! next pass takes them in their order. It follows the delay of the answers, as congestion control does (Vegas, FAST TCP).
+//!
+//! A change shows only in the answers to starts that are placed after it. The window therefore changes once in the time from a
+//! placement to its answer, however long the way and the write of the placement take. At first it doubles, for as long as that
+//! brings more answers. After that it keeps as many starts open as are answered in that time without the delay, and those
+//! of a short queue.
 
 use std::time::{Duration, Instant};
 
-/// Delay of all answers in a round from which the starts before them count as a standing queue. A link only uses further
-/// connections after an order has waited for 40 ms.
+/// Delay that starts may have in a queue. A link only uses further connections after an order has waited for 40 ms.
 const MAX_STANDING_DELAY: Duration = Duration::from_millis(60);
 
-/// Longest round. The window changes at most once in each.
-const MAX_ROUND: Duration = Duration::from_millis(100);
-
-/// Factor by which the window grows after a round in which it has kept tasks waiting, until it has shrunk once.
-const INITIAL_GROWTH: f64 = 2.0;
+/// Longest time in which the answers that decide on a change are collected.
+const MAX_COLLECTION: Duration = Duration::from_millis(100);
 
-/// The same factor after that.
-const GROWTH: f64 = 1.25;
+/// Largest factor by which the window grows at a time.
+const MAX_GROWTH: f64 = 2.0;
 
-/// Factor by which the window shrinks after a round with a standing queue.
-const SHRINKAGE: f64 = 0.75;
-
-/// Factor by which the window shrinks after a start without an answer.
-const FAILURE_SHRINKAGE: f64 = 0.5;
+/// Factor of the rate of answers from which the window goes on to double.
+const MIN_RATE_GROWTH: f64 = 1.25;
 
 /// Bounds of the size of a window, in starts.
 #[derive(Clone, Copy, Debug)]
@@ -39,19 +36,73 @@
 pub(crate) struct StartWindow {
     bounds: WindowBounds,
     size: f64,
-    /// Factor by which it grows.
-    growth: f64,
+    /// Whether it still doubles.
+    is_initial: bool,
     round: Option<WindowRound>,
+    /// Answers per second in the round before it last doubled.
+    last_rate: f64,
     /// Whether the window has kept tasks waiting since it last changed.
     is_limiting: bool,
 }
 
+/// An answer to a start.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StartAnswer {
+    pub placed_at: Instant,
+    pub answered_at: Instant,
+    /// Time for which the start has waited for others.
+    pub delay: Duration,
+}
+
 /// Answers since the window last changed.
 #[derive(Clone, Copy, Debug)]
 struct WindowRound {
     began_at: Instant,
     answers: u32,
-    shortest_delay: Duration,
+    fresh: Option<FreshAnswers>,
+}
+
+/// Answers to starts that were placed in the round, which show the effect of the last change.
+#[derive(Clone, Copy, Debug)]
+struct FreshAnswers {
+    count: u32,
+    since: Instant,
+    /// The one with the shortest delay.
+    shortest: StartAnswer,
+}
+
+impl WindowRound {
+    fn new(began_at: Instant) -> Self {
+        Self {
+            began_at,
+            answers: 0,
+            fresh: None,
+        }
+    }
+
+    /// Adds an answer. Returns the fresh ones, if there are any.
+    fn record(&mut self, answer: StartAnswer) -> Option<FreshAnswers> {
+        self.answers += 1;
+        if answer.placed_at <= self.began_at {
+            return None;
+        }
+        let fresh = self.fresh.get_or_insert(FreshAnswers {
+            count: 0,
+            since: answer.answered_at,
+            shortest: answer,
+        });
+        fresh.count += 1;
+        if answer.delay < fresh.shortest.delay {
+            fresh.shortest = answer;
+        }
+        Some(*fresh)
+    }
+
+    /// Returns the answers per second.
+    fn rate(&self, now: Instant) -> f64 {
+        let time = now.saturating_duration_since(self.began_at);
+        f64::from(self.answers) / time.as_secs_f64().max(f64::MIN_POSITIVE)
+    }
 }
 
 impl StartWindow {
@@ -59,8 +110,9 @@
         Self {
             bounds,
             size: f64::from(bounds.initial),
-            growth: INITIAL_GROWTH,
+            is_initial: true,
             round: None,
+            last_rate: 0.0,
             is_limiting: false,
         }
     }
@@ -75,47 +127,44 @@
         self.is_limiting = true;
     }
 
-    /// Records an answer, and the time for which its start has waited for others.
-    pub(crate) fn record_answer(&mut self, delay: Duration, now: Instant) {
-        let round = self.round.get_or_insert(WindowRound {
-            began_at: now,
-            answers: 0,
-            shortest_delay: delay,
-        });
-        round.answers += 1;
-        round.shortest_delay = round.shortest_delay.min(delay);
-        let round = *round;
-        let time = now.saturating_duration_since(round.began_at);
-        if round.answers < self.size() && time < MAX_ROUND {
+    /// Records an answer.
+    pub(crate) fn record_answer(&mut self, answer: StartAnswer) {
+        let (size, now) = (self.size(), answer.answered_at);
+        let round = self.round.get_or_insert(WindowRound::new(now));
+        let Some(fresh) = round.record(answer) else {
+            return;
+        };
+        if fresh.count < size && now.saturating_duration_since(fresh.since) < MAX_COLLECTION {
             return;
         }
-        if round.shortest_delay > MAX_STANDING_DELAY {
-            self.shrink(SHRINKAGE);
-        } else if self.is_limiting {
-            self.resize(self.growth);
-        } else {
-            self.begin_round();
-        }
-    }
-
-    /// Records a start that remains without an answer.
-    pub(crate) fn record_failure(&mut self) {
-        self.shrink(FAILURE_SHRINKAGE);
+        let rate = round.rate(now);
+        let factor = self.factor(fresh.shortest, rate);
+        self.resize(factor, now);
     }
 
-    fn shrink(&mut self, factor: f64) {
-        self.growth = GROWTH;
-        self.resize(factor);
+    /// Returns the factor by which the window changes after a round.
+    fn factor(&mut self, shortest: StartAnswer, rate: f64) -> f64 {
+        let is_standing = shortest.delay > MAX_STANDING_DELAY;
+        if !is_standing && !self.is_limiting {
+            return 1.0;
+        }
+        if !is_standing && self.is_initial && rate >= self.last_rate * MIN_RATE_GROWTH {
+            self.last_rate = rate;
+            return MAX_GROWTH;
+        }
+        self.is_initial = false;
+        let time = shortest
+            .answered_at
+            .saturating_duration_since(shortest.placed_at);
+        let wanted = time.saturating_sub(shortest.delay) + MAX_STANDING_DELAY;
+        let factor = wanted.as_secs_f64() / time.as_secs_f64().max(f64::MIN_POSITIVE);
+        factor.min(MAX_GROWTH)
     }
 
-    fn resize(&mut self, factor: f64) {
+    fn resize(&mut self, factor: f64, now: Instant) {
         let (min, max) = (f64::from(self.bounds.min), f64::from(self.bounds.max));
         self.size = (self.size * factor).clamp(min, max);
-        self.begin_round();
-    }
-
-    fn begin_round(&mut self) {
-        self.round = None;
+        self.round = Some(WindowRound::new(now));
         self.is_limiting = false;
     }
 }
--- a/crates/hs-cell/tests/cell/main.rs
+++ b/crates/hs-cell/tests/cell/main.rs
@@ -33,6 +33,8 @@
 mod regressions;
 mod reservations;
 mod shrinking;
+mod slow_links;
+mod start_speeds;
 mod team_jobs;
 mod team_shares;
 mod teams;
